Add the first request path from manifest to streamed answer

Cause: no process ran; later work needs a whole path to build on. Change: the daemon reads settings, takes the configuration from the table service, answers lookups, authenticates client accounts, ranks engines by rendezvous hashing and relays answers; the operators' command checks and applies a manifest; peers call each other with signed requests. Stand-ins of the platform, an engine and a plain service serve the tests. Conclusion: admission, membership, claims and reports can be added as components.

--- /dev/null
+++ b/adapters/httpapi/requests.go
@@ -0,0 +1,176 @@
+package httpapi
+
+import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/gateway"
+	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/result"
+)
+
+// bytesPerToken is the customary estimate for prompts; it only scales load.
+const bytesPerToken = 4
+
+// maxKeyBytes bounds chat ids and idempotency keys.
+const maxKeyBytes = 256
+
+// chatBody holds the fields of a chat-completions request that routing needs.
+type chatBody struct {
+	Model               string        `json:"model"`
+	Stream              bool          `json:"stream"`
+	MaxTokens           int           `json:"max_tokens"`
+	MaxCompletionTokens int           `json:"max_completion_tokens"`
+	Messages            []chatMessage `json:"messages"`
+}
+
+type chatMessage struct {
+	Role    string          `json:"role"`
+	Content json.RawMessage `json:"content"`
+}
+
+func (s *Server) handleChat(ctx *fasthttp.RequestCtx, x *manifest.Index, account *manifest.Account) {
+	if !ctx.IsPost() {
+		writeError(ctx, result.New(result.BadRequest, "want POST"))
+		return
+	}
+	req, e := parseChat(ctx.PostBody(), x, account, ctx.Request.Header.Peek("X-Chat-Id"))
+	if e == nil {
+		e = s.complete(ctx, req)
+	}
+	if e != nil {
+		writeError(ctx, e)
+		return
+	}
+	req.Method, req.Path = fasthttp.MethodPost, string(pathChat)
+	req.Fields = append(req.Fields, gateway.Field{Name: "Content-Type", Value: "application/json"})
+	s.run(ctx, req)
+}
+
+// parseChat builds the request of a chat body. The body is not copied.
+func parseChat(body []byte, x *manifest.Index, account *manifest.Account, chatID []byte) (*gateway.Request, *result.Error) {
+	var b chatBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		return nil, result.New(result.BadRequest, "body is not a chat completion request: %v", err)
+	}
+	pool := x.PoolByModel(b.Model)
+	if pool == nil {
+		return nil, result.New(result.UnknownModel, "no pool serves model %q", b.Model)
+	}
+	if !account.MayUse(pool.Name) {
+		return nil, result.New(result.PoolForbidden, "account %s may not use pool %s", account.Name, pool.Name)
+	}
+	if len(chatID) > maxKeyBytes {
+		return nil, result.New(result.BadRequest, "X-Chat-Id is over %d bytes", maxKeyBytes)
+	}
+	out := max(b.MaxTokens, b.MaxCompletionTokens)
+	if out <= 0 || out > pool.ExpectedOutputTokens {
+		out = pool.ExpectedOutputTokens
+	}
+	if len(chatID) == 0 {
+		chatID = prefix(b.Messages)
+	}
+	return &gateway.Request{
+		Account: account, Pool: pool, Chat: chatKey(account, chatID), Body: body,
+		Stream: b.Stream, Idempotent: true,
+		PromptTokens: len(body) / bytesPerToken, OutputTokens: out,
+	}, nil
+}
+
+// prefix returns the messages up to the first one of the user: they stay the
+// same in each later turn of a chat.
+func prefix(messages []chatMessage) []byte {
+	var buf bytes.Buffer
+	for _, m := range messages {
+		buf.WriteString(m.Role)
+		buf.WriteByte(0)
+		buf.Write(m.Content)
+		buf.WriteByte(0)
+		if m.Role == "user" {
+			break
+		}
+	}
+	return buf.Bytes()
+}
+
+// forwardedFields are the request header fields passed on to plain services.
+// Authorization is not among them: a caller's key never reaches a server.
+var forwardedFields = []string{"Accept", "Accept-Language", "Content-Type", "If-Match", "If-None-Match"}
+
+func (s *Server) handleService(ctx *fasthttp.RequestCtx, x *manifest.Index, account *manifest.Account) {
+	name, rest, _ := strings.Cut(string(ctx.Path()[len(pathService):]), "/")
+	route := x.Route(name)
+	if route == nil {
+		writeError(ctx, result.New(result.UnknownRoute, "no route %q", name))
+		return
+	}
+	pool := x.Pool(route.Pool)
+	if !account.MayUse(pool.Name) {
+		writeError(ctx, result.New(result.PoolForbidden, "account %s may not use pool %s", account.Name, pool.Name))
+		return
+	}
+	req := &gateway.Request{
+		Account: account, Pool: pool, Route: route, Method: string(ctx.Method()), Path: "/" + rest,
+		Body: ctx.PostBody(), IdempotencyKey: string(ctx.Request.Header.Peek("Idempotency-Key")),
+		PromptTokens: 1,
+	}
+	if q := ctx.URI().QueryString(); len(q) > 0 {
+		req.Path += "?" + string(q)
+	}
+	for _, f := range forwardedFields {
+		if v := ctx.Request.Header.Peek(f); len(v) > 0 {
+			req.Fields = append(req.Fields, gateway.Field{Name: f, Value: string(v)})
+		}
+	}
+	safe := ctx.IsGet() || ctx.IsHead() || ctx.IsOptions()
+	req.Idempotent = route.Idempotent || safe
+	if e := s.checkIdempotencyKey(req); e != nil {
+		writeError(ctx, e)
+		return
+	}
+	if e := s.complete(ctx, req); e != nil {
+		writeError(ctx, e)
+		return
+	}
+	req.Chat = fleet.ChatKey(fleet.HashID(req.ID))
+	s.run(ctx, req)
+}
+
+func (s *Server) checkIdempotencyKey(req *gateway.Request) *result.Error {
+	if len(req.IdempotencyKey) > maxKeyBytes {
+		return result.New(result.BadRequest, "Idempotency-Key is over %d bytes", maxKeyBytes)
+	}
+	if !req.Idempotent && req.IdempotencyKey == "" {
+		return result.New(result.IdempotencyKeyMissing, "route %s needs an Idempotency-Key", req.Route.Name)
+	}
+	return nil
+}
+
+// complete sets the id, the priority and the deadline.
+func (s *Server) complete(ctx *fasthttp.RequestCtx, req *gateway.Request) *result.Error {
+	req.ID = s.NewID()
+	req.Priority = *req.Account.Priority
+	if v := ctx.Request.Header.Peek("X-Priority"); len(v) > 0 {
+		p, err := strconv.Atoi(string(v))
+		if err != nil || p < 0 || p > 9 {
+			return result.New(result.BadRequest, "X-Priority is %q, accepted range: 0 to 9", v)
+		}
+		req.Priority = min(p, req.Priority)
+	}
+	timeout := time.Duration(req.Pool.TimeoutSeconds) * time.Second
+	if v := ctx.Request.Header.Peek("X-Request-Deadline-Ms"); len(v) > 0 {
+		ms, err := strconv.ParseInt(string(v), 10, 32)
+		if err != nil || ms < 0 {
+			return result.New(result.BadRequest, "X-Request-Deadline-Ms is %q, want milliseconds", v)
+		}
+		timeout = min(timeout, time.Duration(ms)*time.Millisecond)
+	}
+	req.Deadline = time.Now().Add(timeout)
+	return nil
+}
--- /dev/null
+++ b/adapters/keys/keys.go
@@ -0,0 +1,135 @@
+// Package keys reads key files and reads them again when they change. Each
+// value owns the key that is in force.
+package keys
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"cyclamenhitch/core/result"
+)
+
+// MinSecretBytes is the shortest accepted shared key.
+const MinSecretBytes = 32
+
+// reloadInterval bounds how often a file's modification time is checked.
+const reloadInterval = time.Second
+
+// file holds the parsed content of a key file. When a changed file is
+// malformed, the last good content stays in force.
+type file[T any] struct {
+	path  string
+	parse func([]byte) (T, error)
+
+	mu      sync.Mutex
+	value   T
+	modTime time.Time
+	checked time.Time
+}
+
+func open[T any](path string, parse func([]byte) (T, error)) (*file[T], error) {
+	f := &file[T]{path: path, parse: parse}
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, result.Wrap(result.KeyFileInvalid, err, "key file %s cannot be read", path)
+	}
+	if f.value, err = f.read(); err != nil {
+		return nil, err
+	}
+	f.modTime, f.checked = info.ModTime(), time.Now()
+	return f, nil
+}
+
+func (f *file[T]) read() (T, error) {
+	var zero T
+	src, err := os.ReadFile(f.path)
+	if err != nil {
+		return zero, result.Wrap(result.KeyFileInvalid, err, "key file %s cannot be read", f.path)
+	}
+	v, err := f.parse(src)
+	if err != nil {
+		return zero, result.Wrap(result.KeyFileInvalid, err, "key file %s", f.path)
+	}
+	return v, nil
+}
+
+func (f *file[T]) get() T {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	if now.Sub(f.checked) < reloadInterval {
+		return f.value
+	}
+	f.checked = now
+	info, err := os.Stat(f.path)
+	if err != nil || info.ModTime().Equal(f.modTime) {
+		return f.value
+	}
+	if v, err := f.read(); err == nil {
+		f.value, f.modTime = v, info.ModTime()
+	}
+	return f.value
+}
+
+// Secret is a shared key.
+type Secret struct{ f *file[[]byte] }
+
+// OpenSecret reads a shared key; surrounding white space is not part of it.
+func OpenSecret(path string) (*Secret, error) {
+	f, err := open(path, func(src []byte) ([]byte, error) {
+		key := bytes.TrimSpace(src)
+		if len(key) < MinSecretBytes {
+			return nil, result.New(result.KeyFileInvalid, "has %d bytes, want at least %d", len(key), MinSecretBytes)
+		}
+		return key, nil
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &Secret{f}, nil
+}
+
+// Bytes returns the key in force. The caller must not change it.
+func (s *Secret) Bytes() []byte { return s.f.get() }
+
+// Operators maps operator keys to operator names.
+type Operators struct{ f *file[map[[32]byte]string] }
+
+// OpenOperators reads a file with one "name sha256-hex" line for each operator.
+func OpenOperators(path string) (*Operators, error) {
+	f, err := open(path, parseOperators)
+	if err != nil {
+		return nil, err
+	}
+	return &Operators{f}, nil
+}
+
+func parseOperators(src []byte) (map[[32]byte]string, error) {
+	out := map[[32]byte]string{}
+	for i, line := range strings.Split(string(src), "\n") {
+		fields := strings.Fields(line)
+		if len(fields) == 0 || strings.HasPrefix(fields[0], "#") {
+			continue
+		}
+		var sum [32]byte
+		if len(fields) != 2 || len(fields[1]) != hex.EncodedLen(len(sum)) {
+			return nil, result.New(result.KeyFileInvalid, "line %d: want a name and a hex SHA-256", i+1)
+		}
+		if _, err := hex.Decode(sum[:], []byte(fields[1])); err != nil {
+			return nil, result.New(result.KeyFileInvalid, "line %d: want a name and a hex SHA-256", i+1)
+		}
+		out[sum] = fields[0]
+	}
+	if len(out) == 0 {
+		return nil, result.New(result.KeyFileInvalid, "names no operator")
+	}
+	return out, nil
+}
+
+// Name returns the operator with the key, or "".
+func (o *Operators) Name(key []byte) string { return o.f.get()[sha256.Sum256(key)] }
--- /dev/null
+++ b/adapters/platform/members.go
@@ -0,0 +1,72 @@
+package platform
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/result"
+)
+
+// Member is one entry of the platform's membership list.
+type Member struct {
+	Instance   fleet.InstanceID
+	DataCentre fleet.DataCentreID
+	Region     fleet.RegionID
+	Leaving    bool
+	// Caller, Admin, Peer and Datagram are the instance's addresses.
+	Caller, Admin, Peer, Datagram string
+}
+
+// targetGroup is the HTTP service-discovery format of Prometheus.
+type targetGroup struct {
+	Targets []string          `json:"targets"`
+	Labels  map[string]string `json:"labels"`
+}
+
+// MemberList reads the membership list.
+type MemberList struct {
+	URL     string
+	Timeout time.Duration
+}
+
+// Read returns the current list. Its entries may be out of date.
+func (l *MemberList) Read() ([]Member, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI(l.URL)
+	if err := fasthttp.DoTimeout(req, resp, l.Timeout); err != nil {
+		return nil, result.Wrap(result.StoreUnavailable, err, "membership list cannot be read")
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return nil, result.New(result.StoreUnavailable, "membership list answered status %d", resp.StatusCode())
+	}
+	return ParseMembers(resp.Body())
+}
+
+// ParseMembers decodes the list.
+func ParseMembers(body []byte) ([]Member, error) {
+	var groups []targetGroup
+	if err := json.Unmarshal(body, &groups); err != nil {
+		return nil, result.Wrap(result.StoreUnavailable, err, "membership list cannot be decoded")
+	}
+	var out []Member
+	for _, g := range groups {
+		for _, target := range g.Targets {
+			out = append(out, Member{
+				Instance:   fleet.InstanceID(g.Labels["instance"]),
+				DataCentre: fleet.DataCentreID(g.Labels["data_centre"]),
+				Region:     fleet.RegionID(g.Labels["region"]),
+				Leaving:    g.Labels["state"] == "leaving",
+				Caller:     target,
+				Admin:      g.Labels["admin"],
+				Peer:       g.Labels["peer"],
+				Datagram:   g.Labels["datagram"],
+			})
+		}
+	}
+	return out, nil
+}
--- /dev/null
+++ b/adapters/settings/settings.go
@@ -0,0 +1,268 @@
+// Package settings reads the TOML settings file of a router instance. A
+// Settings value is immutable after Load.
+package settings
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/result"
+)
+
+// Settings configures one router instance.
+type Settings struct {
+	// Instance is the unique name of the instance. Required.
+	Instance fleet.InstanceID `toml:"instance"`
+	// DataCentre is the data centre of the instance. Required.
+	DataCentre fleet.DataCentreID `toml:"data_centre"`
+	// Region is the region of the instance. Required.
+	Region   fleet.RegionID `toml:"region"`
+	Listen   Listen         `toml:"listen"`
+	Platform Platform       `toml:"platform"`
+	Trust    Trust          `toml:"trust"`
+	Limits   Limits         `toml:"limits"`
+	Times    Times          `toml:"times"`
+	Log      Log            `toml:"log"`
+}
+
+// Listen holds the addresses of the instance, each an IP address and a port.
+type Listen struct {
+	// Caller serves callers. Required.
+	Caller string `toml:"caller"`
+	// Admin serves operators. Required.
+	Admin string `toml:"admin"`
+	// Peer serves RPC calls of other instances over TCP. Required.
+	Peer string `toml:"peer"`
+	// Datagram receives heartbeats over UDP. Required.
+	Datagram string `toml:"datagram"`
+}
+
+// Platform holds the addresses of the platform's services.
+type Platform struct {
+	// Table is the URL of the table service. Required.
+	Table string `toml:"table"`
+	// TableName is the name of the table. Default "cyclamenhitch".
+	TableName string `toml:"table_name"`
+	// Objects is the URL of the object store. Required.
+	Objects string `toml:"objects"`
+	// Bucket is the bucket in the object store. Default "cyclamenhitch".
+	Bucket string `toml:"bucket"`
+	// Members is the URL of the membership list. Required.
+	Members string `toml:"members"`
+	// CallTimeoutMillis is the deadline of each call, in ms. Default 1000.
+	CallTimeoutMillis int `toml:"call_timeout_ms"`
+	// AccessKeyID and SecretFile sign the calls. SecretFile holds the secret key.
+	AccessKeyID string `toml:"access_key_id"`
+	SecretFile  string `toml:"secret_file"`
+}
+
+// Trust holds key files. They are read again when they change.
+type Trust struct {
+	// PeerKeyFile holds the shared key of all instances, 32 bytes or more. Required.
+	PeerKeyFile string `toml:"peer_key_file"`
+	// OperatorKeysFile holds one "name sha256-hex" line for each operator. Required.
+	OperatorKeysFile string `toml:"operator_keys_file"`
+}
+
+// Limits bounds what callers can make an instance hold.
+type Limits struct {
+	// MaxBodyBytes is the largest request body. Default 4194304.
+	MaxBodyBytes int `toml:"max_body_bytes"`
+	// MaxHeaderBytes is the largest request header. Default 16384.
+	MaxHeaderBytes int `toml:"max_header_bytes"`
+	// MaxConnections is the number of caller connections. Default 20000.
+	MaxConnections int `toml:"max_connections"`
+	// MaxConnectionsPerIP bounds connections of one caller address; 0 means no bound. Default 0.
+	MaxConnectionsPerIP int `toml:"max_connections_per_ip"`
+	// MaxAnswerBytes is the largest answer that is not streamed. Default 8388608.
+	MaxAnswerBytes int `toml:"max_answer_bytes"`
+}
+
+// Times holds durations of the instance.
+type Times struct {
+	// ReadSeconds bounds reading one request. Default 30.
+	ReadSeconds int `toml:"read_seconds"`
+	// WriteSeconds bounds each write to a caller. Default 30.
+	WriteSeconds int `toml:"write_seconds"`
+	// IdleSeconds closes idle caller connections. Default 90.
+	IdleSeconds int `toml:"idle_seconds"`
+	// StopSeconds bounds a planned stop. Default 150.
+	StopSeconds int `toml:"stop_seconds"`
+	// IsolationSeconds stops new work when neither the table service nor a peer
+	// has answered for this long. Default 20.
+	IsolationSeconds int `toml:"isolation_seconds"`
+	// MaxConfigAgeSeconds stops new work when the table service has not
+	// confirmed the configuration for this long; 0 means never. Default 0.
+	MaxConfigAgeSeconds int `toml:"max_config_age_seconds"`
+}
+
+// Log configures logging.
+type Log struct {
+	// Level is debug, info, warn or error. Default info.
+	Level string `toml:"level"`
+	// SampleDecisions logs one in this many routing decisions; 0 means none. Default 1000.
+	SampleDecisions *int `toml:"sample_decisions"`
+}
+
+// Load reads and checks the file. All errors carry file, line and column.
+func Load(path string) (*Settings, error) {
+	src, err := os.ReadFile(path)
+	if err != nil {
+		return nil, result.Wrap(result.SettingsInvalid, err, "settings file %s cannot be read", path)
+	}
+	return Parse(path, src)
+}
+
+// Parse decodes settings; path is used in error messages only.
+func Parse(path string, src []byte) (*Settings, error) {
+	var s Settings
+	dec := toml.NewDecoder(bytes.NewReader(src))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return nil, result.New(result.SettingsInvalid, "%s", describe(path, err))
+	}
+	s.applyDefaults()
+	if problems := s.check(); len(problems) > 0 {
+		lines := make([]string, len(problems))
+		for i, p := range problems {
+			lines[i] = fmt.Sprintf("%s:%d: %s", path, lineOf(src, p.key), p.text)
+		}
+		return nil, result.New(result.SettingsInvalid, "%s", strings.Join(lines, "\n"))
+	}
+	return &s, nil
+}
+
+func describe(path string, err error) string {
+	var strict *toml.StrictMissingError
+	if errors.As(err, &strict) {
+		lines := make([]string, len(strict.Errors))
+		for i, e := range strict.Errors {
+			row, col := e.Position()
+			lines[i] = fmt.Sprintf("%s:%d:%d: unknown key %s", path, row, col, strings.Join(e.Key(), "."))
+		}
+		return strings.Join(lines, "\n")
+	}
+	var de *toml.DecodeError
+	if errors.As(err, &de) {
+		row, col := de.Position()
+		return fmt.Sprintf("%s:%d:%d: %s", path, row, col, de.Error())
+	}
+	return path + ": " + err.Error()
+}
+
+// lineOf returns the 1-based line that sets the last part of a dotted key in
+// its table, or 1 when the key is not set.
+func lineOf(src []byte, key string) int {
+	table, name := "", key
+	if i := strings.LastIndexByte(key, '.'); i >= 0 {
+		table, name = key[:i], key[i+1:]
+	}
+	current := ""
+	for i, line := range strings.Split(string(src), "\n") {
+		t := strings.TrimSpace(line)
+		if strings.HasPrefix(t, "[") {
+			current = strings.Trim(t, "[] ")
+			continue
+		}
+		k, _, ok := strings.Cut(t, "=")
+		if ok && current == table && strings.TrimSpace(k) == name {
+			return i + 1
+		}
+	}
+	return 1
+}
+
+func setDefault[T comparable](p *T, v T) {
+	var zero T
+	if *p == zero {
+		*p = v
+	}
+}
+
+func (s *Settings) applyDefaults() {
+	setDefault(&s.Platform.TableName, "cyclamenhitch")
+	setDefault(&s.Platform.Bucket, "cyclamenhitch")
+	setDefault(&s.Platform.CallTimeoutMillis, 1000)
+	setDefault(&s.Limits.MaxBodyBytes, 4<<20)
+	setDefault(&s.Limits.MaxHeaderBytes, 16<<10)
+	setDefault(&s.Limits.MaxConnections, 20000)
+	setDefault(&s.Limits.MaxAnswerBytes, 8<<20)
+	setDefault(&s.Times.ReadSeconds, 30)
+	setDefault(&s.Times.WriteSeconds, 30)
+	setDefault(&s.Times.IdleSeconds, 90)
+	setDefault(&s.Times.StopSeconds, 150)
+	setDefault(&s.Times.IsolationSeconds, 20)
+	setDefault(&s.Log.Level, "info")
+	if s.Log.SampleDecisions == nil {
+		n := 1000
+		s.Log.SampleDecisions = &n
+	}
+}
+
+type problem struct{ key, text string }
+
+func (s *Settings) check() []problem {
+	var ps []problem
+	add := func(key, format string, args ...any) {
+		ps = append(ps, problem{key, key + " " + fmt.Sprintf(format, args...)})
+	}
+	for _, r := range []struct{ key, v string }{
+		{"instance", string(s.Instance)},
+		{"data_centre", string(s.DataCentre)},
+		{"region", string(s.Region)},
+		{"platform.table", s.Platform.Table},
+		{"platform.objects", s.Platform.Objects},
+		{"platform.members", s.Platform.Members},
+		{"trust.peer_key_file", s.Trust.PeerKeyFile},
+		{"trust.operator_keys_file", s.Trust.OperatorKeysFile},
+	} {
+		if r.v == "" {
+			add(r.key, "is required")
+		}
+	}
+	for _, a := range []struct{ key, v string }{
+		{"listen.caller", s.Listen.Caller},
+		{"listen.admin", s.Listen.Admin},
+		{"listen.peer", s.Listen.Peer},
+		{"listen.datagram", s.Listen.Datagram},
+	} {
+		if _, err := netip.ParseAddrPort(a.v); err != nil {
+			add(a.key, "is %q, want an IP address and port such as 10.0.0.1:8080", a.v)
+		}
+	}
+	for _, n := range []struct {
+		key         string
+		v, min, max int
+	}{
+		{"platform.call_timeout_ms", s.Platform.CallTimeoutMillis, 10, 60000},
+		{"limits.max_body_bytes", s.Limits.MaxBodyBytes, 1024, 1 << 30},
+		{"limits.max_header_bytes", s.Limits.MaxHeaderBytes, 1024, 1 << 20},
+		{"limits.max_connections", s.Limits.MaxConnections, 1, 1 << 20},
+		{"limits.max_connections_per_ip", s.Limits.MaxConnectionsPerIP, 0, 1 << 20},
+		{"limits.max_answer_bytes", s.Limits.MaxAnswerBytes, 1024, 1 << 30},
+		{"times.read_seconds", s.Times.ReadSeconds, 1, 3600},
+		{"times.write_seconds", s.Times.WriteSeconds, 1, 3600},
+		{"times.idle_seconds", s.Times.IdleSeconds, 1, 3600},
+		{"times.stop_seconds", s.Times.StopSeconds, 1, 86400},
+		{"times.isolation_seconds", s.Times.IsolationSeconds, 1, 86400},
+		{"times.max_config_age_seconds", s.Times.MaxConfigAgeSeconds, 0, 1 << 30},
+		{"log.sample_decisions", *s.Log.SampleDecisions, 0, 1 << 30},
+	} {
+		if n.v < n.min || n.v > n.max {
+			add(n.key, "is %d, accepted range: %d to %d", n.v, n.min, n.max)
+		}
+	}
+	switch s.Log.Level {
+	case "debug", "info", "warn", "error":
+	default:
+		add("log.level", "is %q, accepted values: debug, info, warn, error", s.Log.Level)
+	}
+	return ps
+}
--- /dev/null
+++ b/cmd/cyclamenhitch/main.go
@@ -0,0 +1,10 @@
+// Command cyclamenhitch is the operators' command.
+package main
+
+import (
+	"os"
+
+	"cyclamenhitch/cmd/internal/operator"
+)
+
+func main() { os.Exit(operator.Main(os.Args[1:], os.Stdout, os.Stderr)) }
--- /dev/null
+++ b/cmd/cyclamenhitchd/main.go
@@ -0,0 +1,54 @@
+// Command cyclamenhitchd is the router daemon: one instance of the fleet.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"go.uber.org/zap"
+
+	"cyclamenhitch/adapters/logging"
+	"cyclamenhitch/adapters/settings"
+	"cyclamenhitch/cmd/internal/daemon"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+var cli struct {
+	Settings string `arg:"" type:"existingfile" help:"TOML settings file of this instance."`
+	Check    bool   `help:"Check the settings file and exit."`
+}
+
+func main() {
+	kong.Parse(&cli, kong.Name("cyclamenhitchd"), kong.Description("Router daemon of a cyclamenhitch fleet."))
+	set, err := settings.Load(cli.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	if cli.Check {
+		fmt.Println("settings are valid")
+		return
+	}
+	log := logging.New(os.Stderr, set.Log.Level,
+		zap.String(logging.FieldInstance, string(set.Instance)), zap.String(logging.FieldDataCentre, string(set.DataCentre)))
+	d, err := daemon.New(set, log)
+	if err != nil {
+		log.Error("start refused", zap.Error(err))
+		os.Exit(exitSettings)
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := d.Run(ctx); err != nil {
+		log.Error("instance failed", zap.Error(err))
+		os.Exit(exitFailed)
+	}
+}
--- /dev/null
+++ b/cmd/internal/daemon/admin.go
@@ -0,0 +1,146 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/expvarhandler"
+	"go.uber.org/zap"
+
+	"cyclamenhitch/adapters/logging"
+	"cyclamenhitch/core/configstate"
+	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/result"
+)
+
+// adminComponent serves operators and health checks.
+type adminComponent struct {
+	d   *Daemon
+	srv *fasthttp.Server
+}
+
+func newAdminComponent(d *Daemon) *adminComponent {
+	c := &adminComponent{d: d}
+	c.srv = &fasthttp.Server{
+		Handler: c.handle, MaxRequestBodySize: manifest.MaxBytes, NoDefaultServerHeader: true,
+		ReadTimeout: time.Minute, WriteTimeout: time.Minute,
+	}
+	return c
+}
+
+func (c *adminComponent) serve(ln net.Listener) error { return c.srv.Serve(ln) }
+
+func (c *adminComponent) shutdown(ctx context.Context) { _ = c.srv.ShutdownWithContext(ctx) }
+
+func (c *adminComponent) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/admin/healthz":
+		ctx.SetBodyString("ok\n")
+		return
+	case "/admin/readyz":
+		c.handleReady(ctx)
+		return
+	}
+	operator := c.d.operators.Name(bearerKey(string(ctx.Request.Header.Peek("Authorization"))))
+	if operator == "" {
+		writeAdminError(ctx, result.New(result.OperatorForbidden, "the operator key is missing or unknown"))
+		return
+	}
+	switch string(ctx.Path()) {
+	case "/admin/metrics":
+		expvarhandler.ExpvarHandler(ctx)
+	case "/admin/status":
+		writeAdminJSON(ctx, c.status())
+	case "/admin/manifest":
+		c.handleManifest(ctx)
+	case "/admin/apply":
+		c.handleApply(ctx, operator)
+	default:
+		writeAdminError(ctx, result.New(result.UnknownRoute, "no such path"))
+	}
+}
+
+// Status is the answer of /admin/status.
+type Status struct {
+	Instance   string `json:"instance"`
+	DataCentre string `json:"data_centre"`
+	Version    uint64 `json:"version"`
+	Ready      bool   `json:"ready"`
+}
+
+func (c *adminComponent) status() Status {
+	s := Status{Instance: string(c.d.set.Instance), DataCentre: string(c.d.set.DataCentre)}
+	if x := c.d.config.Index(); x != nil {
+		s.Version, s.Ready = x.Version, true
+	}
+	return s
+}
+
+func (c *adminComponent) handleReady(ctx *fasthttp.RequestCtx) {
+	s := c.status()
+	if !s.Ready {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	}
+	writeAdminJSON(ctx, s)
+}
+
+// handleManifest answers the body of the newest accepted version.
+func (c *adminComponent) handleManifest(ctx *fasthttp.RequestCtx) {
+	head, err := configstate.ReadHead(context.Background(), c.d.store)
+	if err != nil {
+		writeAdminError(ctx, result.As(err))
+		return
+	}
+	ctx.Response.Header.Set("X-Config-Version", strconv.FormatUint(head.Version, 10))
+	if head.Version == 0 {
+		writeAdminError(ctx, result.New(result.ConfigMissing, "no configuration has been accepted yet"))
+		return
+	}
+	body, err := configstate.LoadBody(context.Background(), c.d.store, head)
+	if err != nil {
+		writeAdminError(ctx, result.As(err))
+		return
+	}
+	ctx.SetContentType("application/toml")
+	ctx.SetBody(body)
+}
+
+func (c *adminComponent) handleApply(ctx *fasthttp.RequestCtx, operator string) {
+	base, err := strconv.ParseUint(string(ctx.QueryArgs().Peek("base")), 10, 64)
+	if err != nil {
+		writeAdminError(ctx, result.New(result.BadRequest, "parameter base must be a version number"))
+		return
+	}
+	head, err := configstate.Accept(context.Background(), c.d.store, c.d.store, base, ctx.PostBody(), operator, newID())
+	if err != nil {
+		writeAdminError(ctx, result.As(err))
+		return
+	}
+	c.d.log.Info("configuration accepted", zap.Uint64(logging.FieldVersion, head.Version), zap.String(logging.FieldOperator, operator))
+	writeAdminJSON(ctx, head)
+}
+
+func writeAdminJSON(ctx *fasthttp.RequestCtx, v any) {
+	body, err := json.Marshal(v)
+	if err != nil {
+		writeAdminError(ctx, result.As(err))
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+func writeAdminError(ctx *fasthttp.RequestCtx, e *result.Error) {
+	ctx.SetStatusCode(e.Code.Info().HTTPStatus)
+	message := e.Message
+	if e.Cause != nil {
+		message += ": " + e.Cause.Error()
+	}
+	writeAdminJSON(ctx, map[string]any{"error": map[string]any{
+		"code": e.Code, "name": e.Code.Info().Name, "message": message, "outcome": e.Outcome,
+	}})
+}
--- /dev/null
+++ b/cmd/internal/daemon/daemon.go
@@ -0,0 +1,184 @@
+// Package daemon wires a router instance: it connects the decision logic of the
+// core module to the adapters and owns their start and stop order.
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cyclamenhitch/adapters/engine"
+	"cyclamenhitch/adapters/httpapi"
+	"cyclamenhitch/adapters/keys"
+	"cyclamenhitch/adapters/peer"
+	"cyclamenhitch/adapters/platform"
+	"cyclamenhitch/adapters/settings"
+	"cyclamenhitch/core/gateway"
+	"cyclamenhitch/core/result"
+)
+
+// maxStoreCalls caps concurrent calls to the table service and object store, so
+// that a returning store is not overrun by one instance.
+const maxStoreCalls = 8
+
+// Daemon is one router instance.
+type Daemon struct {
+	set *settings.Settings
+	log *zap.Logger
+
+	store     *platform.Store
+	operators *keys.Operators
+	peerKey   *keys.Secret
+
+	// peerServer, peerClient and traffic carry calls between instances; a
+	// component mounts its twirp service in its constructor.
+	peerServer *peer.Server
+	peerClient *peer.Client
+	traffic    peer.Traffic
+
+	config    *configComponent
+	members   *memberComponent
+	admission *admissionComponent
+	claims    *claimsComponent
+	callers   *httpapi.Server
+	admin     *adminComponent
+
+	callerLn, adminLn, peerLn net.Listener
+}
+
+// New checks the key files and listens on all addresses. It starts no work.
+func New(set *settings.Settings, log *zap.Logger) (*Daemon, error) {
+	d := &Daemon{set: set, log: log}
+	var err error
+	if d.operators, err = keys.OpenOperators(set.Trust.OperatorKeysFile); err != nil {
+		return nil, err
+	}
+	if d.peerKey, err = keys.OpenSecret(set.Trust.PeerKeyFile); err != nil {
+		return nil, err
+	}
+	secret := ""
+	if set.Platform.SecretFile != "" {
+		k, err := keys.OpenSecret(set.Platform.SecretFile)
+		if err != nil {
+			return nil, err
+		}
+		secret = string(k.Bytes())
+	}
+	d.store = platform.NewStore(platform.Config{
+		TableURL: set.Platform.Table, TableName: set.Platform.TableName,
+		ObjectsURL: set.Platform.Objects, Bucket: set.Platform.Bucket,
+		AccessKeyID: set.Platform.AccessKeyID, Secret: secret,
+		CallTimeout:   time.Duration(set.Platform.CallTimeoutMillis) * time.Millisecond,
+		MaxConcurrent: maxStoreCalls,
+	})
+	d.peerServer = peer.NewServer(d.peerKey, &d.traffic)
+	d.peerClient = peer.NewClient(d.peerKey, &d.traffic)
+	d.build()
+	if d.callerLn, err = listen(set.Listen.Caller); err != nil {
+		return nil, err
+	}
+	if d.adminLn, err = listen(set.Listen.Admin); err != nil {
+		return nil, err
+	}
+	if d.peerLn, err = listen(set.Listen.Peer); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+func listen(addr string) (net.Listener, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, result.Wrap(result.SettingsInvalid, err, "address %s cannot be used", addr)
+	}
+	return ln, nil
+}
+
+func (d *Daemon) build() {
+	d.config = newConfigComponent(d)
+	d.members = newMemberComponent(d)
+	d.admission = newAdmissionComponent(d)
+	d.claims = newClaimsComponent(d)
+	gw := &gateway.Gateway{
+		Router:   d.config,
+		Admitter: d.admission,
+		Upstream: &engine.Client{MaxAnswerBytes: d.set.Limits.MaxAnswerBytes},
+		Claimer:  d.claims,
+		Budget:   d.admission,
+		Now:      time.Now,
+	}
+	d.callers = &httpapi.Server{
+		Config: d.config.Index, Opener: gw, Directory: d.members, Gate: d.config,
+		Log: d.log, NewID: newID,
+	}
+	d.admin = newAdminComponent(d)
+}
+
+func newID() string {
+	var b [12]byte
+	_, _ = rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// CallerAddress is the address that callers connect to.
+func (d *Daemon) CallerAddress() string { return d.callerLn.Addr().String() }
+
+// AdminAddress is the address that operators connect to.
+func (d *Daemon) AdminAddress() string { return d.adminLn.Addr().String() }
+
+// PeerAddress is the address that other instances connect to.
+func (d *Daemon) PeerAddress() string { return d.peerLn.Addr().String() }
+
+// Run serves until ctx ends, then stops without cutting requests, bounded by
+// the setting times.stop_seconds.
+func (d *Daemon) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	errs := make(chan error, 4)
+	go func() { errs <- d.callers.Serve(d.callerLn, d.limits()) }()
+	go func() { errs <- d.admin.serve(d.adminLn) }()
+	go func() { errs <- d.peerServer.Serve(d.peerLn) }()
+	go d.config.run(work)
+	go d.members.run(work)
+	d.log.Info("instance started", zap.String("caller", d.CallerAddress()), zap.String("admin", d.AdminAddress()))
+	select {
+	case err := <-errs:
+		return err
+	case <-ctx.Done():
+	}
+	return d.stop()
+}
+
+func (d *Daemon) stop() error {
+	d.log.Info("planned stop begins")
+	limit := time.Duration(d.set.Times.StopSeconds) * time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	err := d.callers.Shutdown(ctx)
+	d.admin.shutdown(ctx)
+	_ = d.peerServer.Shutdown(ctx)
+	d.log.Info("planned stop ends", zap.Bool("complete", err == nil))
+	return err
+}
+
+func (d *Daemon) limits() httpapi.Limits {
+	l, t := d.set.Limits, d.set.Times
+	return httpapi.Limits{
+		MaxBodyBytes: l.MaxBodyBytes, MaxHeaderBytes: l.MaxHeaderBytes,
+		MaxConnections: l.MaxConnections, MaxConnectionsPerIP: l.MaxConnectionsPerIP,
+		ReadTimeout:  time.Duration(t.ReadSeconds) * time.Second,
+		WriteTimeout: time.Duration(t.WriteSeconds) * time.Second,
+		IdleTimeout:  time.Duration(t.IdleSeconds) * time.Second,
+	}
+}
+
+// bearerKey returns the key of an Authorization header value.
+func bearerKey(header string) []byte {
+	key, _ := strings.CutPrefix(header, "Bearer ")
+	return []byte(key)
+}
--- /dev/null
+++ b/core/configstate/accept.go
@@ -0,0 +1,101 @@
+// Package configstate decides which configuration version an instance uses and
+// how a new version is accepted. The truth is the row config/head in the table;
+// each instance owns its copy of the version in force.
+package configstate
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/result"
+	"cyclamenhitch/core/store"
+)
+
+// Key of the row that names the version in force.
+const (
+	headPartition = "config"
+	headSort      = "head"
+)
+
+// Head is the content of the row config/head.
+type Head struct {
+	Version uint64 `json:"version"`
+	// Object is the name of the manifest body in the object store.
+	Object string `json:"object"`
+	// SHA256 is the hex digest of the body.
+	SHA256 string `json:"sha256"`
+	// Operator accepted the version.
+	Operator string `json:"operator"`
+}
+
+// ReadHead reads the head. It returns version 0 when nothing was accepted yet.
+func ReadHead(ctx context.Context, t store.Table) (Head, error) {
+	row, err := t.Get(ctx, headPartition, headSort)
+	if errors.Is(err, store.ErrNotFound) {
+		return Head{}, nil
+	}
+	if err != nil {
+		return Head{}, err
+	}
+	var h Head
+	if err := json.Unmarshal(row.Data, &h); err != nil {
+		return Head{}, result.Wrap(result.StoreUnavailable, err, "row config/head cannot be decoded")
+	}
+	h.Version = row.Version
+	return h, nil
+}
+
+// LoadBody reads the manifest body of a head and checks its digest.
+func LoadBody(ctx context.Context, o store.Objects, h Head) ([]byte, error) {
+	body, err := o.GetObject(ctx, h.Object)
+	if err != nil {
+		return nil, err
+	}
+	if digest(body) != h.SHA256 {
+		return nil, result.New(result.StoreUnavailable, "object %s does not match its digest", h.Object)
+	}
+	return body, nil
+}
+
+// Accept checks body and makes it version base+1. nonce must be unique for the
+// call. It returns ConfigConflict when another version was accepted, and
+// settles a lost reply by reading the row again.
+func Accept(ctx context.Context, t store.Table, o store.Objects, base uint64, body []byte, operator, nonce string) (Head, error) {
+	if _, err := manifest.Decode(body); err != nil {
+		return Head{}, err
+	}
+	h := Head{Version: base + 1, SHA256: digest(body), Operator: operator}
+	h.Object = fmt.Sprintf("config/%d-%s.toml", h.Version, nonce)
+	if err := o.PutObject(ctx, h.Object, body); err != nil {
+		return Head{}, err
+	}
+	data, err := json.Marshal(h)
+	if err != nil {
+		return Head{}, result.As(err)
+	}
+	row := store.Row{Partition: headPartition, Sort: headSort, Version: h.Version, Writer: nonce, Data: data}
+	err = t.Put(ctx, row, base)
+	if err == nil {
+		return h, nil
+	}
+	got, rerr := t.Get(ctx, headPartition, headSort)
+	switch {
+	case rerr == nil && got.Writer == nonce:
+		return h, nil
+	case rerr == nil && got.Version >= h.Version:
+		return Head{}, result.New(result.ConfigConflict, "base version %d is out of date, version %d is in force", base, got.Version)
+	case errors.Is(err, store.ErrConditionFailed):
+		return Head{}, result.New(result.ConfigConflict, "base version %d does not exist", base)
+	}
+	return Head{}, result.Wrap(result.StoreUnavailable, err, "acceptance of version %d is not known", h.Version).WithOutcome(result.Unknown)
+}
+
+func digest(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/core/gateway/ports.go
@@ -0,0 +1,108 @@
+// Package gateway carries one request from parsing to the end of its answer:
+// it ranks servers, obtains a permit, claims requests that are not idempotent,
+// opens the answer, retries where that is safe, and releases what it took. It
+// keeps no state beyond the request; each step is a port with its own owner.
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/manifest"
+)
+
+// Field is one header field that is passed on to a backend server.
+type Field struct{ Name, Value string }
+
+// Request is one caller request after parsing and authentication.
+type Request struct {
+	// ID is unique for the request; attempts add a suffix to it.
+	ID      string
+	Account *manifest.Account
+	Pool    *manifest.Pool
+	// Route is nil for chat requests.
+	Route *manifest.Route
+	// Chat ranks the servers of the pool.
+	Chat   fleet.ChatKey
+	Method string
+	// Path is the path and query sent to the backend server.
+	Path   string
+	Fields []Field
+	Body   []byte
+	// Stream asks for server-sent events.
+	Stream bool
+	// Idempotent allows retries after bytes may have reached a server.
+	Idempotent     bool
+	IdempotencyKey string
+	// Priority is 0 (lowest) to 9.
+	Priority int
+	// PromptTokens and OutputTokens are estimates, in tokens.
+	PromptTokens, OutputTokens int
+	Deadline                   time.Time
+}
+
+// Answer is an open answer of a backend server. It is used by one goroutine.
+type Answer interface {
+	// Status is the HTTP status.
+	Status() int
+	// Fields are the header fields to pass on to the caller.
+	Fields() []Field
+	// Next returns the next part of the body, valid until the following call.
+	// It returns io.EOF only after a complete and verified answer, and a
+	// *result.Error otherwise.
+	Next() ([]byte, error)
+	// Close ends the answer; it cancels the request at the server when the
+	// answer is not complete. It may be called more than once.
+	Close()
+}
+
+// Router ranks the servers that may receive a request.
+type Router interface {
+	// Rank appends the eligible servers to dst, best first.
+	Rank(req *Request, dst []*manifest.Server) []*manifest.Server
+}
+
+// Permit is the right to put one request on one server.
+type Permit interface {
+	// Release returns the load. It may be called more than once.
+	Release()
+}
+
+// Admitter grants permits.
+type Admitter interface {
+	// Admit returns a permit or an error with outcome not_run.
+	Admit(ctx context.Context, req *Request, srv *manifest.Server) (Permit, error)
+}
+
+// Upstream sends a request to a backend server.
+type Upstream interface {
+	// Open sends the request and waits for the first part of the answer. An
+	// error's outcome says whether the request may have run.
+	Open(ctx context.Context, srv *manifest.Server, req *Request, attemptID string) (Answer, error)
+}
+
+// Claimer records requests that are not idempotent before they run.
+type Claimer interface {
+	// Claim makes the claim durable. It returns a stored answer instead when
+	// the key has run before, or an error.
+	Claim(ctx context.Context, req *Request) (Claim, Answer, error)
+}
+
+// Claim is a durable claim held by this request.
+type Claim interface {
+	// Finish records the outcome. A nil err means that the answer was complete;
+	// an error with outcome not_run frees the key for another attempt.
+	Finish(status int, fields []Field, body []byte, err error)
+}
+
+// RetryBudget bounds retries for each pool.
+type RetryBudget interface {
+	// OnRequest counts a first attempt.
+	OnRequest(pool fleet.PoolID)
+	// TryRetry takes one retry from the budget and reports whether there was one.
+	TryRetry(pool fleet.PoolID) bool
+}
+
+// Clock gives the current time.
+type Clock func() time.Time
--- /dev/null
+++ b/standins/model/model.go
@@ -0,0 +1,275 @@
+// Package model is a small stand-in of a model engine: it speaks the chat
+// completions protocol, keeps a bounded prefix cache, reports its load with a
+// lag, and counts what it ran independently of the router.
+package model
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Config sets the behaviour of an engine.
+type Config struct {
+	Name string
+	// Address to listen on; "127.0.0.1:0" picks a port.
+	Address string
+	// TokenInterval is the time between tokens of a stream.
+	TokenInterval time.Duration
+	// PrefillPerToken is the time for each prompt token that is not cached.
+	PrefillPerToken time.Duration
+	// CacheChats bounds the prefix cache, in chats.
+	CacheChats int
+}
+
+// Fault is a fault of the next answer.
+type Fault string
+
+// Faults.
+const (
+	FaultNone     Fault = ""
+	FaultTruncate Fault = "truncate" // close the stream after two tokens
+	FaultCross    Fault = "cross"    // answer with the id of another request
+	FaultSilent   Fault = "silent"   // stop sending and keep the connection
+	FaultError    Fault = "error"    // status 500
+	FaultShort    Fault = "short"    // fewer bytes than declared
+)
+
+// Counts are independent counters of an engine.
+type Counts struct {
+	Started, Completed, Running, MaxRunning int64
+	PromptTokens, CachedTokens              int64
+	// LastStart is when the newest request began.
+	LastStart time.Time
+}
+
+// Engine is a running stand-in.
+type Engine struct {
+	cfg         Config
+	ln          net.Listener
+	srv         *fasthttp.Server
+	incarnation int64
+
+	started, completed, running, maxRunning, promptTokens, cachedTokens atomic.Int64
+
+	mu        sync.Mutex
+	cache     map[string]int // chat prefix to cached tokens
+	order     []string       // insertion order for eviction
+	fault     Fault
+	lastStart time.Time
+	closed    chan struct{}
+}
+
+// Start starts an engine.
+func Start(cfg Config) (*Engine, error) {
+	ln, err := net.Listen("tcp", cfg.Address)
+	if err != nil {
+		return nil, err
+	}
+	e := &Engine{cfg: cfg, ln: ln, incarnation: time.Now().UnixMilli(), cache: map[string]int{}, closed: make(chan struct{})}
+	e.srv = &fasthttp.Server{Handler: e.handle, MaxRequestBodySize: 16 << 20, NoDefaultServerHeader: true}
+	go func() { _ = e.srv.Serve(ln) }()
+	return e, nil
+}
+
+// Address is the engine's host:port.
+func (e *Engine) Address() string { return e.ln.Addr().String() }
+
+// Close stops the engine.
+func (e *Engine) Close() {
+	close(e.closed)
+	_ = e.srv.Shutdown()
+}
+
+// SetFault sets the fault of the next answer.
+func (e *Engine) SetFault(f Fault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fault = f
+}
+
+// Counts returns the counters.
+func (e *Engine) Counts() Counts {
+	e.mu.Lock()
+	last := e.lastStart
+	e.mu.Unlock()
+	return Counts{
+		e.started.Load(), e.completed.Load(), e.running.Load(), e.maxRunning.Load(),
+		e.promptTokens.Load(), e.cachedTokens.Load(), last,
+	}
+}
+
+type chatRequest struct {
+	Model     string `json:"model"`
+	Stream    bool   `json:"stream"`
+	MaxTokens int    `json:"max_tokens"`
+	Messages  []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+}
+
+// Answer is the text that an engine gives for a prompt; callers use it to check
+// that an answer is whole and their own.
+func Answer(lastMessage string, tokens int) []string {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(lastMessage))
+	words := make([]string, tokens)
+	for i := range words {
+		words[i] = fmt.Sprintf("w%08x-%d ", h.Sum32(), i)
+	}
+	return words
+}
+
+func (e *Engine) handle(ctx *fasthttp.RequestCtx) {
+	switch string(ctx.Path()) {
+	case "/healthz":
+		ctx.SetStatusCode(200)
+	case "/load":
+		e.handleLoad(ctx)
+	case "/v1/chat/completions":
+		e.handleChat(ctx)
+	default:
+		ctx.SetStatusCode(404)
+	}
+}
+
+func (e *Engine) handleLoad(ctx *fasthttp.RequestCtx) {
+	body, _ := json.Marshal(map[string]any{
+		"engine": e.cfg.Name, "incarnation": e.incarnation, "running": e.running.Load(),
+		"at_ms": time.Now().UnixMilli(),
+	})
+	ctx.SetContentType("application/json")
+	ctx.SetBody(body)
+}
+
+func (e *Engine) handleChat(ctx *fasthttp.RequestCtx) {
+	var req chatRequest
+	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil || len(req.Messages) == 0 {
+		ctx.SetStatusCode(400)
+		return
+	}
+	e.begin()
+	id := string(ctx.Request.Header.Peek("X-Request-Id"))
+	e.mu.Lock()
+	fault := e.fault
+	e.fault = FaultNone
+	e.mu.Unlock()
+	if fault == FaultCross {
+		id = "other-request"
+	}
+	if fault == FaultError {
+		e.running.Add(-1)
+		ctx.SetStatusCode(500)
+		return
+	}
+	uncached := e.lookupPrefix(&req)
+	time.Sleep(time.Duration(uncached) * e.cfg.PrefillPerToken)
+	ctx.Response.Header.Set("X-Request-Id", id)
+	tokens := req.MaxTokens
+	if tokens <= 0 {
+		tokens = 16
+	}
+	words := Answer(req.Messages[len(req.Messages)-1].Content, tokens)
+	if req.Stream {
+		ctx.SetContentType("text/event-stream")
+		ctx.SetBodyStreamWriter(func(w *bufio.Writer) { e.stream(w, id, words, fault) })
+		return
+	}
+	defer e.running.Add(-1)
+	time.Sleep(time.Duration(tokens) * e.cfg.TokenInterval)
+	body, _ := json.Marshal(map[string]any{
+		"id": id, "object": "chat.completion", "model": req.Model,
+		"choices": []any{map[string]any{
+			"index": 0, "finish_reason": "stop",
+			"message": map[string]string{"role": "assistant", "content": strings.Join(words, "")},
+		}},
+	})
+	ctx.SetContentType("application/json")
+	e.completed.Add(1)
+	if fault == FaultShort {
+		writeShort(ctx, id, body)
+		return
+	}
+	ctx.SetBody(body)
+}
+
+// writeShort declares the whole body and sends half of it.
+func writeShort(ctx *fasthttp.RequestCtx, id string, body []byte) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) {
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Request-Id: %s\r\nContent-Length: %d\r\n\r\n", id, len(body))
+		_, _ = c.Write(body[:len(body)/2])
+		_ = c.Close()
+	})
+}
+
+func (e *Engine) begin() {
+	e.started.Add(1)
+	n := e.running.Add(1)
+	for {
+		m := e.maxRunning.Load()
+		if n <= m || e.maxRunning.CompareAndSwap(m, n) {
+			break
+		}
+	}
+	e.mu.Lock()
+	e.lastStart = time.Now()
+	e.mu.Unlock()
+}
+
+// lookupPrefix returns the prompt tokens that are not cached, and caches the prompt.
+func (e *Engine) lookupPrefix(req *chatRequest) int {
+	total := 0
+	for _, m := range req.Messages {
+		total += len(m.Content)/4 + 1
+	}
+	chat := req.Messages[0].Content
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	cached, warm := e.cache[chat]
+	cached = min(cached, total)
+	if !warm {
+		e.order = append(e.order, chat)
+		if e.cfg.CacheChats > 0 && len(e.order) > e.cfg.CacheChats {
+			delete(e.cache, e.order[0])
+			e.order = e.order[1:]
+		}
+	}
+	e.cache[chat] = total
+	e.promptTokens.Add(int64(total))
+	e.cachedTokens.Add(int64(cached))
+	return total - cached
+}
+
+func (e *Engine) stream(w *bufio.Writer, id string, words []string, fault Fault) {
+	defer e.running.Add(-1)
+	for i, word := range words {
+		if i == 2 && fault == FaultTruncate {
+			return
+		}
+		if i == 2 && fault == FaultSilent {
+			<-e.closed
+			return
+		}
+		if i > 0 && e.cfg.TokenInterval > 0 {
+			time.Sleep(e.cfg.TokenInterval)
+		}
+		fmt.Fprintf(w, "data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", id, word)
+		if w.Flush() != nil {
+			return
+		}
+	}
+	fmt.Fprint(w, "data: [DONE]\n\n")
+	if w.Flush() == nil {
+		e.completed.Add(1)
+	}
+}
