Add the failure detector and its datagrams, find members by heartbeat

Cause: the view was the platform list, which lags and shows crashes late. Change: core/membership holds the detector as a state machine with incarnations, suspicion, hold-down and re-probing; adapters/datagram carries it over one gnet event loop with a keyed code and a strict format; the daemon announces its own addresses and takes the platform list as join source only. The caller server's handle is stored atomically, since Serve and Shutdown run on two goroutines.

--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -58,7 +59,8 @@
 	// NewID returns a unique request id.
 	NewID func() string
 
-	srv *fasthttp.Server
+	// srv is stored when Serve begins; Shutdown may run on another goroutine.
+	srv atomic.Pointer[fasthttp.Server]
 }
 
 // Observation is what a finished request showed.
@@ -81,7 +83,7 @@
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(ln net.Listener, l Limits) error {
-	s.srv = &fasthttp.Server{
+	srv := &fasthttp.Server{
 		Handler:               s.handle,
 		Name:                  "cyclamenhitch",
 		ReadTimeout:           l.ReadTimeout,
@@ -95,11 +97,17 @@
 		NoDefaultServerHeader: true,
 		ErrorHandler:          s.handleProtocolError,
 	}
-	return s.srv.Serve(ln)
+	s.srv.Store(srv)
+	return srv.Serve(ln)
 }
 
 // Shutdown stops accepting and waits for running requests until ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.srv.ShutdownWithContext(ctx) }
+func (s *Server) Shutdown(ctx context.Context) error {
+	if srv := s.srv.Load(); srv != nil {
+		return srv.ShutdownWithContext(ctx)
+	}
+	return nil
+}
 
 func (s *Server) handleProtocolError(ctx *fasthttp.RequestCtx, err error) {
 	code := result.BadRequest
--- a/cmd/internal/daemon/config.go
+++ b/cmd/internal/daemon/config.go
@@ -9,6 +9,7 @@
 
 	"cyclamenhitch/adapters/logging"
 	"cyclamenhitch/core/configstate"
+	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/manifest"
 	"cyclamenhitch/core/result"
@@ -66,6 +67,9 @@
 	}
 }
 
+// heard takes the version that a heartbeat of another instance states.
+func (c *configComponent) heard(fleet.InstanceID, string, uint64) {}
+
 // poll reads the head and applies a newer version.
 func (c *configComponent) poll(ctx context.Context) error {
 	head, err := configstate.ReadHead(ctx, c.d.store)
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -88,6 +88,9 @@
 	if d.peerLn, err = listen(set.Listen.Peer); err != nil {
 		return nil, err
 	}
+	if err := d.members.open(); err != nil {
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -134,6 +137,9 @@
 // PeerAddress is the address that other instances connect to.
 func (d *Daemon) PeerAddress() string { return d.peerLn.Addr().String() }
 
+// DatagramAddress is the address that receives heartbeats.
+func (d *Daemon) DatagramAddress() string { return d.members.socket.Address() }
+
 // Run serves until ctx ends, then stops without cutting requests, bounded by
 // the setting times.stop_seconds.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -162,6 +168,7 @@
 	err := d.callers.Shutdown(ctx)
 	d.admin.shutdown(ctx)
 	_ = d.peerServer.Shutdown(ctx)
+	d.members.close()
 	d.log.Info("planned stop ends", zap.Bool("complete", err == nil))
 	return err
 }
--- a/cmd/internal/daemon/daemon_test.go
+++ b/cmd/internal/daemon/daemon_test.go
@@ -106,7 +106,7 @@
 	}
 	f.platform.SetMember(name, platformfake.Member{
 		Target: d.CallerAddress(),
-		Labels: map[string]string{"instance": name, "data_centre": "cordon", "region": "montevideo", "state": "live", "admin": d.AdminAddress(), "peer": d.PeerAddress()},
+		Labels: map[string]string{"instance": name, "data_centre": "cordon", "region": "montevideo", "state": "live", "admin": d.AdminAddress(), "peer": d.PeerAddress(), "datagram": d.DatagramAddress()},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -240,3 +240,18 @@
 	}
 	return text.String()
 }
+
+// Guards against instances that do not find each other through the platform's
+// list, and against a planned stop that lookups do not see.
+func TestMembersFindEachOther(t *testing.T) {
+	f := newFixture(t)
+	other := f.startInstance("r2")
+	f.eventually("both instances in both views", func() bool {
+		return other.members.View().Find("r1") != nil && f.daemon.members.View().Find("r2") != nil
+	})
+	other.members.setLeaving()
+	f.eventually("leaving seen", func() bool {
+		m := f.daemon.members.View().Find("r2")
+		return m != nil && m.Leaving && !m.Eligible && len(f.daemon.members.Addresses(nil, 1)) == 1
+	})
+}
--- a/cmd/internal/daemon/members.go
+++ b/cmd/internal/daemon/members.go
@@ -1,32 +1,42 @@
 package daemon
 
 import (
-	"cmp"
 	"context"
-	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"cyclamenhitch/adapters/datagram"
 	"cyclamenhitch/adapters/platform"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/manifest"
 	"cyclamenhitch/core/membership"
+	"cyclamenhitch/core/result"
 )
 
-// memberPollInterval is the time between reads of the platform's membership list.
+// memberPollInterval is the time between reads of the platform's membership
+// list. The list only names instances to probe, so that it may be slow.
 const memberPollInterval = time.Second
 
 // lookupAddresses is how many addresses a lookup names: the primary admitter
 // and two standbys.
 const lookupAddresses = 3
 
-// memberComponent keeps the last membership list.
+// memberComponent runs the failure detector over the datagram socket.
 type memberComponent struct {
-	d    *Daemon
-	list platform.MemberList
-	last atomic.Pointer[membership.View]
+	d       *Daemon
+	list    platform.MemberList
+	socket  *datagram.Socket
+	traffic datagram.Traffic
+
+	// mu serialises the machine; received packets and ticks come from two goroutines.
+	mu      sync.Mutex
+	machine *membership.Machine
+
+	last       atomic.Pointer[membership.View]
+	lastAnswer atomic.Int64 // Unix ns of the last answer of a peer
 }
 
 func newMemberComponent(d *Daemon) *memberComponent {
@@ -35,15 +45,113 @@
 	}}
 }
 
+// open binds the datagram socket. The TCP listeners must be open, because the
+// instance announces their addresses.
+func (c *memberComponent) open() error {
+	var err error
+	if c.socket, err = datagram.Listen(c.d.set.Listen.Datagram, c.d.peerKey, &c.traffic, c.d.log, c.receive); err != nil {
+		return err
+	}
+	now := time.Now()
+	m := membership.New(membership.Member{
+		ID: c.d.set.Instance, DataCentre: c.d.set.DataCentre, Region: c.d.set.Region,
+		Caller: c.d.CallerAddress(), Admin: c.d.AdminAddress(), Peer: c.d.PeerAddress(), Datagram: c.socket.Address(),
+		Incarnation: uint64(now.UnixMilli()),
+	}, now, fleet.HashID(string(c.d.set.Instance))^uint64(now.UnixNano()))
+	if n := m.SelfBytes(); n > membership.MaxSelfBytes {
+		_ = c.socket.Close()
+		return result.New(result.SettingsInvalid, "instance, data_centre, region and addresses take %d bytes in a heartbeat, the limit is %d", n, membership.MaxSelfBytes)
+	}
+	c.mu.Lock()
+	c.machine = m
+	c.last.Store(m.View())
+	c.mu.Unlock()
+	return nil
+}
+
+func (c *memberComponent) close() { _ = c.socket.Close() }
+
+// receive takes a datagram on the event loop.
+func (c *memberComponent) receive(p *membership.Packet) {
+	c.mu.Lock()
+	if c.machine == nil {
+		c.mu.Unlock()
+		return
+	}
+	c.machine.Receive(time.Now(), p)
+	out := c.publish()
+	c.mu.Unlock()
+	c.send(out)
+	c.d.config.heard(p.From.ID, p.From.Info.Peer, p.Version)
+}
+
+// publish takes the results of a step; the caller holds mu.
+func (c *memberComponent) publish() []membership.Out {
+	if v := c.machine.View(); v != c.last.Load() {
+		c.last.Store(v)
+	}
+	if t := c.machine.LastAnswer(); !t.IsZero() {
+		c.lastAnswer.Store(t.UnixNano())
+	}
+	return c.machine.Take()
+}
+
+func (c *memberComponent) send(out []membership.Out) {
+	for i := range out {
+		if err := c.socket.Send(out[i].To, &out[i].Packet); err != nil {
+			c.d.log.Debug("datagram not sent", zap.String("to", out[i].To), zap.Error(err))
+		}
+	}
+}
+
+// step calls fn with the machine and sends what it decided.
+func (c *memberComponent) step(fn func(*membership.Machine)) {
+	c.mu.Lock()
+	fn(c.machine)
+	out := c.publish()
+	c.mu.Unlock()
+	c.send(out)
+}
+
+// setLeaving announces a planned stop: lookups of other instances no longer
+// name this one.
+func (c *memberComponent) setLeaving() {
+	c.step(func(m *membership.Machine) { m.SetLeaving() })
+}
+
+// setVersion announces the configuration version in force.
+func (c *memberComponent) setVersion(v uint64) {
+	c.step(func(m *membership.Machine) { m.SetVersion(v) })
+}
+
 func (c *memberComponent) run(ctx context.Context) {
+	go c.readList(ctx)
+	tick := time.NewTicker(membership.TickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			c.step(func(m *membership.Machine) { m.Tick(time.Now()) })
+		}
+	}
+}
+
+// readList polls the platform's membership list.
+func (c *memberComponent) readList(ctx context.Context) {
 	tick := time.NewTicker(memberPollInterval)
 	defer tick.Stop()
+	failing := false
 	for {
-		if ms, err := c.list.Read(); err != nil {
+		ms, err := c.list.Read()
+		if err == nil {
+			entries := entriesOf(ms)
+			c.step(func(m *membership.Machine) { m.List(time.Now(), entries) })
+		} else if !failing {
 			c.d.log.Warn("membership list cannot be read", zap.Error(err))
-		} else {
-			c.last.Store(viewOf(ms))
 		}
+		failing = err != nil
 		select {
 		case <-ctx.Done():
 			return
@@ -52,18 +160,15 @@
 	}
 }
 
-// viewOf takes the platform's list as it is.
-func viewOf(list []platform.Member) *membership.View {
-	v := &membership.View{At: time.Now()}
-	for _, m := range list {
-		v.Members = append(v.Members, membership.Member{
+func entriesOf(list []platform.Member) []membership.Member {
+	out := make([]membership.Member, len(list))
+	for i, m := range list {
+		out[i] = membership.Member{
 			ID: m.Instance, DataCentre: m.DataCentre, Region: m.Region,
-			Caller: m.Caller, Admin: m.Admin, Peer: m.Peer, Datagram: m.Datagram,
-			Leaving: m.Leaving, Eligible: !m.Leaving,
-		})
+			Caller: m.Caller, Admin: m.Admin, Peer: m.Peer, Datagram: m.Datagram, Leaving: m.Leaving,
+		}
 	}
-	slices.SortFunc(v.Members, func(a, b membership.Member) int { return cmp.Compare(a.ID, b.ID) })
-	return v
+	return out
 }
 
 // View returns the live instances as seen now. It is never nil.
--- a/core/membership/view.go
+++ b/core/membership/view.go
@@ -34,6 +34,9 @@
 	Members []Member
 	// At is when the view last changed.
 	At time.Time
+	// ResumedAt is the end of the last own pause longer than DisagreementBound,
+	// or zero. Roles held before it must be dropped.
+	ResumedAt time.Time
 }
 
 // Find returns the member with the id, or nil.
