Add the demo command with an in-process fleet on loopback

Cause: nothing showed the whole system under mixed traffic. The engine and service stand-ins count load ratio and new work after out.

--- a/cmd/cyclamenhitch/main.go
+++ b/cmd/cyclamenhitch/main.go
@@ -4,7 +4,8 @@
 import (
 	"os"
 
+	"cyclamenhitch/cmd/internal/demo"
 	"cyclamenhitch/cmd/internal/operator"
 )
 
-func main() { os.Exit(operator.Main(os.Args[1:], os.Stdout, os.Stderr)) }
+func main() { os.Exit(operator.Main(os.Args[1:], os.Stdout, os.Stderr, demo.Command())) }
--- a/cmd/internal/operator/operator.go
+++ b/cmd/internal/operator/operator.go
@@ -45,12 +45,16 @@
 	out, errOut io.Writer
 }
 
-// Main runs the command and returns the exit code.
-func Main(args []string, out, errOut io.Writer) int {
+// Main runs the command and returns the exit code. extra adds commands that
+// this package must not import.
+func Main(args []string, out, errOut io.Writer, extra ...kong.Option) int {
 	var cmds commands
 	exited := -1
-	parser, err := kong.New(&cmds, kong.Name("cyclamenhitch"), kong.Description("Operators' command of a cyclamenhitch fleet."),
-		kong.Writers(out, errOut), kong.Exit(func(code int) { exited = code }))
+	options := append([]kong.Option{
+		kong.Name("cyclamenhitch"), kong.Description("Operators' command of a cyclamenhitch fleet."),
+		kong.Writers(out, errOut), kong.Exit(func(code int) { exited = code }),
+	}, extra...)
+	parser, err := kong.New(&cmds, options...)
 	if err != nil {
 		fmt.Fprintln(errOut, err)
 		return ExitUsage
--- /dev/null
+++ b/standins/model/meter.go
@@ -0,0 +1,90 @@
+package model
+
+import (
+	"sync"
+	"time"
+)
+
+// Meter sums the load of the engines of one pool, independently of the router.
+// Load is counted in tokens: prompt tokens that are not cached plus tokens to
+// generate.
+type Meter struct {
+	mu       sync.Mutex
+	load     map[string]int
+	running  map[string]int
+	out      map[string]time.Time
+	ratioMax float64
+	afterOut int
+}
+
+// NewMeter returns a meter without engines.
+func NewMeter() *Meter {
+	return &Meter{load: map[string]int{}, running: map[string]int{}, out: map[string]time.Time{}}
+}
+
+// SetOut marks an engine as out: requests that start at or after from count as
+// new work after out, and the engine does not count in the mean.
+func (m *Meter) SetOut(engine string, from time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.out[engine] = from
+}
+
+// SetIn marks an engine as in service.
+func (m *Meter) SetIn(engine string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.out, engine)
+}
+
+// RatioMax is the largest load of an engine over the mean of the pool, taken at
+// each start of a request on an engine that was running another one: the first
+// request of an engine may always run.
+func (m *Meter) RatioMax() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.ratioMax
+}
+
+// StartsAfterOut counts the requests that started after out.
+func (m *Meter) StartsAfterOut() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.afterOut
+}
+
+func (m *Meter) register(engine string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.load[engine] = 0
+}
+
+func (m *Meter) start(engine string, tokens int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.load[engine] += tokens
+	m.running[engine]++
+	if from, out := m.out[engine]; out {
+		if !time.Now().Before(from) {
+			m.afterOut++
+		}
+		return
+	}
+	total, n := 0, 0
+	for e, l := range m.load {
+		if _, out := m.out[e]; !out {
+			total += l
+			n++
+		}
+	}
+	if m.running[engine] > 1 && total > 0 {
+		m.ratioMax = max(m.ratioMax, float64(m.load[engine])*float64(n)/float64(total))
+	}
+}
+
+func (m *Meter) end(engine string, tokens int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.load[engine] -= tokens
+	m.running[engine]--
+}
--- a/standins/model/model.go
+++ b/standins/model/model.go
@@ -28,6 +28,8 @@
 	PrefillPerToken time.Duration
 	// CacheChats bounds the prefix cache, in chats.
 	CacheChats int
+	// Meter sums the load of the pool; nil means none.
+	Meter *Meter
 }
 
 // Fault is a fault of the next answer.
@@ -75,6 +77,9 @@
 		return nil, err
 	}
 	e := &Engine{cfg: cfg, ln: ln, incarnation: time.Now().UnixMilli(), cache: map[string]int{}, closed: make(chan struct{})}
+	if cfg.Meter != nil {
+		cfg.Meter.register(cfg.Name)
+	}
 	e.srv = &fasthttp.Server{Handler: e.handle, MaxRequestBodySize: 16 << 20, NoDefaultServerHeader: true}
 	go func() { _ = e.srv.Serve(ln) }()
 	return e, nil
@@ -172,19 +177,22 @@
 		return
 	}
 	uncached := e.lookupPrefix(&req)
-	time.Sleep(time.Duration(uncached) * e.cfg.PrefillPerToken)
-	ctx.Response.Header.Set("X-Request-Id", id)
 	tokens := req.MaxTokens
 	if tokens <= 0 {
 		tokens = 16
 	}
+	if m := e.cfg.Meter; m != nil {
+		m.start(e.cfg.Name, uncached+tokens)
+	}
+	time.Sleep(time.Duration(uncached) * e.cfg.PrefillPerToken)
+	ctx.Response.Header.Set("X-Request-Id", id)
 	words := Answer(req.Messages[len(req.Messages)-1].Content, tokens)
 	if req.Stream {
 		ctx.SetContentType("text/event-stream")
-		ctx.SetBodyStreamWriter(func(w *bufio.Writer) { e.stream(w, id, words, fault) })
+		ctx.SetBodyStreamWriter(func(w *bufio.Writer) { e.stream(w, id, words, fault, uncached) })
 		return
 	}
-	defer e.running.Add(-1)
+	defer e.finish(uncached + tokens)
 	time.Sleep(time.Duration(tokens) * e.cfg.TokenInterval)
 	body, _ := json.Marshal(map[string]any{
 		"id": id, "object": "chat.completion", "model": req.Model,
@@ -212,6 +220,13 @@
 	})
 }
 
+func (e *Engine) finish(tokens int) {
+	e.running.Add(-1)
+	if m := e.cfg.Meter; m != nil {
+		m.end(e.cfg.Name, tokens)
+	}
+}
+
 func (e *Engine) begin() {
 	e.started.Add(1)
 	n := e.running.Add(1)
@@ -250,8 +265,8 @@
 	return total - cached
 }
 
-func (e *Engine) stream(w *bufio.Writer, id string, words []string, fault Fault) {
-	defer e.running.Add(-1)
+func (e *Engine) stream(w *bufio.Writer, id string, words []string, fault Fault, uncached int) {
+	defer e.finish(uncached + len(words))
 	for i, word := range words {
 		if i == 2 && fault == FaultTruncate {
 			return
--- a/standins/service/service.go
+++ b/standins/service/service.go
@@ -23,12 +23,14 @@
 
 // Ledger counts the runs of each key over all servers of a pool.
 type Ledger struct {
-	mu   sync.Mutex
-	runs map[string]int
+	mu       sync.Mutex
+	runs     map[string]int
+	out      map[string]time.Time
+	afterOut int
 }
 
 // NewLedger returns an empty ledger.
-func NewLedger() *Ledger { return &Ledger{runs: map[string]int{}} }
+func NewLedger() *Ledger { return &Ledger{runs: map[string]int{}, out: map[string]time.Time{}} }
 
 // Runs returns how often the key ran.
 func (l *Ledger) Runs(key string) int {
@@ -50,10 +52,37 @@
 	return n
 }
 
-func (l *Ledger) add(key string) {
+// SetOut marks a server as out: calls that start at or after from count as new
+// work after out.
+func (l *Ledger) SetOut(server string, from time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.runs[key]++
+	l.out[server] = from
+}
+
+// SetIn marks a server as in service.
+func (l *Ledger) SetIn(server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.out, server)
+}
+
+// StartsAfterOut counts the calls that started after out.
+func (l *Ledger) StartsAfterOut() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.afterOut
+}
+
+func (l *Ledger) add(server, key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if key != "" {
+		l.runs[key]++
+	}
+	if from, out := l.out[server]; out && !time.Now().Before(from) {
+		l.afterOut++
+	}
 }
 
 // Server is a running stand-in.
@@ -83,9 +112,7 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	key := string(ctx.Request.Header.Peek("Idempotency-Key"))
-	if key != "" {
-		s.cfg.Ledger.add(key)
-	}
+	s.cfg.Ledger.add(s.cfg.Name, key)
 	time.Sleep(s.cfg.Delay)
 	body, _ := json.Marshal(map[string]string{
 		"server": s.cfg.Name, "key": key, "path": string(ctx.Path()), "body": string(ctx.PostBody()),
