--- /dev/null
+++ b/adapters/keys/keys_test.go
@@ -0,0 +1,62 @@
+package keys
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"cyclamenhitch/core/result"
+)
+
+func writeFile(t *testing.T, path, content string, mod time.Time) {
+	t.Helper()
+	if err := os.WriteFile(path, []byte(content), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Chtimes(path, mod, mod); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Guards against starting with a missing or short key.
+func TestOpenSecretRefusesBadFiles(t *testing.T) {
+	short := filepath.Join(t.TempDir(), "short")
+	writeFile(t, short, "too short\n", time.Now())
+	for _, path := range []string{short, short + "-missing"} {
+		_, err := OpenSecret(path)
+		if err == nil || result.As(err).Code != result.KeyFileInvalid || !strings.Contains(err.Error(), path) {
+			t.Errorf("OpenSecret(%s) = %v, want key_file_invalid that names the file", path, err)
+		}
+	}
+}
+
+// Guards against a rotated key that needs a restart, and against a malformed
+// rotation that takes the working key away.
+func TestSecretIsReadAgain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "key")
+	old, next := strings.Repeat("a", MinSecretBytes), strings.Repeat("b", MinSecretBytes)
+	start := time.Now().Add(-time.Hour)
+	writeFile(t, path, old, start)
+	s, err := OpenSecret(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i, step := range []struct{ content, want string }{{"short", old}, {next, next}} {
+		writeFile(t, path, step.content, start.Add(time.Duration(i+1)*time.Minute))
+		s.f.checked = time.Time{}
+		if got := string(s.Bytes()); got != step.want {
+			t.Errorf("after %q: key %q, want %q", step.content, got, step.want)
+		}
+	}
+}
+
+// Guards against operators files whose errors cannot be found.
+func TestOpenOperatorsNamesTheLine(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "operators")
+	writeFile(t, path, "# comment\nana "+strings.Repeat("0", 64)+"\nluka nothex\n", time.Now())
+	if _, err := OpenOperators(path); err == nil || !strings.Contains(err.Error(), "line 3") {
+		t.Errorf("OpenOperators = %v, want an error at line 3", err)
+	}
+}
--- /dev/null
+++ b/core/result/result_test.go
@@ -0,0 +1,38 @@
+package result
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+)
+
+// Guards against two codes that callers cannot tell apart and against entries
+// without a meaning, a status or an outcome.
+func TestTableIsComplete(t *testing.T) {
+	names := map[string]Code{}
+	for _, c := range Codes() {
+		i := c.Info()
+		if other, dup := names[i.Name]; dup {
+			t.Errorf("codes %d and %d share the name %s", c, other, i.Name)
+		}
+		names[i.Name] = c
+		if i.HTTPStatus < 400 || i.HTTPStatus > 599 || i.Meaning == "" || i.Advice == "" {
+			t.Errorf("code %d has an incomplete entry: %+v", c, i)
+		}
+		if i.Outcome != NotRun && i.Outcome != Unknown && i.Outcome != Ran {
+			t.Errorf("code %d has outcome %q", c, i.Outcome)
+		}
+	}
+}
+
+// Guards against losing the code and the outcome when an error is wrapped.
+func TestAsFindsCodeInChain(t *testing.T) {
+	inner := New(PoolAtBound, "pool p")
+	if got := As(fmt.Errorf("outer: %w", inner)); got != inner {
+		t.Errorf("As = %v, want the inner error", got)
+	}
+	cause := errors.New("disk")
+	if got := As(cause); got.Code != Internal || got.Outcome != Unknown || !errors.Is(got, cause) {
+		t.Errorf("As of a foreign error = %+v, want internal, unknown, with its cause", got)
+	}
+}
--- /dev/null
+++ b/measure/cmd/capacity/fit.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"io"
+	"math"
+	"regexp"
+	"slices"
+	"strconv"
+
+	"golang.org/x/perf/benchfmt"
+	"gonum.org/v1/gonum/stat"
+)
+
+// point is one measured value at one size.
+type point struct{ x, y float64 }
+
+// series names the values of one metric of one benchmark over a size parameter,
+// such as BenchmarkControl, instances, B/s.
+type series struct{ bench, param, metric string }
+
+// fit is a least-squares line through a series.
+type fit struct {
+	slope, intercept, r2 float64
+	points               []point
+}
+
+// at evaluates the line.
+func (f fit) at(x float64) float64 { return f.intercept + f.slope*x }
+
+// measured returns the value measured at x, or the line's value.
+func (f fit) measured(x float64) float64 {
+	for _, p := range f.points {
+		if p.x == x {
+			return p.y
+		}
+	}
+	return f.at(x)
+}
+
+var sizeParam = regexp.MustCompile(`^(.*?)/([a-z_]+)=([0-9.]+)(-\d+)?$`)
+
+// readBench collects all series of a benchmark output. Values of repeated runs
+// are reduced to their median.
+func readBench(r io.Reader) (map[series]fit, map[string]float64, error) {
+	raw := map[series]map[float64][]float64{}
+	plain := map[string][]float64{}
+	br := benchfmt.NewReader(r, "bench")
+	for br.Scan() {
+		res, ok := br.Result().(*benchfmt.Result)
+		if !ok {
+			continue
+		}
+		name := string(res.Name.Full())
+		for _, v := range res.Values {
+			value, unit := v.Value, v.Unit
+			if v.OrigUnit != "" {
+				value, unit = v.OrigValue, v.OrigUnit
+			}
+			m := sizeParam.FindStringSubmatch(name)
+			if m == nil {
+				base, _ := res.Name.Parts()
+				plain[string(base)+" "+unit] = append(plain[string(base)+" "+unit], value)
+				continue
+			}
+			x, err := strconv.ParseFloat(m[3], 64)
+			if err != nil {
+				return nil, nil, err
+			}
+			s := series{m[1], m[2], unit}
+			if raw[s] == nil {
+				raw[s] = map[float64][]float64{}
+			}
+			raw[s][x] = append(raw[s][x], value)
+		}
+	}
+	fits := map[series]fit{}
+	for s, byX := range raw {
+		var pts []point
+		for x, ys := range byX {
+			pts = append(pts, point{x, median(ys)})
+		}
+		fits[s] = fitLine(pts)
+	}
+	medians := map[string]float64{}
+	for k, ys := range plain {
+		medians[k] = median(ys)
+	}
+	return fits, medians, br.Err()
+}
+
+func median(ys []float64) float64 {
+	ys = slices.Clone(ys)
+	slices.Sort(ys)
+	return stat.Quantile(0.5, stat.Empirical, ys, nil)
+}
+
+func fitLine(pts []point) fit {
+	slices.SortFunc(pts, func(a, b point) int {
+		if a.x < b.x {
+			return -1
+		}
+		return 1
+	})
+	if len(pts) < 2 {
+		f := fit{points: pts, r2: math.NaN()}
+		if len(pts) == 1 {
+			f.intercept = pts[0].y
+		}
+		return f
+	}
+	xs, ys := make([]float64, len(pts)), make([]float64, len(pts))
+	for i, p := range pts {
+		xs[i], ys[i] = p.x, p.y
+	}
+	alpha, beta := stat.LinearRegression(xs, ys, nil, false)
+	return fit{slope: beta, intercept: alpha, r2: stat.RSquared(xs, ys, nil, alpha, beta), points: pts}
+}
