Spread configuration between instances and add mutual TLS for their calls

Cause: each instance read the head twice a second, 740 reads/s at 370 instances, and had no version while the store was down. An Accept whose reply was lost was reported as a conflict when the next version was accepted before it read the row. Change: configstate.State paces polls to 20 reads/s for the fleet, takes offers from heartbeats and direct notifications, prefers peers and falls back to the store; a history of patches serves differences, and the digest of the whole body is checked. The head names the writers of the last 32 versions, which settles lost replies. Answers of peer calls are signed as well. trust.peer_mode = mtls adds mutual TLS. The gate applies isolation_seconds and max_config_age_seconds; readyz states the age of the last confirmation. Conclusion: a new instance gets its configuration with the store down.

--- a/adapters/peer/auth.go
+++ b/adapters/peer/auth.go
@@ -29,6 +29,19 @@
 	return h.Sum(nil)
 }
 
+// answerHeader carries the hex HMAC-SHA256 of an answer. It covers the header
+// of the call, so that an answer cannot be replayed for another call, and a
+// process that took over an address cannot answer without the key.
+const answerHeader = "X-Peer-Answer"
+
+func signAnswer(key []byte, path, callAuth string, status int, body []byte) string {
+	return hex.EncodeToString(mac(key, "answer "+path, strconv.Itoa(status)+" "+callAuth, body))
+}
+
+func verifyAnswer(key []byte, path, callAuth string, status int, body []byte, header string) bool {
+	return hmac.Equal([]byte(header), []byte(signAnswer(key, path, callAuth, status, body)))
+}
+
 func sign(key []byte, path string, body []byte, now time.Time) string {
 	stamp := strconv.FormatInt(now.UnixMilli(), 10)
 	return stamp + "." + hex.EncodeToString(mac(key, path, stamp, body))
--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -69,8 +69,22 @@
 	PeerKeyFile string `toml:"peer_key_file"`
 	// OperatorKeysFile holds one "name sha256-hex" line for each operator. Required.
 	OperatorKeysFile string `toml:"operator_keys_file"`
+	// PeerMode is "hmac" (default) or "mtls". Calls between instances are always
+	// signed with the shared key; "mtls" adds mutual TLS.
+	PeerMode string `toml:"peer_mode"`
+	// CertFile, KeyFile and CAFile are PEM files of the instance's certificate,
+	// its key and the certificate authority of the fleet. Required with "mtls".
+	CertFile string `toml:"cert_file"`
+	KeyFile  string `toml:"key_file"`
+	CAFile   string `toml:"ca_file"`
 }
 
+// Values of Trust.PeerMode.
+const (
+	PeerModeHMAC = "hmac"
+	PeerModeMTLS = "mtls"
+)
+
 // Limits bounds what callers can make an instance hold.
 type Limits struct {
 	// MaxBodyBytes is the largest request body. Default 4194304.
@@ -190,6 +204,7 @@
 	setDefault(&s.Platform.TableName, "cyclamenhitch")
 	setDefault(&s.Platform.Bucket, "cyclamenhitch")
 	setDefault(&s.Platform.CallTimeoutMillis, 1000)
+	setDefault(&s.Trust.PeerMode, PeerModeHMAC)
 	setDefault(&s.Limits.MaxBodyBytes, 4<<20)
 	setDefault(&s.Limits.MaxHeaderBytes, 16<<10)
 	setDefault(&s.Limits.MaxConnections, 20000)
@@ -259,6 +274,19 @@
 			add(n.key, "is %d, accepted range: %d to %d", n.v, n.min, n.max)
 		}
 	}
+	switch t := &s.Trust; t.PeerMode {
+	case PeerModeHMAC:
+	case PeerModeMTLS:
+		for _, f := range []struct{ key, v string }{
+			{"trust.cert_file", t.CertFile}, {"trust.key_file", t.KeyFile}, {"trust.ca_file", t.CAFile},
+		} {
+			if f.v == "" {
+				add(f.key, "is required with trust.peer_mode = %q", PeerModeMTLS)
+			}
+		}
+	default:
+		add("trust.peer_mode", "is %q, accepted values: %s, %s", t.PeerMode, PeerModeHMAC, PeerModeMTLS)
+	}
 	switch s.Log.Level {
 	case "debug", "info", "warn", "error":
 	default:
--- a/cmd/internal/daemon/admin.go
+++ b/cmd/internal/daemon/admin.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net"
@@ -70,13 +71,24 @@
 	DataCentre string `json:"data_centre"`
 	Version    uint64 `json:"version"`
 	Ready      bool   `json:"ready"`
+	// Reason says why the instance takes no new work.
+	Reason string `json:"reason,omitempty"`
+	// ConfirmedAgeSeconds is the age of the last confirmation of the version by
+	// the table service; -1 means never.
+	ConfirmedAgeSeconds float64 `json:"confirmed_age_seconds"`
 }
 
 func (c *adminComponent) status() Status {
 	s := Status{Instance: string(c.d.set.Instance), DataCentre: string(c.d.set.DataCentre)}
-	if x := c.d.config.Index(); x != nil {
-		s.Version, s.Ready = x.Version, true
+	s.Version = c.d.config.version()
+	s.ConfirmedAgeSeconds = -1
+	if age := c.d.config.confirmedAge(); age >= 0 {
+		s.ConfirmedAgeSeconds = age.Seconds()
 	}
+	if err := c.d.config.Check(); err != nil {
+		s.Reason = err.Error()
+	}
+	s.Ready = s.Reason == ""
 	return s
 }
 
@@ -120,6 +132,7 @@
 		writeAdminError(ctx, result.As(err))
 		return
 	}
+	c.d.config.accepted(head, bytes.Clone(ctx.PostBody()))
 	c.d.log.Info("configuration accepted", zap.Uint64(logging.FieldVersion, head.Version), zap.String(logging.FieldOperator, operator))
 	writeAdminJSON(ctx, head)
 }
--- a/cmd/internal/daemon/config.go
+++ b/cmd/internal/daemon/config.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
 	"cyclamenhitch/adapters/logging"
+	"cyclamenhitch/adapters/peer/configpb"
 	"cyclamenhitch/core/configstate"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
@@ -16,16 +19,36 @@
 	"cyclamenhitch/core/routing"
 )
 
-// configPollInterval is the time between reads of the row config/head.
-const configPollInterval = 500 * time.Millisecond
+// configTick is how often due actions are looked for without an event.
+const configTick = 100 * time.Millisecond
 
 // configComponent holds the configuration in force and the view built from it.
 type configComponent struct {
 	d    *Daemon
 	view atomic.Pointer[routing.View]
+
+	// Unix ns of the last answer of the table service and of its last
+	// confirmation of the version in force; 0 is never.
+	answered, confirmed atomic.Int64
+
+	wake chan struct{}
+	// applying serialises changes of the version in force, which take 0.1 s.
+	applying sync.Mutex
+	mu       sync.Mutex // guards state and history
+	state    *configstate.State
+	history  configstate.History
+
+	peers sync.Map // address to configpb.Config
 }
 
-func newConfigComponent(d *Daemon) *configComponent { return &configComponent{d: d} }
+func newConfigComponent(d *Daemon) *configComponent {
+	maxAge := time.Duration(d.set.Times.MaxConfigAgeSeconds) * time.Second
+	seed := fleet.HashID(string(d.set.Instance)) ^ uint64(time.Now().UnixNano())
+	c := &configComponent{d: d, wake: make(chan struct{}, 1), state: configstate.NewState(maxAge, seed)}
+	srv := configpb.NewConfigServer(configService{c})
+	d.peerServer.Mount(srv.PathPrefix(), srv)
+	return c
+}
 
 // Index returns the configuration in force, or nil.
 func (c *configComponent) Index() *manifest.Index {
@@ -35,6 +58,14 @@
 	return nil
 }
 
+// version is the version in force, or 0.
+func (c *configComponent) version() uint64 {
+	if x := c.Index(); x != nil {
+		return x.Version
+	}
+	return 0
+}
+
 // Rank implements gateway.Router.
 func (c *configComponent) Rank(req *gateway.Request, dst []*manifest.Server) []*manifest.Server {
 	v := c.view.Load()
@@ -46,48 +77,139 @@
 
 // Check implements httpapi.Gate.
 func (c *configComponent) Check() error {
-	if c.view.Load() == nil {
+	t := &c.d.set.Times
+	contact := max(c.answered.Load(), c.d.members.lastAnswer.Load())
+	switch configstate.Check(
+		time.Now(), c.version(), time.Unix(0, contact), time.Unix(0, c.confirmed.Load()),
+		time.Duration(t.IsolationSeconds)*time.Second, time.Duration(t.MaxConfigAgeSeconds)*time.Second,
+	) {
+	case configstate.NoVersion:
 		return result.New(result.NotReady, "the instance has no configuration yet")
+	case configstate.Isolated:
+		return result.New(result.Isolated, "neither the table service nor another instance has answered for %d s", t.IsolationSeconds)
+	case configstate.TooOld:
+		return result.New(result.Isolated, "the table service has not confirmed the configuration for %d s", t.MaxConfigAgeSeconds)
 	}
 	return nil
 }
 
+// confirmedAge is the age of the last confirmation by the table service, or -1.
+func (c *configComponent) confirmedAge() time.Duration {
+	if at := c.confirmed.Load(); at != 0 {
+		return time.Since(time.Unix(0, at))
+	}
+	return -1
+}
+
 func (c *configComponent) run(ctx context.Context) {
-	tick := time.NewTicker(configPollInterval)
+	tick := time.NewTicker(configTick)
 	defer tick.Stop()
 	for {
-		if err := c.poll(ctx); err != nil {
-			c.d.log.Warn("configuration cannot be read", zap.Error(err))
+		n := len(c.d.members.View().Members)
+		c.mu.Lock()
+		acts := c.state.Next(time.Now(), n)
+		c.mu.Unlock()
+		for _, a := range acts {
+			go c.do(ctx, a)
 		}
 		select {
 		case <-ctx.Done():
 			return
 		case <-tick.C:
+		case <-c.wake:
 		}
 	}
 }
 
-// heard takes the version that a heartbeat of another instance states.
-func (c *configComponent) heard(fleet.InstanceID, string, uint64) {}
+func (c *configComponent) poke() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+// heard takes the version that a heartbeat or an offer of another instance states.
+func (c *configComponent) heard(id fleet.InstanceID, address string, version uint64) {
+	if version <= c.version() {
+		return
+	}
+	c.mu.Lock()
+	c.state.Heard(configstate.Peer{ID: id, Address: address}, version)
+	c.mu.Unlock()
+	c.poke()
+}
+
+// do carries out one action and reports its end.
+func (c *configComponent) do(ctx context.Context, a configstate.Action) {
+	switch a.Kind {
+	case configstate.ActReadHead:
+		c.readHead(ctx)
+	case configstate.ActFetchPeer:
+		c.fetched(c.fetchPeer(ctx, a.Peer), zap.String("peer", string(a.Peer.ID)))
+	case configstate.ActFetchStore:
+		c.fetched(c.fetchStore(ctx, a.Head), zap.String("object", a.Head.Object))
+	}
+	c.poke()
+}
 
-// poll reads the head and applies a newer version.
-func (c *configComponent) poll(ctx context.Context) error {
+func (c *configComponent) readHead(ctx context.Context) {
 	head, err := configstate.ReadHead(ctx, c.d.store)
-	if err != nil || head.Version == 0 {
-		return err
+	if err != nil {
+		c.d.log.Warn("configuration head cannot be read", zap.Error(err))
 	}
-	if x := c.Index(); x != nil && x.Version >= head.Version {
-		return nil
+	c.mu.Lock()
+	c.state.HeadRead(time.Now(), head, err)
+	c.publishTimes()
+	c.mu.Unlock()
+}
+
+// publishTimes copies the times of the state; the caller holds mu.
+func (c *configComponent) publishTimes() {
+	if t := c.state.Answered(); !t.IsZero() {
+		c.answered.Store(t.UnixNano())
 	}
-	body, err := configstate.LoadBody(ctx, c.d.store, head)
+	if t := c.state.Confirmed(); !t.IsZero() {
+		c.confirmed.Store(t.UnixNano())
+	}
+}
+
+func (c *configComponent) fetched(err error, from zap.Field) {
+	if err != nil {
+		c.d.log.Warn("configuration cannot be fetched", from, zap.Error(err))
+	}
+	c.mu.Lock()
+	c.state.Fetched(time.Now(), err == nil)
+	c.mu.Unlock()
+}
+
+func (c *configComponent) fetchStore(ctx context.Context, head configstate.Head) error {
+	text, err := configstate.LoadBody(ctx, c.d.store, head)
 	if err != nil {
 		return err
 	}
-	m, err := manifest.Decode(body)
+	return c.apply(configstate.Body{Version: head.Version, Sum: sha256.Sum256(text), Operator: head.Operator, Text: text})
+}
+
+// apply puts a body in force unless the same or a higher version already is.
+func (c *configComponent) apply(b configstate.Body) error {
+	c.applying.Lock()
+	defer c.applying.Unlock()
+	if b.Version <= c.version() {
+		return nil
+	}
+	m, err := manifest.Decode(b.Text)
 	if err != nil {
 		return err
 	}
-	c.view.Store(routing.NewView(manifest.NewIndex(head.Version, m)))
-	c.d.log.Info("configuration in force", zap.Uint64(logging.FieldVersion, head.Version), zap.String(logging.FieldOperator, head.Operator))
+	view := routing.NewView(manifest.NewIndex(b.Version, m))
+	c.mu.Lock()
+	if c.state.Advance(time.Now(), b.Version) {
+		c.history.Push(b)
+		c.view.Store(view)
+	}
+	c.publishTimes()
+	c.mu.Unlock()
+	c.d.members.setVersion(b.Version)
+	c.d.log.Info("configuration in force", zap.Uint64(logging.FieldVersion, b.Version), zap.String(logging.FieldOperator, b.Operator))
 	return nil
 }
--- /dev/null
+++ b/cmd/internal/daemon/configpeer.go
@@ -0,0 +1,144 @@
+package daemon
+
+import (
+	"context"
+	"crypto/sha256"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cyclamenhitch/adapters/peer/configpb"
+	"cyclamenhitch/core/configstate"
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/result"
+)
+
+const (
+	// fetchTimeout bounds a transfer; a whole body of 18,000 accounts is 2 MB.
+	fetchTimeout = 5 * time.Second
+	// offerTimeout bounds a direct notification.
+	offerTimeout = 500 * time.Millisecond
+	// offerPeers is how many instances are notified directly after acceptance.
+	offerPeers = 4
+)
+
+// peerClient returns the client of an address.
+func (c *configComponent) peerClient(address string) configpb.Config {
+	if p, ok := c.peers.Load(address); ok {
+		return p.(configpb.Config)
+	}
+	p, _ := c.peers.LoadOrStore(address, configpb.NewConfigProtobufClient("http://"+address, c.d.peerClient))
+	return p.(configpb.Config)
+}
+
+// fetchPeer gets the version in force at a peer, as patches where possible.
+func (c *configComponent) fetchPeer(ctx context.Context, p configstate.Peer) error {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	c.mu.Lock()
+	have := c.history.Current()
+	c.mu.Unlock()
+	req := &configpb.FetchRequest{}
+	if have.Version > 0 {
+		req.Sha256 = have.Sum[:]
+	}
+	resp, err := c.peerClient(p.Address).Fetch(ctx, req)
+	if err != nil {
+		return err
+	}
+	if resp.Version <= have.Version {
+		return nil // another fetch was faster, or the peer restarted
+	}
+	text, err := configstate.Rebuild(have.Text, opsOf(resp.Patches), resp.Body, resp.Sha256)
+	if err != nil {
+		return err
+	}
+	b := configstate.Body{Version: resp.Version, Operator: resp.Operator, Text: text}
+	copy(b.Sum[:], resp.Sha256)
+	return c.apply(b)
+}
+
+func opsOf(patches []*configpb.Patch) [][]manifest.Op {
+	out := make([][]manifest.Op, len(patches))
+	for i, p := range patches {
+		for _, op := range p.Ops {
+			out[i] = append(out[i], manifest.Op{Start: op.Start, Count: op.Count, Insert: op.Insert})
+		}
+	}
+	return out
+}
+
+// accepted puts a version that this instance has just had accepted in force and
+// notifies a few peers, so that the spread does not wait for a poll.
+func (c *configComponent) accepted(head configstate.Head, text []byte) {
+	err := c.apply(configstate.Body{Version: head.Version, Sum: sha256.Sum256(text), Operator: head.Operator, Text: text})
+	if err != nil {
+		c.d.log.Warn("accepted configuration cannot be applied", zap.Error(err))
+		return
+	}
+	members := c.d.members.View().Members
+	sent := 0
+	for _, i := range rand.Perm(len(members)) {
+		m := members[i]
+		if m.ID == c.d.set.Instance || m.Peer == "" {
+			continue
+		}
+		go c.offer(m.Peer, head.Version)
+		if sent++; sent == offerPeers {
+			return
+		}
+	}
+}
+
+func (c *configComponent) offer(address string, version uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), offerTimeout)
+	defer cancel()
+	req := &configpb.OfferRequest{Instance: string(c.d.set.Instance), Peer: c.d.PeerAddress(), Version: version}
+	if _, err := c.peerClient(address).Offer(ctx, req); err != nil {
+		c.d.log.Debug("offer not delivered", zap.String("to", address), zap.Error(err))
+	}
+}
+
+// configService implements configpb.Config.
+type configService struct{ c *configComponent }
+
+// Fetch implements configpb.Config.
+func (s configService) Fetch(_ context.Context, req *configpb.FetchRequest) (*configpb.FetchResponse, error) {
+	c := s.c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := c.history.Current()
+	if b.Version == 0 {
+		return nil, result.New(result.ConfigMissing, "the instance has no configuration yet")
+	}
+	return FetchAnswer(&c.history, req), nil
+}
+
+// Offer implements configpb.Config.
+func (s configService) Offer(_ context.Context, req *configpb.OfferRequest) (*configpb.OfferResponse, error) {
+	resp := &configpb.OfferResponse{Version: s.c.version()}
+	s.c.heard(fleet.InstanceID(req.Instance), req.Peer, req.Version)
+	return resp, nil
+}
+
+// FetchAnswer builds the answer to a fetch from the history.
+func FetchAnswer(h *configstate.History, req *configpb.FetchRequest) *configpb.FetchResponse {
+	b := h.Current()
+	resp := &configpb.FetchResponse{Version: b.Version, Sha256: b.Sum[:], Operator: b.Operator}
+	if len(req.Sha256) == sha256.Size {
+		if patches, ok := h.Since(req.Sha256); ok {
+			for _, ops := range patches {
+				p := &configpb.Patch{}
+				for _, op := range ops {
+					p.Ops = append(p.Ops, &configpb.Op{Start: op.Start, Count: op.Count, Insert: op.Insert})
+				}
+				resp.Patches = append(resp.Patches, p)
+			}
+			return resp
+		}
+	}
+	resp.Body = b.Text
+	return resp
+}
--- /dev/null
+++ b/cmd/internal/daemon/control_test.go
@@ -0,0 +1,147 @@
+package daemon
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cyclamenhitch/adapters/peer/configpb"
+	"cyclamenhitch/adapters/settings"
+	"cyclamenhitch/core/membership"
+	platformfake "cyclamenhitch/standins/platform"
+)
+
+// Guards against instances that do not find each other through the platform's
+// list, and against a planned stop that lookups do not see.
+func TestMembersFindEachOther(t *testing.T) {
+	f := newFixture(t)
+	other := f.startInstance("r2")
+	f.eventually("both instances in both views", func() bool {
+		return other.members.View().Find("r1") != nil && f.daemon.members.View().Find("r2") != nil
+	})
+	other.members.setLeaving()
+	f.eventually("leaving seen", func() bool {
+		m := f.daemon.members.View().Find("r2")
+		return m != nil && m.Leaving && !m.Eligible && len(f.daemon.members.Addresses(nil, 1)) == 1
+	})
+}
+
+// Guards against an instance that cannot start, or stays on an old version,
+// while the store is down although a peer has the version.
+func TestConfigurationFromPeers(t *testing.T) {
+	f := newFixture(t)
+	f.applyManifest()
+	f.platform.SetFault(platformfake.Fault{LoseReplies: 1})
+	second := f.write("second.toml", f.manifest()+"[[account]]\nname = \"late\"\n")
+	if code, out := f.operate("apply", second, "--base", "1"); code != 0 {
+		t.Fatalf("apply with a lost reply: exit code %d: %s", code, out)
+	}
+	other := f.startInstance("r2")
+	f.eventually("r2 in the view", func() bool { return f.daemon.members.View().Find("r2") != nil })
+	f.platform.SetFault(platformfake.Fault{Down: true})
+	third := f.startInstance("r3")
+	// The stand-in serves the list with the same fault, so the test names a peer.
+	third.members.step(func(m *membership.Machine) { m.List(time.Now(), f.daemon.members.View().Members) })
+	f.eventually("version 2 in force everywhere", func() bool {
+		return other.config.version() == 2 && third.config.version() == 2
+	})
+	if age := third.config.confirmedAge(); age != -1 {
+		t.Fatalf("r3 states a confirmation %v ago by a store that it never reached", age)
+	}
+	if err := third.config.Check(); err != nil {
+		t.Fatalf("r3 takes no work: %v", err)
+	}
+}
+
+// Guards against mutual TLS that does not connect or that accepts a
+// certificate of another authority, and against a start without its files.
+func TestMutualTLS(t *testing.T) {
+	f := newFixture(t)
+	trust := func(ca string) string {
+		return fmt.Sprintf("peer_mode = \"mtls\"\ncert_file = %q\nkey_file = %q\nca_file = %q\n",
+			filepath.Join(f.dir, ca+".crt"), filepath.Join(f.dir, ca+".key"), filepath.Join(f.dir, ca+".ca"))
+	}
+	f.writeCertificates("fleet")
+	f.writeCertificates("other")
+	a, b, c := f.startInstance("t1", trust("fleet")), f.startInstance("t2", trust("fleet")), f.startInstance("t3", trust("other"))
+	f.applyManifest()
+	f.eventually("version in force", func() bool { return a.config.version() == 1 && b.config.version() == 1 && c.config.version() == 1 })
+	ctx := t.Context()
+	if _, err := a.config.peerClient(b.PeerAddress()).Offer(ctx, offerOf(a)); err != nil {
+		t.Fatalf("same authority: %v", err)
+	}
+	for _, d := range []*Daemon{c, f.daemon} {
+		if _, err := a.config.peerClient(d.PeerAddress()).Offer(ctx, offerOf(a)); err == nil {
+			t.Fatalf("t1 called %s, which has no certificate of its authority", d.set.Instance)
+		}
+		if _, err := d.config.peerClient(a.PeerAddress()).Offer(ctx, offerOf(d)); err == nil {
+			t.Fatalf("%s called t1 without a certificate of its authority", d.set.Instance)
+		}
+	}
+	f.write("fleet.key", "broken")
+	set := *a.set
+	if _, err := New(&set, zap.NewNop()); err == nil || !strings.Contains(err.Error(), "fleet.key") {
+		t.Fatalf("start with a broken key file: %v", err)
+	}
+	if _, err := settings.Parse("s.toml", []byte("[trust]\npeer_mode = \"mtls\"\n")); err == nil || !strings.Contains(err.Error(), "trust.cert_file is required") {
+		t.Fatalf("mtls without files: %v", err)
+	}
+}
+
+func offerOf(d *Daemon) *configpb.OfferRequest {
+	return &configpb.OfferRequest{Instance: string(d.set.Instance), Peer: d.PeerAddress(), Version: 1}
+}
+
+// writeCertificates writes an authority and a certificate signed by it.
+func (f *fixture) writeCertificates(name string) {
+	f.t.Helper()
+	caKey, ca := f.certificate(nil, nil)
+	key, cert := f.certificate(ca, caKey)
+	der, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	block := func(kind string, der []byte) string {
+		return string(pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}))
+	}
+	f.write(name+".ca", block("CERTIFICATE", ca.Raw))
+	f.write(name+".crt", block("CERTIFICATE", cert.Raw))
+	f.write(name+".key", block("EC PRIVATE KEY", der))
+}
+
+func (f *fixture) certificate(parent *x509.Certificate, signer *ecdsa.PrivateKey) (*ecdsa.PrivateKey, *x509.Certificate) {
+	f.t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	tpl := &x509.Certificate{
+		SerialNumber: big.NewInt(time.Now().UnixNano()), Subject: pkix.Name{CommonName: "test"},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		IsCA: parent == nil, BasicConstraintsValid: true, KeyUsage: x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	if parent == nil {
+		parent, signer = tpl, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tpl, parent, &key.PublicKey, signer)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return key, cert
+}
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -76,8 +76,12 @@
 		CallTimeout:   time.Duration(set.Platform.CallTimeoutMillis) * time.Millisecond,
 		MaxConcurrent: maxStoreCalls,
 	})
-	d.peerServer = peer.NewServer(d.peerKey, &d.traffic)
-	d.peerClient = peer.NewClient(d.peerKey, &d.traffic)
+	peerTLS, err := openPeerTLS(set)
+	if err != nil {
+		return nil, err
+	}
+	d.peerServer = peer.NewServer(d.peerKey, peerTLS, &d.traffic)
+	d.peerClient = peer.NewClient(d.peerKey, peerTLS, &d.traffic)
 	d.build()
 	if d.callerLn, err = listen(set.Listen.Caller); err != nil {
 		return nil, err
@@ -91,9 +95,22 @@
 	if err := d.members.open(); err != nil {
 		return nil, err
 	}
+	d.publishControl()
 	return d, nil
 }
 
+// openPeerTLS reads the files of mutual TLS, or returns nil without it.
+func openPeerTLS(set *settings.Settings) (peer.TLS, error) {
+	if set.Trust.PeerMode != settings.PeerModeMTLS {
+		return nil, nil
+	}
+	t, err := keys.OpenTLS(set.Trust.CertFile, set.Trust.KeyFile, set.Trust.CAFile)
+	if err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
 func listen(addr string) (net.Listener, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
--- a/cmd/internal/daemon/daemon_test.go
+++ b/cmd/internal/daemon/daemon_test.go
@@ -75,7 +75,7 @@
 	return path
 }
 
-func (f *fixture) startInstance(name string) *Daemon {
+func (f *fixture) startInstance(name string, extra ...string) *Daemon {
 	f.t.Helper()
 	path := f.write(name+".toml", fmt.Sprintf(`
 instance = %q
@@ -95,7 +95,7 @@
 [trust]
 peer_key_file = %[4]q
 operator_keys_file = %[5]q
-`, name, f.platform.URL(), filepath.Join(f.dir, "secret"), filepath.Join(f.dir, "peer.key"), filepath.Join(f.dir, "operators")))
+`, name, f.platform.URL(), filepath.Join(f.dir, "secret"), filepath.Join(f.dir, "peer.key"), filepath.Join(f.dir, "operators"))+strings.Join(extra, "\n"))
 	set, err := settings.Load(path)
 	if err != nil {
 		f.t.Fatal(err)
@@ -240,18 +240,3 @@
 	}
 	return text.String()
 }
-
-// Guards against instances that do not find each other through the platform's
-// list, and against a planned stop that lookups do not see.
-func TestMembersFindEachOther(t *testing.T) {
-	f := newFixture(t)
-	other := f.startInstance("r2")
-	f.eventually("both instances in both views", func() bool {
-		return other.members.View().Find("r1") != nil && f.daemon.members.View().Find("r2") != nil
-	})
-	other.members.setLeaving()
-	f.eventually("leaving seen", func() bool {
-		m := f.daemon.members.View().Find("r2")
-		return m != nil && m.Leaving && !m.Eligible && len(f.daemon.members.Addresses(nil, 1)) == 1
-	})
-}
--- a/cmd/internal/demo/fleet.go
+++ b/cmd/internal/demo/fleet.go
@@ -207,7 +207,7 @@
 	f.daemons = append(f.daemons, d)
 	f.platform.SetMember(name, platform.Member{Target: d.CallerAddress(), Labels: map[string]string{
 		"instance": name, "data_centre": dc, "region": region, "state": "live",
-		"admin": d.AdminAddress(), "peer": d.PeerAddress(),
+		"admin": d.AdminAddress(), "peer": d.PeerAddress(), "datagram": d.DatagramAddress(),
 	}})
 	go func() { f.stopped <- d.Run(ctx) }()
 	return nil
--- a/core/configstate/accept.go
+++ b/core/configstate/accept.go
@@ -31,8 +31,23 @@
 	SHA256 string `json:"sha256"`
 	// Operator accepted the version.
 	Operator string `json:"operator"`
+	// Recent names the writers of the last versions, newest first. It settles a
+	// lost reply after another operator has already accepted the next version.
+	Recent []Writer `json:"recent,omitempty"`
 }
 
+// Writer is the nonce of the call that had a version accepted.
+type Writer struct {
+	Version uint64 `json:"version"`
+	Nonce   string `json:"nonce"`
+}
+
+// recentWriters is the length of Head.Recent.
+const recentWriters = 32
+
+// objectTries is how often the body is written; writing it again is harmless.
+const objectTries = 2
+
 // ReadHead reads the head. It returns version 0 when nothing was accepted yet.
 func ReadHead(ctx context.Context, t store.Table) (Head, error) {
 	row, err := t.Get(ctx, headPartition, headSort)
@@ -63,15 +78,29 @@
 }
 
 // Accept checks body and makes it version base+1. nonce must be unique for the
-// call. It returns ConfigConflict when another version was accepted, and
-// settles a lost reply by reading the row again.
+// call. It returns ConfigConflict only when another call had base+1 accepted or
+// base is not in force, and settles a lost reply by reading the row again; the
+// outcome is Unknown when neither can be told.
 func Accept(ctx context.Context, t store.Table, o store.Objects, base uint64, body []byte, operator, nonce string) (Head, error) {
 	if _, err := manifest.Decode(body); err != nil {
 		return Head{}, err
 	}
+	old, err := ReadHead(ctx, t)
+	if err != nil {
+		return Head{}, err
+	}
+	if old.Version != base {
+		return Head{}, conflict(base, old.Version)
+	}
 	h := Head{Version: base + 1, SHA256: digest(body), Operator: operator}
 	h.Object = fmt.Sprintf("config/%d-%s.toml", h.Version, nonce)
-	if err := o.PutObject(ctx, h.Object, body); err != nil {
+	h.Recent = append([]Writer{{h.Version, nonce}}, old.Recent[:min(len(old.Recent), recentWriters-1)]...)
+	for range objectTries {
+		if err = o.PutObject(ctx, h.Object, body); err == nil {
+			break
+		}
+	}
+	if err != nil {
 		return Head{}, err
 	}
 	data, err := json.Marshal(h)
@@ -79,20 +108,37 @@
 		return Head{}, result.As(err)
 	}
 	row := store.Row{Partition: headPartition, Sort: headSort, Version: h.Version, Writer: nonce, Data: data}
-	err = t.Put(ctx, row, base)
-	if err == nil {
+	if err = t.Put(ctx, row, base); err == nil {
 		return h, nil
 	}
-	got, rerr := t.Get(ctx, headPartition, headSort)
-	switch {
-	case rerr == nil && got.Writer == nonce:
-		return h, nil
-	case rerr == nil && got.Version >= h.Version:
-		return Head{}, result.New(result.ConfigConflict, "base version %d is out of date, version %d is in force", base, got.Version)
-	case errors.Is(err, store.ErrConditionFailed):
-		return Head{}, result.New(result.ConfigConflict, "base version %d does not exist", base)
+	return settle(ctx, t, h, nonce, err)
+}
+
+// settle finds out whether the write of h took effect although it failed with
+// cause.
+func settle(ctx context.Context, t store.Table, h Head, nonce string, cause error) (Head, error) {
+	got, err := ReadHead(ctx, t)
+	if err == nil {
+		for _, w := range got.Recent {
+			if w.Version == h.Version && w.Nonce == nonce {
+				return h, nil
+			}
+			if w.Version == h.Version {
+				return Head{}, conflict(h.Version-1, got.Version)
+			}
+		}
+	}
+	if errors.Is(cause, store.ErrConditionFailed) {
+		return Head{}, result.New(result.ConfigConflict, "base version %d is not in force", h.Version-1)
+	}
+	return Head{}, result.Wrap(result.StoreUnavailable, cause, "acceptance of version %d is not known", h.Version).WithOutcome(result.Unknown)
+}
+
+func conflict(base, inForce uint64) *result.Error {
+	if inForce < base {
+		return result.New(result.ConfigConflict, "base version %d does not exist", base)
 	}
-	return Head{}, result.Wrap(result.StoreUnavailable, err, "acceptance of version %d is not known", h.Version).WithOutcome(result.Unknown)
+	return result.New(result.ConfigConflict, "base version %d is out of date, version %d is in force", base, inForce)
 }
 
 func digest(body []byte) string {
