Measure control in virtual time, pace reads of the platform list

Cause: the bounds on control traffic, spread and detection had no figures; a read of the platform list each second would cost 96 KB/s at 370 instances. Change: measure/control runs the state machines and the datagram codec on a simulated network with fixed seeds; membership.ListInterval bounds list reads to 2 KB/s for each instance.

--- a/adapters/platform/members.go
+++ b/adapters/platform/members.go
@@ -30,6 +30,8 @@
 type MemberList struct {
 	URL     string
 	Timeout time.Duration
+	// LastBytes is the size of the last answer.
+	LastBytes int
 }
 
 // Read returns the current list. Its entries may be out of date.
@@ -44,6 +46,7 @@
 	if resp.StatusCode() != fasthttp.StatusOK {
 		return nil, result.New(result.StoreUnavailable, "membership list answered status %d", resp.StatusCode())
 	}
+	l.LastBytes = len(resp.Body())
 	return ParseMembers(resp.Body())
 }
 
--- a/cmd/internal/daemon/configpeer.go
+++ b/cmd/internal/daemon/configpeer.go
@@ -11,7 +11,6 @@
 	"cyclamenhitch/adapters/peer/configpb"
 	"cyclamenhitch/core/configstate"
 	"cyclamenhitch/core/fleet"
-	"cyclamenhitch/core/manifest"
 	"cyclamenhitch/core/result"
 )
 
@@ -51,7 +50,7 @@
 	if resp.Version <= have.Version {
 		return nil // another fetch was faster, or the peer restarted
 	}
-	text, err := configstate.Rebuild(have.Text, opsOf(resp.Patches), resp.Body, resp.Sha256)
+	text, err := configstate.Rebuild(have.Text, configpb.Ops(resp), resp.Body, resp.Sha256)
 	if err != nil {
 		return err
 	}
@@ -60,16 +59,6 @@
 	return c.apply(b)
 }
 
-func opsOf(patches []*configpb.Patch) [][]manifest.Op {
-	out := make([][]manifest.Op, len(patches))
-	for i, p := range patches {
-		for _, op := range p.Ops {
-			out[i] = append(out[i], manifest.Op{Start: op.Start, Count: op.Count, Insert: op.Insert})
-		}
-	}
-	return out
-}
-
 // accepted puts a version that this instance has just had accepted in force and
 // notifies a few peers, so that the spread does not wait for a poll.
 func (c *configComponent) accepted(head configstate.Head, text []byte) {
@@ -113,7 +102,7 @@
 	if b.Version == 0 {
 		return nil, result.New(result.ConfigMissing, "the instance has no configuration yet")
 	}
-	return FetchAnswer(&c.history, req), nil
+	return configpb.Answer(&c.history, req), nil
 }
 
 // Offer implements configpb.Config.
@@ -122,23 +111,3 @@
 	s.c.heard(fleet.InstanceID(req.Instance), req.Peer, req.Version)
 	return resp, nil
 }
-
-// FetchAnswer builds the answer to a fetch from the history.
-func FetchAnswer(h *configstate.History, req *configpb.FetchRequest) *configpb.FetchResponse {
-	b := h.Current()
-	resp := &configpb.FetchResponse{Version: b.Version, Sha256: b.Sum[:], Operator: b.Operator}
-	if len(req.Sha256) == sha256.Size {
-		if patches, ok := h.Since(req.Sha256); ok {
-			for _, ops := range patches {
-				p := &configpb.Patch{}
-				for _, op := range ops {
-					p.Ops = append(p.Ops, &configpb.Op{Start: op.Start, Count: op.Count, Insert: op.Insert})
-				}
-				resp.Patches = append(resp.Patches, p)
-			}
-			return resp
-		}
-	}
-	resp.Body = b.Text
-	return resp
-}
--- a/cmd/internal/daemon/members.go
+++ b/cmd/internal/daemon/members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -16,10 +17,6 @@
 	"cyclamenhitch/core/result"
 )
 
-// memberPollInterval is the time between reads of the platform's membership
-// list. The list only names instances to probe, so that it may be slow.
-const memberPollInterval = time.Second
-
 // lookupAddresses is how many addresses a lookup names: the primary admitter
 // and two standbys.
 const lookupAddresses = 3
@@ -140,8 +137,6 @@
 
 // readList polls the platform's membership list.
 func (c *memberComponent) readList(ctx context.Context) {
-	tick := time.NewTicker(memberPollInterval)
-	defer tick.Stop()
 	failing := false
 	for {
 		ms, err := c.list.Read()
@@ -152,10 +147,11 @@
 			c.d.log.Warn("membership list cannot be read", zap.Error(err))
 		}
 		failing = err != nil
+		interval := membership.ListInterval(c.list.LastBytes)
 		select {
 		case <-ctx.Done():
 			return
-		case <-tick.C:
+		case <-time.After(interval/2 + time.Duration(rand.Int64N(int64(interval)))):
 		}
 	}
 }
--- a/core/membership/gossip.go
+++ b/core/membership/gossip.go
@@ -139,7 +139,7 @@
 	total := len(m.live) + len(m.dead)
 	for range min(fillCompact, total-1) {
 		m.fillCursor = (m.fillCursor + 1) % total
-		r := m.self
+		var r *record
 		if m.fillCursor < len(m.live) {
 			r = m.live[m.fillCursor]
 		} else {
--- a/core/membership/probe.go
+++ b/core/membership/probe.go
@@ -166,6 +166,19 @@
 	m.waiting = kept
 }
 
+const (
+	minListInterval = time.Second
+	// listRate bounds what reading the list costs an instance, in bytes a
+	// second: the list of 370 instances has 110 KB, and each joining instance
+	// makes itself known by its own probes.
+	listRate = 2048
+)
+
+// ListInterval is the time until the next read of a list of the size.
+func ListInterval(size int) time.Duration {
+	return max(minListInterval, time.Duration(size)*time.Second/listRate)
+}
+
 // List takes the platform's membership list. The list lags: it only names
 // instances to probe and adds the mark leaving. It neither removes a live
 // member nor revives a dead one.
--- a/core/membership/view.go
+++ b/core/membership/view.go
@@ -4,6 +4,8 @@
 package membership
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"cyclamenhitch/core/fleet"
@@ -41,10 +43,9 @@
 
 // Find returns the member with the id, or nil.
 func (v *View) Find(id fleet.InstanceID) *Member {
-	for i := range v.Members {
-		if v.Members[i].ID == id {
-			return &v.Members[i]
-		}
+	i, ok := slices.BinarySearchFunc(v.Members, id, func(m Member, id fleet.InstanceID) int { return cmp.Compare(m.ID, id) })
+	if !ok {
+		return nil
 	}
-	return nil
+	return &v.Members[i]
 }
--- /dev/null
+++ b/measure/control/spread.go
@@ -0,0 +1,209 @@
+package control
+
+import (
+	"crypto/sha256"
+	"fmt"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"cyclamenhitch/adapters/peer/configpb"
+	"cyclamenhitch/core/configstate"
+	"cyclamenhitch/core/membership"
+)
+
+const (
+	// callOverhead is what HTTP headers, the two signatures and TCP/IP headers
+	// add to the bodies of a call and its answer.
+	callOverhead = 900
+	// applyTime is the time to decode and index a body of 18,000 accounts, from
+	// BenchmarkControlApply.
+	applyTime = 200 * time.Millisecond
+	// offers is how many instances are notified after acceptance, as in the daemon.
+	offers = 4
+)
+
+// manifestText returns a manifest of the target size with n accounts. change
+// sets the weight of one account.
+func manifestText(n int, change uint64) []byte {
+	var b strings.Builder
+	b.WriteString("format = 1\n")
+	for i := range 6 {
+		fmt.Fprintf(&b, "[[data_centre]]\nname = \"dc-%d\"\nregion = \"region-%d\"\n", i, i/2)
+	}
+	for i := range 25 {
+		fmt.Fprintf(&b, "[[pool]]\nname = \"pool-%d\"\n[pool.objectives]\nfirst_token_ms = 440\n", i)
+	}
+	for i := range 600 {
+		fmt.Fprintf(&b, "[[server]]\nname = \"engine-%d\"\npool = \"pool-%d\"\ndata_centre = \"dc-%d\"\naddress = \"127.0.%d.%d:8000\"\n", i, i%25, i%6, i/250, i%250)
+	}
+	for i := range n {
+		fmt.Fprintf(&b, "[[account]]\nname = \"account-%d\"\nkey_sha256 = [\"%064x\"]\n", i, i+1)
+		if uint64(i) == change*7919%uint64(n) {
+			fmt.Fprintf(&b, "weight = %d\n", 2+change)
+		}
+	}
+	return []byte(b.String())
+}
+
+func body(accounts int, version uint64) configstate.Body {
+	text := manifestText(accounts, version)
+	return configstate.Body{Version: version, Sum: sha256.Sum256(text), Operator: "ana", Text: text}
+}
+
+// bodies answers how many bytes a transfer between two versions takes. The
+// fleet shares one history, since 370 of them do not fit into one process.
+type bodies struct {
+	accounts int
+	history  configstate.History
+	sums     map[uint64][]byte
+	sizes    map[[2]uint64]int
+}
+
+func newBodies(accounts int) *bodies {
+	return &bodies{accounts: accounts, sums: map[uint64][]byte{}, sizes: map[[2]uint64]int{}}
+}
+
+// bytes is the size of the call and its answer; to must be the newest version.
+func (b *bodies) bytes(from, to uint64) int {
+	k := [2]uint64{from, to}
+	if n, ok := b.sizes[k]; ok {
+		return n
+	}
+	if b.history.Current().Version < to {
+		next := body(b.accounts, to)
+		b.history.Push(next)
+		b.sums[to] = next.Sum[:]
+	}
+	req := &configpb.FetchRequest{Sha256: b.sums[from]}
+	n := proto.Size(req) + proto.Size(configpb.Answer(&b.history, req)) + callOverhead
+	b.sizes[k] = n
+	return n
+}
+
+// pump carries out the actions of a configuration state that are due.
+func (s *sim) pump(nd *node) {
+	life := nd.life
+	for _, a := range nd.config.Next(s.now, len(nd.machine.View().Members)) {
+		switch a.Kind {
+		case configstate.ActReadHead:
+			s.reads++
+			s.after(storeIO, func() { s.headRead(nd, life) })
+		case configstate.ActFetchPeer:
+			s.fetch(nd, s.byAddr[a.Peer.Address])
+		case configstate.ActFetchStore:
+			version := a.Head.Version
+			s.after(storeIO, func() {
+				if s.storeDown {
+					nd.config.Fetched(s.now, false)
+					return
+				}
+				s.finish(nd, life, version)
+			})
+		}
+	}
+}
+
+func (s *sim) headRead(nd *node, life int) {
+	if !nd.up || nd.life != life {
+		return
+	}
+	var err error
+	if s.storeDown {
+		err = fmt.Errorf("store is down")
+	}
+	nd.config.HeadRead(s.now, configstate.Head{Version: s.store}, err)
+	s.pump(nd)
+}
+
+// fetch takes two round trips: one opens the connection.
+func (s *sim) fetch(nd, from *node) {
+	life := nd.life
+	s.after(2*s.delay()+2*s.delay(), func() {
+		if !nd.up || nd.life != life {
+			return
+		}
+		if from == nil || !from.up || !s.reachable(nd, from) {
+			nd.config.Fetched(s.now, false)
+			return
+		}
+		version := from.config.Version()
+		n := int64(s.bodies.bytes(nd.config.Version(), version))
+		nd.received += n
+		from.sent += n
+		s.finish(nd, life, version)
+	})
+}
+
+// finish applies a fetched version after the time that decoding takes.
+func (s *sim) finish(nd *node, life int, version uint64) {
+	s.after(applyTime, func() {
+		if !nd.up || nd.life != life {
+			return
+		}
+		s.apply(nd, version)
+		nd.config.Fetched(s.now, true)
+		s.pump(nd)
+	})
+}
+
+func (s *sim) apply(nd *node, version uint64) {
+	if nd.config.Advance(s.now, version) {
+		nd.inForce = s.now
+		nd.machine.SetVersion(version)
+	}
+}
+
+// accept makes the next version the head. The accepting instance notifies a few
+// others directly, unless notify is off: then it crashed after the write and
+// the version spreads from the first poll.
+func (s *sim) accept(notify bool) {
+	s.store++
+	version := s.store
+	s.bodies.bytes(version-1, version)
+	if !notify {
+		return
+	}
+	nd := s.nodes[s.rng.IntN(len(s.nodes))]
+	life := nd.life
+	s.after(applyTime, func() {
+		if !nd.up || nd.life != life {
+			return
+		}
+		s.apply(nd, version)
+		for range min(offers, len(s.nodes)-1) {
+			to := s.nodes[s.rng.IntN(len(s.nodes))]
+			s.after(2*s.delay(), func() {
+				if to.up && s.reachable(nd, to) {
+					to.config.Heard(configstate.Peer{ID: nd.member.ID, Address: nd.member.Peer}, version)
+					s.pump(to)
+				}
+			})
+		}
+	})
+}
+
+// spread accepts a version and returns the time until it is in force on every
+// running instance, or limit.
+func (s *sim) spread(notify bool, limit time.Duration) time.Duration {
+	start := s.now
+	s.accept(notify)
+	for s.now.Sub(start) < limit {
+		s.run(membership.TickInterval)
+		last, all := start, true
+		for _, nd := range s.nodes {
+			if nd.up && nd.config.Version() < s.store {
+				all = false
+				break
+			}
+			if nd.up && nd.inForce.After(last) {
+				last = nd.inForce
+			}
+		}
+		if all {
+			return last.Sub(start)
+		}
+	}
+	return limit
+}
