--- a/adapters/datagram/codec.go
+++ b/adapters/datagram/codec.go
@@ -81,7 +81,6 @@
 	}
 	dst = append(dst, flags)
 	dst = binary.BigEndian.AppendUint64(dst, u.Incarnation)
-	dst = append(dst, u.Flaps)
 	dst = appendString(dst, string(u.ID), ok)
 	if u.Full {
 		i := &u.Info
@@ -168,7 +167,7 @@
 		State:   membership.State(flags & flagState),
 		Leaving: flags&flagLeaving != 0, Full: flags&flagFull != 0,
 	}
-	u.Incarnation, u.Flaps = r.uint64(), r.byte()
+	u.Incarnation = r.uint64()
 	u.ID = fleet.InstanceID(r.string())
 	if u.Full {
 		i := &u.Info
--- a/adapters/datagram/datagram_test.go
+++ b/adapters/datagram/datagram_test.go
@@ -24,7 +24,7 @@
 	u := membership.Update{
 		ID:          fleet.InstanceID(rapid.StringN(1, 20, 20).Draw(t, "id")),
 		Incarnation: rapid.Uint64Max(maxIncarnation).Draw(t, "incarnation"),
-		Flaps:       rapid.Byte().Draw(t, "flaps"), Leaving: rapid.Bool().Draw(t, "leaving"), Full: full,
+		Leaving:     rapid.Bool().Draw(t, "leaving"), Full: full,
 	}
 	if full {
 		u.Info = membership.Info{
--- /dev/null
+++ b/adapters/peer/peer_test.go
@@ -0,0 +1,92 @@
+package peer
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+type testKey string
+
+func (k testKey) Bytes() []byte { return []byte(k) }
+
+func call(t *testing.T, c *Client, addr string) (string, error) {
+	t.Helper()
+	req, err := http.NewRequest("POST", "http://"+addr+"/svc/Echo", strings.NewReader("question"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return "", err
+	}
+	b, err := io.ReadAll(resp.Body)
+	return string(b), err
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ln
+}
+
+// Guards against a server that serves calls under another key, and against a
+// client that takes answers from a process without the key, or an answer that
+// was given to another call.
+func TestSignatures(t *testing.T) {
+	var traffic Traffic
+	ours, theirs := testKey(strings.Repeat("a", 32)), testKey(strings.Repeat("b", 32))
+	srv := NewServer(ours, nil, &traffic)
+	srv.Mount("/svc/", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") }))
+	ln := listen(t)
+	go func() { _ = srv.Serve(ln) }()
+	defer func() { _ = srv.Shutdown(context.Background()) }()
+	if got, err := call(t, NewClient(ours, nil, &traffic), ln.Addr().String()); err != nil || got != "answer" {
+		t.Fatalf("got %q, %v", got, err)
+	}
+	if got, err := call(t, NewClient(theirs, nil, &traffic), ln.Addr().String()); err == nil {
+		t.Fatalf("a call under another key is answered with %q", got)
+	}
+	recorded := signAnswer(ours.Bytes(), "/svc/Echo", sign(ours.Bytes(), "/svc/Echo", []byte("question"), time.Now().Add(-time.Second)), 200, []byte("answer"))
+	for _, header := range []string{"", recorded, signAnswer(theirs.Bytes(), "/svc/Echo", "", 200, []byte("answer"))} {
+		fake := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(answerHeader, header)
+			_, _ = io.WriteString(w, "answer")
+		})}
+		ln := listen(t)
+		go func() { _ = fake.Serve(ln) }()
+		if got, err := call(t, NewClient(ours, nil, &traffic), ln.Addr().String()); err == nil {
+			t.Fatalf("answer %q with signature %q was taken", got, header)
+		}
+		_ = fake.Close()
+	}
+}
+
+// Guards against calls that are valid for longer than the window, or for
+// another path or body.
+func TestVerify(t *testing.T) {
+	key, now := []byte(strings.Repeat("a", 32)), time.Unix(1_790_000_000, 0)
+	h := sign(key, "/p", []byte("b"), now)
+	for _, c := range []struct {
+		path, body string
+		at         time.Time
+		want       bool
+	}{
+		{"/p", "b", now.Add(authWindow), true},
+		{"/p", "b", now.Add(authWindow + time.Second), false},
+		{"/p", "b", now.Add(-authWindow - time.Second), false},
+		{"/q", "b", now, false},
+		{"/p", "c", now, false},
+	} {
+		if got := verify(key, c.path, []byte(c.body), h, c.at); got != c.want {
+			t.Errorf("%+v: got %v", c, got)
+		}
+	}
+}
--- a/core/configstate/accept.go
+++ b/core/configstate/accept.go
@@ -142,6 +142,8 @@
 }
 
 func digest(body []byte) string {
-	sum := sha256.Sum256(body)
-	return hex.EncodeToString(sum[:])
+	s := sum(body)
+	return hex.EncodeToString(s[:])
 }
+
+func sum(body []byte) [sha256.Size]byte { return sha256.Sum256(body) }
--- a/core/configstate/history.go
+++ b/core/configstate/history.go
@@ -53,13 +53,13 @@
 
 // Since returns the patches from the body with the digest to the current one,
 // and false when they are not known or not smaller than the body.
-func (h *History) Since(sum []byte) ([][]manifest.Op, bool) {
+func (h *History) Since(have []byte) ([][]manifest.Op, bool) {
 	size := 0
 	for i := len(h.steps) - 1; i >= 0; i-- {
 		if size += h.steps[i].bytes; size >= len(h.current.Text) {
 			return nil, false
 		}
-		if bytes.Equal(h.steps[i].from[:], sum) {
+		if bytes.Equal(h.steps[i].from[:], have) {
 			var out [][]manifest.Op
 			for _, s := range h.steps[i:] {
 				out = append(out, s.ops)
@@ -72,7 +72,7 @@
 
 // Rebuild applies patches to the text, or takes the whole body, and checks the
 // digest of the result.
-func Rebuild(text []byte, patches [][]manifest.Op, whole []byte, sum []byte) ([]byte, error) {
+func Rebuild(text []byte, patches [][]manifest.Op, whole, want []byte) ([]byte, error) {
 	out := whole
 	if len(whole) == 0 {
 		out = text
@@ -83,7 +83,7 @@
 			}
 		}
 	}
-	if got := sha256.Sum256(out); !bytes.Equal(got[:], sum) {
+	if got := sum(out); !bytes.Equal(got[:], want) {
 		return nil, result.New(result.ManifestInvalid, "the body does not match its digest")
 	}
 	return out, nil
--- a/core/configstate/state.go
+++ b/core/configstate/state.go
@@ -12,12 +12,15 @@
 	// instance would grow with the fleet past what the table service serves.
 	headReadsPerSecond = 20
 	minPoll            = 500 * time.Millisecond
-	// maxBackoff bounds the delay between reads of a failing store.
-	maxBackoff = 8 * time.Second
+	// maxBackoff bounds the delay between reads of a failing store. With jitter
+	// it stays under the 4 s in which a returned store must be heard; the rate
+	// of the fleet is bounded by PollInterval in any case.
+	maxBackoff = 2 * time.Second
 	// fetchRetry is the delay after the first failed fetch; it doubles up to
-	// maxBackoff, since a body that cannot be decoded costs 0.1 s of processor
-	// time with each try.
-	fetchRetry = 100 * time.Millisecond
+	// maxFetchRetry, since a body that cannot be decoded costs 0.1 s of processor
+	// time with each try. A newer version starts again from 0.
+	fetchRetry    = 100 * time.Millisecond
+	maxFetchRetry = 8 * time.Second
 	// forcedPoll is the least time between reads that failed fetches cause.
 	forcedPoll = 5 * time.Second
 	// maxOffers is how many announcers are remembered.
@@ -76,6 +79,7 @@
 	jitter    float64
 	failures  int
 	forced    bool
+	newest    uint64    // highest version heard of
 	misses    int       // failed fetches in a row
 	notBefore time.Time // of the next fetch
 }
@@ -103,6 +107,7 @@
 	if version <= s.version || p.Address == "" {
 		return
 	}
+	s.news(version)
 	for i := range s.offers {
 		if s.offers[i].peer.ID == p.ID {
 			s.offers[i] = offer{p, max(version, s.offers[i].version)}
@@ -115,6 +120,13 @@
 	s.offers = append(s.offers, offer{p, version})
 }
 
+// news ends the backoff of failed fetches when a version is heard of first.
+func (s *State) news(version uint64) {
+	if version > s.newest {
+		s.newest, s.misses, s.notBefore = version, 0, time.Time{}
+	}
+}
+
 // PollInterval is the mean time between two head reads of one instance.
 func PollInterval(instances int) time.Duration {
 	return max(minPoll, time.Duration(instances)*time.Second/headReadsPerSecond)
@@ -193,7 +205,8 @@
 	if h.Version < s.version {
 		return
 	}
-	if h.Version > s.version && h.Version > s.head.Version {
+	s.news(h.Version)
+	if s.askStore && h.Version > s.head.Version {
 		s.notBefore = now // the store is a source that was not tried yet
 	}
 	s.head = h
@@ -210,7 +223,7 @@
 		s.misses = 0
 		return
 	}
-	s.notBefore = now.Add(time.Duration(s.drawJitter() * float64(min(maxBackoff, fetchRetry<<min(s.misses, 10)))))
+	s.notBefore = now.Add(time.Duration(s.drawJitter() * float64(min(maxFetchRetry, fetchRetry<<min(s.misses, 10)))))
 	s.misses++
 	if s.fetchFrom.ID == "" {
 		// The head may have moved on, and its body with it.
--- a/core/membership/machine.go
+++ b/core/membership/machine.go
@@ -51,11 +51,15 @@
 	Update
 	listLeaving bool
 	// since is when the state was entered.
-	since     time.Time
-	origin    bool // this instance's own probe failed
-	checks    int  // probes sent during the suspicion
-	holdUntil time.Time
+	since  time.Time
+	origin bool // this instance's own probe failed
+	checks int  // probes sent during the suspicion
+	// flaps counts returns from the dead until flapMemory after flapAt. It is
+	// this instance's own judgement and is not sent: one instance that was cut
+	// off would otherwise hold down the whole fleet when it returns.
+	flaps     int
 	flapAt    time.Time
+	holdUntil time.Time
 	sent      int // transmissions of the current update
 	queued    bool
 	// announce says that receivers may lack the addresses.
--- a/core/membership/packet.go
+++ b/core/membership/packet.go
@@ -50,9 +50,6 @@
 	Incarnation uint64
 	State       State
 	Leaving     bool
-	// Flaps counts recent returns from the dead; receivers keep the maximum, so
-	// that hold-downs agree.
-	Flaps uint8
 	// Full says that Info is present.
 	Full bool
 	Info Info
@@ -76,10 +73,10 @@
 }
 
 // Sizes of the wire format in adapters/datagram: fixed fields of a packet with
-// its code, and of an update (flags, incarnation, flaps, length of the ID).
+// its code, and of an update (flags, incarnation, length of the ID).
 const (
 	packetFixedBytes = 45
-	updateFixedBytes = 11
+	updateFixedBytes = 10
 )
 
 // WireBytes is the encoded size of the update.
--- a/core/membership/receive.go
+++ b/core/membership/receive.go
@@ -8,9 +8,10 @@
 const (
 	// flapMemory is how long returns from the dead count.
 	flapMemory = 10 * time.Minute
-	// firstHold is the hold-down after the first return; each further one
-	// doubles it up to maxHold. It is DisagreementBound, so that all instances
-	// have seen the return when the instance may hold roles again.
+	// firstHold is the hold-down after the second return within flapMemory;
+	// each further one doubles it up to maxHold. A single return is a restart
+	// or a healed partition and has none, since after a partition each side
+	// would hold down the whole other side.
 	firstHold = DisagreementBound
 	maxHold   = 5 * time.Minute
 )
@@ -105,9 +106,7 @@
 		m.dirty = true
 	}
 	if r.State == Dead && u.State != Dead {
-		m.revive(r, &u, stopped, now)
-	} else if u.Flaps > r.Flaps {
-		m.hold(r, u.Flaps, now)
+		m.revive(r, stopped, now)
 	}
 	if r.State != u.State {
 		m.setState(r, u.State, now)
@@ -125,7 +124,6 @@
 	}
 	m.stats.Refuted++
 	m.self.Incarnation = u.Incarnation + 1
-	m.self.Flaps = max(m.self.Flaps, u.Flaps)
 	m.enqueue(m.self)
 	m.dirty = true
 }
@@ -155,9 +153,6 @@
 	r.State = Alive
 	m.records[u.ID] = r
 	m.insertLive(r)
-	if u.Flaps > 0 {
-		m.hold(r, u.Flaps, now)
-	}
 	if u.State == Suspect {
 		m.setState(r, Suspect, now)
 	}
@@ -165,33 +160,25 @@
 }
 
 // revive returns a dead instance with a higher incarnation to the live ones.
-func (m *Machine) revive(r *record, u *Update, stopped bool, now time.Time) {
+// An instance that flaps gets a hold-down that doubles with each return.
+func (m *Machine) revive(r *record, stopped bool, now time.Time) {
 	if i := slices.Index(m.dead, r); i >= 0 {
 		m.dead = slices.Delete(m.dead, i, i+1)
 	}
-	flaps := r.Flaps
 	if now.Sub(r.flapAt) > flapMemory {
-		flaps = 0
+		r.flaps = 0
 	}
 	if !stopped {
-		flaps++
-	}
-	if flaps = max(flaps, u.Flaps); flaps > 0 {
-		m.hold(r, flaps, now)
+		r.flaps++
+		r.flapAt = now
+		if r.flaps >= 2 {
+			r.holdUntil = now.Add(min(maxHold, firstHold<<min(r.flaps-2, 16)))
+		}
 	}
 	r.State = Alive
 	m.insertLive(r)
 }
 
-// hold keeps a flapping instance from roles for a time that doubles with each
-// return.
-func (m *Machine) hold(r *record, flaps uint8, now time.Time) {
-	r.Flaps = min(flaps, 16)
-	r.flapAt = now
-	r.holdUntil = now.Add(min(maxHold, firstHold<<(max(r.Flaps, 1)-1)))
-	m.dirty = true
-}
-
 func (m *Machine) insertLive(r *record) {
 	i, _ := m.position(r.ID)
 	m.live = slices.Insert(m.live, i, r)
