Make each guard of membership and configuration fail a test when removed

Cause: five guards could be removed without a red test. Change: scenarios for replays after a restart and after a forgotten dead mark, a model with transfers under way while a second operator writes, calls without a signature, servers and clients with foreign or no certificates.

--- a/adapters/peer/peer_test.go
+++ b/adapters/peer/peer_test.go
@@ -54,6 +54,13 @@
 	if got, err := call(t, NewClient(theirs, nil, &traffic), ln.Addr().String()); err == nil {
 		t.Fatalf("a call under another key is answered with %q", got)
 	}
+	resp, err := http.Post("http://"+ln.Addr().String()+"/svc/Echo", "text/plain", strings.NewReader("question"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _ = resp.Body.Close(); resp.StatusCode != http.StatusForbidden {
+		t.Fatalf("a call without a signature is answered with status %d", resp.StatusCode)
+	}
 	recorded := signAnswer(ours.Bytes(), "/svc/Echo", sign(ours.Bytes(), "/svc/Echo", []byte("question"), time.Now().Add(-time.Second)), 200, []byte("answer"))
 	for _, header := range []string{"", recorded, signAnswer(theirs.Bytes(), "/svc/Echo", "", 200, []byte("answer"))} {
 		fake := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/cmd/internal/daemon/control_test.go
+++ b/cmd/internal/daemon/control_test.go
@@ -4,11 +4,13 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
+	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
 	"fmt"
 	"math/big"
+	"net/http"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -89,6 +91,24 @@
 			t.Fatalf("%s called t1 without a certificate of its authority", d.set.Instance)
 		}
 	}
+	stranger := &http.Client{Transport: &http.Transport{TLSClientConfig: &tls.Config{InsecureSkipVerify: true}}}
+	if resp, err := stranger.Post("https://"+a.PeerAddress()+"/", "text/plain", nil); err == nil {
+		_ = resp.Body.Close()
+		t.Fatalf("t1 answers a client without a certificate with status %d", resp.StatusCode)
+	}
+	pair, err := tls.LoadX509KeyPair(filepath.Join(f.dir, "other.crt"), filepath.Join(f.dir, "other.key"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := tls.Listen("tcp", "127.0.0.1:0", &tls.Config{Certificates: []tls.Certificate{pair}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	go func() { _ = http.Serve(ln, http.NotFoundHandler()) }()
+	if _, err := a.config.peerClient(ln.Addr().String()).Offer(ctx, offerOf(a)); err == nil || !strings.Contains(err.Error(), "unknown authority") {
+		t.Fatalf("t1 called a server with a certificate of another authority: %v", err)
+	}
 	f.write("fleet.key", "broken")
 	set := *a.set
 	if _, err := New(&set, zap.NewNop()); err == nil || !strings.Contains(err.Error(), "fleet.key") {
--- a/core/configstate/accept_test.go
+++ b/core/configstate/accept_test.go
@@ -47,6 +47,9 @@
 			case err != nil && (!errors.As(err, &e) || e.Outcome == result.NotRun && mine):
 				t.Fatalf("%v is reported, but version %d is %s", err, use+1, nonce)
 			}
+			if err != nil && e.Outcome == result.Unknown && mine && !blind {
+				t.Fatalf("%v is reported, but the row tells that version %d is %s", err, use+1, nonce)
+			}
 			base = s.row.Version
 		}
 	})
--- a/core/configstate/state_test.go
+++ b/core/configstate/state_test.go
@@ -23,11 +23,17 @@
 	s       *State
 	up, cut bool // cut: reaches no other instance
 	noStore bool
-	due     []func()
+	due     []delayed
+}
+
+// delayed is the end of a read or transfer.
+type delayed struct {
+	at time.Time
+	fn func()
 }
 
 // model is a fleet with a store: heartbeats reach one random instance a step,
-// transfers and reads take one step.
+// transfers and reads take up to 5 steps.
 type model struct {
 	t     *rapid.T
 	now   time.Time
@@ -55,8 +61,12 @@
 		for _, in := range m.all {
 			due := in.due
 			in.due = nil
-			for _, fn := range due {
-				fn()
+			for _, d := range due {
+				if d.at.After(m.now) {
+					in.due = append(in.due, d)
+				} else {
+					d.fn()
+				}
 			}
 			if in.up {
 				m.beat(in)
@@ -78,11 +88,11 @@
 	for _, a := range in.s.Next(m.now, len(m.all)) {
 		s := in.s
 		later := func(fn func()) {
-			in.due = append(in.due, func() {
+			in.due = append(in.due, delayed{m.now.Add(time.Duration(1+m.random(5)) * modelStep), func() {
 				if in.up && in.s == s {
 					fn()
 				}
-			})
+			}})
 		}
 		switch a.Kind {
 		case ActReadHead:
@@ -178,6 +188,15 @@
 	if holder {
 		at.s.Advance(m.now, m.head)
 	}
+	if rapid.Bool().Draw(m.t, "second operator") {
+		// Transfers of the first version are under way when the second is accepted.
+		m.run(time.Duration(rapid.IntRange(1, 8).Draw(m.t, "apart")) * modelStep)
+		m.head++
+		at = m.all[rapid.IntRange(0, len(m.all)-1).Draw(m.t, "second at")]
+		if holder = at.up; holder {
+			at.s.Advance(m.now, m.head)
+		}
+	}
 	storeUp := !m.down && !m.slow && !m.back
 	m.run(spreadBound)
 	for _, in := range m.all {
@@ -189,6 +208,27 @@
 	}
 }
 
+// Guards against a version that waits for the backoff of an earlier one.
+func TestNewerVersionEndsBackoff(t *testing.T) {
+	now := time.Unix(1_790_000_000, 0)
+	s := NewState(0, 1)
+	s.Next(now, 1)
+	s.HeadRead(now, Head{}, nil)
+	for range 10 {
+		now = now.Add(time.Minute)
+		s.Heard(Peer{"r1", "r1"}, 1)
+		s.Next(now, 1)
+		s.Fetched(now, false)
+	}
+	s.Heard(Peer{"r1", "r1"}, 2)
+	for _, a := range s.Next(now, 1) {
+		if a.Kind == ActFetchPeer {
+			return
+		}
+	}
+	t.Fatal("version 2 is not fetched at once")
+}
+
 // Guards against new work without a version, in isolation, or past the age.
 func TestCheck(t *testing.T) {
 	now := time.Unix(1_790_000_000, 0)
--- a/core/membership/machine_test.go
+++ b/core/membership/machine_test.go
@@ -127,6 +127,8 @@
 					n.start(node)
 				case "pause":
 					node.paused = n.now.Add(20 * time.Second)
+				case "replay":
+					n.replayBefore(node)
 				case "cut":
 					n.cut[name] = true
 				case "heal":
--- a/core/membership/net_test.go
+++ b/core/membership/net_test.go
@@ -121,7 +121,7 @@
 		if len(t.past) < 4000 {
 			t.past = append(t.past, f)
 		} else {
-			t.past[t.rng.IntN(len(t.past))] = f
+			t.past[1000+t.rng.IntN(3000)] = f // the first ones are kept
 		}
 		if t.rng.Float64() < t.loss {
 			continue
@@ -166,6 +166,16 @@
 	}
 }
 
+// replayBefore delivers all datagrams from before the death of n once more.
+func (t *testNet) replayBefore(n *testNode) {
+	for _, f := range t.past {
+		if f.at.Before(n.died) {
+			f.at = t.now
+			t.air = append(t.air, f)
+		}
+	}
+}
+
 // checkView fails when a view names an instance that was dead during the whole
 // life of the observer, or one that it removed, with the same incarnation.
 func (t *testNet) checkView(n *testNode) {
