--- a/cmd/internal/daemon/admin.go
+++ b/cmd/internal/daemon/admin.go
@@ -55,6 +55,8 @@
 		expvarhandler.ExpvarHandler(ctx)
 	case "/admin/status":
 		writeAdminJSON(ctx, c.status())
+	case "/admin/explain":
+		c.handleExplain(ctx)
 	case "/admin/manifest":
 		c.handleManifest(ctx)
 	case "/admin/apply":
--- a/cmd/internal/daemon/admission.go
+++ b/cmd/internal/daemon/admission.go
@@ -2,28 +2,292 @@
 
 import (
 	"context"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
 
+	"go.uber.org/zap"
+
+	"cyclamenhitch/adapters/logging"
+	"cyclamenhitch/adapters/peer/permitpb"
+	"cyclamenhitch/core/admission"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/membership"
+	"cyclamenhitch/core/result"
+	"cyclamenhitch/core/retry"
+	"cyclamenhitch/core/routing"
 )
 
-// admissionComponent grants permits and retries.
-type admissionComponent struct{}
+// permitTimeout bounds a permit call within a region.
+const permitTimeout = 50 * time.Millisecond
+
+// askedAdmitters is how many admitters of one engine a request asks: during a
+// handover the second one may still hold the role.
+const askedAdmitters = 2
+
+// admissionComponent ranks engines, grants permits for the engines that this
+// instance admits to, and asks other admitters for the rest.
+type admissionComponent struct {
+	d    *Daemon
+	self fleet.InstanceID
+
+	ledger  *admission.Ledger
+	holds   *admission.Holds
+	totals  *admission.Totals
+	owner   *admission.AccountOwner
+	slices  *admission.Slices
+	budgets *retry.Budgets
+	recent  *routing.Recent
+
+	refreshMu sync.Mutex
+	state     atomic.Pointer[admissionState]
+	sawOthers bool // guarded by refreshMu
+
+	clients  sync.Map // peer address to permitpb.Permits
+	nextID   atomic.Uint64
+	sampled  atomic.Uint64
+	exchange chan struct{}
+	poll     chan struct{}
+
+	failedMu sync.Mutex
+	failed   map[fleet.ServerID]bool // broke here, admitted elsewhere
+}
+
+// admissionState is what one decision reads.
+type admissionState struct {
+	view  *routing.View
+	table *admission.Table
+}
+
+func newAdmissionComponent(d *Daemon) *admissionComponent {
+	self := d.set.Instance
+	seed := rand.Uint64()
+	c := &admissionComponent{
+		d: d, self: self,
+		ledger: admission.NewLedger(self, admission.Params{Seed: seed}),
+		holds:  admission.NewHolds(), totals: admission.NewTotals(),
+		owner: admission.NewAccountOwner(self), slices: admission.NewSlices(),
+		budgets: retry.NewBudgets(), recent: routing.NewRecent(time.Now()),
+		exchange: make(chan struct{}, 1), poll: make(chan struct{}, 1),
+		failed: map[fleet.ServerID]bool{},
+	}
+	c.nextID.Store(seed) // ids of two lives of an instance must differ
+	srv := permitpb.NewPermitsServer(&permitServer{c})
+	d.peerServer.Mount(srv.PathPrefix(), srv)
+	return c
+}
+
+// current returns the state for the configuration and the members in force, or
+// nil before the first configuration.
+func (c *admissionComponent) current() *admissionState {
+	x, members := c.d.config.Index(), c.d.members.View()
+	if x == nil {
+		return nil
+	}
+	if st := c.state.Load(); st != nil && st.table.Index == x && sameMembers(st.table.View, members) {
+		return st
+	}
+	return c.rebuild(x, members)
+}
+
+func sameMembers(a, b *membership.View) bool { return a == b || slices.Equal(a.Members, b.Members) }
+
+// rebuild takes new roles and hands over those that ended.
+func (c *admissionComponent) rebuild(x *manifest.Index, members *membership.View) *admissionState {
+	c.refreshMu.Lock()
+	defer c.refreshMu.Unlock()
+	now := time.Now()
+	old := c.state.Load()
+	if old != nil && old.table.Index.Version > x.Version {
+		return old
+	}
+	t := admission.NewTable(members, x, admission.Admitters)
+	var prev *routing.View
+	if old != nil {
+		prev = old.view
+	}
+	st := &admissionState{view: routing.Build(x, prev, t.Regions(), now), table: t}
+	// An instance that has never seen another one cannot follow another admitter.
+	alone := t.Alone(c.self) && !c.sawOthers
+	c.sawOthers = c.sawOthers || len(members.Members) > 1
+	ended := c.ledger.SetRoles(now, t, alone)
+	c.ledger.Configure(x)
+	c.owner.SetTable(now, t, alone)
+	c.totals.Retain(func(s fleet.ServerID) bool { return eligible(st.view, x, s) })
+	for i := range x.Manifest.Pools {
+		c.budgets.Configure(x.Manifest.Pools[i].Name, x.Manifest.Pools[i].RetryPercent)
+	}
+	c.state.Store(st)
+	c.exchangeLocal(now, st)
+	kick(c.exchange)
+	kick(c.poll)
+	if len(ended) > 0 {
+		go c.sendLedgers(t, ended)
+	}
+	return st
+}
+
+func eligible(v *routing.View, x *manifest.Index, id fleet.ServerID) bool {
+	s := x.Server(id)
+	return s != nil && v.MayReceive(s)
+}
 
-func newAdmissionComponent(*Daemon) *admissionComponent { return &admissionComponent{} }
+func kick(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
 
-type freePermit struct{}
+// Rank implements gateway.Router.
+func (c *admissionComponent) Rank(req *gateway.Request, dst []*manifest.Server) []*manifest.Server {
+	st := c.current()
+	if st == nil {
+		return dst
+	}
+	now := time.Now()
+	dst = st.view.RankAt(req.Pool.Name, req.Chat, now, dst)
+	if req.Route != nil {
+		return dst // plain services hold no prefix
+	}
+	dst, req.CachedTokens = c.recent.Apply(st.view, req.Pool.Name, req.Chat, now, dst)
+	return dst
+}
 
-func (freePermit) Release() {}
+// addresses returns the caller addresses of the admitters of the chat's first
+// engine, the primary first.
+func (c *admissionComponent) addresses(pool *manifest.Pool, chat fleet.ChatKey) []string {
+	st := c.current()
+	if st == nil {
+		return nil
+	}
+	var buf [1]*manifest.Server
+	var out []string
+	for _, s := range st.view.RankAt(pool.Name, chat, time.Now(), buf[:0]) {
+		for _, m := range st.table.Of(s.Name) {
+			out = append(out, m.Caller)
+		}
+	}
+	return out
+}
+
+// permitHeld is the permit of one attempt.
+type permitHeld struct {
+	c        *admissionComponent
+	req      *gateway.Request
+	server   *manifest.Server
+	id       uint64
+	limited  bool
+	released atomic.Bool
+}
+
+// Release implements gateway.Permit.
+func (p *permitHeld) Release(err error) {
+	if p.released.Swap(true) {
+		return
+	}
+	c, now := p.c, time.Now()
+	c.holds.Remove(p.server.Name, p.id)
+	c.ledger.Release(now, p.server.Name, c.self, p.id)
+	if p.limited {
+		c.slices.Release(p.req.Account.Name)
+	}
+	if p.req.Route != nil {
+		return
+	}
+	if err == nil || err == io.EOF {
+		c.recent.Note(p.req.Chat, p.server.Name, p.req.PromptTokens+p.req.OutputTokens, now)
+		return
+	}
+	switch result.As(err).Code {
+	case result.ConnectFailed, result.ConnectionLost, result.AnswerTruncated:
+		c.engineFailed(now, p.server.Name)
+	}
+	c.recent.Forget(p.req.Chat)
+}
+
+// engineFailed blocks the engine until its next report and asks for one.
+func (c *admissionComponent) engineFailed(now time.Time, s fleet.ServerID) {
+	st := c.state.Load()
+	if st.table.Primary(s, c.self) {
+		c.ledger.Failed(now, s)
+		kick(c.poll)
+		return
+	}
+	c.failedMu.Lock()
+	c.failed[s] = true
+	c.failedMu.Unlock()
+}
 
 // Admit implements gateway.Admitter.
-func (*admissionComponent) Admit(context.Context, *gateway.Request, *manifest.Server) (gateway.Permit, error) {
-	return freePermit{}, nil
+func (c *admissionComponent) Admit(ctx context.Context, req *gateway.Request, ranked []*manifest.Server, first bool) (int, gateway.Permit, error) {
+	st := c.current()
+	if st == nil || len(ranked) == 0 {
+		return 0, nil, result.New(result.NoServer, "no server of pool %s may receive work", req.Pool.Name).WithRetryAfter(time.Second)
+	}
+	limited := req.Account.MaxConcurrent > 0
+	if limited && !c.acquire(ctx, st, req.Account) {
+		return 0, nil, result.New(result.AccountLimit, "account %s runs %d requests", req.Account.Name, req.Account.MaxConcurrent).
+			WithRetryAfter(c.ledger.RetryAfter(ranked[0].Name))
+	}
+	id := c.nextID.Add(1)
+	var trace []tried
+	logged := c.sample()
+	warm := first && req.CachedTokens > 0
+	i, v := admission.Place(len(ranked), warm, func(i int, relaxed bool) admission.Verdict {
+		a := askFor(req, ranked[i], c.self, id, relaxed)
+		if warm && i == 0 {
+			a.Tokens = admission.Cost(req.PromptTokens, req.CachedTokens, req.OutputTokens)
+		}
+		v := c.ask(ctx, st, a)
+		if v == admission.Granted {
+			c.holds.Add(a.Server, admission.HeldPermit{Holder: c.self, ID: id, Account: a.Account, Weight: a.Weight, Tokens: a.Tokens})
+		}
+		if logged {
+			trace = append(trace, tried{string(a.Server), relaxed, v.String()})
+		}
+		return v
+	})
+	if logged {
+		c.d.log.Info("routing decision", zap.String(logging.FieldRequest, req.ID), zap.String(logging.FieldPool, string(req.Pool.Name)),
+			zap.String(logging.FieldAccount, string(req.Account.Name)), zap.Any("candidates", trace),
+			zap.Bool("warm", warm), zap.String("reason", v.String()))
+	}
+	if i < 0 {
+		if limited {
+			c.slices.Release(req.Account.Name)
+		}
+		return 0, nil, v.Err(ranked[0].Name, c.ledger.RetryAfter(ranked[0].Name))
+	}
+	return i, &permitHeld{c: c, req: req, server: ranked[i], id: id, limited: limited}, nil
+}
+
+// tried is one candidate in a logged decision.
+type tried struct {
+	Server  string `json:"server"`
+	Relaxed bool   `json:"relaxed"`
+	Verdict string `json:"verdict"`
+}
+
+func (c *admissionComponent) sample() bool {
+	n := *c.d.set.Log.SampleDecisions
+	return n > 0 && c.sampled.Add(1)%uint64(n) == 0
+}
+
+func askFor(req *gateway.Request, s *manifest.Server, self fleet.InstanceID, id uint64, relaxed bool) admission.Ask {
+	return admission.Ask{
+		Server: s.Name, Holder: self, ID: id, Account: req.Account.Name, Weight: req.Account.Weight,
+		Priority: req.Priority, Tokens: admission.Cost(req.PromptTokens, 0, req.OutputTokens), Relaxed: relaxed,
+	}
 }
 
 // OnRequest implements gateway.RetryBudget.
-func (*admissionComponent) OnRequest(fleet.PoolID) {}
+func (c *admissionComponent) OnRequest(p fleet.PoolID) { c.budgets.OnRequest(p) }
 
 // TryRetry implements gateway.RetryBudget.
-func (*admissionComponent) TryRetry(fleet.PoolID) bool { return false }
+func (c *admissionComponent) TryRetry(p fleet.PoolID) bool { return c.budgets.TryRetry(p) }
--- /dev/null
+++ b/cmd/internal/daemon/admission_calls.go
@@ -0,0 +1,202 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cyclamenhitch/adapters/peer/permitpb"
+	"cyclamenhitch/core/admission"
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/membership"
+)
+
+// client returns the calls to an instance.
+func (c *admissionComponent) client(m *membership.Member) permitpb.Permits {
+	if p, ok := c.clients.Load(m.Peer); ok {
+		return p.(permitpb.Permits)
+	}
+	p, _ := c.clients.LoadOrStore(m.Peer, permitpb.NewPermitsProtobufClient("http://"+m.Peer, c.d.peerClient))
+	return p.(permitpb.Permits)
+}
+
+// ask asks the admitters of one engine, the primary first. An admitter without
+// the role passes the ask on to the next.
+func (c *admissionComponent) ask(ctx context.Context, st *admissionState, a admission.Ask) admission.Verdict {
+	v := admission.NotAdmitter
+	for i, m := range st.table.Of(a.Server) {
+		if i == askedAdmitters {
+			break
+		}
+		if m.ID == c.self {
+			v = c.ledger.Admit(time.Now(), a)
+			c.wantTotals(st, a, v)
+		} else {
+			v = c.askRemote(ctx, m, a)
+		}
+		if v != admission.NotAdmitter && v != admission.Waiting {
+			return v
+		}
+	}
+	return v
+}
+
+func (c *admissionComponent) askRemote(ctx context.Context, m *membership.Member, a admission.Ask) admission.Verdict {
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	r, err := c.client(m).Ask(ctx, &permitpb.AskRequest{
+		Server: string(a.Server), Holder: string(a.Holder), Id: a.ID, Account: string(a.Account),
+		Weight: a.Weight, Priority: int32(a.Priority), Tokens: a.Tokens, Relaxed: a.Relaxed,
+	})
+	if err != nil {
+		// The admitter may be dead; the next one holds the role then.
+		return admission.NotAdmitter
+	}
+	return admission.Verdict(r.Verdict)
+}
+
+// lightLoad is the number of requests at the pool mean below which one request
+// changes the mean noticeably, so that a refusal asks for new totals at once.
+const lightLoad = 8
+
+func (c *admissionComponent) wantTotals(st *admissionState, a admission.Ask, v admission.Verdict) {
+	if v != admission.OverBound && v != admission.OverSoft {
+		return
+	}
+	if s := st.view.Index.Server(a.Server); s != nil && c.ledger.Mean(s.Pool) < float64(lightLoad*a.Tokens) {
+		kick(c.exchange)
+	}
+}
+
+// acquire takes one request from the account's slice and renews it if needed.
+func (c *admissionComponent) acquire(ctx context.Context, st *admissionState, acc *manifest.Account) bool {
+	ok, running, want := c.slices.Acquire(time.Now(), acc.Name)
+	if ok {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	if !c.renew(ctx, st, []admission.Use{{Account: acc.Name, Running: running, Want: want}}) {
+		return false
+	}
+	ok, _, _ = c.slices.Acquire(time.Now(), acc.Name)
+	return ok
+}
+
+// renew asks the owners of the accounts for slices.
+func (c *admissionComponent) renew(ctx context.Context, st *admissionState, uses []admission.Use) bool {
+	byOwner := map[*membership.Member][]admission.Use{}
+	for _, u := range uses {
+		if m := st.table.AccountOwner(u.Account); m != nil {
+			byOwner[m] = append(byOwner[m], u)
+		}
+	}
+	all := true
+	for m, us := range byOwner {
+		sent := time.Now()
+		req := &permitpb.SliceRequest{Holder: string(c.self)}
+		for _, u := range us {
+			req.Uses = append(req.Uses, &permitpb.AccountUse{Account: string(u.Account), Running: int32(u.Running), Want: int32(u.Want)})
+		}
+		var r *permitpb.SliceReply
+		var err error
+		if m.ID == c.self {
+			r, err = (&permitServer{c}).Slice(ctx, req)
+		} else {
+			r, err = c.client(m).Slice(ctx, req)
+		}
+		if err != nil {
+			all = false
+			continue
+		}
+		for _, g := range r.Grants {
+			if g.Owner {
+				c.slices.Granted(sent, fleet.ClientAccountID(g.Account), int(g.Granted))
+			}
+		}
+	}
+	return all
+}
+
+// handoverTries and handoverTimeout bound sending ledgers; without them the
+// next primary only waits longer.
+const (
+	handoverTries   = 3
+	handoverTimeout = time.Second
+)
+
+// sendLedgers hands ledgers to the primaries of table t.
+func (c *admissionComponent) sendLedgers(t *admission.Table, snaps []admission.Snapshot) {
+	byMember := map[*membership.Member][]*permitpb.Ledger{}
+	for _, s := range snaps {
+		if a := t.Of(s.Server); len(a) > 0 && a[0].ID != c.self {
+			byMember[a[0]] = append(byMember[a[0]], encodeLedger(s))
+		}
+	}
+	for m, ledgers := range byMember {
+		var err error
+		for range handoverTries {
+			ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+			_, err = c.client(m).Import(ctx, &permitpb.ImportRequest{Ledgers: ledgers})
+			cancel()
+			if err == nil {
+				break
+			}
+		}
+		if err != nil {
+			c.d.log.Warn("ledgers cannot be handed over", zap.String("to", string(m.ID)), zap.Error(err))
+		}
+	}
+}
+
+// handover ends all roles of the instance before a planned stop and sends the
+// ledgers to the instances that take over.
+func (c *admissionComponent) handover() {
+	st := c.state.Load()
+	if st == nil {
+		return
+	}
+	rest := &membership.View{At: st.table.View.At}
+	for _, m := range st.table.View.Members {
+		if m.ID != c.self {
+			rest.Members = append(rest.Members, m)
+		}
+	}
+	c.refreshMu.Lock()
+	snaps := c.ledger.Export(time.Now())
+	c.refreshMu.Unlock()
+	c.sendLedgers(admission.NewTable(rest, st.table.Index, 1), snaps)
+}
+
+func encodeLedger(s admission.Snapshot) *permitpb.Ledger {
+	l := &permitpb.Ledger{Server: string(s.Server), Incarnation: s.Incarnation, Foreign: s.Foreign, ColdAgeMs: -1}
+	if s.ColdAge >= 0 {
+		l.ColdAgeMs = s.ColdAge.Milliseconds()
+	}
+	l.Held = encodeHeld(s.Permits, true)
+	return l
+}
+
+func encodeHeld(ps []admission.HeldPermit, holder bool) []*permitpb.Held {
+	out := make([]*permitpb.Held, 0, len(ps))
+	for _, p := range ps {
+		h := &permitpb.Held{Id: p.ID, Account: string(p.Account), Weight: p.Weight, Tokens: p.Tokens}
+		if holder {
+			h.Holder = string(p.Holder)
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+func decodeHeld(hs []*permitpb.Held) []admission.HeldPermit {
+	out := make([]admission.HeldPermit, 0, len(hs))
+	for _, h := range hs {
+		out = append(out, admission.HeldPermit{
+			Holder: fleet.InstanceID(h.Holder), ID: h.Id, Account: fleet.ClientAccountID(h.Account), Weight: h.Weight, Tokens: h.Tokens,
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/cmd/internal/daemon/admission_loops.go
@@ -0,0 +1,241 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"cyclamenhitch/adapters/logging"
+	"cyclamenhitch/adapters/peer/permitpb"
+	"cyclamenhitch/core/admission"
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/membership"
+)
+
+const (
+	// tickInterval bounds how late a membership or configuration change takes
+	// effect on an instance without requests.
+	tickInterval = 100 * time.Millisecond
+	// exchangeGap keeps exchanges on demand apart.
+	exchangeGap = 50 * time.Millisecond
+	// pollInterval is the time between two load reports of an engine.
+	pollInterval = time.Second
+	// pollTimeout bounds one report.
+	pollTimeout = 800 * time.Millisecond
+)
+
+func (c *admissionComponent) run(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, loop := range []func(context.Context){c.runTick, c.runExchange, c.runSync, c.runPoll} {
+		wg.Go(func() { loop(ctx) })
+	}
+	wg.Wait()
+}
+
+// every calls f at each interval, and after wake at least gap after the last call.
+func every(ctx context.Context, interval, gap time.Duration, wake <-chan struct{}, f func()) {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for {
+		f()
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		case <-wake:
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(gap):
+			}
+		}
+	}
+}
+
+func (c *admissionComponent) runTick(ctx context.Context) {
+	every(ctx, tickInterval, 0, nil, func() {
+		if c.ledger.Tick(time.Now()) {
+			c.d.log.Warn("instance was paused; its admitter roles wait again")
+		}
+		c.current()
+	})
+}
+
+func (c *admissionComponent) runExchange(ctx context.Context) {
+	every(ctx, admission.ExchangeInterval, exchangeGap, c.exchange, func() {
+		if st := c.current(); st != nil {
+			c.exchangeTotals(ctx, st)
+		}
+	})
+}
+
+// exchangeLocal settles the pools that this instance aggregates itself.
+func (c *admissionComponent) exchangeLocal(now time.Time, st *admissionState) {
+	for i := range st.table.Index.Manifest.Pools {
+		pool := st.table.Index.Manifest.Pools[i].Name
+		if m := st.table.Aggregator(pool); m != nil && m.ID == c.self {
+			loads := c.poolLoads(st, pool)
+			c.ledger.SetTotal(now, pool, c.totals.Exchange(now, pool, loads), loads)
+		}
+	}
+}
+
+// poolLoads returns the loads of the eligible engines that this instance admits to.
+func (c *admissionComponent) poolLoads(st *admissionState, pool fleet.PoolID) []admission.EngineLoad {
+	var out []admission.EngineLoad
+	for _, l := range c.ledger.Loads(pool, nil) {
+		if eligible(st.view, st.table.Index, l.Server) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// exchangeTotals sends the loads of each pool to its aggregator.
+func (c *admissionComponent) exchangeTotals(ctx context.Context, st *admissionState) {
+	c.exchangeLocal(time.Now(), st)
+	requests := map[*membership.Member]*permitpb.ExchangeRequest{}
+	sent := map[fleet.PoolID][]admission.EngineLoad{}
+	for i := range st.table.Index.Manifest.Pools {
+		pool := st.table.Index.Manifest.Pools[i].Name
+		m := st.table.Aggregator(pool)
+		if m == nil || m.ID == c.self {
+			continue
+		}
+		loads := c.poolLoads(st, pool)
+		if len(loads) == 0 {
+			continue
+		}
+		sent[pool] = loads
+		if requests[m] == nil {
+			requests[m] = &permitpb.ExchangeRequest{}
+		}
+		pl := &permitpb.PoolLoads{Pool: string(pool)}
+		for _, l := range loads {
+			pl.Loads = append(pl.Loads, &permitpb.EngineLoad{Server: string(l.Server), Load: l.Load, Weight: l.Weight})
+		}
+		requests[m].Pools = append(requests[m].Pools, pl)
+	}
+	var wg sync.WaitGroup
+	for m, req := range requests {
+		wg.Go(func() {
+			ctx, cancel := context.WithTimeout(ctx, admission.ExchangeInterval)
+			defer cancel()
+			r, err := c.client(m).Exchange(ctx, req)
+			if err != nil {
+				return // the last totals stay in use
+			}
+			for _, t := range r.Totals {
+				pool := fleet.PoolID(t.Pool)
+				c.ledger.SetTotal(time.Now(), pool, admission.Total{Load: t.Load, Weight: t.Weight}, sent[pool])
+			}
+		})
+	}
+	wg.Wait()
+}
+
+func (c *admissionComponent) runSync(ctx context.Context) {
+	every(ctx, admission.SyncInterval, 0, nil, func() {
+		c.ledger.Expire(time.Now())
+		if st := c.current(); st != nil {
+			c.syncHolds(ctx, st)
+			rctx, cancel := context.WithTimeout(ctx, admission.SyncInterval)
+			c.renew(rctx, st, c.slices.Renewals())
+			cancel()
+		}
+	})
+}
+
+// syncHolds lists the permits in use to the admitters that account for them.
+func (c *admissionComponent) syncHolds(ctx context.Context, st *admissionState) {
+	lists := c.holds.Lists(st.table)
+	c.failedMu.Lock()
+	failed := c.failed
+	c.failed = map[fleet.ServerID]bool{}
+	c.failedMu.Unlock()
+	requests := map[fleet.InstanceID]*permitpb.SyncRequest{}
+	request := func(to fleet.InstanceID) *permitpb.SyncRequest {
+		if requests[to] == nil {
+			requests[to] = &permitpb.SyncRequest{Holder: string(c.self)}
+		}
+		return requests[to]
+	}
+	for to, ls := range lists {
+		for _, l := range ls {
+			if to == c.self {
+				c.ledger.Sync(time.Now(), c.self, l.Server, l.Held)
+				continue
+			}
+			r := request(to)
+			r.Lists = append(r.Lists, &permitpb.ServerList{Server: string(l.Server), Held: encodeHeld(l.Held, false)})
+		}
+	}
+	for s := range failed {
+		if a := st.table.Of(s); len(a) > 0 && a[0].ID != c.self {
+			r := request(a[0].ID)
+			r.Failed = append(r.Failed, string(s))
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, admission.SyncInterval)
+	defer cancel()
+	var wg sync.WaitGroup
+	for to, r := range requests {
+		if m := st.table.View.Find(to); m != nil {
+			// A lost list is repeated a second later.
+			wg.Go(func() { _, _ = c.client(m).Sync(ctx, r) })
+		}
+	}
+	wg.Wait()
+}
+
+// loadReport is the JSON answer of an engine.
+type loadReport struct {
+	Incarnation uint64 `json:"incarnation"`
+	Running     int    `json:"running"`
+	Queued      int    `json:"queued"`
+	LoadTokens  int64  `json:"load_tokens"`
+	Cold        bool   `json:"cold"`
+	AtMillis    int64  `json:"at_ms"`
+}
+
+func (c *admissionComponent) runPoll(ctx context.Context) {
+	client := &fasthttp.Client{MaxConnsPerHost: 2, MaxResponseBodySize: 64 << 10, NoDefaultUserAgentHeader: true}
+	every(ctx, pollInterval, tickInterval, c.poll, func() {
+		st := c.current()
+		if st == nil {
+			return
+		}
+		var wg sync.WaitGroup
+		for i := range st.table.Index.Manifest.Servers {
+			s := &st.table.Index.Manifest.Servers[i]
+			p := st.table.Index.Pool(s.Pool)
+			if p != nil && p.Kind == manifest.KindModel && st.table.Primary(s.Name, c.self) {
+				wg.Go(func() { c.pollEngine(client, s) })
+			}
+		}
+		wg.Wait()
+	})
+}
+
+func (c *admissionComponent) pollEngine(client *fasthttp.Client, s *manifest.Server) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + s.Address + "/load")
+	if err := client.DoTimeout(req, resp, pollTimeout); err != nil || resp.StatusCode() != fasthttp.StatusOK {
+		return // connection errors of requests show a failed engine sooner
+	}
+	var r loadReport
+	if err := json.Unmarshal(resp.Body(), &r); err != nil {
+		c.d.log.Warn("load report cannot be parsed", zap.String(logging.FieldServer, string(s.Name)), zap.Error(err))
+		return
+	}
+	c.ledger.Report(time.Now(), s.Name, admission.Report{
+		Incarnation: r.Incarnation, Load: r.LoadTokens, Running: r.Running + r.Queued, Cold: r.Cold, At: time.UnixMilli(r.AtMillis),
+	})
+}
--- /dev/null
+++ b/cmd/internal/daemon/admission_server.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"cyclamenhitch/adapters/peer/permitpb"
+	"cyclamenhitch/core/admission"
+	"cyclamenhitch/core/fleet"
+)
+
+// permitServer serves the calls of other instances. It implements
+// permitpb.Permits.
+type permitServer struct{ c *admissionComponent }
+
+// Ask implements permitpb.Permits.
+func (s *permitServer) Ask(_ context.Context, r *permitpb.AskRequest) (*permitpb.AskReply, error) {
+	a := admission.Ask{
+		Server: fleet.ServerID(r.Server), Holder: fleet.InstanceID(r.Holder), ID: r.Id,
+		Account: fleet.ClientAccountID(r.Account), Weight: r.Weight, Priority: int(r.Priority),
+		Tokens: max(r.Tokens, 1), Relaxed: r.Relaxed,
+	}
+	st := s.c.current()
+	if st == nil || !eligible(st.view, st.table.Index, a.Server) {
+		return &permitpb.AskReply{Verdict: uint32(admission.Unavailable)}, nil
+	}
+	v := s.c.ledger.Admit(time.Now(), a)
+	s.c.wantTotals(st, a, v)
+	return &permitpb.AskReply{Verdict: uint32(v)}, nil
+}
+
+// Sync implements permitpb.Permits.
+func (s *permitServer) Sync(_ context.Context, r *permitpb.SyncRequest) (*permitpb.SyncReply, error) {
+	now := time.Now()
+	for _, l := range r.Lists {
+		s.c.ledger.Sync(now, fleet.InstanceID(r.Holder), fleet.ServerID(l.Server), decodeHeld(l.Held))
+	}
+	for _, f := range r.Failed {
+		s.c.ledger.Failed(now, fleet.ServerID(f))
+		kick(s.c.poll)
+	}
+	return &permitpb.SyncReply{}, nil
+}
+
+// Exchange implements permitpb.Permits.
+func (s *permitServer) Exchange(_ context.Context, r *permitpb.ExchangeRequest) (*permitpb.ExchangeReply, error) {
+	now := time.Now()
+	st := s.c.current()
+	out := &permitpb.ExchangeReply{}
+	for _, p := range r.Pools {
+		var loads []admission.EngineLoad
+		for _, l := range p.Loads {
+			id := fleet.ServerID(l.Server)
+			if st != nil && eligible(st.view, st.table.Index, id) {
+				loads = append(loads, admission.EngineLoad{Server: id, Load: l.Load, Weight: l.Weight})
+			}
+		}
+		t := s.c.totals.Exchange(now, fleet.PoolID(p.Pool), loads)
+		out.Totals = append(out.Totals, &permitpb.PoolTotal{Pool: p.Pool, Load: t.Load, Weight: t.Weight})
+	}
+	return out, nil
+}
+
+// Slice implements permitpb.Permits.
+func (s *permitServer) Slice(_ context.Context, r *permitpb.SliceRequest) (*permitpb.SliceReply, error) {
+	now := time.Now()
+	x := s.c.d.config.Index()
+	out := &permitpb.SliceReply{}
+	for _, u := range r.Uses {
+		id := fleet.ClientAccountID(u.Account)
+		g := &permitpb.AccountGrant{Account: u.Account}
+		if a := x.Account(id); a != nil {
+			n, owner := s.c.owner.Grant(now, id, a.MaxConcurrent, fleet.InstanceID(r.Holder), int(u.Running), int(u.Want))
+			g.Granted, g.Owner = int32(n), owner
+		}
+		out.Grants = append(out.Grants, g)
+	}
+	return out, nil
+}
+
+// Import implements permitpb.Permits.
+func (s *permitServer) Import(_ context.Context, r *permitpb.ImportRequest) (*permitpb.ImportReply, error) {
+	now := time.Now()
+	for _, l := range r.Ledgers {
+		snap := admission.Snapshot{
+			Server: fleet.ServerID(l.Server), Incarnation: l.Incarnation, Foreign: l.Foreign,
+			ColdAge: time.Duration(l.ColdAgeMs) * time.Millisecond, Permits: decodeHeld(l.Held),
+		}
+		s.c.ledger.Import(now, snap)
+	}
+	return &permitpb.ImportReply{}, nil
+}
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -4,8 +4,9 @@
 
 import (
 	"context"
-	"crypto/rand"
+	crand "crypto/rand"
 	"encoding/hex"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"time"
@@ -105,12 +106,14 @@
 	d.admission = newAdmissionComponent(d)
 	d.claims = newClaimsComponent(d)
 	gw := &gateway.Gateway{
-		Router:   d.config,
+		Router:   d.admission,
 		Admitter: d.admission,
 		Upstream: &engine.Client{MaxAnswerBytes: d.set.Limits.MaxAnswerBytes},
 		Claimer:  d.claims,
 		Budget:   d.admission,
 		Now:      time.Now,
+		Sleep:    sleep,
+		Int64N:   rand.Int64N,
 	}
 	d.callers = &httpapi.Server{
 		Config: d.config.Index, Opener: gw, Directory: d.members, Gate: d.config,
@@ -119,9 +122,21 @@
 	d.admin = newAdminComponent(d)
 }
 
+// sleep waits for dur or until ctx ends.
+func sleep(ctx context.Context, dur time.Duration) error {
+	t := time.NewTimer(dur)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
 func newID() string {
 	var b [12]byte
-	_, _ = rand.Read(b[:])
+	_, _ = crand.Read(b[:])
 	return hex.EncodeToString(b[:])
 }
 
@@ -145,6 +160,7 @@
 	go func() { errs <- d.peerServer.Serve(d.peerLn) }()
 	go d.config.run(work)
 	go d.members.run(work)
+	go d.admission.run(work)
 	d.log.Info("instance started", zap.String("caller", d.CallerAddress()), zap.String("admin", d.AdminAddress()))
 	select {
 	case err := <-errs:
--- a/cmd/internal/daemon/members.go
+++ b/cmd/internal/daemon/members.go
@@ -18,10 +18,6 @@
 // memberPollInterval is the time between reads of the platform's membership list.
 const memberPollInterval = time.Second
 
-// lookupAddresses is how many addresses a lookup names: the primary admitter
-// and two standbys.
-const lookupAddresses = 3
-
 // memberComponent keeps the last membership list.
 type memberComponent struct {
 	d    *Daemon
@@ -75,18 +71,6 @@
 }
 
 // Addresses implements httpapi.Directory.
-func (c *memberComponent) Addresses(_ *manifest.Pool, chat fleet.ChatKey) []string {
-	var hashes []uint64
-	var addrs []string
-	for _, m := range c.View().Members {
-		if !m.Leaving {
-			hashes = append(hashes, fleet.HashID(string(m.ID)))
-			addrs = append(addrs, m.Caller)
-		}
-	}
-	var out []string
-	for _, i := range fleet.Best(nil, uint64(chat), hashes, lookupAddresses) {
-		out = append(out, addrs[i])
-	}
-	return out
+func (c *memberComponent) Addresses(pool *manifest.Pool, chat fleet.ChatKey) []string {
+	return c.d.admission.addresses(pool, chat)
 }
--- /dev/null
+++ b/core/admission/admitters.go
@@ -0,0 +1,117 @@
+package admission
+
+import (
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/membership"
+)
+
+// Admitters is the primary and the standbys by default.
+const Admitters = 3
+
+// Table names the admitters of each engine and the aggregator of each pool, for
+// one membership view and one configuration. It is immutable.
+type Table struct {
+	View    *membership.View
+	Index   *manifest.Index
+	servers map[fleet.ServerID][]*membership.Member
+	pools   map[fleet.PoolID]*membership.Member
+	regions map[fleet.RegionID]bool
+	members []*membership.Member // eligible members of all regions
+	hashes  []uint64
+}
+
+// NewTable ranks the eligible instances of each engine's region by rendezvous
+// hashing on the engine and keeps the first k.
+func NewTable(view *membership.View, x *manifest.Index, k int) *Table {
+	t := &Table{
+		View: view, Index: x,
+		servers: make(map[fleet.ServerID][]*membership.Member, len(x.Manifest.Servers)),
+		pools:   make(map[fleet.PoolID]*membership.Member, len(x.Manifest.Pools)),
+		regions: map[fleet.RegionID]bool{},
+	}
+	type region struct {
+		members []*membership.Member
+		hashes  []uint64
+	}
+	regions := map[fleet.RegionID]*region{}
+	for i := range view.Members {
+		m := &view.Members[i]
+		if !m.Eligible || m.Leaving {
+			continue
+		}
+		r := regions[m.Region]
+		if r == nil {
+			r = &region{}
+			regions[m.Region] = r
+			t.regions[m.Region] = true
+		}
+		h := fleet.HashID(string(m.ID))
+		r.members, r.hashes = append(r.members, m), append(r.hashes, h)
+		t.members, t.hashes = append(t.members, m), append(t.hashes, h)
+	}
+	var best []int
+	for i := range x.Manifest.Servers {
+		s := &x.Manifest.Servers[i]
+		dc := x.DataCentre(s.DataCentre)
+		if dc == nil || regions[dc.Region] == nil {
+			continue
+		}
+		r := regions[dc.Region]
+		best = fleet.Best(best[:0], fleet.HashID(string(s.Name)), r.hashes, k)
+		for _, b := range best {
+			t.servers[s.Name] = append(t.servers[s.Name], r.members[b])
+		}
+	}
+	for i := range x.Manifest.Pools {
+		name := x.Manifest.Pools[i].Name
+		t.pools[name] = t.owner("pool:" + string(name))
+	}
+	return t
+}
+
+// owner returns the first eligible instance for a key, or nil.
+func (t *Table) owner(key string) *membership.Member {
+	var buf [1]int
+	for _, i := range fleet.Best(buf[:0], fleet.HashID(key), t.hashes, 1) {
+		return t.members[i]
+	}
+	return nil
+}
+
+// Of returns the admitters of an engine, the primary first.
+func (t *Table) Of(s fleet.ServerID) []*membership.Member { return t.servers[s] }
+
+// Primary reports whether the instance is the primary admitter of the engine.
+func (t *Table) Primary(s fleet.ServerID, self fleet.InstanceID) bool {
+	a := t.servers[s]
+	return len(a) > 0 && a[0].ID == self
+}
+
+// Aggregator returns the instance that sums the loads of a pool, or nil.
+func (t *Table) Aggregator(p fleet.PoolID) *membership.Member { return t.pools[p] }
+
+// AccountOwner returns the instance that enforces an account's limit, or nil.
+func (t *Table) AccountOwner(a fleet.ClientAccountID) *membership.Member {
+	return t.owner("account:" + string(a))
+}
+
+// Regions are the regions that have an eligible instance.
+func (t *Table) Regions() map[fleet.RegionID]bool { return t.regions }
+
+// Alone reports whether self is the only known instance.
+func (t *Table) Alone(self fleet.InstanceID) bool {
+	return len(t.View.Members) == 1 && t.View.Members[0].ID == self
+}
+
+// LimitsOf returns the declared limits of a server.
+func LimitsOf(x *manifest.Index, s *manifest.Server) Limits {
+	l := Limits{Pool: s.Pool, Weight: s.Weight, MaxLoad: int64(s.MaxLoadTokens), LoadBound: 1.25}
+	if p := x.Pool(s.Pool); p != nil {
+		l.LoadBound = p.LoadBound
+		l.ColdLoad = int64(p.ColdStartLoad)
+		l.ColdFor = seconds(p.ColdStartSeconds)
+		l.AverageCost = int64(p.ExpectedOutputTokens)
+	}
+	return l
+}
--- /dev/null
+++ b/core/admission/engine.go
@@ -0,0 +1,159 @@
+package admission
+
+import (
+	"time"
+
+	"cyclamenhitch/core/fleet"
+)
+
+func seconds(n int) time.Duration { return time.Duration(n) * time.Second }
+
+type permitKey struct {
+	holder fleet.InstanceID
+	id     uint64
+}
+
+type permit struct {
+	account fleet.ClientAccountID
+	weight  float64
+	tokens  int64
+	granted time.Time
+}
+
+// share is the load of one account on one engine.
+type share struct {
+	weight float64
+	load   int64
+	count  int
+}
+
+// engine is the ledger of one engine. Its shard's lock guards it.
+type engine struct {
+	limits Limits
+	pool   *poolState
+
+	// active says that this instance is the admitter; it grants from grantFrom.
+	active    bool
+	grantFrom time.Time
+
+	load     int64
+	permits  map[permitKey]permit
+	accounts map[fleet.ClientAccountID]*share
+	weights  float64 // of the accounts with load
+	heard    map[fleet.InstanceID]time.Time
+
+	incarnation uint64
+	coldSince   time.Time // zero when warm
+	// reportedCold is the last report's flag; its rise starts a ramp.
+	reportedCold bool
+	// failedAt blocks grants until a report from after that time.
+	failedAt time.Time
+	// foreign is reported load that the ledger does not explain.
+	foreign int64
+	// peaks are the highest loads of recent periods, newest first. A lagging
+	// report is compared with the highest, so that lag is not foreign load.
+	peaks      [3]peak
+	peakPeriod int64
+}
+
+type peak struct {
+	load  int64
+	count int
+}
+
+func (p *peak) raise(q peak) {
+	p.load = max(p.load, q.load)
+	p.count = max(p.count, q.count)
+}
+
+// used is the load that counts against the cap.
+func (e *engine) used() int64 { return e.load + e.foreign }
+
+// change keeps the pool's local sum in step with the load.
+func (e *engine) change(delta, foreign int64) {
+	e.load += delta
+	e.foreign += foreign
+	if e.active {
+		e.pool.local.Add(delta + foreign)
+	}
+}
+
+// notePeak is called before and after each change, so that each period knows
+// the load that it began with.
+func (e *engine) notePeak(now time.Time) {
+	here := peak{e.load, len(e.permits)}
+	period := now.UnixNano() / int64(ReportLag)
+	if step := period - e.peakPeriod; step != 0 {
+		copy(e.peaks[min(max(step, 0), int64(len(e.peaks))):], e.peaks[:])
+		for i := range min(max(step, 0), int64(len(e.peaks))) {
+			e.peaks[i] = here
+		}
+		e.peakPeriod = period
+	}
+	e.peaks[0].raise(here)
+}
+
+// highest returns the highest load that a report of at most ReportLag ago, of
+// an engine that ends requests a little later than they are released, may show.
+func (e *engine) highest() peak {
+	p := e.peaks[0]
+	p.raise(e.peaks[1])
+	p.raise(e.peaks[2])
+	return p
+}
+
+func (e *engine) add(k permitKey, p permit) {
+	e.notePeak(p.granted)
+	e.permits[k] = p
+	s := e.accounts[p.account]
+	if s == nil {
+		s = &share{weight: p.weight}
+		e.accounts[p.account] = s
+		e.weights += p.weight
+	}
+	s.load += p.tokens
+	s.count++
+	e.change(p.tokens, 0)
+	e.notePeak(p.granted)
+}
+
+func (e *engine) remove(now time.Time, k permitKey) bool {
+	p, ok := e.permits[k]
+	if !ok {
+		return false
+	}
+	e.notePeak(now)
+	delete(e.permits, k)
+	s := e.accounts[p.account]
+	s.load -= p.tokens
+	if s.count--; s.count == 0 {
+		e.weights -= s.weight
+		delete(e.accounts, p.account)
+	}
+	e.change(-p.tokens, 0)
+	return true
+}
+
+// ramp returns the cap of a cold engine, or a negative number when it is warm.
+func (e *engine) ramp(now time.Time) int64 {
+	if e.coldSince.IsZero() {
+		return -1
+	}
+	age := now.Sub(e.coldSince)
+	if age >= e.limits.ColdFor {
+		e.coldSince = time.Time{}
+		return -1
+	}
+	return RampCap(e.limits, age, e.pool.mean()*e.limits.Weight)
+}
+
+// RampCap is the load that an engine may carry at an age since its cold start:
+// linear from ColdLoad to the load bound over ColdFor, and ColdLoad at least.
+func RampCap(l Limits, age time.Duration, mean float64) int64 {
+	full := max(int64(l.LoadBound*mean), l.ColdLoad)
+	if l.MaxLoad > 0 {
+		full = min(full, max(l.MaxLoad, l.ColdLoad))
+	}
+	part := min(max(float64(age)/float64(l.ColdFor), 0), 1)
+	return l.ColdLoad + int64(part*float64(full-l.ColdLoad))
+}
--- /dev/null
+++ b/core/admission/ledger.go
@@ -0,0 +1,250 @@
+package admission
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/manifest"
+)
+
+// ledgerShards keeps admissions to different engines apart. An instance admits
+// to about two engines at target size and to all of a small fleet's.
+const ledgerShards = 16
+
+type ledgerShard struct {
+	mu      sync.Mutex
+	engines map[fleet.ServerID]*engine
+	rnd     *rand.Rand
+}
+
+// Ledger holds the load of the engines that this instance admits to.
+type Ledger struct {
+	self   fleet.InstanceID
+	params Params
+	shards [ledgerShards]ledgerShard
+
+	poolMu sync.RWMutex
+	pools  map[fleet.PoolID]*poolState
+
+	// lastTick is the UnixNano of the last Tick; 0 before the first.
+	lastTick atomic.Int64
+
+	pendingMu sync.Mutex
+	pending   map[fleet.ServerID]pendingImport
+}
+
+// NewLedger returns an empty ledger of the instance.
+func NewLedger(self fleet.InstanceID, p Params) *Ledger {
+	l := &Ledger{
+		self: self, params: p.withDefaults(),
+		pools: map[fleet.PoolID]*poolState{}, pending: map[fleet.ServerID]pendingImport{},
+	}
+	for i := range l.shards {
+		l.shards[i].engines = map[fleet.ServerID]*engine{}
+		l.shards[i].rnd = rand.New(rand.NewPCG(p.Seed, fleet.HashID(string(self))+uint64(i)))
+	}
+	return l
+}
+
+func (l *Ledger) shard(s fleet.ServerID) *ledgerShard {
+	return &l.shards[fleet.HashID(string(s))%ledgerShards]
+}
+
+func (l *Ledger) pool(id fleet.PoolID) *poolState {
+	l.poolMu.RLock()
+	p := l.pools[id]
+	l.poolMu.RUnlock()
+	if p != nil {
+		return p
+	}
+	l.poolMu.Lock()
+	defer l.poolMu.Unlock()
+	if p = l.pools[id]; p == nil {
+		p = &poolState{}
+		l.pools[id] = p
+	}
+	return p
+}
+
+// Tick notes that the instance runs. After a pause longer than PauseLimit,
+// other instances may have taken over, so that every role waits again.
+func (l *Ledger) Tick(now time.Time) (paused bool) {
+	last := l.lastTick.Swap(now.UnixNano())
+	if last == 0 || now.UnixNano()-last <= int64(PauseLimit) {
+		return false
+	}
+	l.each(func(_ fleet.ServerID, e *engine, _ *ledgerShard) {
+		if e.active {
+			e.grantFrom = now.Add(HandoverWait)
+		}
+	})
+	return true
+}
+
+// pausedAt reports whether the instance may have been paused since its last
+// Tick, which a request can notice before Tick does.
+func (l *Ledger) pausedAt(now time.Time) bool {
+	last := l.lastTick.Load()
+	return last != 0 && now.UnixNano()-last > int64(PauseLimit)
+}
+
+func (l *Ledger) each(f func(fleet.ServerID, *engine, *ledgerShard)) {
+	for i := range l.shards {
+		sh := &l.shards[i]
+		sh.mu.Lock()
+		for id, e := range sh.engines {
+			f(id, e, sh)
+		}
+		sh.mu.Unlock()
+	}
+}
+
+// Admit grants the ask or says why not.
+func (l *Ledger) Admit(now time.Time, a Ask) Verdict {
+	sh := l.shard(a.Server)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	e := sh.engines[a.Server]
+	if e == nil || !e.active {
+		return NotAdmitter
+	}
+	if now.Before(e.grantFrom) || l.pausedAt(now) {
+		return Waiting
+	}
+	k := permitKey{a.Holder, a.ID}
+	if _, held := e.permits[k]; held {
+		return Granted
+	}
+	if v := l.check(now, e, a); v != Granted {
+		return v
+	}
+	e.add(k, permit{a.Account, a.Weight, a.Tokens, now})
+	e.heard[a.Holder] = now
+	return Granted
+}
+
+func (l *Ledger) check(now time.Time, e *engine, a Ask) Verdict {
+	if !e.failedAt.IsZero() {
+		return Unavailable
+	}
+	used := e.used()
+	after := used + a.Tokens
+	if ramp := e.ramp(now); ramp >= 0 && after > ramp {
+		return OverRamp
+	}
+	if most := e.limits.MaxLoad; most > 0 {
+		if after > most && used > 0 {
+			return OverLoad
+		}
+		if float64(after) > l.lend(a.Priority)*float64(most) && e.overShare(a, most) {
+			return OverShare
+		}
+	}
+	mean := e.pool.mean() * e.limits.Weight
+	if !a.Relaxed && float64(used) > l.params.SoftBound*mean {
+		return OverSoft
+	}
+	// An engine at or below the mean takes one request whatever its size: the
+	// bound cannot be finer than one request.
+	limit := e.limits.LoadBound * (1 - l.params.Margin) * mean
+	if float64(used) > mean && float64(after) > limit {
+		return OverBound
+	}
+	return Granted
+}
+
+// priorityStep lowers the lending threshold for each priority below the default
+// of 5, so that low priorities are refused first when capacity is short.
+const priorityStep = 0.02
+
+func (l *Ledger) lend(priority int) float64 {
+	return l.params.LendThreshold - priorityStep*float64(max(5-priority, 0))
+}
+
+// overShare reports whether the account would exceed its weighted share of the
+// capacity. An account without load always has room for one request.
+func (e *engine) overShare(a Ask, capacity int64) bool {
+	s := e.accounts[a.Account]
+	if s == nil {
+		return false
+	}
+	return float64(s.load+a.Tokens) > float64(capacity)*s.weight/e.weights
+}
+
+// Release returns the load of a permit. It may be called more than once.
+func (l *Ledger) Release(now time.Time, server fleet.ServerID, holder fleet.InstanceID, id uint64) {
+	sh := l.shard(server)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if e := sh.engines[server]; e != nil {
+		e.remove(now, permitKey{holder, id})
+	}
+}
+
+// RetryAfter returns advice spread around the mean, so that refused callers do
+// not come back at the same time.
+func (l *Ledger) RetryAfter(server fleet.ServerID) time.Duration {
+	sh := l.shard(server)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	return time.Duration((0.5 + sh.rnd.Float64()) * float64(l.params.RetryAfter))
+}
+
+// Loads appends the loads of the engines of a pool that this instance admits to.
+func (l *Ledger) Loads(pool fleet.PoolID, dst []EngineLoad) []EngineLoad {
+	l.each(func(id fleet.ServerID, e *engine, _ *ledgerShard) {
+		if e.active && e.limits.Pool == pool {
+			dst = append(dst, EngineLoad{id, e.used(), e.limits.Weight})
+		}
+	})
+	return dst
+}
+
+// Mean returns the pool mean as seen now, for an engine of weight 1.
+func (l *Ledger) Mean(pool fleet.PoolID) float64 { return l.pool(pool).mean() }
+
+// SetTotal takes the answer of an exchange that sent loads.
+func (l *Ledger) SetTotal(now time.Time, pool fleet.PoolID, t Total, sent []EngineLoad) {
+	p := l.pool(pool)
+	known := math.Float64frombits(p.weight.Load())
+	if t.Weight < known/2 && now.UnixNano()-p.fullAt.Load() < int64(partialHold) {
+		return
+	}
+	p.fullAt.Store(now.UnixNano())
+	others := t.Load
+	for _, s := range sent {
+		others -= s.Load
+	}
+	p.others.Store(others)
+	p.weight.Store(math.Float64bits(t.Weight))
+}
+
+// Used returns the load of an engine that counts against its cap.
+func (l *Ledger) Used(server fleet.ServerID) int64 {
+	sh := l.shard(server)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if e := sh.engines[server]; e != nil {
+		return e.used()
+	}
+	return 0
+}
+
+// Configure sets the limits of all engines of the index.
+func (l *Ledger) Configure(x *manifest.Index) {
+	for i := range x.Manifest.Servers {
+		s := &x.Manifest.Servers[i]
+		sh := l.shard(s.Name)
+		sh.mu.Lock()
+		if e := sh.engines[s.Name]; e != nil {
+			pool := e.limits.Pool
+			e.limits = LimitsOf(x, s)
+			e.limits.Pool = pool
+		}
+		sh.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/core/admission/pool.go
@@ -0,0 +1,106 @@
+package admission
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cyclamenhitch/core/fleet"
+)
+
+// poolState is what an admitter knows about a pool. The mean is the fleet's
+// total without this instance, from the last exchange, plus its present load.
+type poolState struct {
+	local  atomic.Int64  // load of the engines admitted to by this instance
+	others atomic.Int64  // load of the other engines, at the last exchange
+	weight atomic.Uint64 // float bits: total weight of the pool's engines
+	fullAt atomic.Int64  // UnixNano of the last total that was taken
+}
+
+// partialHold is how long a total over less than half of the known weight is
+// ignored: a new aggregator has not heard of all engines yet. After that the
+// other engines really do not report.
+const partialHold = 2 * time.Second
+
+func (p *poolState) mean() float64 {
+	w := math.Float64frombits(p.weight.Load())
+	if w <= 0 {
+		return 0
+	}
+	return float64(max(p.others.Load()+p.local.Load(), 0)) / w
+}
+
+// Total is the sum over the engines of a pool that report.
+type Total struct {
+	Load   int64
+	Weight float64
+}
+
+// EngineLoad is the load of one engine in an exchange.
+type EngineLoad struct {
+	Server fleet.ServerID
+	Load   int64
+	Weight float64
+}
+
+// totalKeep is how long an engine's last load counts without a new one. After
+// that the mean is taken over the engines that still report. It covers a lost
+// exchange and the handover between two admitters.
+const totalKeep = HandoverWait + time.Second
+
+type totalEntry struct {
+	load   int64
+	weight float64
+	at     time.Time
+}
+
+// Totals sums the loads of pools at their aggregator, one lock for all: a call
+// arrives once in an exchange interval for each admitter.
+type Totals struct {
+	mu    sync.Mutex
+	pools map[fleet.PoolID]map[fleet.ServerID]totalEntry
+}
+
+// NewTotals returns empty totals.
+func NewTotals() *Totals {
+	return &Totals{pools: map[fleet.PoolID]map[fleet.ServerID]totalEntry{}}
+}
+
+// Exchange records the loads and returns the pool's totals with them.
+func (t *Totals) Exchange(now time.Time, pool fleet.PoolID, loads []EngineLoad) Total {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.pools[pool]
+	if m == nil {
+		m = map[fleet.ServerID]totalEntry{}
+		t.pools[pool] = m
+	}
+	for _, l := range loads {
+		m[l.Server] = totalEntry{l.Load, l.Weight, now}
+	}
+	var sum Total
+	for s, e := range m {
+		if now.Sub(e.at) > totalKeep {
+			delete(m, s)
+			continue
+		}
+		sum.Load += e.load
+		sum.Weight += e.weight
+	}
+	return sum
+}
+
+// Retain drops engines that are not eligible any more, so that a data centre
+// that is out leaves the mean at once.
+func (t *Totals) Retain(eligible func(fleet.ServerID) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.pools {
+		for s := range m {
+			if !eligible(s) {
+				delete(m, s)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/admission/report.go
@@ -0,0 +1,79 @@
+package admission
+
+import (
+	"time"
+
+	"cyclamenhitch/core/fleet"
+)
+
+// Report is an engine's own view of its load; it lags.
+type Report struct {
+	Incarnation uint64
+	// Load is in tokens; 0 with Running above 0 means that it is not reported.
+	Load    int64
+	Running int
+	Cold    bool
+	// At is the time of the state that the report describes.
+	At time.Time
+}
+
+// failureGrace ends the block of a failed engine when reports arrive whose
+// clock does not agree with the instance's clock.
+const failureGrace = 3 * time.Second
+
+// Report reconciles the ledger of an engine with the engine's report.
+func (l *Ledger) Report(now time.Time, server fleet.ServerID, r Report) {
+	sh := l.shard(server)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	e := sh.engines[server]
+	if e == nil || r.Incarnation < e.incarnation {
+		return // a report from before a restart
+	}
+	if !e.failedAt.IsZero() {
+		if r.At.Before(e.failedAt) && now.Sub(e.failedAt) < failureGrace {
+			return
+		}
+		e.failedAt = time.Time{}
+	}
+	restarted := e.incarnation != 0 && r.Incarnation != e.incarnation
+	e.incarnation = r.Incarnation
+	if restarted || r.Cold && !e.reportedCold {
+		e.coldSince = now
+	}
+	e.reportedCold = r.Cold
+	e.notePeak(now)
+	e.change(0, e.unexplained(r)-e.foreign)
+}
+
+// unexplained returns the reported load above the highest recent load of the
+// ledger: work of an admitter that this ledger does not know.
+func (e *engine) unexplained(r Report) int64 {
+	top := e.highest()
+	if r.Load > 0 {
+		return max(r.Load-top.load, 0)
+	}
+	return int64(max(r.Running-top.count, 0)) * e.limits.AverageCost
+}
+
+// Failed blocks an engine after a connection to it broke, until a report from
+// after that time shows whether it restarted: its cache may be cold.
+func (l *Ledger) Failed(now time.Time, server fleet.ServerID) {
+	sh := l.shard(server)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if e := sh.engines[server]; e != nil {
+		e.failedAt = now
+	}
+}
+
+// MarkCold starts the ramp of an engine that turned cold without a restart,
+// which its first-token latency on warm chats shows.
+func (l *Ledger) MarkCold(now time.Time, server fleet.ServerID) {
+	sh := l.shard(server)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if e := sh.engines[server]; e != nil && e.coldSince.IsZero() {
+		e.coldSince = now
+	}
+}
--- /dev/null
+++ b/core/admission/roles.go
@@ -0,0 +1,188 @@
+package admission
+
+import (
+	"time"
+
+	"cyclamenhitch/core/fleet"
+)
+
+// HeldPermit is one permit in a snapshot or a holder's list.
+type HeldPermit struct {
+	Holder  fleet.InstanceID
+	ID      uint64
+	Account fleet.ClientAccountID
+	Weight  float64
+	Tokens  int64
+}
+
+// Snapshot is the ledger of one engine, sent to the next admitter.
+type Snapshot struct {
+	Server      fleet.ServerID
+	Incarnation uint64
+	// ColdAge is the time since the cold start; negative means warm.
+	ColdAge time.Duration
+	Foreign int64
+	Permits []HeldPermit
+}
+
+type pendingImport struct {
+	snap Snapshot
+	at   time.Time
+}
+
+// SetRoles takes the engines that this instance is the primary admitter of. A
+// new role waits for HandoverWait, unless its ledger was imported or immediate
+// says that no other instance can have admitted before. It returns the
+// ledgers of the roles that ended, for the next primaries.
+func (l *Ledger) SetRoles(now time.Time, t *Table, immediate bool) []Snapshot {
+	var ended []Snapshot
+	l.each(func(id fleet.ServerID, e *engine, sh *ledgerShard) {
+		if t.Primary(id, l.self) {
+			return
+		}
+		if e.active && !now.Before(e.grantFrom) && !l.pausedAt(now) {
+			ended = append(ended, e.snapshot(id, now))
+		}
+		l.drop(id, e, sh)
+	})
+	for i := range t.Index.Manifest.Servers {
+		s := &t.Index.Manifest.Servers[i]
+		if t.Primary(s.Name, l.self) {
+			l.activate(now, s.Name, LimitsOf(t.Index, s), immediate)
+		}
+	}
+	return ended
+}
+
+// drop ends a role; the serving instances list their permits to the next one.
+func (l *Ledger) drop(id fleet.ServerID, e *engine, sh *ledgerShard) {
+	if e.active {
+		e.pool.local.Add(-e.used())
+	}
+	delete(sh.engines, id)
+}
+
+func (l *Ledger) activate(now time.Time, id fleet.ServerID, limits Limits, immediate bool) {
+	sh := l.shard(id)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if sh.engines[id] != nil {
+		return
+	}
+	e := &engine{
+		limits: limits, pool: l.pool(limits.Pool), active: true, grantFrom: now.Add(HandoverWait),
+		permits: map[permitKey]permit{}, accounts: map[fleet.ClientAccountID]*share{}, heard: map[fleet.InstanceID]time.Time{},
+	}
+	if immediate {
+		e.grantFrom = now
+	}
+	sh.engines[id] = e
+	l.pendingMu.Lock()
+	p, ok := l.pending[id]
+	delete(l.pending, id)
+	l.pendingMu.Unlock()
+	if ok && now.Sub(p.at) <= HandoverWait-PermitLifetime {
+		e.fill(p.snap, now)
+	}
+}
+
+// Export ends all roles and returns their ledgers, for a planned stop.
+func (l *Ledger) Export(now time.Time) []Snapshot {
+	var out []Snapshot
+	l.each(func(id fleet.ServerID, e *engine, sh *ledgerShard) {
+		if e.active && !now.Before(e.grantFrom) && !l.pausedAt(now) {
+			out = append(out, e.snapshot(id, now))
+		}
+		l.drop(id, e, sh)
+	})
+	return out
+}
+
+// Import takes the ledger of an engine from the admitter that stopped granting.
+// It ends the wait. A ledger that arrives before this instance knows of its
+// role is kept for a while.
+func (l *Ledger) Import(now time.Time, s Snapshot) {
+	sh := l.shard(s.Server)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if e := sh.engines[s.Server]; e != nil {
+		if now.Before(e.grantFrom) {
+			e.fill(s, now)
+		}
+		return
+	}
+	l.pendingMu.Lock()
+	l.pending[s.Server] = pendingImport{s, now}
+	l.pendingMu.Unlock()
+}
+
+func (e *engine) snapshot(id fleet.ServerID, now time.Time) Snapshot {
+	s := Snapshot{Server: id, Incarnation: e.incarnation, ColdAge: -1, Foreign: e.foreign}
+	if !e.coldSince.IsZero() {
+		s.ColdAge = now.Sub(e.coldSince)
+	}
+	for k, p := range e.permits {
+		s.Permits = append(s.Permits, HeldPermit{k.holder, k.id, p.account, p.weight, p.tokens})
+	}
+	return s
+}
+
+// fill fills a waiting engine from a snapshot and lets it grant.
+func (e *engine) fill(s Snapshot, now time.Time) {
+	for _, p := range s.Permits {
+		e.list(now, p)
+	}
+	e.change(0, s.Foreign-e.foreign)
+	e.incarnation = max(e.incarnation, s.Incarnation)
+	if s.ColdAge >= 0 && e.coldSince.IsZero() {
+		e.coldSince = now.Add(-s.ColdAge)
+	}
+	e.grantFrom = now
+}
+
+// list adds a permit that its holder or the last admitter names.
+func (e *engine) list(now time.Time, p HeldPermit) {
+	k := permitKey{p.Holder, p.ID}
+	if _, ok := e.permits[k]; !ok {
+		e.add(k, permit{p.Account, p.Weight, p.Tokens, now})
+		// The engine's report may have counted this permit as foreign load.
+		e.change(0, -min(e.foreign, p.Tokens))
+	}
+	e.heard[p.Holder] = now
+}
+
+// Sync takes the list of all permits that a holder uses on an engine. It adds
+// what is missing, which rebuilds the ledger of a new primary, and frees what
+// has ended or was granted in a call whose reply was lost.
+func (l *Ledger) Sync(now time.Time, holder fleet.InstanceID, server fleet.ServerID, held []HeldPermit) {
+	sh := l.shard(server)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	e := sh.engines[server]
+	if e == nil || !e.active {
+		return
+	}
+	named := make(map[uint64]bool, len(held))
+	for _, p := range held {
+		p.Holder = holder
+		named[p.ID] = true
+		e.list(now, p)
+	}
+	e.heard[holder] = now
+	for k, p := range e.permits {
+		if k.holder == holder && !named[k.id] && now.Sub(p.granted) > PermitLifetime {
+			e.remove(now, k)
+		}
+	}
+}
+
+// Expire frees the permits of instances that sent no list for HolderTimeout.
+func (l *Ledger) Expire(now time.Time) {
+	l.each(func(_ fleet.ServerID, e *engine, _ *ledgerShard) {
+		for k, p := range e.permits {
+			if k.holder != l.self && now.Sub(e.heard[k.holder]) > HolderTimeout && now.Sub(p.granted) > HolderTimeout {
+				e.remove(now, k)
+			}
+		}
+	})
+}
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -42,10 +42,15 @@
 // Score is the rendezvous score of a node for a key; the highest wins.
 // A node with weight 0 never wins. Removing a node moves only its own keys.
 func Score(key, node uint64, weight float64) float64 {
+	return ScoreOf(Mix(key, node), weight)
+}
+
+// ScoreOf is Score for a hash from Mix. For one weight it grows with the hash.
+func ScoreOf(hash uint64, weight float64) float64 {
 	if weight <= 0 {
 		return math.Inf(-1)
 	}
-	u := (float64(Mix(key, node)>>11) + 0.5) / (1 << 53)
+	u := (float64(hash>>11) + 0.5) / (1 << 53)
 	return -weight / math.Log(u)
 }
 
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"cyclamenhitch/core/manifest"
 	"cyclamenhitch/core/result"
+	"cyclamenhitch/core/retry"
 )
 
 // maxCandidates bounds how many servers one request asks for a permit. The
@@ -29,6 +30,10 @@
 	Claimer  Claimer
 	Budget   RetryBudget
 	Now      Clock
+	// Sleep waits before a retry; nil means no wait. Int64N gives its jitter, a
+	// random number below n, and must be safe for concurrent use.
+	Sleep  func(ctx context.Context, d time.Duration) error
+	Int64N func(n int64) int64
 }
 
 // Open runs req until the first part of its answer is there. The caller of
@@ -88,47 +93,53 @@
 	}
 	g.Budget.OnRequest(req.Pool.Name)
 	mayHaveRun := false
+	var wait retry.Backoff
 	for attempt := 1; ; attempt++ {
-		srv, permit, rest, err := g.admit(ctx, req, ranked)
+		i, permit, err := g.admit(ctx, req, ranked, attempt == 1)
 		if err != nil {
 			return nil, markOutcome(err, mayHaveRun)
 		}
-		ranked = rest
+		srv := ranked[i]
+		// Servers before the admitted one refused; they may have room by now.
+		ranked = append(ranked[:i], ranked[i+1:]...)
 		ans, err := g.Upstream.Open(ctx, srv, req, req.ID+"-"+strconv.Itoa(attempt))
 		if err == nil {
 			return &permitAnswer{Answer: ans, permit: permit}, nil
 		}
-		permit.Release()
+		permit.Release(err)
 		e := result.As(err)
 		mayHaveRun = mayHaveRun || e.Outcome != result.NotRun
-		retryable := e.Outcome == result.NotRun || req.Idempotent
-		if !retryable || attempt == maxAttempts || len(ranked) == 0 || ctx.Err() != nil || !g.Budget.TryRetry(req.Pool.Name) {
+		if !retry.Eligible(req.Idempotent, e.Outcome) || attempt == maxAttempts || len(ranked) == 0 ||
+			ctx.Err() != nil || !g.Budget.TryRetry(req.Pool.Name) {
+			return nil, markOutcome(e, mayHaveRun)
+		}
+		if err := g.pause(ctx, &wait); err != nil {
 			return nil, markOutcome(e, mayHaveRun)
 		}
 	}
 }
 
-// admit asks for a permit at each ranked server in turn. It returns the servers
-// that follow the admitted one.
-func (g *Gateway) admit(ctx context.Context, req *Request, ranked []*manifest.Server) (*manifest.Server, Permit, []*manifest.Server, error) {
-	var last error
-	for i, srv := range ranked {
-		if i == maxCandidates {
-			break
-		}
-		if !g.Now().Before(req.Deadline) || ctx.Err() != nil {
-			return nil, nil, nil, result.New(result.DeadlineTooShort, "deadline passed before the request was sent")
-		}
-		permit, err := g.Admitter.Admit(ctx, req, srv)
-		if err == nil {
-			return srv, permit, ranked[i+1:], nil
-		}
-		last = err
+// Bounds of the wait before a retry. The next server is another one, so that a
+// short wait is enough to keep retries of many requests apart.
+const (
+	retryBase = 5 * time.Millisecond
+	retryCap  = 100 * time.Millisecond
+)
+
+func (g *Gateway) pause(ctx context.Context, wait *retry.Backoff) error {
+	if g.Sleep == nil {
+		return nil
 	}
-	if last == nil {
-		last = result.New(result.NoServer, "no server of pool %s may receive work", req.Pool.Name)
+	wait.Base, wait.Cap = retryBase, retryCap
+	return g.Sleep(ctx, wait.Next(g.Int64N))
+}
+
+// admit asks for a permit at the first ranked servers.
+func (g *Gateway) admit(ctx context.Context, req *Request, ranked []*manifest.Server, first bool) (int, Permit, error) {
+	if !g.Now().Before(req.Deadline) || ctx.Err() != nil {
+		return 0, nil, result.New(result.DeadlineTooShort, "deadline passed before the request was sent")
 	}
-	return nil, nil, nil, last
+	return g.Admitter.Admit(ctx, req, ranked[:min(len(ranked), maxCandidates)], first)
 }
 
 // markOutcome turns not_run into unknown when an earlier attempt may have run,
@@ -151,14 +162,14 @@
 func (a *permitAnswer) Next() ([]byte, error) {
 	part, err := a.Answer.Next()
 	if err != nil {
-		a.permit.Release()
+		a.permit.Release(err)
 	}
 	return part, err
 }
 
 func (a *permitAnswer) Close() {
 	a.Answer.Close()
-	a.permit.Release()
+	a.permit.Release(nil)
 }
 
 // storedAnswer is an answer that is already complete.
--- a/core/gateway/ports.go
+++ b/core/gateway/ports.go
@@ -39,7 +39,11 @@
 	Priority int
 	// PromptTokens and OutputTokens are estimates, in tokens.
 	PromptTokens, OutputTokens int
-	Deadline                   time.Time
+	// CachedTokens is the part of the prompt expected in the cache of the first
+	// ranked server; Rank sets it. Above 0, the chat may use that server up to
+	// the hard load bound.
+	CachedTokens int
+	Deadline     time.Time
 }
 
 // Answer is an open answer of a backend server. It is used by one goroutine.
@@ -65,14 +69,18 @@
 
 // Permit is the right to put one request on one server.
 type Permit interface {
-	// Release returns the load. It may be called more than once.
-	Release()
+	// Release returns the load. It may be called more than once. err says how
+	// the attempt ended: nil or io.EOF for an answer that ended well or was
+	// closed by the caller.
+	Release(err error)
 }
 
 // Admitter grants permits.
 type Admitter interface {
-	// Admit returns a permit or an error with outcome not_run.
-	Admit(ctx context.Context, req *Request, srv *manifest.Server) (Permit, error)
+	// Admit asks for a permit at the ranked servers and returns the index of the
+	// one that granted, or an error with outcome not_run. first is false after a
+	// failed attempt: the expected cache is then not on ranked[0].
+	Admit(ctx context.Context, req *Request, ranked []*manifest.Server, first bool) (int, Permit, error)
 }
 
 // Upstream sends a request to a backend server.
--- a/core/manifest/index.go
+++ b/core/manifest/index.go
@@ -20,6 +20,9 @@
 	routes  map[string]*Route
 	dcs     map[fleet.DataCentreID]*DataCentre
 	servers map[fleet.PoolID][]*Server
+
+	byName   map[fleet.ServerID]*Server
+	accounts map[fleet.ClientAccountID]*Account
 }
 
 // NewIndex builds the index of m, which must come from Decode.
@@ -32,8 +35,12 @@
 		routes:  map[string]*Route{},
 		dcs:     map[fleet.DataCentreID]*DataCentre{},
 		servers: map[fleet.PoolID][]*Server{},
+
+		byName:   make(map[fleet.ServerID]*Server, len(m.Servers)),
+		accounts: make(map[fleet.ClientAccountID]*Account, len(m.Accounts)),
 	}
 	for i := range m.Accounts {
+		x.accounts[m.Accounts[i].Name] = &m.Accounts[i]
 		for _, k := range m.Accounts[i].KeySHA256 {
 			var h [32]byte
 			if _, err := hex.Decode(h[:], []byte(strings.ToLower(k))); err == nil {
@@ -57,6 +64,7 @@
 	for i := range m.Servers {
 		s := &m.Servers[i]
 		x.servers[s.Pool] = append(x.servers[s.Pool], s)
+		x.byName[s.Name] = s
 	}
 	return x
 }
@@ -79,6 +87,12 @@
 // Servers returns the servers of a pool in manifest order.
 func (x *Index) Servers(id fleet.PoolID) []*Server { return x.servers[id] }
 
+// Server returns the server with the name, or nil.
+func (x *Index) Server(id fleet.ServerID) *Server { return x.byName[id] }
+
+// Account returns the account with the name, or nil.
+func (x *Index) Account(id fleet.ClientAccountID) *Account { return x.accounts[id] }
+
 // MayReceive reports whether a server may get new work: it is not leaving and
 // its data centre is not out.
 func (x *Index) MayReceive(s *Server) bool {
--- /dev/null
+++ b/core/routing/explain.go
@@ -0,0 +1,85 @@
+package routing
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/manifest"
+)
+
+// Rules that decide a choice.
+const (
+	RuleRendezvous = "rendezvous_first"
+	RuleRecent     = "recent_engine"
+	RuleNone       = "no_eligible_server"
+)
+
+// Candidate is one server of a pool in a decision.
+type Candidate struct {
+	Server     fleet.ServerID     `json:"server"`
+	DataCentre fleet.DataCentreID `json:"data_centre"`
+	Score      float64            `json:"score"`
+	Eligible   bool               `json:"eligible"`
+	// Rule is the filter that dropped the server, or empty.
+	Rule string `json:"rule,omitempty"`
+}
+
+// Decision explains the ranking of a chat.
+type Decision struct {
+	Version uint64        `json:"version"`
+	Pool    fleet.PoolID  `json:"pool"`
+	Chat    fleet.ChatKey `json:"chat"`
+	// Candidates are all servers of the pool, eligible ones first, by score.
+	Candidates []Candidate `json:"candidates"`
+	// Chosen is the first choice, empty when there is none.
+	Chosen fleet.ServerID `json:"chosen,omitempty"`
+	// Rule decided the choice.
+	Rule string `json:"rule"`
+	// CachedTokens is the part of the prompt expected in the cache of Chosen.
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// Explain returns the decision for a chat with its reasons. recent may be nil.
+func (v *View) Explain(pool fleet.PoolID, chat fleet.ChatKey, now time.Time, recent *Recent) Decision {
+	d := Decision{Version: v.Index.Version, Pool: pool, Chat: chat, Rule: RuleNone}
+	var ramp time.Duration
+	if p := v.pools[pool]; p != nil {
+		ramp = p.ramp
+	}
+	filter := ReturnFilter{Ramp: ramp, Now: now}
+	for _, s := range v.Index.Servers(pool) {
+		c := Candidate{Server: s.Name, DataCentre: s.DataCentre, Rule: v.dropped(s)}
+		c.Score = fleet.Score(uint64(chat), fleet.HashID(string(s.Name)), s.Weight)
+		if c.Rule == "" && !filter.Keep(chat, fleet.HashID(string(s.DataCentre)), v.returns[s.DataCentre]) {
+			c.Rule = filter.Rule()
+		}
+		c.Eligible = c.Rule == ""
+		d.Candidates = append(d.Candidates, c)
+	}
+	slices.SortStableFunc(d.Candidates, func(a, b Candidate) int {
+		if a.Eligible != b.Eligible {
+			if a.Eligible {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.Score, a.Score)
+	})
+	var buf [maxPicked]*manifest.Server
+	ranked := v.RankAt(pool, chat, now, buf[:0])
+	if len(ranked) == 0 {
+		return d
+	}
+	first := ranked[0]
+	d.Rule = RuleRendezvous
+	if recent != nil {
+		ranked, d.CachedTokens = recent.Apply(v, pool, chat, now, ranked)
+		if ranked[0] != first {
+			d.Rule = RuleRecent
+		}
+	}
+	d.Chosen = ranked[0].Name
+	return d
+}
--- /dev/null
+++ b/core/routing/recent.go
@@ -0,0 +1,145 @@
+package routing
+
+import (
+	"sync"
+	"time"
+
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/manifest"
+)
+
+const (
+	// recentEntries bounds the table; at 16 bytes an entry it takes 1 MiB. One
+	// instance of 370 serves about 6,000 of 2.2 million chats.
+	recentEntries = 65536
+	recentWays    = 4
+	recentShards  = 64
+	// recentTick is the resolution of the time of last use. 16 bits of it span
+	// 36 hours.
+	recentTick = 2 * time.Second
+	// tokenUnit is the resolution of the prefix length, in tokens.
+	tokenUnit = 16
+	// WarmFor is how long an engine is expected to keep the prefix of a chat. An
+	// older entry no longer keeps a chat away from its first engine.
+	WarmFor = 30 * time.Minute
+)
+
+// recentEntry is 16 bytes.
+type recentEntry struct {
+	chat   fleet.ChatKey
+	server uint32 // low half of the server's hash
+	used   uint16 // in units of recentTick
+	tokens uint16 // in units of tokenUnit
+}
+
+type recentShard struct {
+	mu   sync.Mutex
+	sets [recentEntries / recentWays / recentShards][recentWays]recentEntry
+}
+
+// Recent records the last engine of an instance's recent chats and the prompt
+// length it has seen. It keeps a chat on an alternative engine while that is
+// warm, and tells how much of a prompt is expected in the cache. It is bounded:
+// a new entry replaces the least recently used one of its set.
+type Recent struct {
+	start  time.Time
+	shards [recentShards]recentShard
+}
+
+// NewRecent returns an empty table; start is the zero of its clock.
+func NewRecent(start time.Time) *Recent { return &Recent{start: start} }
+
+func (r *Recent) tick(now time.Time) uint16 { return uint16(now.Sub(r.start) / recentTick) }
+
+func (r *Recent) set(chat fleet.ChatKey) (*recentShard, *[recentWays]recentEntry) {
+	h := fleet.Mix(uint64(chat), 0)
+	sh := &r.shards[h%recentShards]
+	return sh, &sh.sets[h/recentShards%uint64(len(sh.sets))]
+}
+
+// Note records that the server holds a prefix of tokens of the chat.
+func (r *Recent) Note(chat fleet.ChatKey, server fleet.ServerID, tokens int, now time.Time) {
+	if chat == 0 {
+		return // 0 marks an empty entry
+	}
+	t := r.tick(now)
+	e := recentEntry{chat, uint32(fleet.HashID(string(server))), t, uint16(min(max(tokens, 0)/tokenUnit, 1<<16-1))}
+	sh, set := r.set(chat)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	victim := 0
+	for i := range set {
+		if set[i].chat == chat || set[i].chat == 0 {
+			victim = i
+			break
+		}
+		if t-set[i].used > t-set[victim].used {
+			victim = i
+		}
+	}
+	set[victim] = e
+}
+
+// Forget drops the chat, for example when its engine lost its cache.
+func (r *Recent) Forget(chat fleet.ChatKey) {
+	sh, set := r.set(chat)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for i := range set {
+		if set[i].chat == chat {
+			set[i] = recentEntry{}
+		}
+	}
+}
+
+func (r *Recent) find(chat fleet.ChatKey, now time.Time) (recentEntry, bool) {
+	sh, set := r.set(chat)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for i := range set {
+		if set[i].chat == chat && time.Duration(r.tick(now)-set[i].used)*recentTick < WarmFor {
+			return set[i], true
+		}
+	}
+	return recentEntry{}, false
+}
+
+// Apply moves the chat's last engine to the front of ranked and returns the
+// prompt tokens expected in its cache. An engine that is not eligible any more,
+// or is not among all, is not used.
+func (r *Recent) Apply(v *View, pool fleet.PoolID, chat fleet.ChatKey, now time.Time, ranked []*manifest.Server) ([]*manifest.Server, int) {
+	e, ok := r.find(chat, now)
+	if !ok || len(ranked) == 0 {
+		return ranked, 0
+	}
+	s := v.byHash(pool, e.server)
+	if s == nil {
+		return ranked, 0
+	}
+	pos := len(ranked) - 1
+	for i := range ranked {
+		if ranked[i] == s {
+			pos = i
+			break
+		}
+	}
+	copy(ranked[1:pos+1], ranked[:pos])
+	ranked[0] = s
+	return ranked, int(e.tokens) * tokenUnit
+}
+
+// byHash returns the eligible server whose hash ends in low, or nil.
+func (v *View) byHash(pool fleet.PoolID, low uint32) *manifest.Server {
+	p := v.pools[pool]
+	if p == nil {
+		return nil
+	}
+	for i := range p.groups {
+		for j, h := range p.groups[i].hashes {
+			if uint32(h) == low {
+				return p.groups[i].servers[j]
+			}
+		}
+	}
+	return nil
+}
