--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -14,6 +14,7 @@
 
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/result"
+	"cyclamenhitch/core/tomlpos"
 )
 
 // Settings configures one router instance.
@@ -128,11 +129,15 @@
 	if err := dec.Decode(&s); err != nil {
 		return nil, result.New(result.SettingsInvalid, "%s", describe(path, err))
 	}
+	problems := checkZeros(src)
 	s.applyDefaults()
-	if problems := s.check(); len(problems) > 0 {
+	if problems = append(problems, s.check()...); len(problems) > 0 {
+		doc := tomlpos.Parse(src)
 		lines := make([]string, len(problems))
 		for i, p := range problems {
-			lines[i] = fmt.Sprintf("%s:%d: %s", path, lineOf(src, p.key), p.text)
+			table, _, _ := strings.Cut(p.key, ".")
+			line, col := doc.Position(p.key, table)
+			lines[i] = fmt.Sprintf("%s:%d:%d: %s", path, line, col, p.text)
 		}
 		return nil, result.New(result.SettingsInvalid, "%s", strings.Join(lines, "\n"))
 	}
@@ -157,28 +162,6 @@
 	return path + ": " + err.Error()
 }
 
-// lineOf returns the 1-based line that sets the last part of a dotted key in
-// its table, or 1 when the key is not set.
-func lineOf(src []byte, key string) int {
-	table, name := "", key
-	if i := strings.LastIndexByte(key, '.'); i >= 0 {
-		table, name = key[:i], key[i+1:]
-	}
-	current := ""
-	for i, line := range strings.Split(string(src), "\n") {
-		t := strings.TrimSpace(line)
-		if strings.HasPrefix(t, "[") {
-			current = strings.Trim(t, "[] ")
-			continue
-		}
-		k, _, ok := strings.Cut(t, "=")
-		if ok && current == table && strings.TrimSpace(k) == name {
-			return i + 1
-		}
-	}
-	return 1
-}
-
 func setDefault[T comparable](p *T, v T) {
 	var zero T
 	if *p == zero {
@@ -208,6 +191,22 @@
 
 type problem struct{ key, text string }
 
+// mayBeZero are the numbers for which 0 has a meaning of its own. For the
+// others a written 0 would silently become the default.
+var mayBeZero = map[string]bool{
+	"limits.max_connections_per_ip": true, "times.max_config_age_seconds": true, "log.sample_decisions": true,
+}
+
+func checkZeros(src []byte) []problem {
+	var ps []problem
+	tomlpos.Walk(src, func(p tomlpos.Place) {
+		if p.Zero && src[p.Value.Start] == '0' && !mayBeZero[p.Path] {
+			ps = append(ps, problem{p.Path, p.Path + " must not be 0; leave the key out for its default"})
+		}
+	})
+	return ps
+}
+
 func (s *Settings) check() []problem {
 	var ps []problem
 	add := func(key, format string, args ...any) {
--- a/core/manifest/decode.go
+++ b/core/manifest/decode.go
@@ -2,17 +2,20 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/hex"
 	"errors"
 	"fmt"
 	"math"
 	"net/netip"
+	"slices"
 	"strings"
 
 	"github.com/pelletier/go-toml/v2"
 
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/result"
+	"cyclamenhitch/core/tomlpos"
 )
 
 // MaxBytes is the largest accepted manifest, in bytes. 18,000 accounts take
@@ -58,20 +61,30 @@
 	if err := dec.Decode(&m); err != nil {
 		return nil, result.Wrap(result.ManifestInvalid, decodeProblems(err), "manifest cannot be decoded")
 	}
+	c := &checker{src: src}
+	c.checkZeros()
 	m.applyDefaults()
-	if ps := m.check(locate(src)); len(ps) > 0 {
-		return nil, result.Wrap(result.ManifestInvalid, ps, "manifest has %d errors", len(ps))
+	if m.check(c); len(c.ps) > 0 {
+		slices.SortStableFunc(c.ps, func(a, b Problem) int { return cmp.Or(a.Line-b.Line, a.Column-b.Column) })
+		return nil, result.Wrap(result.ManifestInvalid, c.ps, "manifest has %s", count(len(c.ps)))
 	}
 	return &m, nil
 }
 
+func count(n int) string {
+	if n == 1 {
+		return "1 error"
+	}
+	return fmt.Sprintf("%d errors", n)
+}
+
 func decodeProblems(err error) Problems {
 	var strict *toml.StrictMissingError
 	if errors.As(err, &strict) {
 		var ps Problems
 		for _, e := range strict.Errors {
 			row, col := e.Position()
-			ps = append(ps, Problem{row, col, "unknown key " + strings.Join(e.Key(), ".")})
+			ps = append(ps, Problem{row, col, unknownKey(e.Key())})
 		}
 		return ps
 	}
@@ -83,6 +96,15 @@
 	return Problems{{0, 0, err.Error()}}
 }
 
+// unknownKey names the key and the accepted key that it most resembles.
+func unknownKey(key []string) string {
+	msg := "unknown key " + strings.Join(key, ".")
+	if near := Nearest(key); near != "" {
+		msg += fmt.Sprintf(", did you mean %s?", near)
+	}
+	return msg
+}
+
 func setDefault[T comparable](p *T, v T) {
 	var zero T
 	if *p == zero {
@@ -126,55 +148,91 @@
 	}
 }
 
+// checker collects problems. Positions are looked up only when there is one,
+// because a large manifest has tens of thousands of keys.
 type checker struct {
-	at func(table string, index int) int
-	ps Problems
+	src []byte
+	doc *tomlpos.Document
+	ps  Problems
 }
 
-func (c *checker) addf(table string, index int, format string, args ...any) {
-	line := c.at(table, index)
-	col := 0
-	if line > 0 {
-		col = 1
+func (c *checker) document() *tomlpos.Document {
+	if c.doc == nil {
+		c.doc = tomlpos.Parse(c.src)
 	}
+	return c.doc
+}
+
+// addf reports a problem at a key of the index-th entry of a table, or at the
+// entry when the key is not set.
+func (c *checker) addf(table string, index int, key, format string, args ...any) {
+	line, col := c.document().Position(tomlpos.Element(table, index, key), tomlpos.Element(table, index, ""))
 	c.ps = append(c.ps, Problem{line, col, fmt.Sprintf(format, args...)})
 }
 
+func (c *checker) lineOf(table string, index int) int {
+	line, _ := c.document().Position(tomlpos.Element(table, index, ""))
+	return line
+}
+
+// mustNotBeZero are the keys whose zero value means that they are not set, so
+// that a written 0 would silently become the default.
+var mustNotBeZero = map[string]bool{
+	"keep_seconds": true, "load_bound": true, "expected_output_tokens": true, "cold_start_load": true,
+	"cold_start_seconds": true, "silence_seconds": true, "timeout_seconds": true, "retry_percent": true,
+	"first_token_ms": true, "between_tokens_ms": true, "availability_percent": true, "refused_percent": true,
+	"weight": true, "state": true, "kind": true,
+}
+
+// checkZeros reports a written 0 or "" where only an absent key means the default.
+func (c *checker) checkZeros() {
+	tomlpos.Walk(c.src, func(p tomlpos.Place) {
+		key := p.Path[strings.LastIndexByte(p.Path, '.')+1:]
+		if p.Zero && mustNotBeZero[key] {
+			line, col := c.document().Position(p.Path)
+			c.ps = append(c.ps, Problem{line, col, key + " must not be 0 or empty; leave the key out for its default"})
+		}
+	})
+}
+
 // unique reports an empty or repeated name and returns whether name is new.
-func (c *checker) unique(seen map[string]int, table string, index int, name string) {
+func (c *checker) unique(seen map[string]int, table string, index int, name string) bool {
 	if name == "" {
-		c.addf(table, index, "%s has no name", table)
-		return
+		c.addf(table, index, "name", "%s has no name", table)
+		return false
 	}
 	if first, dup := seen[name]; dup {
-		c.addf(table, index, "duplicate %s %q, first declared at line %d", table, name, c.at(table, first))
-		return
+		c.addf(table, index, "name", "duplicate %s %q, first declared at line %d", table, name, c.lineOf(table, first))
+		return false
 	}
 	seen[name] = index
+	return true
 }
 
-func (m *Manifest) check(at func(string, int) int) Problems {
-	c := &checker{at: at}
+func (m *Manifest) check(c *checker) {
 	if m.Format != 1 {
-		c.addf("", 0, "format is %d, accepted value: 1", m.Format)
+		line, col := c.document().Position("format")
+		c.ps = append(c.ps, Problem{line, col, fmt.Sprintf("format is %d, accepted value: 1", m.Format)})
 	}
 	if k := m.Fleet.KeepSeconds; k < 1 || k > 600 {
-		c.addf("fleet", 0, "keep_seconds is %d, accepted range: 1 to 600", k)
+		line, col := c.document().Position("fleet.keep_seconds")
+		c.ps = append(c.ps, Problem{line, col, fmt.Sprintf("keep_seconds is %d, accepted range: 1 to 600", k)})
 	}
 	dcs, pools := map[string]int{}, map[string]int{}
 	for i, d := range m.DataCentres {
 		c.unique(dcs, "data_centre", i, string(d.Name))
 		if d.Region == "" {
-			c.addf("data_centre", i, "data_centre %q has no region", d.Name)
+			c.addf("data_centre", i, "region", "data_centre %q has no region", d.Name)
 		}
 		if d.State != StateIn && d.State != StateOut {
-			c.addf("data_centre", i, "state is %q, accepted values: in, out", d.State)
+			c.addf("data_centre", i, "state", "state is %q, accepted values: in, out", d.State)
 		}
 	}
 	models := map[string]int{}
 	for i := range m.Pools {
-		c.unique(pools, "pool", i, string(m.Pools[i].Name))
-		c.checkPool(i, &m.Pools[i], models)
+		if c.unique(pools, "pool", i, string(m.Pools[i].Name)) {
+			c.checkPool(i, &m.Pools[i], models)
+		}
 	}
 	servers := map[string]int{}
 	for i := range m.Servers {
@@ -186,27 +244,26 @@
 	for i, r := range m.Routes {
 		c.unique(routes, "route", i, r.Name)
 		if strings.ContainsAny(r.Name, "/?# ") {
-			c.addf("route", i, "route %q must not contain /, ?, # or a space", r.Name)
+			c.addf("route", i, "name", "route %q must not contain /, ?, # or a space", r.Name)
 		}
 		pi, ok := pools[string(r.Pool)]
 		if !ok {
-			c.addf("route", i, "route %q names pool %q, which is not declared", r.Name, r.Pool)
+			c.addf("route", i, "pool", "route %q names pool %q, which is not declared", r.Name, r.Pool)
 		} else if m.Pools[pi].Kind != KindService {
-			c.addf("route", i, "route %q names pool %q, whose kind is not service", r.Name, r.Pool)
+			c.addf("route", i, "pool", "route %q names pool %q, whose kind is not service", r.Name, r.Pool)
 		}
 	}
-	return c.ps
 }
 
 func (c *checker) checkPool(i int, p *Pool, models map[string]int) {
 	if p.Kind != KindModel && p.Kind != KindService {
-		c.addf("pool", i, "kind is %q, accepted values: model, service", p.Kind)
+		c.addf("pool", i, "kind", "kind is %q, accepted values: model, service", p.Kind)
 	}
 	if !(p.LoadBound >= 1 && p.LoadBound <= 100) {
-		c.addf("pool", i, "load_bound is %v, accepted range: 1 to 100", p.LoadBound)
+		c.addf("pool", i, "load_bound", "load_bound is %v, accepted range: 1 to 100", p.LoadBound)
 	}
-	if p.RetryPercent < 0 || p.RetryPercent > 100 {
-		c.addf("pool", i, "retry_percent is %d, accepted range: 0 to 100", p.RetryPercent)
+	if p.RetryPercent < 1 || p.RetryPercent > 100 {
+		c.addf("pool", i, "retry_percent", "retry_percent is %d, accepted range: 1 to 100", p.RetryPercent)
 	}
 	for _, k := range []struct {
 		key string
@@ -221,12 +278,18 @@
 		{"objectives.between_tokens_ms", p.Objectives.BetweenTokensMillis},
 	} {
 		if k.v < 1 || k.v > math.MaxInt32 {
-			c.addf("pool", i, "%s is %d, accepted range: 1 to %d", k.key, k.v, math.MaxInt32)
+			c.addf("pool", i, k.key, "%s is %d, accepted range: 1 to %d", k.key, k.v, math.MaxInt32)
 		}
 	}
+	if a := p.Objectives.AvailabilityPercent; !(a > 0 && a < 100) {
+		c.addf("pool", i, "objectives.availability_percent", "objectives.availability_percent is %v, accepted range: above 0, below 100", a)
+	}
+	if r := p.Objectives.RefusedPercent; !(r > 0 && r <= 100) {
+		c.addf("pool", i, "objectives.refused_percent", "objectives.refused_percent is %v, accepted range: above 0 to 100", r)
+	}
 	for _, name := range p.Models {
 		if first, dup := models[name]; dup {
-			c.addf("pool", i, "model %q is already served by the pool at line %d", name, c.at("pool", first))
+			c.addf("pool", i, "models", "model %q is already served by the pool at line %d", name, c.lineOf("pool", first))
 		}
 		models[name] = i
 	}
@@ -234,22 +297,22 @@
 
 func (c *checker) checkServer(i int, s *Server, pools, dcs map[string]int) {
 	if _, ok := pools[string(s.Pool)]; !ok {
-		c.addf("server", i, "server %q names pool %q, which is not declared", s.Name, s.Pool)
+		c.addf("server", i, "pool", "server %q names pool %q, which is not declared", s.Name, s.Pool)
 	}
 	if _, ok := dcs[string(s.DataCentre)]; !ok {
-		c.addf("server", i, "server %q names data_centre %q, which is not declared", s.Name, s.DataCentre)
+		c.addf("server", i, "data_centre", "server %q names data_centre %q, which is not declared", s.Name, s.DataCentre)
 	}
 	if _, err := netip.ParseAddrPort(s.Address); err != nil {
-		c.addf("server", i, "address is %q, want an IP address and port such as 10.0.0.1:8000", s.Address)
+		c.addf("server", i, "address", "address is %q, want an IP address and port such as 10.0.0.1:8000", s.Address)
 	}
 	if !(s.Weight > 0 && s.Weight <= 100) {
-		c.addf("server", i, "weight is %v, accepted range: above 0 to 100", s.Weight)
+		c.addf("server", i, "weight", "weight is %v, accepted range: above 0 to 100", s.Weight)
 	}
 	if s.State != StateIn && s.State != StateLeaving {
-		c.addf("server", i, "state is %q, accepted values: in, leaving", s.State)
+		c.addf("server", i, "state", "state is %q, accepted values: in, leaving", s.State)
 	}
 	if s.MaxLoadTokens < 0 {
-		c.addf("server", i, "max_load_tokens is %d, it must not be negative", s.MaxLoadTokens)
+		c.addf("server", i, "max_load_tokens", "max_load_tokens is %d, it must not be negative", s.MaxLoadTokens)
 	}
 }
 
@@ -259,52 +322,27 @@
 		c.unique(names, "account", i, string(a.Name))
 		for _, k := range a.KeySHA256 {
 			if b, err := hex.DecodeString(k); err != nil || len(b) != 32 {
-				c.addf("account", i, "key_sha256 %q is not 64 hex digits", k)
+				c.addf("account", i, "key_sha256", "key_sha256 %q is not 64 hex digits", k)
 			}
 			k = strings.ToLower(k)
 			if other, dup := keys[k]; dup {
-				c.addf("account", i, "key_sha256 %.8s… is already used by account %q", k, other)
+				c.addf("account", i, "key_sha256", "key_sha256 %.8s… is already used by account %q", k, other)
 			}
 			keys[k] = a.Name
 		}
 		if !(a.Weight > 0 && a.Weight <= 1e6) {
-			c.addf("account", i, "weight is %v, accepted range: above 0 to 1000000", a.Weight)
+			c.addf("account", i, "weight", "weight is %v, accepted range: above 0 to 1000000", a.Weight)
 		}
 		if *a.Priority < 0 || *a.Priority > 9 {
-			c.addf("account", i, "priority is %d, accepted range: 0 to 9", *a.Priority)
+			c.addf("account", i, "priority", "priority is %d, accepted range: 0 to 9", *a.Priority)
 		}
 		if a.MaxConcurrent < 0 {
-			c.addf("account", i, "max_concurrent is %d, it must not be negative", a.MaxConcurrent)
+			c.addf("account", i, "max_concurrent", "max_concurrent is %d, it must not be negative", a.MaxConcurrent)
 		}
 		for _, p := range a.Pools {
 			if _, ok := pools[string(p)]; !ok {
-				c.addf("account", i, "account %q names pool %q, which is not declared", a.Name, p)
+				c.addf("account", i, "pools", "account %q names pool %q, which is not declared", a.Name, p)
 			}
 		}
 	}
 }
-
-// locate returns a function that gives the line of the header of the index-th
-// array table with a name, or 0.
-func locate(src []byte) func(table string, index int) int {
-	lines := map[string][]int{}
-	n := 0
-	for line := range bytes.Lines(src) {
-		n++
-		t := strings.TrimSpace(string(line))
-		if !strings.HasPrefix(t, "[") {
-			continue
-		}
-		if cut := strings.IndexByte(t, '#'); cut > 0 {
-			t = strings.TrimSpace(t[:cut])
-		}
-		name := strings.Trim(t, "[] ")
-		lines[name] = append(lines[name], n)
-	}
-	return func(table string, index int) int {
-		if l := lines[table]; index < len(l) {
-			return l[index]
-		}
-		return 0
-	}
-}
