Extend the operators' command: states, waiting, differences, unknown outcomes

Cause: operators could only apply a whole file; a lost reply was reported as a failure; status showed one instance. An action without an answer is settled by reading the version in force, otherwise reported as unknown with exit code 4. Shutdown of the caller server no longer races with Serve (found with -race). Conclusion: an operator's mistake is answered with its place and remedy.

--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"net"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -58,6 +59,7 @@
 	// NewID returns a unique request id.
 	NewID func() string
 
+	mu  sync.Mutex // guards srv between Serve and Shutdown
 	srv *fasthttp.Server
 }
 
@@ -81,7 +83,7 @@
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(ln net.Listener, l Limits) error {
-	s.srv = &fasthttp.Server{
+	srv := &fasthttp.Server{
 		Handler:               s.handle,
 		Name:                  "cyclamenhitch",
 		ReadTimeout:           l.ReadTimeout,
@@ -95,11 +97,22 @@
 		NoDefaultServerHeader: true,
 		ErrorHandler:          s.handleProtocolError,
 	}
-	return s.srv.Serve(ln)
+	s.mu.Lock()
+	s.srv = srv
+	s.mu.Unlock()
+	return srv.Serve(ln)
 }
 
 // Shutdown stops accepting and waits for running requests until ctx ends.
-func (s *Server) Shutdown(ctx context.Context) error { return s.srv.ShutdownWithContext(ctx) }
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	srv := s.srv
+	s.mu.Unlock()
+	if srv == nil {
+		return nil
+	}
+	return srv.ShutdownWithContext(ctx)
+}
 
 func (s *Server) handleProtocolError(ctx *fasthttp.RequestCtx, err error) {
 	code := result.BadRequest
--- a/cmd/internal/daemon/admin.go
+++ b/cmd/internal/daemon/admin.go
@@ -70,13 +70,20 @@
 	DataCentre string `json:"data_centre"`
 	Version    uint64 `json:"version"`
 	Ready      bool   `json:"ready"`
+	// Reasons says why the instance is not ready; it is empty otherwise.
+	Reasons []string `json:"reasons"`
 }
 
 func (c *adminComponent) status() Status {
-	s := Status{Instance: string(c.d.set.Instance), DataCentre: string(c.d.set.DataCentre)}
+	s := Status{Instance: string(c.d.set.Instance), DataCentre: string(c.d.set.DataCentre), Reasons: []string{}}
 	if x := c.d.config.Index(); x != nil {
-		s.Version, s.Ready = x.Version, true
+		s.Version = x.Version
 	}
+	if err := c.d.config.Check(); err != nil {
+		e := result.As(err)
+		s.Reasons = append(s.Reasons, e.Code.Info().Name+": "+e.Message)
+	}
+	s.Ready = len(s.Reasons) == 0
 	return s
 }
 
--- /dev/null
+++ b/cmd/internal/daemon/operator_test.go
@@ -0,0 +1,112 @@
+package daemon
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/valyala/fasthttp"
+
+	"cyclamenhitch/cmd/internal/operator"
+	platformfake "cyclamenhitch/standins/platform"
+)
+
+// Guards against an operator's mistake that is answered without its place and
+// remedy, or that changes something, and against an action with a lost reply
+// that is reported as failed or is carried out twice. The scripts run the
+// command in process against an instance.
+func TestOperatorCommand(t *testing.T) {
+	datadriven.Walk(t, "testdata/operator", func(t *testing.T, path string) {
+		f := newFixture(t)
+		f.write("m1.toml", f.manifest())
+		lossy := startLossy(t, f)
+		names := strings.NewReplacer("$dir", f.dir, "$admin", f.daemon.AdminAddress(), "$lossy", lossy.addr)
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			switch d.Cmd {
+			case "file":
+				text := strings.ReplaceAll(d.Input, "$manifest", f.manifest())
+				f.write(d.CmdArgs[0].Key, text+"\n")
+				return ""
+			case "lose":
+				d.ScanArgs(t, "replies", &lossy.lose)
+				lossy.darkAfter = d.HasArg("then-dark")
+				return ""
+			case "platform":
+				f.platform.SetFault(parseFault(d))
+				return ""
+			case "run":
+				var out bytes.Buffer
+				args := append(strings.Fields(names.Replace(d.Input)), "--key-file", filepath.Join(f.dir, "operator.key"))
+				code := operator.Main(args, &out, &out)
+				return fmt.Sprintf("%sexit code %d\n", f.normalise(out.String(), lossy.addr), code)
+			}
+			return "unknown command"
+		})
+	})
+}
+
+var (
+	secondsRE = regexp.MustCompile(`after [0-9.]+ s|"seconds":[0-9.e-]+`)
+	portRE    = regexp.MustCompile(`127\.0\.0\.1:[0-9]{4,5}(->127\.0\.0\.1:[0-9]{4,5})?`)
+)
+
+// normalise replaces what differs between two runs.
+func (f *fixture) normalise(s, lossy string) string {
+	s = strings.NewReplacer(f.dir, "$dir", f.daemon.AdminAddress(), "$admin", lossy, "$lossy").Replace(s)
+	s = secondsRE.ReplaceAllString(s, "after N s")
+	s = portRE.ReplaceAllString(s, "$$port")
+	lines := strings.Split(s, "\n")
+	for i, l := range lines {
+		lines[i] = strings.Join(strings.Fields(l), " ")
+	}
+	return strings.Join(lines, "\n")
+}
+
+// lossy passes calls on to an instance and drops the first replies of actions.
+type lossy struct {
+	addr string
+	lose int
+	// darkAfter drops every call after the first lost reply.
+	darkAfter, dark bool
+}
+
+func startLossy(t *testing.T, f *fixture) *lossy {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &lossy{addr: ln.Addr().String()}
+	srv := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
+		if l.dark {
+			drop(ctx)
+			return
+		}
+		ctx.Request.SetHost(f.daemon.AdminAddress())
+		ctx.Request.URI().SetHost(f.daemon.AdminAddress())
+		if err := fasthttp.Do(&ctx.Request, &ctx.Response); err != nil {
+			ctx.SetStatusCode(502)
+		}
+		if ctx.IsPost() && l.lose > 0 {
+			l.lose--
+			l.dark = l.darkAfter
+			drop(ctx)
+		}
+	}}
+	go func() { _ = srv.Serve(ln) }()
+	t.Cleanup(func() { _ = srv.Shutdown() })
+	return l
+}
+
+func drop(ctx *fasthttp.RequestCtx) {
+	ctx.HijackSetNoResponse(true)
+	ctx.Hijack(func(c net.Conn) { _ = c.Close() })
+}
+
+func parseFault(d *datadriven.TestData) platformfake.Fault {
+	return platformfake.Fault{Down: d.HasArg("down")}
+}
--- a/cmd/internal/operator/operator.go
+++ b/cmd/internal/operator/operator.go
@@ -4,10 +4,12 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
-	"os"
+	"maps"
 	"strings"
+	"time"
 
 	"github.com/alecthomas/kong"
 
@@ -17,39 +19,69 @@
 
 // Exit codes of the command.
 const (
-	ExitOK       = 0
-	ExitFailed   = 1
-	ExitUsage    = 2
+	// ExitOK means that everything was done.
+	ExitOK = 0
+	// ExitFailed means that nothing was changed.
+	ExitFailed = 1
+	// ExitUsage means that the arguments are wrong; nothing was changed.
+	ExitUsage = 2
+	// ExitConflict means that the base version is out of date; nothing was changed.
 	ExitConflict = 3
+	// ExitUnknown means that the action may have taken effect.
+	ExitUnknown = 4
+	// ExitIncomplete means that the action took effect, but not every given
+	// instance was reached or had the version in force in time.
+	ExitIncomplete = 5
 )
 
+const description = `Operators' command of a cyclamenhitch fleet.
+
+Instances are tried in the given order until one answers. Exit codes: 0 done, 1 failed and nothing changed,
+2 wrong arguments, 3 the base version is out of date, 4 the action may have taken effect,
+5 done, but some given instance was not reached or did not have the version in force in time.`
+
 // Global holds the options of all commands.
 type Global struct {
-	Instance []string `help:"Admin address (host:port) of an instance; repeat for more, tried in order." env:"CYCLAMENHITCH_INSTANCE"`
-	KeyFile  string   `help:"File with the operator key." env:"CYCLAMENHITCH_KEY_FILE"`
-	JSON     bool     `name:"json" help:"Print JSON."`
+	Instance []string `help:"Admin address (host:port) of an instance; repeat or separate with commas, tried in order." env:"CYCLAMENHITCH_INSTANCE" placeholder:"HOST:PORT"`
+	KeyFile  string   `help:"File with the operator key." env:"CYCLAMENHITCH_KEY_FILE" placeholder:"FILE"`
+	JSON     bool     `name:"json" help:"Print JSON with stable field names on standard output."`
 }
 
 type commands struct {
 	Global
 	Manifest struct {
-		Check checkCmd `cmd:"" help:"Check a manifest file."`
+		Check checkCmd `cmd:"" help:"Check a manifest file; needs no instance."`
 	} `cmd:"" help:"Work on manifest files."`
-	Apply  applyCmd  `cmd:"" help:"Make a manifest the next version."`
-	Status statusCmd `cmd:"" help:"Show the state of the instances."`
+	Apply      applyCmd  `cmd:"" help:"Make a manifest file the next version; shows the difference by entry."`
+	Status     statusCmd `cmd:"" help:"Show version, data centre and readiness of all given instances."`
+	Datacentre struct {
+		Out dcOutCmd `cmd:"" help:"Take a data centre out of service: its servers receive no new work."`
+		In  dcInCmd  `cmd:"" help:"Take a data centre back into service."`
+	} `cmd:"" help:"Change the state of a data centre."`
+	Server struct {
+		Leave  serverLeaveCmd  `cmd:"" help:"Mark a backend server as leaving: it receives no new work."`
+		Return serverReturnCmd `cmd:"" help:"Let a backend server receive work again."`
+	} `cmd:"" help:"Change the state of a backend server."`
+	Explain explainCmd `cmd:"" help:"Show which servers a chat goes to, with scores and the deciding rule."`
+	Report  struct {
+		Burn burnCmd `cmd:"" help:"Show objectives, burn rates, alerts and the error budget of each pool and client account."`
+	} `cmd:"" help:"Reports over the fleet."`
 }
 
 // env is what commands work with.
 type env struct {
 	*Global
 	out, errOut io.Writer
+	client      *client
+	// detail is added to a JSON error.
+	detail map[string]any
 }
 
 // Main runs the command and returns the exit code.
 func Main(args []string, out, errOut io.Writer) int {
 	var cmds commands
 	exited := -1
-	parser, err := kong.New(&cmds, kong.Name("cyclamenhitch"), kong.Description("Operators' command of a cyclamenhitch fleet."),
+	parser, err := kong.New(&cmds, kong.Name("cyclamenhitch"), kong.Description(description),
 		kong.Writers(out, errOut), kong.Exit(func(code int) { exited = code }))
 	if err != nil {
 		fmt.Fprintln(errOut, err)
@@ -60,58 +92,101 @@
 		return exited
 	}
 	if err != nil {
-		fmt.Fprintln(errOut, "cyclamenhitch:", err)
+		fmt.Fprintf(errOut, "cyclamenhitch: %v\nRun with --help for the commands and options.\n", err)
 		return ExitUsage
 	}
-	e := &env{Global: &cmds.Global, out: out, errOut: errOut}
+	e := &env{Global: &cmds.Global, out: out, errOut: errOut, client: newClient()}
 	if err := kctx.Run(e); err != nil {
 		return e.fail(err)
 	}
 	return ExitOK
 }
 
+// incomplete is the error of a command that printed its answer, but did not
+// reach or settle every given instance.
+type incomplete struct {
+	text string
+	code int
+}
+
+func (i *incomplete) Error() string { return i.text }
+
 func (e *env) fail(err error) int {
+	var i *incomplete
+	if errors.As(err, &i) {
+		fmt.Fprintln(e.errOut, "cyclamenhitch:", i.text)
+		return i.code
+	}
 	r := result.As(err)
+	code := exitCode(r)
 	if e.JSON {
-		_ = json.NewEncoder(e.out).Encode(map[string]any{"error": map[string]any{
-			"code": r.Code, "name": r.Code.Info().Name, "message": r.Error(), "advice": r.Code.Info().Advice,
-		}})
-	} else {
-		fmt.Fprintf(e.errOut, "cyclamenhitch: %s\n%s\n", r.Error(), r.Code.Info().Advice)
-	}
-	if r.Code == result.ConfigConflict {
+		body := map[string]any{
+			"code": r.Code, "name": r.Code.Info().Name, "message": message(r), "outcome": r.Outcome,
+			"advice": r.Code.Info().Advice, "exit_code": code,
+		}
+		maps.Copy(body, e.detail)
+		_ = json.NewEncoder(e.out).Encode(map[string]any{"error": body})
+		return code
+	}
+	fmt.Fprintf(e.errOut, "cyclamenhitch: %d %s: %s\n%s\n", r.Code, r.Code.Info().Name, message(r), r.Code.Info().Advice)
+	if code == ExitUnknown {
+		fmt.Fprintln(e.errOut, "The action may have taken effect: run status to see the version in force before you repeat it.")
+	}
+	return code
+}
+
+func exitCode(r *result.Error) int {
+	switch {
+	case r.Code == result.ConfigConflict:
 		return ExitConflict
+	case r.Outcome == result.Unknown:
+		return ExitUnknown
 	}
 	return ExitFailed
 }
 
-type checkCmd struct {
-	File string `arg:"" help:"Manifest file."`
+func message(r *result.Error) string {
+	if r.Cause == nil {
+		return r.Message
+	}
+	return r.Message + ": " + r.Cause.Error()
 }
 
-// Run implements the command.
-func (c *checkCmd) Run(e *env) error {
-	src, err := readManifest(c.File)
-	if err != nil {
-		return err
-	}
-	m, err := manifest.Decode(src)
-	if err != nil {
-		return inFile(c.File, err)
+// print writes v as JSON, or calls text.
+func (e *env) print(v any, text func()) error {
+	if !e.JSON {
+		text()
+		return nil
 	}
-	if e.JSON {
-		return json.NewEncoder(e.out).Encode(map[string]int{"pools": len(m.Pools), "servers": len(m.Servers), "accounts": len(m.Accounts)})
-	}
-	fmt.Fprintf(e.out, "%s is valid: %d pools, %d servers, %d accounts\n", c.File, len(m.Pools), len(m.Servers), len(m.Accounts))
-	return nil
+	return json.NewEncoder(e.out).Encode(v)
 }
 
-func readManifest(path string) ([]byte, error) {
-	src, err := os.ReadFile(path)
-	if err != nil {
-		return nil, result.Wrap(result.ManifestInvalid, err, "manifest file cannot be read")
+// progressDelay is how long a command may take without a line on stderr.
+const progressDelay = 2 * time.Second
+
+// progress prints what is awaited, first after two seconds and then every five,
+// until the returned function is called.
+func (e *env) progress(what func() string) (stop func()) {
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		t := time.NewTimer(progressDelay)
+		defer t.Stop()
+		start := time.Now()
+		for {
+			select {
+			case <-done:
+				return
+			case <-t.C:
+				fmt.Fprintf(e.errOut, "%s (%.0f s)\n", what(), time.Since(start).Seconds())
+				t.Reset(5 * time.Second)
+			}
+		}
+	}()
+	return func() {
+		close(done)
+		<-ended
 	}
-	return src, nil
 }
 
 // inFile adds the file name to each position of a manifest error.
@@ -127,42 +202,3 @@
 	}
 	return result.New(r.Code, "%s\n%s", r.Message, strings.Join(lines, "\n"))
 }
-
-type applyCmd struct {
-	File string `arg:"" help:"Manifest file."`
-	Base uint64 `required:"" help:"Version that the manifest was made from; 0 for the first."`
-}
-
-// Run implements the command.
-func (c *applyCmd) Run(e *env) error {
-	src, err := readManifest(c.File)
-	if err != nil {
-		return err
-	}
-	if _, err := manifest.Decode(src); err != nil {
-		return inFile(c.File, err)
-	}
-	var head struct {
-		Version uint64 `json:"version"`
-	}
-	if err := e.call("POST", fmt.Sprintf("/admin/apply?base=%d", c.Base), src, &head); err != nil {
-		return err
-	}
-	if e.JSON {
-		return json.NewEncoder(e.out).Encode(head)
-	}
-	fmt.Fprintf(e.out, "version %d accepted\n", head.Version)
-	return nil
-}
-
-type statusCmd struct{}
-
-// Run implements the command.
-func (c *statusCmd) Run(e *env) error {
-	var s json.RawMessage
-	if err := e.call("GET", "/admin/status", nil, &s); err != nil {
-		return err
-	}
-	fmt.Fprintln(e.out, string(s))
-	return nil
-}
--- a/core/manifest/decode.go
+++ b/core/manifest/decode.go
@@ -96,15 +96,6 @@
 	return Problems{{0, 0, err.Error()}}
 }
 
-// unknownKey names the key and the accepted key that it most resembles.
-func unknownKey(key []string) string {
-	msg := "unknown key " + strings.Join(key, ".")
-	if near := Nearest(key); near != "" {
-		msg += fmt.Sprintf(", did you mean %s?", near)
-	}
-	return msg
-}
-
 func setDefault[T comparable](p *T, v T) {
 	var zero T
 	if *p == zero {
--- a/core/manifest/edit/edit.go
+++ b/core/manifest/edit/edit.go
@@ -25,7 +25,7 @@
 	}
 	index, current, known := findState(old, table, name)
 	if index < 0 {
-		return nil, result.New(result.ManifestInvalid, "no %s is named %q; declared: %s", table, name, strings.Join(known, ", "))
+		return nil, result.New(result.BadRequest, "no %s is named %q; declared: %s", table, name, strings.Join(known, ", "))
 	}
 	if current == state {
 		return src, nil
--- a/core/manifest/keys.go
+++ b/core/manifest/keys.go
@@ -6,33 +6,46 @@
 	"strings"
 )
 
-// Nearest returns the accepted key of the same table that differs from the last
-// part of key by at most a third of its letters, or "".
-func Nearest(key []string) string {
+// acceptedKeys returns the keys of the table that the last part of key is in.
+func acceptedKeys(key []string) []string {
 	t := reflect.TypeFor[Manifest]()
 	for _, part := range key[:len(key)-1] {
 		f, ok := fieldOf(t, part)
 		if !ok {
-			return ""
+			return nil
 		}
 		if t = f.Type; t.Kind() == reflect.Slice {
 			t = t.Elem()
 		}
 		if t.Kind() != reflect.Struct {
-			return ""
+			return nil
 		}
 	}
-	name, best, dist := key[len(key)-1], "", 0
+	var out []string
 	for i := range t.NumField() {
-		tag := t.Field(i).Tag.Get("toml")
-		if d := editDistance(name, tag); best == "" || d < dist {
-			best, dist = tag, d
+		out = append(out, t.Field(i).Tag.Get("toml"))
+	}
+	return out
+}
+
+// unknownKey names the key and the remedy: the accepted key that differs by at
+// most a third of its letters or, without one, all accepted keys.
+func unknownKey(key []string) string {
+	msg := "unknown key " + strings.Join(key, ".")
+	accepted := acceptedKeys(key)
+	name, best, dist := key[len(key)-1], "", 0
+	for _, k := range accepted {
+		if d := editDistance(name, k); best == "" || d < dist {
+			best, dist = k, d
 		}
 	}
-	if dist > (len(name)+2)/3 {
-		return ""
+	switch {
+	case len(accepted) == 0:
+		return msg
+	case dist <= (len(name)+2)/3:
+		return msg + ", did you mean " + best + "?"
 	}
-	return best
+	return msg + ", accepted: " + strings.Join(accepted, ", ")
 }
 
 func fieldOf(t reflect.Type, tag string) (reflect.StructField, bool) {
