--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -9,7 +9,7 @@
 	"encoding/json"
 	"net"
 	"strconv"
-	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -59,8 +59,8 @@
 	// NewID returns a unique request id.
 	NewID func() string
 
-	mu  sync.Mutex // guards srv between Serve and Shutdown
-	srv *fasthttp.Server
+	// srv is stored when Serve begins; Shutdown may run on another goroutine.
+	srv atomic.Pointer[fasthttp.Server]
 }
 
 // Observation is what a finished request showed.
@@ -97,21 +97,16 @@
 		NoDefaultServerHeader: true,
 		ErrorHandler:          s.handleProtocolError,
 	}
-	s.mu.Lock()
-	s.srv = srv
-	s.mu.Unlock()
+	s.srv.Store(srv)
 	return srv.Serve(ln)
 }
 
 // Shutdown stops accepting and waits for running requests until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
-	s.mu.Lock()
-	srv := s.srv
-	s.mu.Unlock()
-	if srv == nil {
-		return nil
+	if srv := s.srv.Load(); srv != nil {
+		return srv.ShutdownWithContext(ctx)
 	}
-	return srv.ShutdownWithContext(ctx)
+	return nil
 }
 
 func (s *Server) handleProtocolError(ctx *fasthttp.RequestCtx, err error) {
