Add the log of claims for requests that must not run twice

Cause: requests that are not idempotent were refused, since no claim was stored. An owner appends groups of claims and ends of attempts on condition that the next sequence number is free, settles lost replies by the writer nonce, and keeps an index in memory. A freed attempt is written even when its claim is not in the index, so a late write of the claim is fenced off. The gateway claims after the permit and before the first byte, so that a refusal for load costs no write. Before: no claim could be made.

--- /dev/null
+++ b/core/claims/owner.go
@@ -0,0 +1,395 @@
+package claims
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"cyclamenhitch/core/store"
+)
+
+// Config configures an owner.
+type Config struct {
+	Partition int
+	// Rate is the write budget of the partition, in writes per second.
+	Rate float64
+	// SegmentRows overrides the number of rows of a segment; 0 means SegmentRows.
+	SegmentRows uint64
+	// NewNonce returns a unique writer nonce for each row.
+	NewNonce func() string
+	// Rand jitters the backoff.
+	Rand *rand.Rand
+}
+
+// Backoff of a failing store. The cap bounds the time to notice its return.
+const (
+	backoffBase = 50 * time.Millisecond
+	backoffMax  = 2 * time.Second
+)
+
+type phase int
+
+const (
+	phaseCold phase = iota
+	phaseHead
+	phaseSegments
+	phaseTail
+	phaseReady
+)
+
+// group is a row that is being written. Until its fate is known, the same row is
+// written again: the condition on its sequence number lets it in at most once.
+type group struct {
+	row     store.Row
+	records []Record
+	cmds    []Command
+	written bool
+}
+
+// Owner appends to one partition's log. It is used by one goroutine at a time.
+type Owner struct {
+	cfg   Config
+	idx   *Index
+	phase phase
+	tail  uint64 // last applied row
+
+	queue    []Command
+	fresh    []Command // wait for a read of the tail before their answer
+	group    *group
+	inFlight bool
+	// catchUp says that the tail must be read before the next write.
+	catchUp bool
+
+	confirmed time.Time // last contact with the tail
+	failures  int
+	retryAt   time.Time
+	pace      pacer
+
+	head        head
+	headVer     uint64
+	loading     int
+	pending     *segmentRef // segment that the head row does not list yet
+	pendingBody []byte      // its content until the object is written
+	deleted     uint64      // last deleted row
+	segmentAt   time.Time   // when the last segment was begun
+	lastGen     int64
+}
+
+// NewOwner returns an owner that has read nothing yet.
+func NewOwner(cfg Config) *Owner {
+	if cfg.SegmentRows == 0 {
+		cfg.SegmentRows = SegmentRows
+	}
+	return &Owner{cfg: cfg, idx: NewIndex(), pace: pacer{rate: cfg.Rate, tokens: paceBurst}}
+}
+
+// Ready reports whether the index has reached the tail.
+func (o *Owner) Ready() bool { return o.phase == phaseReady }
+
+// Idle reports whether nothing waits for the store.
+func (o *Owner) Idle() bool {
+	return len(o.queue) == 0 && len(o.fresh) == 0 && o.group == nil && !o.inFlight
+}
+
+// Index returns the index; it must not be changed.
+func (o *Owner) Index() *Index { return o.idx }
+
+// Tail returns the last applied row.
+func (o *Owner) Tail() uint64 { return o.tail }
+
+// Warm starts reading the log.
+func (o *Owner) Warm() {
+	if o.phase == phaseCold {
+		o.phase = phaseHead
+	}
+}
+
+// Submit takes a command. It returns a result when the command needs no write,
+// or when it is refused at once because the queue is full or the store fails. A
+// refused command has left no row.
+func (o *Owner) Submit(c Command, now time.Time) *Result {
+	o.Warm()
+	failing := o.failures > 1 && c.Rec.Kind == KindClaim
+	if o.phase == phaseReady {
+		r, decided := o.decide(c, now.UnixMilli())
+		if decided && (failing || !mayBeBehind(r.Verdict)) {
+			return &r
+		}
+	}
+	if failing || len(o.queue) >= maxQueue {
+		return &Result{ID: c.ID, Verdict: Refused}
+	}
+	o.queue = append(o.queue, c)
+	return nil
+}
+
+// mayBeBehind reports whether a verdict may be out of date when another owner
+// has written since; it is given only after a read of the tail.
+func mayBeBehind(v Verdict) bool { return v == InProgress || v == Unknown || v == Conflict }
+
+// Withdraw removes a waiting command. It reports true when the command has left
+// no row and never will; otherwise its row may exist or appear.
+func (o *Owner) Withdraw(id uint64) bool {
+	for i := range o.queue {
+		if o.queue[i].ID == id {
+			o.queue = append(o.queue[:i:i], o.queue[i+1:]...)
+			return true
+		}
+	}
+	for i := range o.fresh {
+		if o.fresh[i].ID == id {
+			o.fresh = append(o.fresh[:i:i], o.fresh[i+1:]...)
+			return true
+		}
+	}
+	return false
+}
+
+// Next returns the next operation to perform, or how long to wait before asking
+// again; 0 means until a command arrives. Results are answers that need no
+// operation.
+func (o *Owner) Next(now time.Time) (*Op, time.Duration, []Result) {
+	if o.inFlight {
+		return nil, 0, nil
+	}
+	if wait := o.retryAt.Sub(now); o.failures > 0 && wait > 0 {
+		return nil, wait, nil
+	}
+	switch o.phase {
+	case phaseCold:
+		return nil, 0, nil
+	case phaseReady:
+		return o.nextReady(now)
+	}
+	return o.start(o.loadOp()), 0, nil
+}
+
+func (o *Owner) start(op *Op) *Op {
+	o.inFlight = op != nil
+	return op
+}
+
+func (o *Owner) nextReady(now time.Time) (*Op, time.Duration, []Result) {
+	if g := generationOf(now.UnixMilli()); g != o.lastGen {
+		o.lastGen = g
+		// An hour later than due, so that owners whose clocks differ agree.
+		o.idx.Forget(now.Add(-time.Hour).UnixMilli())
+	}
+	if o.failures > 0 || now.Sub(o.confirmed) > staleAfter {
+		o.catchUp = true
+	}
+	if o.catchUp {
+		return o.start(o.tailOp()), 0, nil
+	}
+	var out []Result
+	wait := o.pace.wait(now)
+	if o.group == nil && wait == 0 { // otherwise later commands can still join the row
+		out = o.formGroup(now)
+	}
+	switch {
+	case len(o.fresh) > 0:
+		return o.start(o.tailOp()), 0, out
+	case wait > 0 && (o.group != nil || len(o.queue) > 0):
+		return nil, wait, out
+	case o.group != nil:
+		o.pace.take(now)
+		return o.start(&Op{Kind: OpPut, Row: o.group.row}), 0, out
+	}
+	op, wait := o.upkeep(now)
+	return o.start(op), wait, out
+}
+
+func (o *Owner) tailOp() *Op {
+	return &Op{Kind: OpQuery, Row: store.Row{Partition: logName(o.cfg.Partition), Sort: rowName(o.tail + 1)}}
+}
+
+// formGroup answers waiting commands from the index and collects the others into
+// the next row, at most one for each key.
+func (o *Owner) formGroup(now time.Time) []Result {
+	var out []Result
+	var rest []Command
+	g := &group{}
+	keys := map[uint64]bool{}
+	size, full, ms := 0, false, now.UnixMilli()
+	for _, c := range o.queue {
+		r, decided := o.decide(c, ms)
+		n := recordSize(&c.Rec)
+		full = full || !decided && size > 0 && size+n > maxGroupBytes
+		switch {
+		case c.Rec.Kind == KindClaim && now.After(c.Expires):
+			out = append(out, Result{ID: c.ID, Verdict: Refused})
+		case full || keys[c.Rec.Key]:
+			rest = append(rest, c)
+		case decided && mayBeBehind(r.Verdict):
+			o.fresh = append(o.fresh, c)
+		case decided:
+			out = append(out, r)
+		default:
+			c.Rec.At = ms
+			size += n
+			keys[c.Rec.Key] = true
+			g.cmds, g.records = append(g.cmds, c), append(g.records, c.Rec)
+		}
+	}
+	o.queue = rest
+	if len(g.cmds) > 0 {
+		g.row = store.Row{
+			Partition: logName(o.cfg.Partition), Sort: rowName(o.tail + 1), Version: o.tail + 1,
+			Writer: o.cfg.NewNonce(), Data: EncodeRow(g.records),
+		}
+		o.group = g
+	}
+	return out
+}
+
+func recordSize(r *Record) int {
+	n := 64 + len(r.Outcome.Body) + len(r.Outcome.Object)
+	for _, f := range r.Outcome.Fields {
+		n += len(f.Name) + len(f.Value) + 4
+	}
+	return n
+}
+
+// decide answers a command from the index, or reports that it needs a record.
+func (o *Owner) decide(c Command, now int64) (Result, bool) {
+	r := Result{ID: c.ID}
+	if c.Rec.Kind == KindClaim {
+		r.Verdict, r.Seq = o.idx.decideClaim(c.Rec.Key, c.Rec.Digest, c.Rec.Attempt, now)
+	} else {
+		r.Verdict = o.idx.decideFinish(&c.Rec, now)
+	}
+	return r, r.Verdict != verdictWrite
+}
+
+// Reply takes the outcome of the operation returned by Next.
+func (o *Owner) Reply(op *Op, rep Reply, now time.Time) []Result {
+	o.inFlight = false
+	switch {
+	case rep.Err == nil, errors.Is(rep.Err, store.ErrNotFound), errors.Is(rep.Err, store.ErrConditionFailed):
+		o.failures = 0
+	default:
+		return o.failed(now)
+	}
+	if o.phase != phaseReady {
+		return o.loaded(rep, now)
+	}
+	switch {
+	case op.Kind == OpQuery:
+		return o.readTail(rep.Rows, now)
+	case op.Kind == OpPut && op.Row.Partition == headPartition, op.Kind == OpPutObject, op.Kind == OpDelete:
+		o.upkeepDone(op, rep)
+	case op.Kind == OpPut && rep.Err != nil:
+		o.catchUp = true
+	case op.Kind == OpPut:
+		o.applyRow(o.group.row, o.group.records)
+		o.confirmed = now
+		return o.settle(now)
+	}
+	return nil
+}
+
+// failed backs off. Claims that are in no row are refused; answers that need no
+// write are given from the index, which can only be behind, never wrong about
+// the key having been used.
+func (o *Owner) failed(now time.Time) []Result {
+	d := min(backoffBase<<min(o.failures, 10), backoffMax)
+	o.failures++
+	o.retryAt = now.Add(d/2 + time.Duration(o.cfg.Rand.Int64N(int64(d))))
+	if o.failures < 2 {
+		return nil
+	}
+	var out []Result
+	var rest []Command
+	for _, c := range append(o.fresh, o.queue...) {
+		if c.Rec.Kind != KindClaim {
+			rest = append(rest, c)
+			continue
+		}
+		r, decided := o.decide(c, now.UnixMilli())
+		if !decided {
+			r.Verdict = Refused
+		}
+		out = append(out, r)
+	}
+	o.fresh, o.queue = nil, rest
+	return out
+}
+
+// readTail applies rows that follow the index, and decides the fate of the group.
+func (o *Owner) readTail(rows []store.Row, now time.Time) []Result {
+	for _, row := range rows {
+		if row.Version != o.tail+1 {
+			o.reload()
+			return nil
+		}
+		rs, err := DecodeRow(row.Data)
+		if err != nil {
+			return o.failed(now)
+		}
+		o.applyRow(row, rs)
+	}
+	o.confirmed = now
+	o.catchUp = len(rows) == queryLimit
+	if o.catchUp {
+		return nil
+	}
+	out := o.settle(now)
+	for _, c := range o.fresh {
+		r, decided := o.decide(c, now.UnixMilli())
+		if !decided {
+			o.queue = append(o.queue, c)
+			continue
+		}
+		out = append(out, r)
+	}
+	o.fresh = nil
+	return out
+}
+
+func (o *Owner) applyRow(row store.Row, rs []Record) {
+	if o.group != nil && row.Version == o.group.row.Version {
+		// A reply may have been lost: the nonce tells whose row it is.
+		o.group.written = row.Writer == o.group.row.Writer
+	}
+	for i := range rs {
+		o.idx.apply(row.Version, &rs[i])
+	}
+	o.tail = row.Version
+}
+
+// settle answers the group once its sequence number is taken. Commands of a row
+// that lost against another owner are evaluated again.
+func (o *Owner) settle(now time.Time) []Result {
+	g := o.group
+	if g == nil || o.tail < g.row.Version {
+		return nil
+	}
+	o.group = nil
+	if !g.written {
+		o.queue = append(g.cmds, o.queue...)
+		return nil
+	}
+	var out []Result
+	for _, c := range g.cmds {
+		r, decided := o.decide(c, c.Rec.At)
+		switch {
+		case c.Rec.Kind != KindClaim:
+			r.Verdict = Recorded
+		case !decided:
+			r.Verdict = Refused
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// reload starts again from the segments, because rows that follow the index were
+// trimmed. The commands of the group are evaluated again, which is safe because a
+// command has the same effect however often it is applied.
+func (o *Owner) reload() {
+	if o.group != nil {
+		o.queue = append(o.group.cmds, o.queue...)
+	}
+	o.idx, o.tail, o.phase, o.group, o.catchUp = NewIndex(), 0, phaseHead, nil, false
+	o.pending, o.pendingBody = nil, nil
+}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -35,20 +35,31 @@
 // Open must Close the answer.
 func (g *Gateway) Open(ctx context.Context, req *Request) (Answer, error) {
 	if req.Idempotent {
-		return g.open(ctx, req)
+		return g.open(ctx, req, nil)
 	}
 	return g.openClaimed(ctx, req)
 }
 
+// openClaimed runs a request that must not run twice. The claim is made after a
+// server granted a permit, so that a refusal for load costs no write, and before
+// the first byte is sent. A call with a key that has run before therefore also
+// needs a permit; its refusal for load speaks of this call only.
 func (g *Gateway) openClaimed(ctx context.Context, req *Request) (Answer, error) {
-	claim, stored, err := g.Claimer.Claim(ctx, req)
-	if err != nil {
-		return nil, err
-	}
-	if stored != nil {
-		return stored, nil
+	var claim Claim
+	ans, err := g.open(ctx, req, func() (Answer, error) {
+		c, stored, err := g.Claimer.Claim(ctx, req)
+		if err != nil || stored != nil {
+			return stored, err
+		}
+		claim = c
+		if !g.Now().Before(req.Deadline) {
+			return nil, result.New(result.DeadlineTooShort, "deadline passed while the claim was recorded")
+		}
+		return nil, nil
+	})
+	if claim == nil {
+		return ans, err
 	}
-	ans, err := g.open(ctx, req)
 	if err != nil {
 		claim.Finish(0, nil, nil, err)
 		return nil, err
@@ -79,8 +90,10 @@
 	}
 }
 
-// open sends req, retrying on other servers where that is safe.
-func (g *Gateway) open(ctx context.Context, req *Request) (Answer, error) {
+// open sends req, retrying on other servers where that is safe. claim, unless
+// nil, is called once between the first permit and the first send; an answer or
+// an error from it ends the request.
+func (g *Gateway) open(ctx context.Context, req *Request, claim func() (Answer, error)) (Answer, error) {
 	var buf [maxCandidates + maxAttempts]*manifest.Server
 	ranked := g.Router.Rank(req, buf[:0])
 	if len(ranked) == 0 {
@@ -94,6 +107,13 @@
 			return nil, markOutcome(err, mayHaveRun)
 		}
 		ranked = rest
+		if claim != nil {
+			if ans, err := claim(); ans != nil || err != nil {
+				permit.Release()
+				return ans, err
+			}
+			claim = nil
+		}
 		ans, err := g.Upstream.Open(ctx, srv, req, req.ID+"-"+strconv.Itoa(attempt))
 		if err == nil {
 			return &permitAnswer{Answer: ans, permit: permit}, nil
