Wire claims into the daemon with an owner for each partition

Cause: the daemon refused every request that needs a claim. Change: the serving instance asks the partition's owner by twirp (claimpb), then its successor, and refuses when neither answers; the end of an attempt stays in an outbox until an owner has recorded it. A call waits until earlier refused attempts of its key are settled. A planned stop warms the successors and waits for the outbox. Before: status 503 for each order. After: through two daemons over HTTP, a repeated order gets the stored answer at the other instance and runs once; a lost reply costs nothing; a call refused during an outage runs after it. Conclusion: at most once holds end to end on the stand-ins.

--- a/cmd/internal/daemon/claims.go
+++ b/cmd/internal/daemon/claims.go
@@ -2,18 +2,245 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"sync"
+	"time"
 
+	"cyclamenhitch/adapters/peer/claimpb"
+	"cyclamenhitch/core/claims"
+	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
+	"cyclamenhitch/core/membership"
 	"cyclamenhitch/core/result"
 )
 
-// claimsComponent records requests that are not idempotent.
-type claimsComponent struct{}
+// claimWait bounds the wait for a claim. It is two store calls at the default
+// deadline of 1 s, one of which may be a takeover by the second candidate.
+const claimWait = 2 * time.Second
 
-func newClaimsComponent(*Daemon) *claimsComponent { return &claimsComponent{} }
+// claimRetryAfter is the advice with a refused or running claim. The caller API
+// adds no jitter of its own, and a second outlasts the first backoffs.
+const claimRetryAfter = time.Second
 
-// Claim implements gateway.Claimer. Until claims are stored, every request that
-// needs one is refused, which keeps at-most-once true.
-func (*claimsComponent) Claim(context.Context, *gateway.Request) (gateway.Claim, gateway.Answer, error) {
-	return nil, nil, result.New(result.StoreUnavailable, "claims are not stored by this instance")
+// claimsComponent records requests that are not idempotent. As a serving
+// instance it owns the ends of its attempts until they are recorded; as an owner
+// it holds the indexes of its partitions.
+type claimsComponent struct {
+	d      *Daemon
+	ctx    context.Context
+	cancel context.CancelFunc
+	outbox *claimOutbox
+
+	mu         sync.Mutex
+	partitions map[int]*claimRunner
+}
+
+func newClaimsComponent(d *Daemon) *claimsComponent {
+	c := &claimsComponent{d: d, partitions: map[int]*claimRunner{}}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	c.outbox = newClaimOutbox(c)
+	srv := claimpb.NewClaimsServer(&claimsServer{c})
+	d.peerServer.Mount(srv.PathPrefix(), srv)
+	return c
+}
+
+// run ends the component's goroutines when ctx ends.
+func (c *claimsComponent) run(ctx context.Context) {
+	<-ctx.Done()
+	c.cancel()
+}
+
+func randomUint64() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return binary.BigEndian.Uint64(b[:])
+}
+
+// candidates returns the owner of a partition and its successor, as this
+// instance sees the fleet. Without a membership it is the instance itself.
+func (c *claimsComponent) candidates(partition int, exclude fleet.InstanceID) []membership.Member {
+	var members []membership.Member
+	var hashes []uint64
+	for _, m := range c.d.members.View().Members {
+		if m.Eligible && m.ID != exclude {
+			members = append(members, m)
+			hashes = append(hashes, fleet.HashID(string(m.ID)))
+		}
+	}
+	var out []membership.Member
+	for _, i := range fleet.Best(nil, fleet.HashID(claimPartitionName(partition)), hashes, 2) {
+		out = append(out, members[i])
+	}
+	if len(out) == 0 && exclude == "" {
+		out = append(out, membership.Member{ID: c.d.set.Instance})
+	}
+	return out
+}
+
+func (c *claimsComponent) isSelf(m membership.Member) bool { return m.ID == c.d.set.Instance }
+
+func (c *claimsComponent) client(m membership.Member) claimpb.Claims {
+	return claimpb.NewClaimsProtobufClient("http://"+m.Peer, c.d.peerClient)
+}
+
+// Claim implements gateway.Claimer.
+func (c *claimsComponent) Claim(ctx context.Context, req *gateway.Request) (gateway.Claim, gateway.Answer, error) {
+	route, account := "", string(req.Account.Name)
+	dated := false
+	if req.Route != nil {
+		route, dated = req.Route.Name, req.Route.DatedKeys
+	}
+	if err := claims.CheckDate(req.IdempotencyKey, dated, time.Now()); err != nil {
+		return nil, nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(claimWait, time.Until(req.Deadline)))
+	defer cancel()
+	h := &heldClaim{c: c, key: claims.KeyOf(account, route, req.IdempotencyKey), attempt: randomUint64()}
+	// An attempt of the key that was refused here may still have a row. It is
+	// freed first; otherwise this call would find the key held by nobody.
+	if !c.outbox.settled(ctx, h.key) {
+		return nil, nil, refusedClaim("an earlier refused call with the key is not settled yet")
+	}
+	ans := c.ask(ctx, &claimpb.ClaimRequest{
+		Key: h.key, Attempt: h.attempt,
+		Digest:  claims.DigestOf(account, route, req.IdempotencyKey, req.Method, req.Path, req.Body),
+		UntilMs: req.Deadline.Add(claims.HolderMargin).UnixMilli(),
+	})
+	if ans.verdict != claims.Granted && ans.ambiguous {
+		c.outbox.add(&claimEnd{kind: claims.KindFree, key: h.key, attempt: h.attempt})
+	}
+	switch ans.verdict {
+	case claims.Granted:
+		return h, nil, nil
+	case claims.Stored:
+		stored, err := c.storedAnswer(ctx, ans.reply)
+		return nil, stored, err
+	case claims.InProgress:
+		return nil, nil, result.New(result.InProgress, "a request with this key is running").WithRetryAfter(claimRetryAfter)
+	case claims.Unknown:
+		return nil, nil, result.New(result.ClaimUnknown, "an earlier request with this key may have run")
+	case claims.Conflict:
+		return nil, nil, result.New(result.IdempotencyConflict, "the key was used with another method, path or body")
+	}
+	return nil, nil, refusedClaim("the claim could not be recorded in time")
+}
+
+func refusedClaim(why string) error {
+	return result.New(result.StoreUnavailable, "%s", why).WithRetryAfter(claimRetryAfter)
 }
+
+// claimAnswer is what the owners said. It is ambiguous when a row of the claim
+// may exist or appear although the verdict does not say so.
+type claimAnswer struct {
+	verdict   claims.Verdict
+	reply     *claimpb.ClaimReply
+	ambiguous bool
+}
+
+// ask asks the owner, and its successor when the owner gives no answer.
+func (c *claimsComponent) ask(ctx context.Context, req *claimpb.ClaimRequest) claimAnswer {
+	out := claimAnswer{verdict: claims.Refused}
+	for i, m := range c.candidates(claims.PartitionOf(req.Key, claims.Partitions), "") {
+		deadline, _ := ctx.Deadline()
+		wait := time.Until(deadline)
+		if i == 0 {
+			wait = wait * 3 / 5 // leaves time for the successor
+		}
+		if wait <= 0 {
+			break
+		}
+		req.WaitMs = max(1, wait.Milliseconds())
+		reply, err := c.askOne(ctx, m, req, wait)
+		if err != nil {
+			out.ambiguous = true
+			continue
+		}
+		out.verdict, out.reply = claims.Verdict(reply.Verdict), reply
+		return out
+	}
+	return out
+}
+
+func (c *claimsComponent) askOne(ctx context.Context, m membership.Member, req *claimpb.ClaimRequest, wait time.Duration) (*claimpb.ClaimReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	if c.isSelf(m) {
+		return (&claimsServer{c}).Claim(ctx, req)
+	}
+	return c.client(m).Claim(ctx, req)
+}
+
+func (c *claimsComponent) storedAnswer(ctx context.Context, reply *claimpb.ClaimReply) (gateway.Answer, error) {
+	if reply.Outcome == nil {
+		return nil, result.New(result.Code(reply.Code), "%s", reply.Message).WithOutcome(result.Unknown)
+	}
+	o := reply.Outcome
+	if o.Object != "" {
+		body, err := c.d.store.GetObject(ctx, o.Object)
+		if err != nil {
+			return nil, result.Wrap(result.StoreUnavailable, err, "stored outcome cannot be read").WithOutcome(result.Unknown)
+		}
+		o.Body = body
+	}
+	fields := make([]gateway.Field, len(o.Fields))
+	for i, f := range o.Fields {
+		fields[i] = gateway.Field{Name: f.Name, Value: f.Value}
+	}
+	return gateway.NewStoredAnswer(int(o.Status), fields, o.Body), nil
+}
+
+// heldClaim is a claim held by a request of this instance.
+type heldClaim struct {
+	c            *claimsComponent
+	key, attempt uint64
+}
+
+// Finish implements gateway.Claim. An answer is passed on without waiting for
+// its record: the key is held either way. A freed key is waited for, so that the
+// caller can repeat the call at once.
+func (h *heldClaim) Finish(status int, fields []gateway.Field, body []byte, err error) {
+	e := &claimEnd{kind: claims.KindOutcome, key: h.key, attempt: h.attempt}
+	switch {
+	case err != nil && result.As(err).Outcome == result.NotRun:
+		e.kind = claims.KindFree
+	case err != nil:
+		e.kind = claims.KindUnknown
+	default:
+		e.outcome = &claimpb.Outcome{Status: int32(status), Body: body}
+		for _, f := range fields {
+			e.outcome.Fields = append(e.outcome.Fields, &claimpb.Field{Name: f.Name, Value: f.Value})
+		}
+	}
+	h.c.outbox.add(e)
+	if e.kind == claims.KindFree {
+		ctx, cancel := context.WithTimeout(h.c.ctx, claimRetryAfter)
+		defer cancel()
+		h.c.outbox.settled(ctx, h.key)
+	}
+}
+
+// handOver prepares the next owners of this instance's partitions, so that a
+// planned stop costs them no read of the log. It is called before the instance
+// marks itself leaving; flush follows when no request runs any more.
+func (c *claimsComponent) handOver(ctx context.Context) {
+	c.mu.Lock()
+	var loaded []int
+	for p := range c.partitions {
+		loaded = append(loaded, p)
+	}
+	c.mu.Unlock()
+	var wg sync.WaitGroup
+	for _, p := range loaded {
+		next := c.candidates(p, c.d.set.Instance)
+		if len(next) == 0 {
+			continue
+		}
+		wg.Go(func() { _, _ = c.client(next[0]).Warm(ctx, &claimpb.WarmRequest{Partition: int32(p)}) })
+	}
+	wg.Wait()
+}
+
+// flush waits until the ends of all attempts are recorded. It returns how many
+// are not when ctx ends; their keys then count as unknown.
+func (c *claimsComponent) flush(ctx context.Context) int { return c.outbox.flush(ctx) }
--- /dev/null
+++ b/cmd/internal/daemon/claims_test.go
@@ -0,0 +1,157 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	platformfake "cyclamenhitch/standins/platform"
+	"cyclamenhitch/standins/service"
+)
+
+// claimFixture is a fixture with two instances and a plain service whose calls
+// must not be repeated.
+type claimFixture struct {
+	*fixture
+	ledger *service.Ledger
+	second *Daemon
+}
+
+func newClaimFixture(t *testing.T) *claimFixture {
+	f := &claimFixture{fixture: newFixture(t), ledger: service.NewLedger()}
+	srv, err := service.Start(service.Config{Name: "registry-0", Address: "127.0.0.1:0", Ledger: f.ledger})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(srv.Close)
+	f.second = f.startInstance("r2")
+	text := f.manifest() + fmt.Sprintf(`
+[[pool]]
+name = "registro-pedidos"
+kind = "service"
+[[server]]
+name = "registry-0"
+pool = "registro-pedidos"
+data_centre = "cordon"
+address = %q
+[[route]]
+name = "orders"
+pool = "registro-pedidos"
+[[route]]
+name = "cuts"
+pool = "registro-pedidos"
+dated_keys = true
+`, srv.Address())
+	if code, out := f.operate("apply", f.write("claims.toml", text), "--base", "0"); code != 0 {
+		t.Fatalf("apply: exit code %d: %s", code, out)
+	}
+	for _, d := range []*Daemon{f.daemon, f.second} {
+		f.eventually("configuration and members", func() bool { return d.config.Index() != nil && len(d.members.View().Members) == 2 })
+	}
+	return f
+}
+
+func (f *claimFixture) order(d *Daemon, route, key, body string) (int, string) {
+	f.t.Helper()
+	req, err := http.NewRequest("POST", "http://"+d.CallerAddress()+"/svc/"+route+"/confirm?id=7", strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+testAccountKey)
+	req.Header.Set("Idempotency-Key", key)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return resp.StatusCode, string(data)
+}
+
+// Guards against a second run when a caller repeats a call at another instance,
+// and against an answer other than the first one.
+func TestClaimRepeatedAtAnotherInstance(t *testing.T) {
+	f := newClaimFixture(t)
+	for i := range 8 { // several partitions, owned by either instance
+		key, body := fmt.Sprintf("order-%d", i), strings.Repeat("x", i*3000)
+		status, first := f.order(f.daemon, "orders", key, body)
+		if status != 200 {
+			t.Fatalf("%s: status %d, %s", key, status, first)
+		}
+		var second string
+		f.eventually("stored answer at the other instance", func() bool {
+			status, second = f.order(f.second, "orders", key, body)
+			return status != 409
+		})
+		if status != 200 || second != first || f.ledger.Runs(key) != 1 {
+			t.Fatalf("%s: status %d, %d runs, answers equal: %v", key, status, f.ledger.Runs(key), second == first)
+		}
+		if status, out := f.order(f.second, "orders", key, body+"y"); status != 422 || !strings.Contains(out, "idempotency_conflict") {
+			t.Fatalf("%s with another body: status %d, %s", key, status, out)
+		}
+	}
+	if status, out := f.order(f.daemon, "cuts", "not-dated", ""); status != 400 {
+		t.Fatalf("key without a date: status %d, %s", status, out)
+	}
+	if status, out := f.order(f.daemon, "cuts", "01900000-0000-7000-8000-000000000000", ""); status != 409 || !strings.Contains(out, "idempotency_key_expired") {
+		t.Fatalf("old key: status %d, %s", status, out)
+	}
+}
+
+// Guards against a refusal marked not_run whose key can never run, and against
+// a run without a durable claim, when the table service is down or loses replies.
+func TestClaimDuringStoreOutage(t *testing.T) {
+	f := newClaimFixture(t)
+	f.platform.SetFault(platformfake.Fault{LoseReplies: 1})
+	if status, out := f.order(f.daemon, "orders", "lost-reply", "a"); status != 200 || f.ledger.Runs("lost-reply") != 1 {
+		t.Fatalf("lost reply: status %d, %s, %d runs", status, out, f.ledger.Runs("lost-reply"))
+	}
+	f.platform.SetFault(platformfake.Fault{Down: true})
+	status, out := f.order(f.daemon, "orders", "down", "a")
+	if status != 503 || !strings.Contains(out, `"outcome":"not_run"`) || f.ledger.Runs("down") != 0 {
+		t.Fatalf("store down: status %d, %s, %d runs", status, out, f.ledger.Runs("down"))
+	}
+	f.platform.SetFault(platformfake.Fault{})
+	for _, d := range []*Daemon{f.second, f.daemon} {
+		f.eventually("the refused key runs", func() bool {
+			status, out = f.order(d, "orders", "down", "a")
+			return status != 503 && status != 409
+		})
+		if status != 200 || f.ledger.Runs("down") != 1 {
+			t.Fatalf("after the outage: status %d, %s, %d runs", status, out, f.ledger.Runs("down"))
+		}
+	}
+}
+
+// Guards against a handover that leaves the successor without the index.
+func TestClaimHandOver(t *testing.T) {
+	f := newClaimFixture(t)
+	for i := range 32 {
+		if status, out := f.order(f.daemon, "orders", fmt.Sprintf("k%d", i), "a"); status != 200 {
+			t.Fatalf("status %d, %s", status, out)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	f.daemon.claims.handOver(ctx)
+	if left := f.daemon.claims.flush(ctx); left != 0 {
+		t.Fatalf("%d ends of attempts are not recorded", left)
+	}
+	f.daemon.claims.mu.Lock()
+	defer f.daemon.claims.mu.Unlock()
+	for p := range f.daemon.claims.partitions {
+		r := f.second.claims.runner(p)
+		r.mu.Lock()
+		if !r.owner.Ready() {
+			t.Errorf("partition %d is not loaded at the successor", p)
+		}
+		r.mu.Unlock()
+	}
+}
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -145,6 +145,7 @@
 	go func() { errs <- d.peerServer.Serve(d.peerLn) }()
 	go d.config.run(work)
 	go d.members.run(work)
+	go d.claims.run(work)
 	d.log.Info("instance started", zap.String("caller", d.CallerAddress()), zap.String("admin", d.AdminAddress()))
 	select {
 	case err := <-errs:
@@ -159,7 +160,11 @@
 	limit := time.Duration(d.set.Times.StopSeconds) * time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	d.claims.handOver(ctx)
 	err := d.callers.Shutdown(ctx)
+	if left := d.claims.flush(ctx); left > 0 {
+		d.log.Warn("ends of attempts not recorded, their keys become unknown", zap.Int("count", left))
+	}
 	d.admin.shutdown(ctx)
 	_ = d.peerServer.Shutdown(ctx)
 	d.log.Info("planned stop ends", zap.Bool("complete", err == nil))
