--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -184,6 +184,7 @@
 	go d.config.run(work)
 	go d.members.run(work)
 	go d.admission.run(work)
+	go d.claims.run(work)
 	d.log.Info("instance started", zap.String("caller", d.CallerAddress()), zap.String("admin", d.AdminAddress()))
 	select {
 	case err := <-errs:
@@ -198,7 +199,11 @@
 	limit := time.Duration(d.set.Times.StopSeconds) * time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	d.claims.handOver(ctx)
 	err := d.callers.Shutdown(ctx)
+	if left := d.claims.flush(ctx); left > 0 {
+		d.log.Warn("ends of attempts not recorded, their keys become unknown", zap.Int("count", left))
+	}
 	d.admin.shutdown(ctx)
 	_ = d.peerServer.Shutdown(ctx)
 	d.members.close()
