--- a/cmd/internal/demo/callers.go
+++ b/cmd/internal/demo/callers.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -20,6 +21,9 @@
 // tally counts what the callers saw.
 type tally struct {
 	sent, answered, refusedNotRun, unknown, wrongAnswer, cut atomic.Int64
+
+	mu    sync.Mutex
+	codes map[string]int // errors by result code name
 }
 
 // caller is one client application: it looks addresses up, keeps them for the
@@ -96,6 +100,7 @@
 type errorOutcome struct {
 	Error struct {
 		Code             int    `json:"code"`
+		Name             string `json:"name"`
 		Outcome          string `json:"outcome"`
 		RetryAfterMillis int64  `json:"retry_after_ms"`
 	} `json:"error"`
@@ -108,6 +113,9 @@
 		t.cut.Add(1)
 		return 0
 	}
+	t.mu.Lock()
+	t.codes[e.Error.Name]++
+	t.mu.Unlock()
 	if e.Error.Outcome == "not_run" {
 		t.refusedNotRun.Add(1)
 	} else {
--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -52,6 +52,8 @@
 	CacheReuse      float64 `json:"cache_reuse"`
 	LoadRatioMax    float64 `json:"load_ratio_max"`
 	NewWorkAfterOut int     `json:"new_work_after_out"`
+	// Codes counts refusals and errors by result code name.
+	Codes map[string]int `json:"codes"`
 }
 
 // OK reports whether every count that must be 0 is 0.
@@ -74,7 +76,7 @@
 		return Report{}, err
 	}
 	fmt.Fprintf(o.Out, "ready; %d chats and %d order callers for %v\n", chatCallers, orderCallers, o.Duration)
-	t := &tally{}
+	t := &tally{codes: map[string]int{}}
 	load, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
 	wait := f.startCallers(load, t)
@@ -186,6 +188,7 @@
 		Sent: t.sent.Load(), Answered: t.answered.Load(), RefusedNotRun: t.refusedNotRun.Load(),
 		Unknown: t.unknown.Load(), WrongAnswer: t.wrongAnswer.Load(), Cut: t.cut.Load(),
 		RunTwice: f.ledger.RunTwice(), LoadRatioMax: f.meter.RatioMax(), NewWorkAfterOut: f.meter.StartsAfterOut() + f.ledger.StartsAfterOut(),
+		Codes: t.codes,
 	}
 	var prompt, cached int64
 	for _, e := range f.engines {
