--- a/adapters/engine/answer.go
+++ b/adapters/engine/answer.go
@@ -5,129 +5,214 @@
 	"encoding/json"
 	"errors"
 	"io"
-	"net"
-	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"cyclamenhitch/core/gateway"
-	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/liveness"
 	"cyclamenhitch/core/result"
 )
 
 // answer reads the body of one HTTP response and checks its declared length.
 type answer struct {
+	x        *exchange
+	conn     *conn
+	stop     func() bool // ends the cancellation by the caller's context
 	resp     *fasthttp.Response
-	body     io.Reader
+	body     io.Reader // nil for an answer without a body
 	status   int
-	fields   []gateway.Field
 	declared int // bytes; -1 means chunked, -2 means until close
 	got      int
 	limit    int
-	deadline time.Time
 	buf      []byte
+	echoed   bool
 	ended    bool
 	closed   bool
 }
 
-// readBuffer is the size of the buffer of each open answer, in bytes. It bounds
-// the memory of a stream; one event is usually below 300 bytes.
-const readBuffer = 4096
+// partBytes is the size of the parts of an answer that is not streamed.
+const partBytes = 16 << 10
 
-func newAnswer(resp *fasthttp.Response, limit int, deadline time.Time) *answer {
-	a := &answer{
-		resp: resp, body: resp.BodyStream(), status: resp.StatusCode(),
-		declared: resp.Header.ContentLength(), limit: limit, deadline: deadline,
-	}
+func (a *answer) begin() {
+	a.status, a.body = a.resp.StatusCode(), a.resp.BodyStream()
+	a.declared = a.resp.Header.ContentLength()
 	if a.body == nil {
-		a.body = bytes.NewReader(resp.Body())
-	}
-	if ct := resp.Header.ContentType(); len(ct) > 0 {
-		a.fields = append(a.fields, gateway.Field{Name: "Content-Type", Value: string(ct)})
+		a.declared = 0
 	}
-	return a
 }
 
 func (a *answer) isEventStream() bool {
 	return a.status == fasthttp.StatusOK && bytes.HasPrefix(a.resp.Header.ContentType(), []byte("text/event-stream"))
 }
 
-// verifyHead checks the echoed request id and the status.
-func (a *answer) verifyHead(srv *manifest.Server, attemptID string) error {
-	if id := a.resp.Header.Peek(headerRequestID); len(id) > 0 && string(id) != attemptID {
-		return result.New(result.AnswerCrossed, "server %s answered request %q, want %q", srv.Name, id, attemptID)
-	}
+// verifyHead checks the echoed request id, the status and the declared length.
+// Without an id the answer can only be to this request when the connection
+// carried no other request, and the connection is not used again.
+func (a *answer) verifyHead() error {
+	srv := a.x.srv.Name
+	id := a.resp.Header.Peek(headerRequestID)
+	a.echoed = len(id) > 0
 	switch {
-	case a.status == fasthttp.StatusTooManyRequests:
-		return result.New(result.ServerRefused, "server %s refused the request with status %d", srv.Name, a.status)
+	case a.echoed && string(id) != a.x.attemptID:
+		return result.New(result.AnswerCrossed, "server %s answered request %q, want %q", srv, id, a.x.attemptID)
+	case !a.echoed && a.conn.used:
+		return result.New(result.AnswerCrossed, "server %s answered without a request id on a connection with earlier requests", srv)
+	case a.status == fasthttp.StatusTooManyRequests && a.x.req.Route == nil:
+		return result.New(result.ServerRefused, "server %s refused the request with status %d", srv, a.status)
 	case a.status >= 500:
-		return result.New(result.ServerError, "server %s answered status %d", srv.Name, a.status)
+		return result.New(result.ServerError, "server %s answered status %d", srv, a.status)
+	case a.status < 200:
+		return result.New(result.AnswerInvalid, "server %s answered status %d", srv, a.status)
 	case a.declared == -2:
-		return result.New(result.AnswerInvalid, "server %s declares no length, so a short answer could not be told", srv.Name)
+		return result.New(result.AnswerInvalid, "server %s declares no length, so a short answer could not be told", srv)
+	case a.declared > a.limit:
+		return result.New(result.AnswerTooLarge, "server %s declares %d bytes, limit %d", srv, a.declared, a.limit)
 	}
 	return nil
 }
 
-func (a *answer) Status() int             { return a.status }
-func (a *answer) Fields() []gateway.Field { return a.fields }
+func (a *answer) Status() int { return a.status }
+
+// returnedFields are the header fields passed on to callers. Fields that frame
+// the message or speak about the connection are not among them.
+var returnedFields = []string{
+	"Content-Type", "Content-Encoding", "Content-Language", "Content-Disposition", "Content-Location",
+	"Content-Range", "Accept-Ranges", "Cache-Control", "Etag", "Expires", "Last-Modified", "Vary",
+	"Location", "Link", "Allow", "Retry-After",
+}
+
+// Fields implements gateway.Answer. An answer to HEAD states the length of the
+// body that GET would have.
+func (a *answer) Fields() []gateway.Field {
+	out := make([]gateway.Field, 0, 2)
+	names := returnedFields
+	if a.x.req.Route == nil {
+		names = names[:1]
+	}
+	for _, name := range names {
+		if v := a.resp.Header.Peek(name); len(v) > 0 {
+			out = append(out, gateway.Field{Name: name, Value: string(v)})
+		}
+	}
+	if a.resp.SkipBody && a.resp.Header.ContentLength() >= 0 {
+		out = append(out, gateway.Field{Name: "Content-Length", Value: string(a.resp.Header.Peek("Content-Length"))})
+	}
+	return out
+}
 
 // Next implements gateway.Answer.
 func (a *answer) Next() ([]byte, error) {
-	if a.ended {
-		return nil, io.EOF
-	}
-	if time.Now().After(a.deadline) {
-		return nil, result.New(result.DeadlineExceeded, "deadline passed after %d bytes of the answer", a.got)
+	if a.ended || a.body == nil {
+		return nil, a.finish()
 	}
 	if a.buf == nil {
-		a.buf = make([]byte, readBuffer)
+		size := partBytes
+		if a.declared > 0 {
+			size = min(size, a.declared)
+		}
+		a.buf = make([]byte, size)
 	}
-	n, err := a.body.Read(a.buf)
-	a.got += n
+	n, err := a.read(a.buf)
 	if a.got > a.limit {
 		return nil, result.New(result.AnswerTooLarge, "answer is over %d bytes", a.limit)
 	}
-	if err == nil || n > 0 && err == io.EOF {
+	if n > 0 {
 		return a.buf[:n], nil
 	}
-	if err != io.EOF {
-		return nil, readError(err, a.got)
+	return nil, err
+}
+
+// read fills p. It returns io.EOF only after a whole body.
+func (a *answer) read(p []byte) (int, error) {
+	for {
+		n, err := a.body.Read(p)
+		a.got += n
+		switch {
+		case n > 0:
+			a.conn.watch.Begun = true
+			return n, nil
+		case err == nil:
+			continue
+		case err == io.EOF:
+			return 0, a.finish()
+		}
+		return 0, a.readError(err)
 	}
+}
+
+// finish checks that the body has the declared length and that nothing follows.
+func (a *answer) finish() error {
 	if a.declared >= 0 && a.got != a.declared {
-		return nil, result.New(result.AnswerTruncated, "answer has %d of %d declared bytes", a.got, a.declared)
+		return result.New(result.AnswerTruncated, "answer has %d of %d declared bytes", a.got, a.declared)
+	}
+	if !a.closed && a.conn.br.Buffered() > 0 {
+		return result.New(result.AnswerInvalid, "%d bytes follow the declared end of the answer", a.conn.br.Buffered())
 	}
 	a.ended = true
-	return nil, io.EOF
+	return io.EOF
+}
+
+// fail ends an answer whose header has not arrived.
+func (a *answer) fail(err error, what string) error {
+	var e *result.Error
+	switch {
+	case !a.conn.wrote && a.x.ctx.Err() == nil:
+		e = result.Wrap(result.ConnectionLost, err, "server %s: %s", a.x.srv.Name, what).WithOutcome(result.NotRun)
+	case isHeaderFault(err):
+		e = result.Wrap(result.AnswerInvalid, err, "server %s", a.x.srv.Name)
+	default:
+		e = a.readError(err)
+		if e.Code == result.AnswerTruncated {
+			e = result.Wrap(result.ConnectionLost, err, "server %s: %s", a.x.srv.Name, what)
+		}
+	}
+	a.Close()
+	return e
 }
 
-func readError(err error, got int) error {
-	var ne net.Error
-	if errors.As(err, &ne) && ne.Timeout() {
-		return result.Wrap(result.ConnectionSilent, err, "connection silent after %d bytes of the answer", got)
+// isHeaderFault says that bytes arrived which are not an HTTP header.
+func isHeaderFault(err error) bool {
+	var small *fasthttp.ErrSmallBuffer
+	if errors.As(err, &small) {
+		return true
 	}
-	return result.Wrap(result.AnswerTruncated, err, "answer ended after %d bytes", got)
+	return err != io.EOF && !errors.Is(err, io.ErrUnexpectedEOF) && !isNetwork(err)
+}
+
+// readError says why the body could not be read to its end.
+func (a *answer) readError(err error) *result.Error {
+	switch {
+	case a.x.ctx.Err() != nil:
+		return result.New(result.CallerGone, "the caller left after %d bytes of the answer", a.got)
+	case a.conn.verdict == liveness.Expire:
+		return result.New(result.DeadlineExceeded, "deadline passed after %d bytes of the answer", a.got)
+	case a.conn.verdict != liveness.Wait:
+		return result.New(result.ConnectionSilent, "connection silent after %d bytes of the answer", a.got)
+	}
+	return result.Wrap(result.AnswerTruncated, err, "answer ended after %d bytes", a.got)
 }
 
-// Close implements gateway.Answer. An answer that is not complete closes its
-// connection, which cancels the request at the server.
+// Close implements gateway.Answer. A connection is kept only after a complete
+// answer that carried the id of its request; otherwise it is closed, which also
+// cancels the request at the server.
 func (a *answer) Close() {
 	if a.closed {
 		return
 	}
 	a.closed = true
-	if s, ok := a.body.(fasthttp.ReadCloserWithError); ok {
-		var err error
-		if !a.ended {
-			err = errAbandoned
-		}
-		_ = s.CloseWithError(err)
+	keep := a.stop() && a.ended && a.echoed && !a.resp.ConnectionClose() && a.conn.br.Buffered() == 0
+	if a.resp != nil {
+		fasthttp.ReleaseResponse(a.resp)
+		a.resp, a.body = nil, nil
+	}
+	if keep {
+		a.conn.release()
+	} else {
+		_ = a.conn.Conn.Close()
 	}
-	fasthttp.ReleaseResponse(a.resp)
 }
 
-var errAbandoned = errors.New("answer abandoned")
-
-// readJSON reads the whole body and checks that it parses.
+// readJSON reads the whole body and checks that it is the answer to this request.
 func (a *answer) readJSON() (gateway.Answer, error) {
 	defer a.Close()
 	var body []byte
@@ -144,5 +229,10 @@
 	if !json.Valid(body) {
 		return nil, result.New(result.AnswerInvalid, "answer of %d bytes is not valid JSON", len(body))
 	}
-	return gateway.NewStoredAnswer(a.status, a.fields, body), nil
+	if a.status < 300 {
+		if err := a.x.verifyObject(body, nil); err != nil {
+			return nil, err
+		}
+	}
+	return gateway.NewStoredAnswer(a.status, a.Fields(), body), nil
 }
--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -1,18 +1,21 @@
 // Package engine sends requests to backend servers over HTTP and verifies their
-// answers. It owns the connections, one host client for each address.
+// answers. It owns the connections, one pool for each address, and uses the
+// HTTP client library as a codec only: the router has to know whether a byte of
+// a request has left, and which connection carried an earlier answer.
 package engine
 
 import (
+	"bufio"
 	"context"
-	"errors"
-	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
 	"cyclamenhitch/core/gateway"
+	"cyclamenhitch/core/liveness"
 	"cyclamenhitch/core/manifest"
 	"cyclamenhitch/core/result"
 )
@@ -22,6 +25,7 @@
 	headerRequestID = "X-Request-Id"
 	headerDeadline  = "X-Request-Deadline-Ms"
 	headerIdemKey   = "Idempotency-Key"
+	headerLastEvent = "Last-Event-ID"
 )
 
 // Client sends requests to backend servers.
@@ -30,113 +34,140 @@
 	ConnectTimeout time.Duration
 	// MaxAnswerBytes bounds an answer that is not streamed.
 	MaxAnswerBytes int
+	// Probes, Silent and Resumed count probes sent, connections found silent
+	// and streams resumed.
+	Probes, Silent, Resumed atomic.Int64
 
-	hosts sync.Map // address to *fasthttp.HostClient
+	hosts    sync.Map // address to *host
+	budgetMu sync.Mutex
+	budget   liveness.Budget
 }
 
-// errDial marks failures before any byte of the request was written.
-type errDial struct{ error }
-
-// silenceConn sets a new read deadline for each read, so that a silent
-// connection fails while a slow but live stream goes on.
-type silenceConn struct {
-	net.Conn
-	limit time.Duration
+// exchange is one request to one server; a resumed stream sends it again.
+type exchange struct {
+	client    *Client
+	ctx       context.Context
+	srv       *manifest.Server
+	req       *gateway.Request
+	attemptID string
 }
 
-func (c *silenceConn) Read(b []byte) (int, error) {
-	if err := c.Conn.SetReadDeadline(time.Now().Add(c.limit)); err != nil {
-		return 0, err
+// Open implements gateway.Upstream.
+func (c *Client) Open(ctx context.Context, srv *manifest.Server, req *gateway.Request, attemptID string) (gateway.Answer, error) {
+	x := &exchange{client: c, ctx: ctx, srv: srv, req: req, attemptID: attemptID}
+	a, err := x.send("", !req.Idempotent)
+	if err != nil {
+		return nil, err
 	}
-	return c.Conn.Read(b)
-}
-
-// SetReadDeadline is ignored: the HTTP client sets one deadline for the whole
-// answer, which would end long streams.
-func (c *silenceConn) SetReadDeadline(time.Time) error { return nil }
-
-func (c *silenceConn) SetDeadline(t time.Time) error { return c.SetWriteDeadline(t) }
-
-func (c *Client) host(addr string, silence time.Duration) *fasthttp.HostClient {
-	if h, ok := c.hosts.Load(addr); ok {
-		return h.(*fasthttp.HostClient)
-	}
-	connectTimeout := c.ConnectTimeout
-	if connectTimeout == 0 {
-		connectTimeout = time.Second
-	}
-	h := &fasthttp.HostClient{
-		Addr: addr,
-		Dial: func(addr string) (net.Conn, error) {
-			conn, err := net.DialTimeout("tcp", addr, connectTimeout)
-			if err != nil {
-				return nil, errDial{err}
-			}
-			return &silenceConn{Conn: conn, limit: silence}, nil
-		},
-		MaxConns:                      16384,
-		MaxIdleConnDuration:           30 * time.Second,
-		MaxIdemponentCallAttempts:     1,
-		RetryIfErr:                    func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-		StreamResponseBody:            true,
-		MaxResponseBodySize:           1,
-		WriteTimeout:                  10 * time.Second,
-		NoDefaultUserAgentHeader:      true,
-		DisablePathNormalizing:        true,
-		DisableHeaderNamesNormalizing: false,
-	}
-	actual, _ := c.hosts.LoadOrStore(addr, h)
-	return actual.(*fasthttp.HostClient)
+	switch {
+	case req.Route != nil:
+		return a, nil
+	case req.Stream && a.isEventStream():
+		return openStream(a)
+	case req.Stream && a.status < 300:
+		defer a.Close()
+		return nil, result.New(result.AnswerInvalid, "server %s answered a stream request with %q", srv.Name, a.resp.Header.ContentType())
+	}
+	return a.readJSON()
 }
 
-// Open implements gateway.Upstream.
-func (c *Client) Open(_ context.Context, srv *manifest.Server, req *gateway.Request, attemptID string) (gateway.Answer, error) {
-	silence := time.Duration(req.Pool.SilenceSeconds) * time.Second
-	hreq, hresp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	hreq.SetRequestURI("http://" + srv.Address + req.Path)
-	hreq.Header.SetMethod(req.Method)
-	for _, f := range req.Fields {
-		hreq.Header.Set(f.Name, f.Value)
-	}
-	hreq.Header.Set(headerRequestID, attemptID)
-	hreq.Header.Set(headerDeadline, strconv.FormatInt(time.Until(req.Deadline).Milliseconds(), 10))
-	if req.IdempotencyKey != "" {
-		hreq.Header.Set(headerIdemKey, req.IdempotencyKey)
-	}
-	if !req.Idempotent {
-		// A new connection tells a failed connect, which is known not to have
-		// run, from a reused connection that the server closed meanwhile.
-		hreq.SetConnectionClose()
-	}
-	hreq.SetBodyRaw(req.Body)
-	err := c.host(srv.Address, silence).Do(hreq, hresp)
-	fasthttp.ReleaseRequest(hreq)
+// send sends the request and waits for the header of the answer. A fresh
+// connection tells a failed connect, which is known not to have run, from a
+// reused connection that the server closed meanwhile.
+func (x *exchange) send(lastEvent string, fresh bool) (*answer, error) {
+	if !safeTarget(x.req.Path) {
+		return nil, result.New(result.BadRequest, "path %q cannot be sent", x.req.Path)
+	}
+	cn, err := x.client.acquire(x.ctx, x.srv.Address, fresh)
 	if err != nil {
-		fasthttp.ReleaseResponse(hresp)
-		return nil, classify(err, srv)
+		if x.ctx.Err() != nil {
+			return nil, result.Wrap(result.CallerGone, err, "the caller left before the request was sent").WithOutcome(result.NotRun)
+		}
+		return nil, result.Wrap(result.ConnectFailed, err, "server %s", x.srv.Name)
+	}
+	cn.watch.Start(time.Now(), time.Duration(x.req.Pool.SilenceSeconds)*time.Second, x.req.Deadline)
+	a := &answer{x: x, conn: cn, limit: x.client.MaxAnswerBytes}
+	// A caller that leaves closes the connection, which cancels the request at
+	// the server and ends a blocked read.
+	a.stop = context.AfterFunc(x.ctx, func() { _ = cn.Conn.Close() })
+	if err := x.write(cn, lastEvent, fresh); err != nil {
+		return nil, a.fail(err, "request could not be sent")
+	}
+	a.resp = fasthttp.AcquireResponse()
+	a.resp.Header.SetNoDefaultContentType(true)
+	a.resp.StreamBody = true
+	a.resp.SkipBody = x.req.Method == fasthttp.MethodHead
+	if err := a.resp.ReadLimitBody(cn.br, 0); err != nil {
+		return nil, a.fail(err, "no answer")
 	}
-	a := newAnswer(hresp, c.MaxAnswerBytes, req.Deadline)
-	if err := a.verifyHead(srv, attemptID); err != nil {
+	a.begin()
+	if err := a.verifyHead(); err != nil {
 		a.Close()
 		return nil, err
 	}
-	if req.Stream && a.isEventStream() {
-		return &eventStream{answer: a}, nil
+	return a, nil
+}
+
+var (
+	headers = sync.Pool{New: func() any { return new(fasthttp.RequestHeader) }}
+	writers = sync.Pool{New: func() any { return bufio.NewWriterSize(nil, 4096) }}
+)
+
+// write sends the request's bytes once.
+func (x *exchange) write(cn *conn, lastEvent string, fresh bool) error {
+	now := time.Now()
+	limit := now.Add(writeTime)
+	if x.req.Deadline.Before(limit) {
+		limit = x.req.Deadline
 	}
-	if req.Route == nil {
-		return a.readJSON()
+	if err := cn.SetWriteDeadline(limit); err != nil {
+		return err
 	}
-	return a, nil
+	h := headers.Get().(*fasthttp.RequestHeader)
+	defer headers.Put(h)
+	h.Reset()
+	h.SetNoDefaultContentType(true)
+	h.SetMethod(x.req.Method)
+	h.SetRequestURI(x.req.Path)
+	h.SetHost(x.srv.Address)
+	for _, f := range x.req.Fields {
+		h.Set(f.Name, f.Value)
+	}
+	h.Set(headerRequestID, x.attemptID)
+	h.Set(headerDeadline, strconv.FormatInt(max(0, x.req.Deadline.Sub(now).Milliseconds()), 10))
+	if x.req.IdempotencyKey != "" {
+		h.Set(headerIdemKey, x.req.IdempotencyKey)
+	}
+	if lastEvent != "" {
+		h.Set(headerLastEvent, lastEvent)
+	}
+	if fresh {
+		h.SetConnectionClose()
+	}
+	h.SetContentLength(len(x.req.Body))
+	w := writers.Get().(*bufio.Writer)
+	defer writers.Put(w)
+	w.Reset(cn)
+	defer w.Reset(nil)
+	if err := h.Write(w); err != nil {
+		return err
+	}
+	if _, err := w.Write(x.req.Body); err != nil {
+		return err
+	}
+	return w.Flush()
 }
 
-func classify(err error, srv *manifest.Server) error {
-	var dial errDial
-	var ne net.Error
-	switch {
-	case errors.As(err, &dial), errors.Is(err, fasthttp.ErrNoFreeConns), errors.Is(err, fasthttp.ErrDialTimeout):
-		return result.Wrap(result.ConnectFailed, err, "server %s", srv.Name)
-	case errors.As(err, &ne) && ne.Timeout():
-		return result.Wrap(result.ConnectionSilent, err, "server %s", srv.Name)
+// safeTarget says that a path cannot end the request line. Callers' paths are
+// checked where they are parsed; this protects the connection against a miss.
+func safeTarget(path string) bool {
+	if path == "" || path[0] != '/' {
+		return false
+	}
+	for i := range len(path) {
+		if path[i] <= ' ' || path[i] == 0x7f {
+			return false
+		}
 	}
-	return result.Wrap(result.ConnectionLost, err, "server %s", srv.Name)
+	return true
 }
--- a/adapters/engine/events.go
+++ b/adapters/engine/events.go
@@ -2,87 +2,267 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
+	"strconv"
 
+	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/result"
 )
 
-// maxEventBytes bounds one server-sent event.
-const maxEventBytes = 1 << 20
+const (
+	// maxEventBytes bounds one server-sent event.
+	maxEventBytes = 1 << 20
+	// eventBuffer is the first size of the buffer of a stream, in bytes; one
+	// event is usually below 300 bytes.
+	eventBuffer = 1024
+	// maxResumes bounds how often one stream is resumed.
+	maxResumes = 3
+)
 
 var (
-	eventEnd  = []byte("\n\n")
-	eventDone = []byte("data: [DONE]")
-	idField   = []byte(`"id":"`)
+	doneData  = []byte("[DONE]")
+	doneEvent = []byte("data: [DONE]\n\n")
 )
 
-// eventStream yields whole server-sent events and verifies that all carry the
-// same answer id and that the stream ends with [DONE].
+// eventStream yields whole server-sent events and verifies that they belong to
+// the answer and that the stream ends with [DONE]. It yields the end mark only
+// after the end of the body is verified, so that a caller which stops reading
+// there has a complete answer.
 type eventStream struct {
 	*answer
-	pending []byte
-	out     []byte
+	buf     []byte // unread bytes; the first given ones were returned by Next
+	given   int
+	scanned int // bytes of buf that hold no further end of an event
 	id      []byte
 	done    bool
+	ended   bool
+	err     error
+	first   []byte // the first part, until Next returns it
+
+	// Event numbers allow to resume the stream: they must grow by one.
+	numbered    bool
+	last, count int
+	resumes     int
 }
 
+// openStream waits for the first events, so that a failure before them can be
+// retried and answered with its own status.
+func openStream(a *answer) (gateway.Answer, error) {
+	s := &eventStream{answer: a, buf: make([]byte, 0, eventBuffer)}
+	first, err := s.next()
+	if err != nil {
+		s.Close()
+		return nil, err
+	}
+	s.first = first
+	return s, nil
+}
+
+var _ gateway.Answer = (*eventStream)(nil)
+
 // Next implements gateway.Answer. A part holds one or more whole events.
 func (s *eventStream) Next() ([]byte, error) {
-	for {
-		s.answer.got = 0 // a stream has no length limit of its own; events have
-		part, err := s.answer.Next()
-		if err == io.EOF {
-			if !s.done || len(s.pending) > 0 {
-				return nil, result.New(result.AnswerTruncated, "stream ended without [DONE]")
-			}
-			return nil, io.EOF
+	if first := s.first; first != nil {
+		s.first = nil
+		return first, nil
+	}
+	return s.next()
+}
+
+func (s *eventStream) next() ([]byte, error) {
+	if s.given > 0 {
+		n := copy(s.buf, s.buf[s.given:])
+		s.buf, s.scanned, s.given = s.buf[:n], s.scanned-s.given, 0
+	}
+	for s.err == nil {
+		part, err := s.take()
+		s.err = err
+		if len(part) > 0 {
+			return part, nil
 		}
-		if err != nil {
-			return nil, err
+		if s.err == nil {
+			s.err = s.fill()
 		}
-		s.pending = append(s.pending, part...)
-		end := bytes.LastIndex(s.pending, eventEnd)
-		if end < 0 {
-			if len(s.pending) > maxEventBytes {
-				return nil, result.New(result.AnswerTooLarge, "one event is over %d bytes", maxEventBytes)
+		if s.err == io.EOF && !s.ended {
+			s.ended = true
+			if s.err = s.verifyEnd(); s.err == io.EOF {
+				return doneEvent, nil
 			}
-			continue
-		}
-		end += len(eventEnd)
-		s.out = append(s.out[:0], s.pending[:end]...)
-		s.pending = append(s.pending[:0], s.pending[end:]...)
-		if err := s.verify(s.out); err != nil {
-			return nil, err
 		}
-		return s.out, nil
 	}
+	return nil, s.err
 }
 
-func (s *eventStream) verify(events []byte) error {
-	for len(events) > 0 {
-		end := bytes.Index(events, eventEnd)
-		ev := events[:end]
-		events = events[end+len(eventEnd):]
-		if s.done && bytes.HasPrefix(ev, []byte("data:")) {
-			return result.New(result.AnswerInvalid, "event after [DONE]")
+func (s *eventStream) verifyEnd() error {
+	if !s.done || len(bytes.TrimSpace(s.buf)) > 0 {
+		return result.New(result.AnswerTruncated, "stream ended without [DONE]")
+	}
+	return io.EOF
+}
+
+// take verifies the whole events in the buffer and returns those before the end
+// mark or before the first faulty one.
+func (s *eventStream) take() ([]byte, error) {
+	start := 0
+	for {
+		end := eventEnd(s.buf, s.scanned)
+		if end < 0 {
+			// The last bytes may be the begin of an end.
+			s.scanned = max(start, len(s.buf)-3)
+			break
 		}
-		if bytes.Equal(ev, eventDone) {
+		done, err := s.verify(s.buf[start:end])
+		if err != nil {
+			s.given = start
+			return s.buf[:start], err
+		}
+		s.scanned = end
+		if done {
+			// Only bytes after the end mark stay; there should be none.
 			s.done = true
+			copy(s.buf[start:], s.buf[end:])
+			s.buf = s.buf[:len(s.buf)-(end-start)]
+			s.scanned = start
 			continue
 		}
-		i := bytes.Index(ev, idField)
-		if i < 0 {
-			continue
+		start = end
+	}
+	s.given = start
+	return s.buf[:start], nil
+}
+
+// eventEnd returns the position after the next blank line, or -1. Lines end
+// with LF or CRLF.
+func eventEnd(b []byte, from int) int {
+	for i := from; i < len(b); i++ {
+		j := bytes.IndexByte(b[i:], '\n')
+		if j < 0 {
+			return -1
 		}
-		id := ev[i+len(idField):]
-		if j := bytes.IndexByte(id, '"'); j >= 0 {
-			id = id[:j]
+		i += j
+		switch {
+		case i+1 < len(b) && b[i+1] == '\n':
+			return i + 2
+		case i+2 < len(b) && b[i+1] == '\r' && b[i+2] == '\n':
+			return i + 3
 		}
-		if s.id == nil {
-			s.id = bytes.Clone(id)
-		} else if !bytes.Equal(s.id, id) {
-			return result.New(result.AnswerCrossed, "event of answer %q in the stream of answer %q", id, s.id)
+	}
+	return -1
+}
+
+// verify checks one event. It reports whether the event is the end mark.
+func (s *eventStream) verify(event []byte) (done bool, err error) {
+	var data []byte
+	parts, before := 0, s.count
+	for len(event) > 0 {
+		line, rest, _ := bytes.Cut(event, []byte("\n"))
+		event = rest
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		value = bytes.TrimPrefix(value, []byte(" "))
+		switch string(name) {
+		case "":
+			if len(line) > 0 {
+				s.conn.watch.KeepAlive = true
+			}
+		case "data":
+			if parts++; parts > 1 {
+				data = append(append(bytes.Clone(data), '\n'), value...)
+			} else {
+				data = value
+			}
+		case "id":
+			if err := s.number(value); err != nil {
+				return false, err
+			}
+		case "event":
+			if string(value) == "error" {
+				return false, result.New(result.ServerError, "server %s sent an error event", s.x.srv.Name)
+			}
 		}
 	}
+	switch {
+	case parts == 0:
+		return false, nil
+	case s.done:
+		return false, result.New(result.AnswerInvalid, "event after [DONE]")
+	case bytes.Equal(data, doneData):
+		return true, nil
+	case !json.Valid(data):
+		return false, result.New(result.AnswerInvalid, "event is not valid JSON")
+	}
+	if s.count == before {
+		// An event without a number ends the numbering.
+		if s.numbered && s.resumes > 0 {
+			return false, result.New(result.AnswerInvalid, "event without a number after resuming")
+		}
+		s.count, s.numbered, s.conn.watch.Resumable = s.count+1, false, false
+	}
+	if err := s.x.verifyObject(data, s.id); err != nil {
+		return false, err
+	}
+	if s.id == nil {
+		id, _ := scanObject(data)
+		s.id = bytes.Clone(id)
+	}
+	return false, nil
+}
+
+// number checks the event id. Only streams whose ids are numbers that grow by
+// one are resumed: a gap or a restart after resuming is then always seen.
+func (s *eventStream) number(value []byte) error {
+	n, err := strconv.Atoi(string(value))
+	s.count++
+	switch {
+	case s.count == 1 && err == nil:
+		s.numbered = true
+	case s.numbered && (err != nil || n != s.last+1):
+		return result.New(result.AnswerInvalid, "event %q follows event %d", value, s.last)
+	}
+	s.last = n
+	s.conn.watch.Resumable = s.numbered && s.resumes < maxResumes
 	return nil
 }
+
+// fill reads more bytes of the stream, over a new connection if the present one
+// is silent or broken and the stream can be resumed.
+func (s *eventStream) fill() error {
+	if len(s.buf) == cap(s.buf) {
+		if len(s.buf) >= maxEventBytes {
+			return result.New(result.AnswerTooLarge, "one event is over %d bytes", maxEventBytes)
+		}
+		s.buf = append(make([]byte, 0, 2*cap(s.buf)), s.buf...)
+	}
+	n, err := s.read(s.buf[len(s.buf):cap(s.buf)])
+	s.buf = s.buf[:len(s.buf)+n]
+	if err == nil || err == io.EOF {
+		return err
+	}
+	e := result.As(err)
+	lost := e.Code == result.ConnectionSilent || e.Code == result.AnswerTruncated
+	if lost && s.numbered && s.resumes < maxResumes && s.resume() {
+		return nil
+	}
+	return e
+}
+
+// resume continues the stream after its last whole event.
+func (s *eventStream) resume() bool {
+	s.answer.Close()
+	s.resumes++
+	a, err := s.x.send(strconv.Itoa(s.last), true)
+	if err != nil {
+		return false
+	}
+	if !a.isEventStream() {
+		a.Close()
+		return false
+	}
+	s.client().Resumed.Add(1)
+	a.conn.watch.Resumable = s.resumes < maxResumes
+	s.answer, s.buf, s.scanned, s.done = a, s.buf[:0], 0, false
+	return true
+}
+
+func (s *eventStream) client() *Client { return s.x.client }
--- /dev/null
+++ b/adapters/engine/pool.go
@@ -0,0 +1,219 @@
+package engine
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"cyclamenhitch/core/liveness"
+	"cyclamenhitch/core/result"
+)
+
+const (
+	// readBuffer is the size of the read buffer of a connection, in bytes. An
+	// answer's header must fit; it bounds the memory of a stream.
+	readBuffer = 4096
+	// maxIdle bounds the idle connections to one address.
+	maxIdle = 256
+	// idleTime closes idle connections. Servers commonly close after 60 s or
+	// more, and the router must close first.
+	idleTime = 30 * time.Second
+	// writeTime bounds sending one request.
+	writeTime = 10 * time.Second
+)
+
+// host holds the idle connections to one address.
+type host struct {
+	addr string
+
+	mu    sync.Mutex
+	idle  []*conn
+	epoch uint64 // grows when the idle connections are dropped
+	timer *time.Timer
+}
+
+// conn is one connection to a backend server; one exchange uses it at a time.
+type conn struct {
+	net.Conn
+	raw    syscall.RawConn
+	br     *bufio.Reader
+	client *Client
+	host   *host
+	epoch  uint64
+	// used says that the connection has carried an earlier exchange.
+	used      bool
+	idleSince time.Time
+
+	// State of the running exchange.
+	watch   liveness.Watch
+	verdict liveness.Verdict
+	wrote   bool
+
+	peeked  int // result of the last look at unread bytes
+	peekErr error
+	peekBuf [1]byte
+}
+
+// keepAlive finds connections whose packets are lost while nothing is sent.
+// A data centre that is 1 ms away answers within one interval.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 10 * time.Second, Interval: 3 * time.Second, Count: 3}
+
+// acquire returns an idle connection or opens one. An error means that no byte
+// of the request was sent.
+func (c *Client) acquire(ctx context.Context, addr string, fresh bool) (*conn, error) {
+	h := c.host(addr)
+	for !fresh {
+		h.mu.Lock()
+		n := len(h.idle)
+		if n == 0 {
+			h.mu.Unlock()
+			break
+		}
+		cn := h.idle[n-1]
+		h.idle[n-1], h.idle = nil, h.idle[:n-1]
+		h.mu.Unlock()
+		if cn.clean() {
+			return cn, nil
+		}
+		_ = cn.Conn.Close()
+	}
+	timeout := c.ConnectTimeout
+	if timeout == 0 {
+		timeout = time.Second
+	}
+	d := net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive}
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	h.mu.Lock()
+	cn := &conn{Conn: nc, client: c, host: h, epoch: h.epoch}
+	h.mu.Unlock()
+	if sc, ok := nc.(syscall.Conn); ok {
+		if cn.raw, err = sc.SyscallConn(); err != nil {
+			cn.raw = nil
+		}
+	}
+	cn.br = bufio.NewReaderSize(cn, readBuffer)
+	return cn, nil
+}
+
+func (c *Client) host(addr string) *host {
+	if h, ok := c.hosts.Load(addr); ok {
+		return h.(*host)
+	}
+	h, _ := c.hosts.LoadOrStore(addr, &host{addr: addr})
+	return h.(*host)
+}
+
+// clean says that an idle connection is open and holds no unread bytes. Bytes
+// that follow an earlier answer would be read as the answer to this request.
+func (c *conn) clean() bool {
+	if c.raw == nil || c.Conn.SetReadDeadline(time.Time{}) != nil {
+		return false
+	}
+	if err := c.raw.Read(c.peek); err != nil {
+		return false
+	}
+	return c.peeked < 0 && c.peekErr == syscall.EAGAIN
+}
+
+func (c *conn) peek(fd uintptr) bool {
+	c.peeked, _, c.peekErr = syscall.Recvfrom(int(fd), c.peekBuf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return true
+}
+
+// release keeps the connection for a later exchange.
+func (c *conn) release() {
+	c.used, c.wrote, c.verdict = true, false, liveness.Wait
+	c.idleSince = time.Now()
+	h := c.host
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if c.epoch != h.epoch || len(h.idle) >= maxIdle {
+		_ = c.Conn.Close()
+		return
+	}
+	h.idle = append(h.idle, c)
+	if h.timer == nil {
+		h.timer = time.AfterFunc(idleTime, h.prune)
+	}
+}
+
+// prune closes connections that were idle for too long.
+func (h *host) prune() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	oldest := time.Now().Add(-idleTime)
+	n := 0
+	for n < len(h.idle) && h.idle[n].idleSince.Before(oldest) {
+		_ = h.idle[n].Conn.Close()
+		n++
+	}
+	h.idle = append(h.idle[:0:0], h.idle[n:]...)
+	h.timer = nil
+	if len(h.idle) > 0 {
+		h.timer = time.AfterFunc(idleTime/2, h.prune)
+	}
+}
+
+// dropIdle closes the idle connections, and running ones are not kept after
+// their exchange: a connection to the address has gone silent, so others that
+// took the same path may be silent too.
+func (h *host) dropIdle() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, c := range h.idle {
+		_ = c.Conn.Close()
+	}
+	h.idle = nil
+	h.epoch++
+}
+
+// Write notes whether a byte of the request may have left.
+func (c *conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.wrote = c.wrote || n > 0
+	return n, err
+}
+
+// Read implements net.Conn. It returns a timeout only when the watch gives the
+// connection up, so that a parser never loses the bytes of a slow answer.
+func (c *conn) Read(b []byte) (int, error) {
+	for {
+		if err := c.Conn.SetReadDeadline(c.watch.Next()); err != nil {
+			return 0, err
+		}
+		n, err := c.Conn.Read(b)
+		if n > 0 {
+			c.watch.OnBytes(time.Now())
+			return n, err
+		}
+		if ne, ok := err.(net.Error); !ok || !ne.Timeout() {
+			return n, err
+		}
+		if v := c.quiet(); v != liveness.Wait {
+			c.verdict = v
+			return 0, errQuiet
+		}
+	}
+}
+
+var errQuiet = result.New(result.ConnectionSilent, "no bytes within the limit")
+
+// quiet decides about a connection without bytes, with a probe when it is due.
+func (c *conn) quiet() liveness.Verdict {
+	v := c.watch.OnQuiet(time.Now())
+	if v == liveness.Probe {
+		known, alive := c.client.probe(c.host.addr)
+		v = c.watch.OnProbe(time.Now(), known, alive)
+	}
+	if v == liveness.Drop || v == liveness.Resume {
+		c.client.Silent.Add(1)
+		c.host.dropIdle()
+	}
+	return v
+}
--- /dev/null
+++ b/adapters/engine/probe.go
@@ -0,0 +1,56 @@
+package engine
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"time"
+)
+
+const (
+	// probeTimeout bounds one probe. A lost packet delays a connect by 1 s.
+	probeTimeout = 2 * time.Second
+	// probeShare is how long connections to one address share a probe's result.
+	probeShare = time.Second
+	// probeRate bounds the probes of the instance, in probes a second. A probe
+	// takes about 700 bytes on the wire, so this is 3.5 KB/s of the 22 KB/s.
+	probeRate = 5
+)
+
+// probe asks over a new connection whether the server answers. known is false
+// when the budget does not allow a probe now.
+func (c *Client) probe(addr string) (known, alive bool) {
+	c.budgetMu.Lock()
+	if c.budget.Rate == 0 {
+		c.budget.Rate, c.budget.Share = probeRate, probeShare
+	}
+	send, known, alive := c.budget.Ask(time.Now(), addr)
+	c.budgetMu.Unlock()
+	if !send {
+		return known, alive
+	}
+	c.Probes.Add(1)
+	alive = answers(addr)
+	c.budgetMu.Lock()
+	c.budget.Done(time.Now(), addr, alive)
+	c.budgetMu.Unlock()
+	return true, alive
+}
+
+// answers says whether a server speaks HTTP on a new connection.
+func answers(addr string) bool {
+	conn, err := net.DialTimeout("tcp", addr, probeTimeout)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	if conn.SetDeadline(time.Now().Add(probeTimeout)) != nil {
+		return false
+	}
+	if _, err := io.WriteString(conn, "GET /healthz HTTP/1.1\r\nHost: "+addr+"\r\nConnection: close\r\n\r\n"); err != nil {
+		return false
+	}
+	var head [7]byte
+	_, err = io.ReadFull(conn, head[:])
+	return err == nil && bytes.Equal(head[:], []byte("HTTP/1."))
+}
--- a/adapters/httpapi/relay.go
+++ b/adapters/httpapi/relay.go
@@ -4,6 +4,8 @@
 	"io"
 	"time"
 
+	"go.uber.org/zap"
+
 	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/result"
 )
@@ -12,45 +14,87 @@
 // it in the connection's goroutine, so that a slow caller slows the read from
 // the engine and nothing is buffered in between.
 type relay struct {
-	srv   *Server
-	req   *gateway.Request
-	ans   gateway.Answer
-	obs   Observation
-	start time.Time
-	last  time.Time
+	srv *Server
+	req *gateway.Request
+	ans gateway.Answer
+	// release ends the watch for a caller that hangs up.
+	release func()
+	obs     Observation
+	start   time.Time
+	last    time.Time
 
 	rest  []byte
 	ended bool
 	gaps  time.Duration
 }
 
-// Read implements io.Reader. After an error of the answer it yields one terminal
-// error event, so that a short stream never looks complete.
+// Read implements io.Reader. A short stream never looks complete: it ends with
+// an error event.
 func (r *relay) Read(p []byte) (int, error) {
 	if len(r.rest) == 0 {
-		if r.ended {
-			return 0, io.EOF
-		}
-		part, err := r.ans.Next()
-		switch {
-		case err == io.EOF:
-			r.end(nil)
-			return 0, io.EOF
-		case err != nil:
-			e := result.As(err)
-			r.end(e)
-			r.rest = append([]byte("event: error\ndata: "), encodeError(e)...)
-			r.rest = append(r.rest, "\n\n"...)
-		default:
-			r.observe()
-			r.rest = part
+		part, err := r.next()
+		if err != nil {
+			return 0, err
 		}
+		r.rest = part
 	}
 	n := copy(p, r.rest)
 	r.rest = r.rest[n:]
 	return n, nil
 }
 
+// SupportsBodyWriteTo tells the HTTP server to use WriteTo, which saves a copy
+// and a buffer of 4 KB for each open stream.
+func (r *relay) SupportsBodyWriteTo() bool { return true }
+
+// WriteTo implements io.WriterTo; w flushes each write to the caller.
+func (r *relay) WriteTo(w io.Writer) (int64, error) {
+	var sent int64
+	for {
+		part, err := r.next()
+		if err == io.EOF {
+			return sent, nil
+		}
+		n, err := w.Write(part)
+		sent += int64(n)
+		if err != nil {
+			return sent, err
+		}
+	}
+}
+
+// next returns the next bytes for the caller. After an error of the answer it
+// returns one terminal error event.
+func (r *relay) next() (part []byte, err error) {
+	if r.ended {
+		return nil, io.EOF
+	}
+	defer func() {
+		// The HTTP server does not close a body whose reader panicked, which
+		// would leave the permit and the connection to the engine open.
+		if p := recover(); p != nil {
+			r.srv.Log.Error("relay panicked", zap.Any("panic", p), zap.Stack("stack"))
+			part, err = r.fail(result.New(result.Internal, "an unexpected error inside the instance")), nil
+		}
+	}()
+	part, err = r.ans.Next()
+	switch {
+	case err == io.EOF:
+		r.end(nil)
+		return nil, io.EOF
+	case err != nil:
+		return r.fail(result.As(err)), nil
+	}
+	r.observe()
+	return part, nil
+}
+
+// fail ends the stream and returns its terminal error event.
+func (r *relay) fail(e *result.Error) []byte {
+	r.end(e)
+	return append(append([]byte("event: error\ndata: "), encodeError(e)...), "\n\n"...)
+}
+
 func (r *relay) observe() {
 	now := time.Now()
 	if r.obs.Parts == 0 {
@@ -70,6 +114,7 @@
 	}
 	r.ended = true
 	r.ans.Close()
+	r.release()
 	if r.obs.Parts > 1 {
 		r.obs.MeanGap = r.gaps / time.Duration(r.obs.Parts-1)
 	}
--- a/adapters/httpapi/requests.go
+++ b/adapters/httpapi/requests.go
@@ -48,7 +48,7 @@
 		writeError(ctx, e)
 		return
 	}
-	req.Method, req.Path = fasthttp.MethodPost, string(pathChat)
+	req.Method, req.Path = fasthttp.MethodPost, pathChat
 	req.Fields = append(req.Fields, gateway.Field{Name: "Content-Type", Value: "application/json"})
 	s.run(ctx, req)
 }
@@ -101,10 +101,13 @@
 
 // forwardedFields are the request header fields passed on to plain services.
 // Authorization is not among them: a caller's key never reaches a server.
-var forwardedFields = []string{"Accept", "Accept-Language", "Content-Type", "If-Match", "If-None-Match"}
+var forwardedFields = []string{
+	"Accept", "Accept-Encoding", "Accept-Language", "Content-Encoding", "Content-Language", "Content-Type",
+	"If-Match", "If-Modified-Since", "If-None-Match", "If-Range", "If-Unmodified-Since", "Range",
+}
 
-func (s *Server) handleService(ctx *fasthttp.RequestCtx, x *manifest.Index, account *manifest.Account) {
-	name, rest, _ := strings.Cut(string(ctx.Path()[len(pathService):]), "/")
+func (s *Server) handleService(ctx *fasthttp.RequestCtx, x *manifest.Index, account *manifest.Account, t target) {
+	name, rest, _ := strings.Cut(t.path[len(pathService):], "/")
 	route := x.Route(name)
 	if route == nil {
 		writeError(ctx, result.New(result.UnknownRoute, "no route %q", name))
@@ -115,14 +118,15 @@
 		writeError(ctx, result.New(result.PoolForbidden, "account %s may not use pool %s", account.Name, pool.Name))
 		return
 	}
+	if e := checkServicePath(string(ctx.Method()), rest); e != nil {
+		writeError(ctx, e)
+		return
+	}
 	req := &gateway.Request{
-		Account: account, Pool: pool, Route: route, Method: string(ctx.Method()), Path: "/" + rest,
+		Account: account, Pool: pool, Route: route, Method: string(ctx.Method()), Path: "/" + rest + t.query,
 		Body: ctx.PostBody(), IdempotencyKey: string(ctx.Request.Header.Peek("Idempotency-Key")),
 		PromptTokens: 1,
 	}
-	if q := ctx.URI().QueryString(); len(q) > 0 {
-		req.Path += "?" + string(q)
-	}
 	for _, f := range forwardedFields {
 		if v := ctx.Request.Header.Peek(f); len(v) > 0 {
 			req.Fields = append(req.Fields, gateway.Field{Name: f, Value: string(v)})
--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -7,8 +7,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"net"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -58,7 +62,10 @@
 	// NewID returns a unique request id.
 	NewID func() string
 
-	srv *fasthttp.Server
+	srv      *fasthttp.Server
+	running  atomic.Int64
+	draining atomic.Bool
+	stopping atomic.Bool
 }
 
 // Observation is what a finished request showed.
@@ -82,40 +89,94 @@
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(ln net.Listener, l Limits) error {
 	s.srv = &fasthttp.Server{
-		Handler:               s.handle,
-		Name:                  "cyclamenhitch",
-		ReadTimeout:           l.ReadTimeout,
-		WriteTimeout:          l.WriteTimeout,
-		IdleTimeout:           l.IdleTimeout,
-		Concurrency:           l.MaxConnections,
-		MaxConnsPerIP:         l.MaxConnectionsPerIP,
-		MaxRequestBodySize:    l.MaxBodyBytes,
-		ReadBufferSize:        l.MaxHeaderBytes,
+		Handler:            s.handle,
+		Name:               "cyclamenhitch",
+		ReadTimeout:        l.ReadTimeout,
+		IdleTimeout:        l.IdleTimeout,
+		Concurrency:        l.MaxConnections + 1, // the listener refuses first, with a code
+		MaxRequestBodySize: l.MaxBodyBytes,
+		ReadBufferSize:     l.MaxHeaderBytes,
+		// Returns the read buffer of max_header_bytes to a pool while a
+		// request runs; open streams would keep it otherwise.
+		ReduceMemoryUsage:     true,
 		CloseOnShutdown:       true,
 		NoDefaultServerHeader: true,
+		NoDefaultContentType:  true,
+		// A multipart body is passed on as it is, not parsed and rebuilt.
+		DisablePreParseMultipartForm: true,
+		// Errors of the library quote header bytes, among them keys.
+		SecureErrorLogMessage: true,
+		Logger:                debugLogger{s.Log},
 		ErrorHandler:          s.handleProtocolError,
 	}
-	return s.srv.Serve(ln)
+	conns, err := newCallerListener(ln, l)
+	if err != nil {
+		return err
+	}
+	defer conns.stop()
+	return s.srv.Serve(conns)
 }
 
+// debugLogger passes the library's log lines on at level debug.
+type debugLogger struct{ log *zap.Logger }
+
+func (l debugLogger) Printf(format string, args ...any) {
+	l.log.Debug("caller connection", zap.String("detail", fmt.Sprintf(format, args...)))
+}
+
+// Drain closes each connection after its running request, so that callers look
+// up an address again. New requests are still served.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Refuse answers new requests with code 2006.
+func (s *Server) Refuse() { s.stopping.Store(true) }
+
+// Running is the number of requests that have not ended, streams included.
+func (s *Server) Running() int { return int(s.running.Load()) }
+
 // Shutdown stops accepting and waits for running requests until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error { return s.srv.ShutdownWithContext(ctx) }
 
+// handleProtocolError answers a request that cannot be read. The library's
+// message is not passed on, because it may quote the header.
 func (s *Server) handleProtocolError(ctx *fasthttp.RequestCtx, err error) {
-	code := result.BadRequest
-	if err == fasthttp.ErrBodyTooLarge {
-		code = result.BodyTooLarge
+	var small *fasthttp.ErrSmallBuffer
+	var ne net.Error
+	e := result.New(result.BadRequest, "the request is not valid HTTP")
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		e = result.New(result.BodyTooLarge, "the request body is over the limit")
+	case errors.As(err, &small):
+		e = result.New(result.HeaderTooLarge, "the request header is over the limit")
+	case errors.As(err, &ne) && ne.Timeout():
+		e = result.New(result.BadRequest, "the request did not arrive in time")
 	}
-	writeError(ctx, result.New(code, "request cannot be read: %v", err))
+	writeError(ctx, e)
+	ctx.SetConnectionClose()
 }
 
-var (
-	pathChat    = []byte("/v1/chat/completions")
-	pathLookup  = []byte("/v1/lookup")
-	pathService = []byte("/svc/")
+const (
+	pathChat    = "/v1/chat/completions"
+	pathLookup  = "/v1/lookup"
+	pathService = "/svc/"
 )
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.Log.Error("request handler panicked", zap.Any("panic", p), zap.Stack("stack"))
+			ctx.Response.Reset()
+			writeError(ctx, result.New(result.Internal, "an unexpected error inside the instance"))
+			ctx.SetConnectionClose()
+		}
+	}()
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+	if s.stopping.Load() {
+		writeError(ctx, result.New(result.Stopping, "the instance is stopping"))
+		return
+	}
 	x := s.Config()
 	if x == nil {
 		writeError(ctx, result.New(result.NotReady, "the instance has no configuration yet").WithRetryAfter(time.Second))
@@ -126,14 +187,18 @@
 		writeError(ctx, result.New(result.Unauthenticated, "the bearer key is missing or unknown"))
 		return
 	}
-	path := ctx.Path()
+	t, e := parseTarget(ctx.Request.Header.RequestURI())
+	if e != nil {
+		writeError(ctx, e)
+		return
+	}
 	switch {
-	case bytes.Equal(path, pathChat):
+	case t.path == pathChat:
 		s.handleChat(ctx, x, account)
-	case bytes.Equal(path, pathLookup):
+	case t.path == pathLookup:
 		s.handleLookup(ctx, x, account)
-	case bytes.HasPrefix(path, pathService):
-		s.handleService(ctx, x, account)
+	case strings.HasPrefix(t.path, pathService):
+		s.handleService(ctx, x, account, t)
 	default:
 		writeError(ctx, result.New(result.UnknownRoute, "no such path"))
 	}
@@ -164,6 +229,10 @@
 		writeError(ctx, result.New(result.UnknownModel, "no pool serves model %q", args.Peek("model")))
 		return
 	}
+	if !account.MayUse(pool.Name) {
+		writeError(ctx, result.New(result.PoolForbidden, "account %s may not use pool %s", account.Name, pool.Name))
+		return
+	}
 	addrs := s.Directory.Addresses(pool, chatKey(account, args.Peek("chat")))
 	if len(addrs) == 0 {
 		writeError(ctx, result.New(result.NoServer, "no instance takes new work").WithRetryAfter(time.Second))
@@ -187,34 +256,65 @@
 func (s *Server) run(ctx *fasthttp.RequestCtx, req *gateway.Request) {
 	start := time.Now()
 	obs := Observation{Account: req.Account.Name, Pool: req.Pool.Name}
+	s.running.Add(1)
 	if err := s.Gate.Check(); err != nil {
 		s.finish(ctx, req, obs, start, result.As(err))
 		return
 	}
 	// The request outlives the handler when it streams, so it must not use ctx.
-	ans, err := s.Opener.Open(context.Background(), req)
+	work, cancel := context.WithCancel(context.Background())
+	conn, _ := ctx.Conn().(*callerConn)
+	if conn != nil {
+		conn.onHangUp(cancel)
+	}
+	end := func() {
+		if conn != nil {
+			conn.onHangUp(nil)
+		}
+		cancel()
+	}
+	ans, err := s.Opener.Open(work, req)
 	if err != nil {
+		end()
 		s.finish(ctx, req, obs, start, result.As(err))
 		return
 	}
+	stream := false
 	ctx.SetStatusCode(ans.Status())
 	for _, f := range ans.Fields() {
+		switch f.Name {
+		case "Content-Length": // of an answer to HEAD
+			if n, err := strconv.Atoi(f.Value); err == nil {
+				ctx.Response.Header.SetContentLength(n)
+			}
+			continue
+		case "Content-Type":
+			stream = req.Stream && strings.HasPrefix(f.Value, "text/event-stream")
+		}
 		ctx.Response.Header.Set(f.Name, f.Value)
 	}
 	ctx.Response.Header.Set("X-Request-Id", req.ID)
-	if req.Stream {
-		ctx.Response.ImmediateHeaderFlush = true
-		ctx.SetBodyStream(&relay{srv: s, req: req, ans: ans, obs: obs, start: start}, -1)
+	if stream {
+		ctx.SetBodyStream(&relay{srv: s, req: req, ans: ans, obs: obs, start: start, release: end}, -1)
 		return
 	}
-	body, rerr := collect(ans)
+	s.passWhole(ctx, req, ans, obs, start)
+	end()
+}
+
+// passWhole passes an answer on that is not streamed, once it is complete.
+func (s *Server) passWhole(ctx *fasthttp.RequestCtx, req *gateway.Request, ans gateway.Answer, obs Observation, start time.Time) {
+	body, err := collect(ans)
 	ans.Close()
-	if rerr != nil {
+	if err != nil {
 		ctx.Response.Reset()
-		s.finish(ctx, req, obs, start, result.As(rerr))
+		if s.draining.Load() {
+			ctx.SetConnectionClose()
+		}
+		s.finish(ctx, req, obs, start, result.As(err))
 		return
 	}
-	ctx.SetBody(body)
+	ctx.Response.SetBodyRaw(body)
 	obs.Parts, obs.FirstPart = 1, time.Since(start)
 	s.finish(ctx, req, obs, start, nil)
 }
@@ -229,6 +329,7 @@
 }
 
 func (s *Server) record(req *gateway.Request, obs Observation, start time.Time, e *result.Error) {
+	s.running.Add(-1)
 	obs.Total = time.Since(start)
 	obs.Outcome = result.Ran
 	if e != nil {
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -37,6 +37,7 @@
 	BodyTooLarge          Code = 1008
 	PoolForbidden         Code = 1009
 	IdempotencyKeyExpired Code = 1010
+	HeaderTooLarge        Code = 1011
 
 	PoolAtBound       Code = 2001
 	AccountOverShare  Code = 2002
@@ -48,6 +49,7 @@
 	NotReady          Code = 2008
 	PermitUnavailable Code = 2009
 	RetryBudgetSpent  Code = 2010
+	ConnectionLimit   Code = 2020
 
 	ConnectFailed    Code = 3001
 	ConnectionLost   Code = 3002
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -11,6 +11,7 @@
 	BodyTooLarge:          {"body_too_large", 413, NotRun, "The request body is over the limit.", "Send a smaller body."},
 	PoolForbidden:         {"pool_forbidden", 403, NotRun, "The client account may not use the pool.", "Ask the operators to allow the pool."},
 	IdempotencyKeyExpired: {"idempotency_key_expired", 409, Unknown, "The key is older than the retention of claims, so an earlier run cannot be ruled out.", "Find out whether the first request ran; use a new key."},
+	HeaderTooLarge:        {"header_too_large", 431, NotRun, "The request header is over the limit.", "Send a smaller header."},
 
 	PoolAtBound:       {"pool_at_bound", 503, NotRun, "Every candidate server of the pool is at its load bound.", "Retry after the stated time."},
 	AccountOverShare:  {"account_over_share", 429, NotRun, "The client account is over its share while others wait.", "Retry after the stated time."},
@@ -22,6 +23,7 @@
 	NotReady:          {"not_ready", 503, NotRun, "The instance has no configuration yet.", "Use the next address."},
 	PermitUnavailable: {"permit_unavailable", 503, NotRun, "The admitting instance did not answer in time.", "Retry after the stated time."},
 	RetryBudgetSpent:  {"retry_budget_spent", 503, Unknown, "The pool's retry budget is spent.", "Retry after the stated time."},
+	ConnectionLimit:   {"connection_limit", 503, NotRun, "The instance or the caller's address has too many open connections.", "Use fewer connections, or the next address."},
 
 	ConnectFailed:    {"connect_failed", 502, NotRun, "No connection to the server could be opened.", "Retry."},
 	ConnectionLost:   {"connection_lost", 502, Unknown, "The connection broke before the answer was complete.", "Retry if the request is idempotent."},
--- /dev/null
+++ b/measure/proxy/proxy_test.go
@@ -0,0 +1,324 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cyclamenhitch/standins/model"
+)
+
+// Bounds of docs/design.md, section 7.
+const (
+	boundP50           = 100 * time.Microsecond
+	boundP99           = time.Millisecond
+	boundStreamBytes   = 40 << 10
+	boundTokensPerCore = 3000
+	openStreams        = 2000
+)
+
+const chatBody = `{"model":"taller-modelo","stream":%v,"max_tokens":%d,"messages":[{"role":"user","content":"How thick is bridle leather?"}]}`
+
+func call(c *fasthttp.HostClient, addr string, stream bool, tokens int) error {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + addr + "/v1/chat/completions")
+	req.Header.SetMethod("POST")
+	req.Header.Set("Authorization", "Bearer "+accountKey)
+	req.Header.Set("X-Request-Id", "direct-1")
+	req.SetBodyString(fmt.Sprintf(chatBody, stream, tokens))
+	if err := c.Do(req, resp); err != nil {
+		return err
+	}
+	if resp.StatusCode() != 200 {
+		return fmt.Errorf("status %d: %s", resp.StatusCode(), resp.Body())
+	}
+	return nil
+}
+
+func hostClient(addr string) *fasthttp.HostClient {
+	return &fasthttp.HostClient{Addr: addr, MaxConns: 4096}
+}
+
+// saturate returns the calls a second of a closed loop.
+func saturate(b *testing.B, addr string, clients, calls int) float64 {
+	c := hostClient(addr)
+	var left atomic.Int64
+	left.Store(int64(calls))
+	var wg sync.WaitGroup
+	start := time.Now()
+	for range clients {
+		wg.Go(func() {
+			for left.Add(-1) >= 0 {
+				if err := call(c, addr, false, 16); err != nil {
+					b.Error(err)
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	return float64(calls) / time.Since(start).Seconds()
+}
+
+// directEvery is the share of direct calls among the paced calls: they sample
+// the direct latency under the same load.
+const directEvery = 8
+
+// paced calls the first address, and now and then the second one, together at
+// rate calls a second, and returns the latencies of each.
+func paced(b *testing.B, addrs []string, rate float64, workers, calls int) [][]time.Duration {
+	all := make([][]time.Duration, len(addrs))
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	gap := time.Duration(float64(workers) / rate * float64(time.Second))
+	for w := range workers {
+		wg.Go(func() {
+			clients := make([]*fasthttp.HostClient, len(addrs))
+			for i, a := range addrs {
+				clients[i] = hostClient(a)
+			}
+			mine := make([][]time.Duration, len(addrs))
+			next := time.Now().Add(gap * time.Duration(w) / time.Duration(workers))
+			for n := range calls / workers {
+				time.Sleep(time.Until(next))
+				next = next.Add(gap)
+				i := 0
+				if n%directEvery == 0 {
+					i = 1
+				}
+				start := time.Now()
+				if err := call(clients[i], addrs[i], false, 16); err != nil {
+					b.Error(err)
+					return
+				}
+				mine[i] = append(mine[i], time.Since(start))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			for i := range mine {
+				all[i] = append(all[i], mine[i]...)
+			}
+		})
+	}
+	wg.Wait()
+	for i := range all {
+		sortDurations(all[i])
+	}
+	return all
+}
+
+func startModel(tb testing.TB, interval time.Duration) *model.Engine {
+	e, err := model.Start(model.Config{Name: "engine-0", Address: "127.0.0.1:0", CacheChats: 100, TokenInterval: interval})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(e.Close)
+	return e
+}
+
+// BenchmarkProxy measures the router against direct calls in the same run.
+func BenchmarkProxy(b *testing.B) {
+	b.Run("latency", benchLatency)
+	b.Run("allocations", benchAllocations)
+	b.Run("tokens", benchTokens)
+	b.Run("memory", benchMemory)
+}
+
+func benchLatency(b *testing.B) {
+	e := startModel(b, 0)
+	router := startRouter(b, e.Address())
+	saturate(b, router, 64, 5000) // warm up
+	for b.Loop() {
+		top := saturate(b, router, 64, 60000)
+		direct := saturate(b, e.Address(), 64, 60000)
+		lat := paced(b, []string{router, e.Address()}, top/2, 128, 60000)
+		p50 := quantile(lat[0], 0.5) - quantile(lat[1], 0.5)
+		p99 := quantile(lat[0], 0.99) - quantile(lat[1], 0.99)
+		b.ReportMetric(top, "router-req/s")
+		b.ReportMetric(direct, "direct-req/s")
+		b.ReportMetric(float64(quantile(lat[1], 0.5).Microseconds()), "direct-p50-µs")
+		b.ReportMetric(float64(p50.Microseconds()), "added-p50-µs")
+		b.ReportMetric(float64(p99.Microseconds()), "added-p99-µs")
+		if p50 > boundP50 || p99 > boundP99 {
+			b.Errorf("added p50 %v, p99 %v, bounds %v and %v", p50, p99, boundP50, boundP99)
+		}
+	}
+}
+
+// cost runs f and returns the processor time and allocations of the process.
+func cost(f func()) (time.Duration, float64) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	cpu := processorTime()
+	f()
+	cpu = processorTime() - cpu
+	runtime.ReadMemStats(&after)
+	return cpu, float64(after.Mallocs - before.Mallocs)
+}
+
+// benchAllocations takes the difference between calls through the router and
+// direct calls, so that client and stand-in cancel out.
+func benchAllocations(b *testing.B) {
+	const calls, tokens = 2000, 400
+	e := startModel(b, 0)
+	router := startRouter(b, e.Address())
+	run := func(addr string, stream bool, n, calls int) float64 {
+		c := hostClient(addr)
+		_ = call(c, addr, stream, n)
+		_, allocs := cost(func() {
+			for range calls {
+				if err := call(c, addr, stream, n); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+		return allocs / float64(calls)
+	}
+	for b.Loop() {
+		b.ReportMetric(run(router, false, 16, calls)-run(e.Address(), false, 16, calls), "allocs/request")
+		one := run(router, true, 1, calls) - run(e.Address(), true, 1, calls)
+		many := run(router, true, tokens, calls/20) - run(e.Address(), true, tokens, calls/20)
+		b.ReportMetric(one, "allocs/stream")
+		b.ReportMetric((many-one)/(tokens-1), "allocs/token")
+	}
+}
+
+// benchTokens streams 3,000 tokens a second at 67 ms between tokens, as one
+// daemon carries at the two-year size. The processor time of direct streams is
+// subtracted.
+func benchTokens(b *testing.B) {
+	const streams, tokens = 200, 60
+	e := startModel(b, 67*time.Millisecond)
+	router := startRouter(b, e.Address())
+	run := func(addr string) time.Duration {
+		c := hostClient(addr)
+		cpu, _ := cost(func() {
+			var wg sync.WaitGroup
+			for range streams {
+				wg.Go(func() {
+					if err := call(c, addr, true, tokens); err != nil {
+						b.Error(err)
+					}
+				})
+			}
+			wg.Wait()
+		})
+		return cpu
+	}
+	for b.Loop() {
+		direct, proxied := run(e.Address()), run(router)
+		cpu := max(proxied-direct, time.Microsecond)
+		perCore := streams * tokens / cpu.Seconds()
+		b.ReportMetric(perCore, "tokens/s/core")
+		b.ReportMetric(float64(cpu.Microseconds())/(streams*tokens), "cpu-µs/token")
+		if perCore < boundTokensPerCore {
+			b.Errorf("%.0f tokens a second for each core, bound %d", perCore, boundTokensPerCore)
+		}
+	}
+}
+
+// startHolder serves streams that send one event and then wait until stop.
+func startHolder(tb testing.TB) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		tb.Fatal(err)
+	}
+	stop := make(chan struct{})
+	tb.Cleanup(func() { close(stop); ln.Close() })
+	go func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				req, err := http.ReadRequest(bufio.NewReader(c))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				id := req.Header.Get("X-Request-Id")
+				event := fmt.Sprintf("data: {\"id\":%q,\"choices\":[{\"index\":0,\"delta\":{\"content\":\"w\"}}]}\n\n", id)
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nX-Request-Id: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", id, len(event), event)
+				<-stop
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+// holdStreams opens streams and returns the memory that they use, measured as
+// the growth of heap in use and stacks after a collection.
+func holdStreams(b *testing.B, addr string) float64 {
+	used := func() float64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return float64(m.HeapInuse + m.StackInuse)
+	}
+	before := used()
+	conns := make([]net.Conn, openStreams)
+	body := fmt.Sprintf(chatBody, true, 100)
+	head := fmt.Sprintf("POST /v1/chat/completions HTTP/1.1\r\nHost: r\r\nAuthorization: Bearer %s\r\nX-Request-Id: direct-1\r\nContent-Length: %d\r\n\r\n%s", accountKey, len(body), body)
+	var wg sync.WaitGroup
+	for w := range 50 {
+		wg.Go(func() {
+			buf := make([]byte, 4096)
+			for i := w; i < openStreams; i += 50 {
+				c, err := net.Dial("tcp", addr)
+				if err != nil {
+					b.Error(err)
+					return
+				}
+				conns[i] = c
+				_, _ = io.WriteString(c, head)
+				var got strings.Builder
+				for !strings.Contains(got.String(), "delta") {
+					n, err := c.Read(buf)
+					if err != nil {
+						b.Errorf("stream %d: %v after %q", i, err, got.String())
+						return
+					}
+					got.Write(buf[:n])
+				}
+			}
+		})
+	}
+	wg.Wait()
+	after := used()
+	for _, c := range conns {
+		if c != nil {
+			c.Close()
+		}
+	}
+	return (after - before) / openStreams
+}
+
+// benchMemory opens the streams directly and through the router. Client and
+// stand-in are the same in both, so the difference is the router's share.
+func benchMemory(b *testing.B) {
+	for b.Loop() {
+		direct := holdStreams(b, startHolder(b))
+		proxied := holdStreams(b, startRouter(b, startHolder(b)))
+		b.ReportMetric(direct, "direct-B/stream")
+		b.ReportMetric(proxied-direct, "router-B/stream")
+		if proxied-direct > boundStreamBytes {
+			b.Errorf("%.0f bytes for each open stream, bound %d", proxied-direct, boundStreamBytes)
+		}
+	}
+}
