--- a/adapters/engine/answer.go
+++ b/adapters/engine/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"errors"
 	"io"
@@ -181,7 +182,10 @@
 
 // readError says why the body could not be read to its end.
 func (a *answer) readError(err error) *result.Error {
+	var stopped *result.Error
 	switch {
+	case errors.As(context.Cause(a.x.ctx), &stopped):
+		return stopped
 	case a.x.ctx.Err() != nil:
 		return result.New(result.CallerGone, "the caller left after %d bytes of the answer", a.got)
 	case a.conn.verdict == liveness.Expire:
--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -12,6 +12,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +65,9 @@
 
 	srv      *fasthttp.Server
 	running  atomic.Int64
+	baseOnce sync.Once
+	base     context.Context
+	abort    context.CancelCauseFunc
 	draining atomic.Bool
 	stopping atomic.Bool
 }
@@ -131,6 +135,18 @@
 // Refuse answers new requests with code 2006.
 func (s *Server) Refuse() { s.stopping.Store(true) }
 
+// Abort ends the running requests with code 2006; streams end with its event.
+func (s *Server) Abort() {
+	s.baseContext()
+	s.abort(result.New(result.Stopping, "the instance stops and the request did not end in time").WithOutcome(result.Unknown))
+}
+
+// baseContext is the parent of all requests' contexts.
+func (s *Server) baseContext() context.Context {
+	s.baseOnce.Do(func() { s.base, s.abort = context.WithCancelCause(context.Background()) })
+	return s.base
+}
+
 // Running is the number of requests that have not ended, streams included.
 func (s *Server) Running() int { return int(s.running.Load()) }
 
@@ -262,7 +278,7 @@
 		return
 	}
 	// The request outlives the handler when it streams, so it must not use ctx.
-	work, cancel := context.WithCancel(context.Background())
+	work, cancel := context.WithCancel(s.baseContext())
 	conn, _ := ctx.Conn().(*callerConn)
 	if conn != nil {
 		conn.onHangUp(cancel)
--- a/cmd/internal/daemon/admin.go
+++ b/cmd/internal/daemon/admin.go
@@ -75,7 +75,7 @@
 func (c *adminComponent) status() Status {
 	s := Status{Instance: string(c.d.set.Instance), DataCentre: string(c.d.set.DataCentre)}
 	if x := c.d.config.Index(); x != nil {
-		s.Version, s.Ready = x.Version, true
+		s.Version, s.Ready = x.Version, !c.d.stopper.leaving.Load()
 	}
 	return s
 }
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -47,6 +47,7 @@
 	claims    *claimsComponent
 	callers   *httpapi.Server
 	admin     *adminComponent
+	stopper   *stopper
 
 	callerLn, adminLn, peerLn net.Listener
 }
@@ -100,6 +101,7 @@
 }
 
 func (d *Daemon) build() {
+	d.stopper = &stopper{d: d}
 	d.config = newConfigComponent(d)
 	d.members = newMemberComponent(d)
 	d.admission = newAdmissionComponent(d)
@@ -151,19 +153,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	return d.stop()
-}
-
-func (d *Daemon) stop() error {
-	d.log.Info("planned stop begins")
-	limit := time.Duration(d.set.Times.StopSeconds) * time.Second
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	err := d.callers.Shutdown(ctx)
-	d.admin.shutdown(ctx)
-	_ = d.peerServer.Shutdown(ctx)
-	d.log.Info("planned stop ends", zap.Bool("complete", err == nil))
-	return err
+	return d.stopper.run()
 }
 
 func (d *Daemon) limits() httpapi.Limits {
--- a/cmd/internal/daemon/daemon_test.go
+++ b/cmd/internal/daemon/daemon_test.go
@@ -95,6 +95,8 @@
 [trust]
 peer_key_file = %[4]q
 operator_keys_file = %[5]q
+[times]
+stop_seconds = 1
 `, name, f.platform.URL(), filepath.Join(f.dir, "secret"), filepath.Join(f.dir, "peer.key"), filepath.Join(f.dir, "operators")))
 	set, err := settings.Load(path)
 	if err != nil {
--- /dev/null
+++ b/cmd/internal/daemon/stop.go
@@ -0,0 +1,113 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cyclamenhitch/core/lifecycle"
+	"cyclamenhitch/core/result"
+)
+
+// stopInterval is the time between steps of a planned stop.
+const stopInterval = 50 * time.Millisecond
+
+// handOver gives one kind of state to its successors during a planned stop.
+type handOver struct {
+	name string
+	run  func(context.Context) error
+}
+
+// stopper carries out a planned stop.
+type stopper struct {
+	d *Daemon
+	// leaving is set when the stop begins.
+	leaving   atomic.Bool
+	handOvers []handOver
+}
+
+// onHandOver adds a hand-over. Components call it in their constructors.
+func (s *stopper) onHandOver(name string, run func(context.Context) error) {
+	s.handOvers = append(s.handOvers, handOver{name, run})
+}
+
+// announcer tells the fleet that the instance leaves, so that lookups at any
+// instance no longer name it.
+type announcer interface{ setLeaving() }
+
+// run stops the instance without cutting requests, within times.stop_seconds.
+func (s *stopper) run() error {
+	d := s.d
+	limit := time.Duration(d.set.Times.StopSeconds) * time.Second
+	keep := time.Duration(0)
+	if x := d.config.Index(); x != nil {
+		keep = time.Duration(x.Manifest.Fleet.KeepSeconds) * time.Second
+	}
+	d.log.Info("planned stop begins", zap.Int("running", d.callers.Running()))
+	stop := lifecycle.Begin(time.Now(), limit, keep)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	var handedOver atomic.Bool
+	left := 0
+	for {
+		st := lifecycle.Status{Running: d.callers.Running(), HandedOver: handedOver.Load()}
+		for _, a := range stop.Step(time.Now(), st) {
+			switch a {
+			case lifecycle.Announce:
+				s.announce()
+			case lifecycle.HandOver:
+				go func() {
+					s.handOver(ctx)
+					handedOver.Store(true)
+				}()
+			case lifecycle.Refuse:
+				d.callers.Refuse()
+			case lifecycle.Abort:
+				left = st.Running
+				d.callers.Abort()
+			case lifecycle.Exit:
+				return s.exit(ctx, stop, left, handedOver.Load())
+			}
+		}
+		time.Sleep(stopInterval)
+	}
+}
+
+func (s *stopper) announce() {
+	s.leaving.Store(true)
+	if a, ok := any(s.d.members).(announcer); ok {
+		a.setLeaving()
+	}
+	s.d.callers.Drain()
+}
+
+func (s *stopper) handOver(ctx context.Context) {
+	var wg sync.WaitGroup
+	for _, h := range s.handOvers {
+		wg.Go(func() {
+			if err := h.run(ctx); err != nil {
+				s.d.log.Warn("hand-over failed", zap.String("state", h.name), zap.Error(err))
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// exit closes the listeners once the last bytes are written.
+func (s *stopper) exit(ctx context.Context, stop *lifecycle.Stop, left int, handedOver bool) error {
+	d := s.d
+	err := d.callers.Shutdown(ctx)
+	d.admin.shutdown(ctx)
+	_ = d.peerServer.Shutdown(ctx)
+	complete := stop.Complete() && err == nil
+	d.log.Info("planned stop ends", zap.Bool("complete", complete), zap.Int("requests_aborted", left),
+		zap.Int("requests_left", d.callers.Running()), zap.Bool("handed_over", handedOver),
+		zap.Duration("elapsed", stop.Elapsed(time.Now())))
+	if !complete {
+		return result.New(result.Stopping, "the planned stop ended %d requests at its limit of %d s", left, d.set.Times.StopSeconds)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/lifecycle/lifecycle_test.go
@@ -0,0 +1,76 @@
+package lifecycle
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+)
+
+var names = []string{"announce", "hand-over", "refuse", "abort", "exit"}
+
+// Guards against a stop that refuses before callers have moved, exits with
+// requests running, or lasts longer than its limit.
+func TestScenarios(t *testing.T) {
+	datadriven.RunTest(t, "testdata/stop", func(t *testing.T, d *datadriven.TestData) string {
+		var limit, keep int
+		d.ScanArgs(t, "limit", &limit)
+		d.ScanArgs(t, "keep", &keep)
+		t0 := time.Unix(0, 0)
+		s := Begin(t0, time.Duration(limit)*time.Second, time.Duration(keep)*time.Second)
+		var out strings.Builder
+		for _, line := range strings.Split(d.Input, "\n") {
+			var at float64
+			var st Status
+			if _, err := fmt.Sscanf(line, "%f running=%d handed=%t", &at, &st.Running, &st.HandedOver); err != nil {
+				d.Fatalf(t, "line %q: %v", line, err)
+			}
+			fmt.Fprintf(&out, "%g:", at)
+			for _, a := range s.Step(t0.Add(time.Duration(at*float64(time.Second))), st) {
+				fmt.Fprintf(&out, " %s", names[a])
+			}
+			out.WriteByte('\n')
+		}
+		fmt.Fprintf(&out, "complete %t\n", s.Complete())
+		return out.String()
+	})
+}
+
+// Guards against an order of steps in which a request can be cut.
+func TestOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		t0 := time.Unix(0, 0)
+		limit := time.Duration(rapid.IntRange(1, 300).Draw(t, "limit")) * time.Second
+		keep := time.Duration(rapid.IntRange(0, 600).Draw(t, "keep")) * time.Second
+		s := Begin(t0, limit, keep)
+		last := Action(-1)
+		for now := t0; ; now = now.Add(100 * time.Millisecond) {
+			if now.After(t0.Add(limit)) {
+				t.Fatalf("no exit after %v", limit)
+			}
+			st := Status{Running: rapid.IntRange(0, 2).Draw(t, "running"), HandedOver: rapid.Bool().Draw(t, "handed")}
+			for _, a := range s.Step(now, st) {
+				if a <= last {
+					t.Fatalf("%s after %s", names[a], names[last])
+				}
+				early := now.Sub(t0) < min(Spread+keep, limit/2)
+				if a >= Refuse && early {
+					t.Fatalf("%s after %v, callers keep the address for %v", names[a], now.Sub(t0), keep)
+				}
+				if a == Exit && s.Complete() && (st.Running > 0 || !st.HandedOver) {
+					t.Fatalf("complete with %+v", st)
+				}
+				if a == Abort && now.Sub(t0) < limit-maxGrace {
+					t.Fatalf("aborted after %v of %v", now.Sub(t0), limit)
+				}
+				last = a
+				if a == Exit {
+					return
+				}
+			}
+		}
+	})
+}
--- a/standins/model/model.go
+++ b/standins/model/model.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"hash/fnv"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,11 @@
 	PrefillPerToken time.Duration
 	// CacheChats bounds the prefix cache, in chats.
 	CacheChats int
+	// EventIDs numbers the events of a stream and allows to resume it with the
+	// header Last-Event-ID.
+	EventIDs bool
+	// KeepAlive is the time between comments of a quiet stream; 0 means none.
+	KeepAlive time.Duration
 }
 
 // Fault is a fault of the next answer.
@@ -54,7 +60,7 @@
 // Engine is a running stand-in.
 type Engine struct {
 	cfg         Config
-	ln          net.Listener
+	ln          *silenceListener
 	srv         *fasthttp.Server
 	incarnation int64
 
@@ -65,16 +71,22 @@
 	order     []string       // insertion order for eviction
 	fault     Fault
 	lastStart time.Time
+	requests  map[string]bool // request ids that can be resumed
+	resumed   atomic.Int64
 	closed    chan struct{}
 }
 
 // Start starts an engine.
 func Start(cfg Config) (*Engine, error) {
-	ln, err := net.Listen("tcp", cfg.Address)
+	tcp, err := net.Listen("tcp", cfg.Address)
 	if err != nil {
 		return nil, err
 	}
-	e := &Engine{cfg: cfg, ln: ln, incarnation: time.Now().UnixMilli(), cache: map[string]int{}, closed: make(chan struct{})}
+	ln := &silenceListener{Listener: tcp}
+	e := &Engine{
+		cfg: cfg, ln: ln, incarnation: time.Now().UnixMilli(),
+		cache: map[string]int{}, requests: map[string]bool{}, closed: make(chan struct{}),
+	}
 	e.srv = &fasthttp.Server{Handler: e.handle, MaxRequestBodySize: 16 << 20, NoDefaultServerHeader: true}
 	go func() { _ = e.srv.Serve(ln) }()
 	return e, nil
@@ -181,7 +193,13 @@
 	words := Answer(req.Messages[len(req.Messages)-1].Content, tokens)
 	if req.Stream {
 		ctx.SetContentType("text/event-stream")
-		ctx.SetBodyStreamWriter(func(w *bufio.Writer) { e.stream(w, id, words, fault) })
+		from, ok := e.resumeFrom(ctx, id)
+		if !ok {
+			e.running.Add(-1)
+			ctx.SetStatusCode(404)
+			return
+		}
+		ctx.SetBodyStreamWriter(func(w *bufio.Writer) { e.stream(w, id, words, from, fault) })
 		return
 	}
 	defer e.running.Add(-1)
@@ -250,9 +268,34 @@
 	return total - cached
 }
 
-func (e *Engine) stream(w *bufio.Writer, id string, words []string, fault Fault) {
+// resumeFrom returns how many events the caller has; ok is false when it asks
+// for a stream that the engine does not know.
+func (e *Engine) resumeFrom(ctx *fasthttp.RequestCtx, id string) (from int, ok bool) {
+	if !e.cfg.EventIDs {
+		return 0, true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	last := ctx.Request.Header.Peek("Last-Event-ID")
+	if len(last) == 0 {
+		e.requests[id] = true
+		return 0, true
+	}
+	from, err := strconv.Atoi(string(last))
+	e.resumed.Add(1)
+	return from, err == nil && e.requests[id]
+}
+
+// Resumed is how many streams were resumed.
+func (e *Engine) Resumed() int64 { return e.resumed.Load() }
+
+// SilenceConnections makes all open connections silent for good: nothing is
+// sent or read on them any more, and they stay open. New ones work.
+func (e *Engine) SilenceConnections() { e.ln.silenced.Store(e.ln.accepted.Load()) }
+
+func (e *Engine) stream(w *bufio.Writer, id string, words []string, from int, fault Fault) {
 	defer e.running.Add(-1)
-	for i, word := range words {
+	for i, word := range words[min(from, len(words)):] {
 		if i == 2 && fault == FaultTruncate {
 			return
 		}
@@ -260,8 +303,11 @@
 			<-e.closed
 			return
 		}
-		if i > 0 && e.cfg.TokenInterval > 0 {
-			time.Sleep(e.cfg.TokenInterval)
+		if i > 0 && !e.pause(w) {
+			return
+		}
+		if e.cfg.EventIDs {
+			fmt.Fprintf(w, "id: %d\n", from+i+1)
 		}
 		fmt.Fprintf(w, "data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"choices\":[{\"index\":0,\"delta\":{\"content\":%q}}]}\n\n", id, word)
 		if w.Flush() != nil {
@@ -273,3 +319,21 @@
 		e.completed.Add(1)
 	}
 }
+
+// pause waits for the next token and sends keep-alive comments meanwhile. It
+// returns false when the caller is gone.
+func (e *Engine) pause(w *bufio.Writer) bool {
+	left := e.cfg.TokenInterval
+	for e.cfg.KeepAlive > 0 && left > e.cfg.KeepAlive {
+		time.Sleep(e.cfg.KeepAlive)
+		left -= e.cfg.KeepAlive
+		fmt.Fprint(w, ": keep-alive\n\n")
+		if w.Flush() != nil {
+			return false
+		}
+	}
+	if left > 0 {
+		time.Sleep(left)
+	}
+	return true
+}
