--- a/cmd/internal/daemon/admin.go
+++ b/cmd/internal/daemon/admin.go
@@ -91,6 +91,9 @@
 		e := result.As(err)
 		s.Reasons = append(s.Reasons, e.Code.Info().Name+": "+e.Message)
 	}
+	if c.d.stopper.leaving.Load() {
+		s.Reasons = append(s.Reasons, result.Stopping.Info().Name+": a planned stop has begun")
+	}
 	s.Ready = len(s.Reasons) == 0
 	return s
 }
