Count requests against the objectives and report burn rates

Cause: objectives were declared but nothing measured them, and an instance's counts would be lost when it is replaced. Change: core/burn keeps four windows (5 min, 1 h, 6 h, 3 d) as two slots with common bounds, histograms for pools and counters for accounts, so that merging is exact.

Conclusion: a crash loses at most 5 minutes of one instance's counts; a planned stop loses nothing while a peer or the object store answers.

--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -67,6 +67,8 @@
 type Observation struct {
 	Account fleet.ClientAccountID
 	Pool    fleet.PoolID
+	// DataCentre is that of the last server; empty when none was chosen.
+	DataCentre fleet.DataCentreID
 	// Code is 0 for a complete answer.
 	Code    result.Code
 	Outcome result.Outcome
@@ -244,6 +246,9 @@
 func (s *Server) record(req *gateway.Request, obs Observation, start time.Time, e *result.Error) {
 	obs.Total = time.Since(start)
 	obs.Outcome = result.Ran
+	if req.Server != nil {
+		obs.DataCentre = req.Server.DataCentre
+	}
 	if e != nil {
 		obs.Code, obs.Outcome = e.Code, e.Outcome
 		s.Log.Info("request failed", zap.String(logging.FieldRequest, req.ID),
--- a/adapters/logging/logging.go
+++ b/adapters/logging/logging.go
@@ -21,6 +21,9 @@
 	FieldCode       = "code"
 	FieldOutcome    = "outcome"
 	FieldOperator   = "operator"
+	FieldAction     = "action"
+	FieldReason     = "reason"
+	FieldAddress    = "address"
 )
 
 // New returns a logger that writes JSON lines to w at or above level ("debug",
--- a/adapters/platform/table.go
+++ b/adapters/platform/table.go
@@ -218,3 +218,26 @@
 		return err
 	})
 }
+
+// ListObjects returns the names that begin with prefix, in order.
+func (s *Store) ListObjects(ctx context.Context, prefix string) ([]string, error) {
+	var names []string
+	in := &s3.ListObjectsV2Input{Bucket: &s.cfg.Bucket, Prefix: &prefix}
+	for {
+		var out *s3.ListObjectsV2Output
+		err := s.call(ctx, "list objects "+prefix, func(ctx context.Context) (err error) {
+			out, err = s.objects.ListObjectsV2(ctx, in)
+			return err
+		})
+		if err != nil {
+			return nil, err
+		}
+		for _, o := range out.Contents {
+			names = append(names, aws.ToString(o.Key))
+		}
+		if !aws.ToBool(out.IsTruncated) {
+			return names, nil
+		}
+		in.ContinuationToken = out.NextContinuationToken
+	}
+}
--- a/cmd/internal/daemon/admin.go
+++ b/cmd/internal/daemon/admin.go
@@ -47,6 +47,7 @@
 	}
 	operator := c.d.operators.Name(bearerKey(string(ctx.Request.Header.Peek("Authorization"))))
 	if operator == "" {
+		c.d.log.Warn("operator refused", zap.String(logging.FieldAddress, ctx.RemoteAddr().String()), zap.ByteString(logging.FieldAction, ctx.Path()))
 		writeAdminError(ctx, result.New(result.OperatorForbidden, "the operator key is missing or unknown"))
 		return
 	}
@@ -61,6 +62,12 @@
 		c.handleManifest(ctx)
 	case "/admin/apply":
 		c.handleApply(ctx, operator)
+	case "/admin/slo":
+		c.d.slo.handleSLO(ctx)
+	case "/admin/slo/summaries":
+		c.d.slo.handleSummaries(ctx)
+	case "/admin/slo/summary":
+		c.d.slo.handleSummary(ctx)
 	default:
 		writeAdminError(ctx, result.New(result.UnknownRoute, "no such path"))
 	}
@@ -124,15 +131,36 @@
 		writeAdminError(ctx, result.New(result.BadRequest, "parameter base must be a version number"))
 		return
 	}
+	reason := string(ctx.QueryArgs().Peek("reason"))
 	head, err := configstate.Accept(context.Background(), c.d.store, c.d.store, base, ctx.PostBody(), operator, newID())
+	c.audit(ctx, operator, "apply", reason, base, head.Version, err)
 	if err != nil {
 		writeAdminError(ctx, result.As(err))
 		return
 	}
-	c.d.log.Info("configuration accepted", zap.Uint64(logging.FieldVersion, head.Version), zap.String(logging.FieldOperator, operator))
 	writeAdminJSON(ctx, head)
 }
 
+// maxReasonBytes bounds what an operator's command adds to the audit log.
+const maxReasonBytes = 200
+
+// audit logs one operator action, also one that was refused or whose outcome is
+// not known. version is 0 unless the action made one.
+func (c *adminComponent) audit(ctx *fasthttp.RequestCtx, operator, action, reason string, base, version uint64, err error) {
+	metricActions.Add(action, 1)
+	code, outcome := result.Code(0), result.Ran
+	if err != nil {
+		e := result.As(err)
+		code, outcome = e.Code, e.Outcome
+	}
+	c.d.log.Info("operator action",
+		zap.String(logging.FieldOperator, operator), zap.String(logging.FieldAction, action),
+		zap.String(logging.FieldReason, reason[:min(len(reason), maxReasonBytes)]),
+		zap.Uint64("base", base), zap.Uint64(logging.FieldVersion, version),
+		zap.Int(logging.FieldCode, int(code)), zap.String(logging.FieldOutcome, string(outcome)),
+		zap.String(logging.FieldAddress, ctx.RemoteAddr().String()))
+}
+
 func writeAdminJSON(ctx *fasthttp.RequestCtx, v any) {
 	body, err := json.Marshal(v)
 	if err != nil {
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -48,6 +48,7 @@
 	claims    *claimsComponent
 	callers   *httpapi.Server
 	admin     *adminComponent
+	slo       *sloComponent
 
 	callerLn, adminLn, peerLn net.Listener
 }
@@ -105,6 +106,7 @@
 	d.members = newMemberComponent(d)
 	d.admission = newAdmissionComponent(d)
 	d.claims = newClaimsComponent(d)
+	d.slo = newSLOComponent(d)
 	gw := &gateway.Gateway{
 		Router:   d.admission,
 		Admitter: d.admission,
@@ -117,7 +119,7 @@
 	}
 	d.callers = &httpapi.Server{
 		Config: d.config.Index, Opener: gw, Directory: d.members, Gate: d.config,
-		Log: d.log, NewID: newID,
+		Log: d.log, NewID: newID, Observe: d.slo.observe,
 	}
 	d.admin = newAdminComponent(d)
 }
@@ -160,6 +162,7 @@
 	go func() { errs <- d.peerServer.Serve(d.peerLn) }()
 	go d.config.run(work)
 	go d.members.run(work)
+	go d.slo.run(work)
 	go d.admission.run(work)
 	d.log.Info("instance started", zap.String("caller", d.CallerAddress()), zap.String("admin", d.AdminAddress()))
 	select {
@@ -176,6 +179,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	err := d.callers.Shutdown(ctx)
+	d.slo.handOver(ctx)
 	d.admin.shutdown(ctx)
 	_ = d.peerServer.Shutdown(ctx)
 	d.log.Info("planned stop ends", zap.Bool("complete", err == nil))
--- a/cmd/internal/daemon/daemon_test.go
+++ b/cmd/internal/daemon/daemon_test.go
@@ -35,6 +35,7 @@
 	platform *platformfake.Server
 	engines  []*model.Engine
 	daemon   *Daemon
+	log      *zap.Logger
 }
 
 func hexSum(s string) string {
@@ -42,9 +43,11 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func newFixture(t *testing.T) *fixture {
+func newFixture(t *testing.T) *fixture { return newFixtureWithLog(t, zap.NewNop()) }
+
+func newFixtureWithLog(t *testing.T, log *zap.Logger) *fixture {
 	t.Helper()
-	f := &fixture{t: t, dir: t.TempDir()}
+	f := &fixture{t: t, dir: t.TempDir(), log: log}
 	var err error
 	if f.platform, err = platformfake.Start("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
@@ -100,7 +103,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	d, err := New(set, zap.NewNop())
+	d, err := New(set, f.log)
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- /dev/null
+++ b/cmd/internal/daemon/history.go
@@ -0,0 +1,91 @@
+package daemon
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"cyclamenhitch/adapters/httpapi"
+	"cyclamenhitch/core/burn"
+	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/result"
+)
+
+// cacheReuser is implemented by a component that knows the share of prompt
+// tokens found in an engine's cache; false means that it does not know yet.
+type cacheReuser interface{ CacheReuse() (float64, bool) }
+
+// loadSkewer is implemented by a component that knows the largest load of an
+// engine over its pool's mean.
+type loadSkewer interface{ LoadSkew() (float64, bool) }
+
+// history keeps samples of the measures for three days.
+type history struct {
+	d *Daemon
+
+	mu              sync.Mutex
+	list            []burn.Sample
+	complete, total uint64
+	bytes           int64
+	since           time.Time
+}
+
+func newHistory(d *Daemon) *history { return &history{d: d, since: time.Now()} }
+
+// count adds the end of one request; the caller's own errors do not count.
+func (h *history) count(o httpapi.Observation) {
+	if o.Code == result.CallerGone || (o.Code > 0 && o.Code < 2000) {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.total++
+	if o.Code == 0 {
+		h.complete++
+	}
+}
+
+// take adds a sample and starts the next interval.
+func (h *history) take(now time.Time) {
+	s := burn.Sample{AtUnix: now.Unix()}
+	for _, c := range []any{h.d.admission, h.d.config} {
+		if m, ok := c.(cacheReuser); ok && s.CacheReuse == nil {
+			s.CacheReuse = known(m.CacheReuse())
+		}
+		if m, ok := c.(loadSkewer); ok && s.LoadSkew == nil {
+			s.LoadSkew = known(m.LoadSkew())
+		}
+	}
+	if x := h.d.config.Index(); x != nil {
+		for _, dc := range x.Manifest.DataCentres {
+			if dc.State == manifest.StateOut {
+				s.DataCentresOut++
+			}
+		}
+	}
+	bytes := h.d.traffic.SentBytes.Load() + h.d.traffic.ReceivedBytes.Load()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if secs := now.Sub(h.since).Seconds(); secs > 0 {
+		s.ControlBytesPerSecond = known(float64(bytes-h.bytes)/secs, true)
+	}
+	s.Service = known(float64(h.complete)/float64(max(h.total, 1)), h.total > 0)
+	h.complete, h.total, h.bytes, h.since = 0, 0, bytes, now
+	if len(h.list) == burn.MaxSamples {
+		h.list = h.list[1:]
+	}
+	h.list = append(h.list, s)
+}
+
+func known(v float64, ok bool) *float64 {
+	if !ok {
+		return nil
+	}
+	return &v
+}
+
+func (h *history) samples() []burn.Sample {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]burn.Sample{}, slices.Clone(h.list)...)
+}
--- a/cmd/internal/daemon/operator_test.go
+++ b/cmd/internal/daemon/operator_test.go
@@ -39,6 +39,12 @@
 			case "platform":
 				f.platform.SetFault(parseFault(d))
 				return ""
+			case "settle":
+				f.eventually("an admitter", func() bool {
+					_, body := f.do("GET", f.daemon.AdminAddress(), "/admin/explain?model=taller-modelo&chat=c1", testOperatorKey, "")
+					return strings.Contains(body, `"admitters":["r1"]`)
+				})
+				return ""
 			case "run":
 				var out bytes.Buffer
 				args := append(strings.Fields(names.Replace(d.Input)), "--key-file", filepath.Join(f.dir, "operator.key"))
--- a/cmd/internal/operator/apply.go
+++ b/cmd/internal/operator/apply.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/url"
 	"os"
 	"time"
 
@@ -92,7 +93,7 @@
 	if c.DryRun {
 		return e.print(a, func() { fmt.Fprintln(e.out, "dry run: nothing was changed") })
 	}
-	return e.applyAndWait(a, src, c.Wait)
+	return e.applyAndWait(a, src, "apply", c.Wait)
 }
 
 func difference(current []byte, proposed *manifest.Manifest) ([]edit.Change, error) {
@@ -121,8 +122,9 @@
 }
 
 // applyAndWait applies src, waits if asked to, and prints the answer.
-func (e *env) applyAndWait(a applyAnswer, src []byte, wait time.Duration) error {
-	version, err := e.apply(a.Base, src)
+// reason goes into the audit log.
+func (e *env) applyAndWait(a applyAnswer, src []byte, reason string, wait time.Duration) error {
+	version, err := e.apply(a.Base, src, reason)
 	if err != nil {
 		return err
 	}
@@ -173,13 +175,13 @@
 // apply makes src version base+1. An attempt whose outcome is not known is
 // settled by reading the version in force. Repeating it is safe, because the
 // base version is a condition and at most one attempt takes effect.
-func (e *env) apply(base uint64, src []byte) (uint64, error) {
+func (e *env) apply(base uint64, src []byte, reason string) (uint64, error) {
 	var unsettled *result.Error
 	for range applyAttempts {
 		var head struct {
 			Version uint64 `json:"version"`
 		}
-		err := e.call("POST", fmt.Sprintf("/admin/apply?base=%d", base), src, &head)
+		err := e.call("POST", fmt.Sprintf("/admin/apply?base=%d&reason=%s", base, url.QueryEscape(reason)), src, &head)
 		if err == nil {
 			return head.Version, nil
 		}
--- a/cmd/internal/operator/burn.go
+++ b/cmd/internal/operator/burn.go
@@ -1,6 +1,226 @@
 package operator
 
-type burnCmd struct{}
+import (
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"net/url"
+	"os"
+	"path"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"cyclamenhitch/core/burn"
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/result"
+)
+
+type burnCmd struct {
+	Account []string `help:"Show only these client accounts; with thousands of accounts this also shortens the transfer." placeholder:"NAME"`
+	Top     int      `help:"Number of accounts in the text and the page, most burnt first; --json has all." default:"20"`
+	HTML    string   `name:"html" help:"Write the report with plots to this file, as one page." placeholder:"FILE"`
+}
+
+// sloReport is the answer of an instance and the content of a summary.
+type sloReport struct {
+	Instance   string                           `json:"instance"`
+	Life       string                           `json:"life"`
+	HandedOver bool                             `json:"handed_over"`
+	Snapshot   *burn.Snapshot                   `json:"snapshot"`
+	Objectives map[fleet.PoolID]burn.Objectives `json:"objectives"`
+	Samples    []burn.Sample                    `json:"samples"`
+}
+
+// burnReport is the JSON answer of report burn.
+type burnReport struct {
+	At         time.Time          `json:"at"`
+	Windows    []string           `json:"windows"`
+	Given      int                `json:"given"`
+	Reached    int                `json:"reached"`
+	NotReached []string           `json:"not_reached"`
+	Summaries  int                `json:"summaries_used"`
+	Notes      []string           `json:"notes"`
+	Rules      []string           `json:"alert_rules"`
+	Pools      []burn.Subject     `json:"pools"`
+	Accounts   []burn.Subject     `json:"accounts"`
+	Measures   []burn.FleetSample `json:"measures"`
+}
 
 // Run implements the command.
-func (c *burnCmd) Run(e *env) error { return nil }
+func (c *burnCmd) Run(e *env) error {
+	stop := e.progress(func() string { return "collecting from the instances and the object store" })
+	r, err := c.collect(e)
+	stop()
+	if err != nil {
+		return err
+	}
+	if c.HTML != "" {
+		page, err := renderPage(r, c.Top)
+		if err != nil {
+			return result.Wrap(result.Internal, err, "the page cannot be drawn")
+		}
+		if err := os.WriteFile(c.HTML, page, 0o644); err != nil {
+			return result.Wrap(result.BadRequest, err, "the page cannot be written")
+		}
+	}
+	if err := e.print(r, func() { e.printBurn(r, c.Top) }); err != nil {
+		return err
+	}
+	if r.Reached < r.Given {
+		return &incomplete{code: ExitIncomplete, text: fmt.Sprintf("%d of %d instances were not reached: %s. Their last summaries are used where there are any.",
+			r.Given-r.Reached, r.Given, strings.Join(r.NotReached, ", "))}
+	}
+	return nil
+}
+
+func (c *burnCmd) collect(e *env) (*burnReport, error) {
+	r := &burnReport{
+		At: time.Now().UTC().Truncate(time.Second), Windows: burn.Names[:], Given: len(e.Instance),
+		NotReached: []string{}, Notes: []string{},
+		Rules: []string{
+			fmt.Sprintf("page: burn rate at least %v over 5m and 1h", burn.PageFactor),
+			fmt.Sprintf("ticket: burn rate at least %v over 6h and 3d", burn.TicketFactor),
+		},
+	}
+	reports, err := c.fromInstances(e, r)
+	if err != nil {
+		return nil, err
+	}
+	if r.Reached == 0 {
+		return nil, result.New(result.NoInstance, "none of %d instances answered: %s", r.Given, strings.Join(r.NotReached, ", "))
+	}
+	total, objectives, samples := join(r.At, reports, r)
+	c.addSummaries(e, r, total, &samples)
+	r.Pools = total.PoolReports(r.At, objectives)
+	r.Accounts = total.AccountReports(r.At, burn.Strictest(objectives))
+	r.Measures = burn.JoinSamples(samples)
+	return r, nil
+}
+
+func (c *burnCmd) fromInstances(e *env, r *burnReport) ([]*sloReport, error) {
+	p := "/admin/slo"
+	if len(c.Account) > 0 {
+		p += "?" + url.Values{"account": c.Account}.Encode()
+	}
+	var mu sync.Mutex
+	var reports []*sloReport
+	var refused error
+	err := e.each(func(_ int, addr, key string) {
+		rep, err := e.fetchReport(addr, p, key)
+		mu.Lock()
+		defer mu.Unlock()
+		if err != nil {
+			r.NotReached = append(r.NotReached, addr)
+			if result.As(err).Code == result.OperatorForbidden {
+				refused = err
+			}
+			return
+		}
+		r.Reached++
+		reports = append(reports, rep)
+	})
+	if err == nil && r.Reached == 0 {
+		err = refused
+	}
+	slices.Sort(r.NotReached)
+	return reports, err
+}
+
+func (e *env) fetchReport(addr, p, key string) (*sloReport, error) {
+	a, err := e.client.do(addr, "GET", p, key, nil)
+	if err != nil {
+		return nil, err
+	}
+	var rep sloReport
+	if err := json.NewDecoder(bytes.NewReader(a.body)).Decode(&rep); err != nil || rep.Snapshot == nil {
+		return nil, result.New(result.AnswerInvalid, "instance %s: the answer is not a report", addr)
+	}
+	return &rep, nil
+}
+
+// join merges the answers of the instances. Those that count the most lives
+// come first, so that a life is not counted again by itself; those that have
+// handed their windows over come last and count only when the peer that has
+// them was not reached.
+func join(at time.Time, reports []*sloReport, r *burnReport) (*burn.Recorder, map[fleet.PoolID]burn.Objectives, []burn.Sample) {
+	total := burn.NewRecorder("")
+	objectives := map[fleet.PoolID]burn.Objectives{}
+	var samples []burn.Sample
+	slices.SortFunc(reports, func(a, b *sloReport) int {
+		if a.HandedOver != b.HandedOver {
+			if b.HandedOver {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(len(b.Snapshot.Lives)-len(a.Snapshot.Lives), cmp.Compare(a.Life, b.Life))
+	})
+	for _, rep := range reports {
+		samples = append(samples, rep.Samples...)
+		for id, o := range rep.Objectives {
+			objectives[id] = o
+		}
+		if ok, err := total.Merge(at, rep.Snapshot); err != nil {
+			r.Notes = append(r.Notes, fmt.Sprintf("instance %s is left out: %v", rep.Instance, err))
+		} else if !ok && !rep.HandedOver {
+			r.Notes = append(r.Notes, fmt.Sprintf("instance %s is left out: another one counts its windows", rep.Instance))
+		}
+	}
+	return total, objectives, samples
+}
+
+// addSummaries adds the stored summaries of lives that no reached instance
+// counts: instances that crashed, or that were not reached.
+func (c *burnCmd) addSummaries(e *env, r *burnReport, total *burn.Recorder, samples *[]burn.Sample) {
+	var list struct {
+		Names []string `json:"names"`
+	}
+	if err := e.call("GET", "/admin/slo/summaries", nil, &list); err != nil {
+		r.Notes = append(r.Notes, "summaries of crashed instances are missing: "+message(result.As(err)))
+		return
+	}
+	counted := map[string]bool{}
+	for _, l := range total.Lives() {
+		counted[l] = true
+	}
+	newest := map[string]string{} // life to object; names begin with the day
+	slices.Sort(list.Names)
+	for _, n := range list.Names {
+		if life := strings.TrimSuffix(path.Base(n), ".json.gz"); !counted[life] {
+			newest[life] = n
+		}
+	}
+	var found []*sloReport
+	for _, name := range newest {
+		a, err := e.first("GET", "/admin/slo/summary?name="+url.QueryEscape(name), nil)
+		var rep sloReport
+		if err == nil {
+			err = json.Unmarshal(a.body, &rep)
+		}
+		if err != nil || rep.Snapshot == nil {
+			r.Notes = append(r.Notes, fmt.Sprintf("summary %s cannot be read", name))
+			continue
+		}
+		rep.Snapshot.Accounts = c.only(rep.Snapshot.Accounts)
+		found = append(found, &rep)
+	}
+	slices.SortFunc(found, func(a, b *sloReport) int {
+		return cmp.Or(len(b.Snapshot.Lives)-len(a.Snapshot.Lives), cmp.Compare(a.Life, b.Life))
+	})
+	for _, rep := range found {
+		if ok, err := total.Merge(r.At, rep.Snapshot); ok && err == nil {
+			r.Summaries++
+			*samples = append(*samples, rep.Samples...)
+		}
+	}
+}
+
+func (c *burnCmd) only(accounts []burn.AccountSeries) []burn.AccountSeries {
+	if len(c.Account) == 0 {
+		return accounts
+	}
+	return slices.DeleteFunc(accounts, func(a burn.AccountSeries) bool { return !slices.Contains(c.Account, string(a.Name)) })
+}
--- a/cmd/internal/operator/client.go
+++ b/cmd/internal/operator/client.go
@@ -119,14 +119,14 @@
 	return key, nil
 }
 
-func (c *client) do(addr, method, path, key string, body []byte) (reply, error) {
+func (c *client) do(addr, method, path, key string, send []byte) (reply, error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + addr + path)
 	req.Header.SetMethod(method)
 	req.Header.Set("Authorization", "Bearer "+key)
-	req.SetBodyRaw(body)
+	req.SetBodyRaw(send)
 	if err := c.http.DoTimeout(req, resp, callTimeout); err != nil {
 		e := result.Wrap(result.NoInstance, err, "instance %s gave no answer", addr)
 		var notSent dialError
@@ -135,7 +135,11 @@
 		}
 		return reply{}, e
 	}
-	data := bytes.Clone(resp.Body())
+	body, err := resp.BodyUncompressed()
+	if err != nil {
+		return reply{}, result.Wrap(result.AnswerInvalid, err, "instance %s", addr)
+	}
+	data := bytes.Clone(body)
 	if resp.StatusCode() == fasthttp.StatusOK {
 		v, _ := strconv.ParseUint(string(resp.Header.Peek("X-Config-Version")), 10, 64)
 		return reply{data, v}, nil
--- a/cmd/internal/operator/explain.go
+++ b/cmd/internal/operator/explain.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/url"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 )
@@ -133,6 +134,9 @@
 	if string(v) == "null" {
 		return "-"
 	}
+	if f, err := strconv.ParseFloat(string(v), 64); err == nil && strings.ContainsAny(string(v), ".eE") {
+		return strconv.FormatFloat(f, 'g', 5, 64)
+	}
 	return string(v)
 }
 
--- a/cmd/internal/operator/state.go
+++ b/cmd/internal/operator/state.go
@@ -92,7 +92,7 @@
 		if o.DryRun {
 			return e.print(a, func() { fmt.Fprintln(e.out, "dry run: nothing was changed") })
 		}
-		err = e.applyAndWait(a, out, o.Wait)
+		err = e.applyAndWait(a, out, table+" "+name+" "+state, o.Wait)
 		if err == nil || attempt == stateAttempts || !retryable(err) {
 			return err
 		}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -100,6 +100,7 @@
 			return nil, markOutcome(err, mayHaveRun)
 		}
 		srv := ranked[i]
+		req.Server = srv
 		// Servers before the admitted one refused; they may have room by now.
 		ranked = append(ranked[:i], ranked[i+1:]...)
 		ans, err := g.Upstream.Open(ctx, srv, req, req.ID+"-"+strconv.Itoa(attempt))
--- a/core/gateway/ports.go
+++ b/core/gateway/ports.go
@@ -44,6 +44,8 @@
 	// the hard load bound.
 	CachedTokens int
 	Deadline     time.Time
+	// Server is the server of the last attempt, nil before the first.
+	Server *manifest.Server
 }
 
 // Answer is an open answer of a backend server. It is used by one goroutine.
--- a/standins/platform/platform.go
+++ b/standins/platform/platform.go
@@ -6,6 +6,7 @@
 
 import (
 	"encoding/json"
+	"html"
 	"net"
 	"sort"
 	"strings"
@@ -168,6 +169,10 @@
 		return
 	}
 	s.objectReads.Add(1)
+	if args := ctx.QueryArgs(); args.Has("list-type") {
+		s.listObjects(ctx, name, string(args.Peek("prefix")))
+		return
+	}
 	body, ok := s.objects[name]
 	if !ok {
 		ctx.SetStatusCode(404)
@@ -179,6 +184,25 @@
 	ctx.SetBody(body)
 }
 
+// listObjects answers a ListObjectsV2 call for the bucket in path. The caller
+// holds the lock.
+func (s *Server) listObjects(ctx *fasthttp.RequestCtx, path, prefix string) {
+	bucket := strings.TrimSuffix(path, "/") + "/"
+	var names []string
+	for name := range s.objects {
+		if key, ok := strings.CutPrefix(name, bucket); ok && strings.HasPrefix(key, prefix) {
+			names = append(names, key)
+		}
+	}
+	sort.Strings(names)
+	ctx.SetContentType("application/xml")
+	ctx.SetBodyString("<ListBucketResult><IsTruncated>false</IsTruncated>")
+	for _, n := range names {
+		ctx.Response.AppendBodyString("<Contents><Key>" + html.EscapeString(n) + "</Key></Contents>")
+	}
+	ctx.Response.AppendBodyString("</ListBucketResult>")
+}
+
 func writeJSON(ctx *fasthttp.RequestCtx, status int, v any) {
 	body, err := json.Marshal(v)
 	if err != nil {
