--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -24,13 +24,19 @@
 	// DataCentre is the data centre of the instance. Required.
 	DataCentre fleet.DataCentreID `toml:"data_centre"`
 	// Region is the region of the instance. Required.
-	Region   fleet.RegionID `toml:"region"`
-	Listen   Listen         `toml:"listen"`
-	Platform Platform       `toml:"platform"`
-	Trust    Trust          `toml:"trust"`
-	Limits   Limits         `toml:"limits"`
-	Times    Times          `toml:"times"`
-	Log      Log            `toml:"log"`
+	Region fleet.RegionID `toml:"region"`
+	// Listen holds the addresses of the instance.
+	Listen Listen `toml:"listen"`
+	// Platform holds the addresses of the platform's services.
+	Platform Platform `toml:"platform"`
+	// Trust holds key files.
+	Trust Trust `toml:"trust"`
+	// Limits bounds what callers can make an instance hold.
+	Limits Limits `toml:"limits"`
+	// Times holds durations.
+	Times Times `toml:"times"`
+	// Log configures logging.
+	Log Log `toml:"log"`
 }
 
 // Listen holds the addresses of the instance, each an IP address and a port.
@@ -59,9 +65,10 @@
 	Members string `toml:"members"`
 	// CallTimeoutMillis is the deadline of each call, in ms. Default 1000.
 	CallTimeoutMillis int `toml:"call_timeout_ms"`
-	// AccessKeyID and SecretFile sign the calls. SecretFile holds the secret key.
+	// AccessKeyID is the name of the key that signs the calls.
 	AccessKeyID string `toml:"access_key_id"`
-	SecretFile  string `toml:"secret_file"`
+	// SecretFile holds the secret key that signs the calls, 32 bytes or more.
+	SecretFile string `toml:"secret_file"`
 }
 
 // Trust holds key files. They are read again when they change.
@@ -236,26 +243,9 @@
 			add(a.key, "is %q, want an IP address and port such as 10.0.0.1:8080", a.v)
 		}
 	}
-	for _, n := range []struct {
-		key         string
-		v, min, max int
-	}{
-		{"platform.call_timeout_ms", s.Platform.CallTimeoutMillis, 10, 60000},
-		{"limits.max_body_bytes", s.Limits.MaxBodyBytes, 1024, 1 << 30},
-		{"limits.max_header_bytes", s.Limits.MaxHeaderBytes, 1024, 1 << 20},
-		{"limits.max_connections", s.Limits.MaxConnections, 1, 1 << 20},
-		{"limits.max_connections_per_ip", s.Limits.MaxConnectionsPerIP, 0, 1 << 20},
-		{"limits.max_answer_bytes", s.Limits.MaxAnswerBytes, 1024, 1 << 30},
-		{"times.read_seconds", s.Times.ReadSeconds, 1, 3600},
-		{"times.write_seconds", s.Times.WriteSeconds, 1, 3600},
-		{"times.idle_seconds", s.Times.IdleSeconds, 1, 3600},
-		{"times.stop_seconds", s.Times.StopSeconds, 1, 86400},
-		{"times.isolation_seconds", s.Times.IsolationSeconds, 1, 86400},
-		{"times.max_config_age_seconds", s.Times.MaxConfigAgeSeconds, 0, 1 << 30},
-		{"log.sample_decisions", *s.Log.SampleDecisions, 0, 1 << 30},
-	} {
-		if n.v < n.min || n.v > n.max {
-			add(n.key, "is %d, accepted range: %d to %d", n.v, n.min, n.max)
+	for _, n := range s.numbers() {
+		if n.value < n.Min || n.value > n.Max {
+			add(n.Key, "is %d, accepted range: %d to %d", n.value, n.Min, n.Max)
 		}
 	}
 	switch s.Log.Level {
@@ -265,3 +255,37 @@
 	}
 	return ps
 }
+
+// Number is the accepted range of a numeric setting. docs/operators.md is
+// generated from them.
+type Number struct {
+	Key, Unit string
+	Min, Max  int
+	value     int
+}
+
+func (s *Settings) numbers() []Number {
+	return []Number{
+		{"platform.call_timeout_ms", "ms", 10, 60000, s.Platform.CallTimeoutMillis},
+		{"limits.max_body_bytes", "bytes", 1024, 1 << 30, s.Limits.MaxBodyBytes},
+		{"limits.max_header_bytes", "bytes", 1024, 1 << 20, s.Limits.MaxHeaderBytes},
+		{"limits.max_connections", "connections", 1, 1 << 20, s.Limits.MaxConnections},
+		{"limits.max_connections_per_ip", "connections", 0, 1 << 20, s.Limits.MaxConnectionsPerIP},
+		{"limits.max_answer_bytes", "bytes", 1024, 1 << 30, s.Limits.MaxAnswerBytes},
+		{"times.read_seconds", "s", 1, 3600, s.Times.ReadSeconds},
+		{"times.write_seconds", "s", 1, 3600, s.Times.WriteSeconds},
+		{"times.idle_seconds", "s", 1, 3600, s.Times.IdleSeconds},
+		{"times.stop_seconds", "s", 1, 86400, s.Times.StopSeconds},
+		{"times.isolation_seconds", "s", 1, 86400, s.Times.IsolationSeconds},
+		{"times.max_config_age_seconds", "s", 0, 1 << 30, s.Times.MaxConfigAgeSeconds},
+		{"log.sample_decisions", "decisions", 0, 1 << 30, *s.Log.SampleDecisions},
+	}
+}
+
+// Defaults returns the settings of an empty file, without its required ones,
+// and the ranges of all numbers.
+func Defaults() (*Settings, []Number) {
+	var s Settings
+	s.applyDefaults()
+	return &s, s.numbers()
+}
--- a/core/manifest/decode.go
+++ b/core/manifest/decode.go
@@ -6,7 +6,6 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
-	"math"
 	"net/netip"
 	"slices"
 	"strings"
@@ -65,7 +64,9 @@
 	c.checkZeros()
 	m.applyDefaults()
 	if m.check(c); len(c.ps) > 0 {
-		slices.SortStableFunc(c.ps, func(a, b Problem) int { return cmp.Or(a.Line-b.Line, a.Column-b.Column) })
+		slices.SortStableFunc(c.ps, func(a, b Problem) int {
+			return cmp.Or(a.Line-b.Line, a.Column-b.Column, strings.Compare(a.Message, b.Message))
+		})
 		return nil, result.Wrap(result.ManifestInvalid, c.ps, "manifest has %s", count(len(c.ps)))
 	}
 	return &m, nil
@@ -154,11 +155,16 @@
 	return c.doc
 }
 
+// at reports a problem at the first of the paths that the document has.
+func (c *checker) at(paths []string, format string, args ...any) {
+	line, col := c.document().Position(paths...)
+	c.ps = append(c.ps, Problem{line, col, fmt.Sprintf(format, args...)})
+}
+
 // addf reports a problem at a key of the index-th entry of a table, or at the
 // entry when the key is not set.
 func (c *checker) addf(table string, index int, key, format string, args ...any) {
-	line, col := c.document().Position(tomlpos.Element(table, index, key), tomlpos.Element(table, index, ""))
-	c.ps = append(c.ps, Problem{line, col, fmt.Sprintf(format, args...)})
+	c.at(entry(table, index, key), format, args...)
 }
 
 func (c *checker) lineOf(table string, index int) int {
@@ -202,13 +208,9 @@
 
 func (m *Manifest) check(c *checker) {
 	if m.Format != 1 {
-		line, col := c.document().Position("format")
-		c.ps = append(c.ps, Problem{line, col, fmt.Sprintf("format is %d, accepted value: 1", m.Format)})
-	}
-	if k := m.Fleet.KeepSeconds; k < 1 || k > 600 {
-		line, col := c.document().Position("fleet.keep_seconds")
-		c.ps = append(c.ps, Problem{line, col, fmt.Sprintf("keep_seconds is %d, accepted range: 1 to 600", k)})
+		c.at([]string{"format"}, "format is %d, accepted value: 1", m.Format)
 	}
+	c.fleetNumber("keep_seconds", float64(m.Fleet.KeepSeconds))
 	dcs, pools := map[string]int{}, map[string]int{}
 	for i, d := range m.DataCentres {
 		c.unique(dcs, "data_centre", i, string(d.Name))
@@ -250,33 +252,21 @@
 	if p.Kind != KindModel && p.Kind != KindService {
 		c.addf("pool", i, "kind", "kind is %q, accepted values: model, service", p.Kind)
 	}
-	if !(p.LoadBound >= 1 && p.LoadBound <= 100) {
-		c.addf("pool", i, "load_bound", "load_bound is %v, accepted range: 1 to 100", p.LoadBound)
-	}
-	if p.RetryPercent < 1 || p.RetryPercent > 100 {
-		c.addf("pool", i, "retry_percent", "retry_percent is %d, accepted range: 1 to 100", p.RetryPercent)
-	}
-	for _, k := range []struct {
-		key string
-		v   int
-	}{
-		{"expected_output_tokens", p.ExpectedOutputTokens},
-		{"cold_start_load", p.ColdStartLoad},
-		{"cold_start_seconds", p.ColdStartSeconds},
-		{"silence_seconds", p.SilenceSeconds},
-		{"timeout_seconds", p.TimeoutSeconds},
-		{"objectives.first_token_ms", p.Objectives.FirstTokenMillis},
-		{"objectives.between_tokens_ms", p.Objectives.BetweenTokensMillis},
+	o := p.Objectives
+	for key, v := range map[string]float64{
+		"load_bound":                      p.LoadBound,
+		"expected_output_tokens":          float64(p.ExpectedOutputTokens),
+		"cold_start_load":                 float64(p.ColdStartLoad),
+		"cold_start_seconds":              float64(p.ColdStartSeconds),
+		"silence_seconds":                 float64(p.SilenceSeconds),
+		"timeout_seconds":                 float64(p.TimeoutSeconds),
+		"retry_percent":                   float64(p.RetryPercent),
+		"objectives.first_token_ms":       float64(o.FirstTokenMillis),
+		"objectives.between_tokens_ms":    float64(o.BetweenTokensMillis),
+		"objectives.availability_percent": o.AvailabilityPercent,
+		"objectives.refused_percent":      o.RefusedPercent,
 	} {
-		if k.v < 1 || k.v > math.MaxInt32 {
-			c.addf("pool", i, k.key, "%s is %d, accepted range: 1 to %d", k.key, k.v, math.MaxInt32)
-		}
-	}
-	if a := p.Objectives.AvailabilityPercent; !(a > 0 && a < 100) {
-		c.addf("pool", i, "objectives.availability_percent", "objectives.availability_percent is %v, accepted range: above 0, below 100", a)
-	}
-	if r := p.Objectives.RefusedPercent; !(r > 0 && r <= 100) {
-		c.addf("pool", i, "objectives.refused_percent", "objectives.refused_percent is %v, accepted range: above 0 to 100", r)
+		c.number("pool", i, key, v)
 	}
 	for _, name := range p.Models {
 		if first, dup := models[name]; dup {
@@ -296,15 +286,11 @@
 	if _, err := netip.ParseAddrPort(s.Address); err != nil {
 		c.addf("server", i, "address", "address is %q, want an IP address and port such as 10.0.0.1:8000", s.Address)
 	}
-	if !(s.Weight > 0 && s.Weight <= 100) {
-		c.addf("server", i, "weight", "weight is %v, accepted range: above 0 to 100", s.Weight)
-	}
+	c.number("server", i, "weight", s.Weight)
+	c.number("server", i, "max_load_tokens", float64(s.MaxLoadTokens))
 	if s.State != StateIn && s.State != StateLeaving {
 		c.addf("server", i, "state", "state is %q, accepted values: in, leaving", s.State)
 	}
-	if s.MaxLoadTokens < 0 {
-		c.addf("server", i, "max_load_tokens", "max_load_tokens is %d, it must not be negative", s.MaxLoadTokens)
-	}
 }
 
 func (c *checker) checkAccounts(accounts []Account, pools map[string]int) {
@@ -321,15 +307,9 @@
 			}
 			keys[k] = a.Name
 		}
-		if !(a.Weight > 0 && a.Weight <= 1e6) {
-			c.addf("account", i, "weight", "weight is %v, accepted range: above 0 to 1000000", a.Weight)
-		}
-		if *a.Priority < 0 || *a.Priority > 9 {
-			c.addf("account", i, "priority", "priority is %d, accepted range: 0 to 9", *a.Priority)
-		}
-		if a.MaxConcurrent < 0 {
-			c.addf("account", i, "max_concurrent", "max_concurrent is %d, it must not be negative", a.MaxConcurrent)
-		}
+		c.number("account", i, "weight", a.Weight)
+		c.number("account", i, "priority", float64(*a.Priority))
+		c.number("account", i, "max_concurrent", float64(a.MaxConcurrent))
 		for _, p := range a.Pools {
 			if _, ok := pools[string(p)]; !ok {
 				c.addf("account", i, "pools", "account %q names pool %q, which is not declared", a.Name, p)
--- a/core/manifest/manifest.go
+++ b/core/manifest/manifest.go
@@ -8,7 +8,7 @@
 
 // Manifest is one accepted or proposed declaration.
 type Manifest struct {
-	// Format is the version of the manifest format; it must be 1.
+	// Format is the version of the manifest format; it must be 1. Required.
 	Format      int          `toml:"format"`
 	Fleet       Fleet        `toml:"fleet"`
 	DataCentres []DataCentre `toml:"data_centre"`
@@ -20,6 +20,7 @@
 
 // Fleet holds settings of the whole router fleet.
 type Fleet struct {
+	// Name is shown in reports; it has no effect.
 	Name string `toml:"name"`
 	// KeepSeconds is how long callers may keep a lookup answer, in seconds.
 	// Default 20, range 1 to 600.
@@ -36,9 +37,13 @@
 
 // DataCentre declares one data centre.
 type DataCentre struct {
-	Name   fleet.DataCentreID `toml:"name"`
-	Region fleet.RegionID     `toml:"region"`
-	// State is "in" (default) or "out".
+	// Name identifies the data centre. Required.
+	Name fleet.DataCentreID `toml:"name"`
+	// Region is the region of the data centre; engines are admitted to by
+	// instances of their region. Required.
+	Region fleet.RegionID `toml:"region"`
+	// State is "in" or "out". Servers of a data centre that is out receive no
+	// new work. Default in.
 	State string `toml:"state"`
 }
 
@@ -50,8 +55,9 @@
 
 // Pool declares a set of backend servers that serve the same models or service.
 type Pool struct {
+	// Name identifies the pool. Required.
 	Name fleet.PoolID `toml:"name"`
-	// Kind is "model" or "service".
+	// Kind is "model" or "service". Default model.
 	Kind string `toml:"kind"`
 	// Models lists the model names that callers may ask for. Default: the pool's name.
 	Models []string `toml:"models"`
@@ -72,8 +78,9 @@
 	// TimeoutSeconds is the longest time for one request. Default 120.
 	TimeoutSeconds int `toml:"timeout_seconds"`
 	// RetryPercent is the retry budget as a percentage of requests. Default 10.
-	RetryPercent int        `toml:"retry_percent"`
-	Objectives   Objectives `toml:"objectives"`
+	RetryPercent int `toml:"retry_percent"`
+	// Objectives are the service-level objectives.
+	Objectives Objectives `toml:"objectives"`
 }
 
 // Objectives are the service-level objectives of a pool.
@@ -90,14 +97,17 @@
 
 // Server declares one backend server.
 type Server struct {
-	Name       fleet.ServerID     `toml:"name"`
-	Pool       fleet.PoolID       `toml:"pool"`
+	// Name identifies the server. Required.
+	Name fleet.ServerID `toml:"name"`
+	// Pool is the pool that the server belongs to. Required.
+	Pool fleet.PoolID `toml:"pool"`
+	// DataCentre is the data centre that the server is in. Required.
 	DataCentre fleet.DataCentreID `toml:"data_centre"`
-	// Address is host:port, an IP address and a TCP port.
+	// Address is an IP address and a TCP port. Required.
 	Address string `toml:"address"`
 	// Weight scales the server's share. Default 1, range above 0 to 100.
 	Weight float64 `toml:"weight"`
-	// State is "in" (default) or "leaving".
+	// State is "in" or "leaving". A leaving server receives no new work. Default in.
 	State string `toml:"state"`
 	// MaxLoadTokens is an absolute cap on the load, in tokens; 0 means none.
 	MaxLoadTokens int `toml:"max_load_tokens"`
@@ -107,6 +117,7 @@
 
 // Account declares one client account.
 type Account struct {
+	// Name identifies the client account. Required.
 	Name fleet.ClientAccountID `toml:"name"`
 	// KeySHA256 lists hex SHA-256 hashes of the account's bearer keys.
 	KeySHA256 []string `toml:"key_sha256"`
@@ -122,7 +133,9 @@
 
 // Route declares a plain-service route, reached under /svc/<name>/.
 type Route struct {
-	Name string       `toml:"name"`
+	// Name is the part of the path after /svc/. Required.
+	Name string `toml:"name"`
+	// Pool is a pool of kind "service". Required.
 	Pool fleet.PoolID `toml:"pool"`
 	// Idempotent says that requests may be repeated. Default false. Requests
 	// with a safe method (GET, HEAD, OPTIONS) always count as idempotent.
