--- a/cmd/internal/daemon/admin.go
+++ b/cmd/internal/daemon/admin.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net"
@@ -81,12 +82,17 @@
 	Ready      bool   `json:"ready"`
 	// Reasons says why the instance is not ready; it is empty otherwise.
 	Reasons []string `json:"reasons"`
+	// ConfirmedAgeSeconds is the age of the last confirmation of the version by
+	// the table service; -1 means never.
+	ConfirmedAgeSeconds float64 `json:"confirmed_age_seconds"`
 }
 
 func (c *adminComponent) status() Status {
 	s := Status{Instance: string(c.d.set.Instance), DataCentre: string(c.d.set.DataCentre), Reasons: []string{}}
-	if x := c.d.config.Index(); x != nil {
-		s.Version = x.Version
+	s.Version = c.d.config.version()
+	s.ConfirmedAgeSeconds = -1
+	if age := c.d.config.confirmedAge(); age >= 0 {
+		s.ConfirmedAgeSeconds = age.Seconds()
 	}
 	if err := c.d.config.Check(); err != nil {
 		e := result.As(err)
@@ -138,6 +144,7 @@
 		writeAdminError(ctx, result.As(err))
 		return
 	}
+	c.d.config.accepted(head, bytes.Clone(ctx.PostBody()))
 	writeAdminJSON(ctx, head)
 }
 
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -78,8 +78,12 @@
 		CallTimeout:   time.Duration(set.Platform.CallTimeoutMillis) * time.Millisecond,
 		MaxConcurrent: maxStoreCalls,
 	})
-	d.peerServer = peer.NewServer(d.peerKey, &d.traffic)
-	d.peerClient = peer.NewClient(d.peerKey, &d.traffic)
+	peerTLS, err := openPeerTLS(set)
+	if err != nil {
+		return nil, err
+	}
+	d.peerServer = peer.NewServer(d.peerKey, peerTLS, &d.traffic)
+	d.peerClient = peer.NewClient(d.peerKey, peerTLS, &d.traffic)
 	d.build()
 	if d.callerLn, err = listen(set.Listen.Caller); err != nil {
 		return nil, err
@@ -90,9 +94,25 @@
 	if d.peerLn, err = listen(set.Listen.Peer); err != nil {
 		return nil, err
 	}
+	if err := d.members.open(); err != nil {
+		return nil, err
+	}
+	d.publishControl()
 	return d, nil
 }
 
+// openPeerTLS reads the files of mutual TLS, or returns nil without it.
+func openPeerTLS(set *settings.Settings) (peer.TLS, error) {
+	if set.Trust.PeerMode != settings.PeerModeMTLS {
+		return nil, nil
+	}
+	t, err := keys.OpenTLS(set.Trust.CertFile, set.Trust.KeyFile, set.Trust.CAFile)
+	if err != nil {
+		return nil, err
+	}
+	return t, nil
+}
+
 func listen(addr string) (net.Listener, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -151,6 +171,9 @@
 // PeerAddress is the address that other instances connect to.
 func (d *Daemon) PeerAddress() string { return d.peerLn.Addr().String() }
 
+// DatagramAddress is the address that receives heartbeats.
+func (d *Daemon) DatagramAddress() string { return d.members.socket.Address() }
+
 // Run serves until ctx ends, then stops without cutting requests, bounded by
 // the setting times.stop_seconds.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -164,6 +187,7 @@
 	go d.members.run(work)
 	go d.slo.run(work)
 	go d.admission.run(work)
+	go d.claims.run(work)
 	d.log.Info("instance started", zap.String("caller", d.CallerAddress()), zap.String("admin", d.AdminAddress()))
 	select {
 	case err := <-errs:
@@ -178,10 +202,15 @@
 	limit := time.Duration(d.set.Times.StopSeconds) * time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
+	d.claims.handOver(ctx)
 	err := d.callers.Shutdown(ctx)
 	d.slo.handOver(ctx)
+	if left := d.claims.flush(ctx); left > 0 {
+		d.log.Warn("ends of attempts not recorded, their keys become unknown", zap.Int("count", left))
+	}
 	d.admin.shutdown(ctx)
 	_ = d.peerServer.Shutdown(ctx)
+	d.members.close()
 	d.log.Info("planned stop ends", zap.Bool("complete", err == nil))
 	return err
 }
--- a/cmd/internal/daemon/daemon_test.go
+++ b/cmd/internal/daemon/daemon_test.go
@@ -78,7 +78,7 @@
 	return path
 }
 
-func (f *fixture) startInstance(name string) *Daemon {
+func (f *fixture) startInstance(name string, extra ...string) *Daemon {
 	f.t.Helper()
 	path := f.write(name+".toml", fmt.Sprintf(`
 instance = %q
@@ -98,7 +98,7 @@
 [trust]
 peer_key_file = %[4]q
 operator_keys_file = %[5]q
-`, name, f.platform.URL(), filepath.Join(f.dir, "secret"), filepath.Join(f.dir, "peer.key"), filepath.Join(f.dir, "operators")))
+`, name, f.platform.URL(), filepath.Join(f.dir, "secret"), filepath.Join(f.dir, "peer.key"), filepath.Join(f.dir, "operators"))+strings.Join(extra, "\n"))
 	set, err := settings.Load(path)
 	if err != nil {
 		f.t.Fatal(err)
@@ -109,7 +109,7 @@
 	}
 	f.platform.SetMember(name, platformfake.Member{
 		Target: d.CallerAddress(),
-		Labels: map[string]string{"instance": name, "data_centre": "cordon", "region": "montevideo", "state": "live", "admin": d.AdminAddress(), "peer": d.PeerAddress()},
+		Labels: map[string]string{"instance": name, "data_centre": "cordon", "region": "montevideo", "state": "live", "admin": d.AdminAddress(), "peer": d.PeerAddress(), "datagram": d.DatagramAddress()},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/cmd/internal/daemon/history.go
+++ b/cmd/internal/daemon/history.go
@@ -15,9 +15,26 @@
 // tokens found in an engine's cache; false means that it does not know yet.
 type cacheReuser interface{ CacheReuse() (float64, bool) }
 
-// loadSkewer is implemented by a component that knows the largest load of an
-// engine over its pool's mean.
-type loadSkewer interface{ LoadSkew() (float64, bool) }
+// loadSkew is the largest load of an engine that this instance admits to over
+// the mean of its pool; false when none of these pools has load.
+func (c *admissionComponent) loadSkew() (float64, bool) {
+	x := c.d.config.Index()
+	if x == nil {
+		return 0, false
+	}
+	skew := 0.0
+	for i := range x.Manifest.Pools {
+		id := x.Manifest.Pools[i].Name
+		mean := c.ledger.Mean(id)
+		if mean <= 0 {
+			continue
+		}
+		for _, e := range c.ledger.Loads(id, nil) {
+			skew = max(skew, float64(e.Load)/(mean*max(e.Weight, 0.01)))
+		}
+	}
+	return skew, skew > 0
+}
 
 // history keeps samples of the measures for three days.
 type history struct {
@@ -48,14 +65,10 @@
 // take adds a sample and starts the next interval.
 func (h *history) take(now time.Time) {
 	s := burn.Sample{AtUnix: now.Unix()}
-	for _, c := range []any{h.d.admission, h.d.config} {
-		if m, ok := c.(cacheReuser); ok && s.CacheReuse == nil {
-			s.CacheReuse = known(m.CacheReuse())
-		}
-		if m, ok := c.(loadSkewer); ok && s.LoadSkew == nil {
-			s.LoadSkew = known(m.LoadSkew())
-		}
+	if m, ok := any(h.d.admission).(cacheReuser); ok {
+		s.CacheReuse = known(m.CacheReuse())
 	}
+	s.LoadSkew = known(h.d.admission.loadSkew())
 	if x := h.d.config.Index(); x != nil {
 		for _, dc := range x.Manifest.DataCentres {
 			if dc.State == manifest.StateOut {
@@ -63,7 +76,8 @@
 			}
 		}
 	}
-	bytes := h.d.traffic.SentBytes.Load() + h.d.traffic.ReceivedBytes.Load()
+	datagrams, calls := &h.d.members.traffic, &h.d.traffic
+	bytes := datagrams.SentBytes.Load() + datagrams.ReceivedBytes.Load() + calls.SentBytes.Load() + calls.ReceivedBytes.Load()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if secs := now.Sub(h.since).Seconds(); secs > 0 {
--- a/cmd/internal/daemon/metrics.go
+++ b/cmd/internal/daemon/metrics.go
@@ -3,7 +3,6 @@
 import (
 	"expvar"
 	"strconv"
-	"sync/atomic"
 
 	"cyclamenhitch/adapters/httpapi"
 	"cyclamenhitch/core/result"
@@ -22,12 +21,23 @@
 	{"cyclamenhitch_requests_failed_total", "requests", "Requests that may have run without a complete answer."},
 	{"cyclamenhitch_results_total", "requests, by result code", "Requests that did not end in a complete answer."},
 	{"cyclamenhitch_operator_actions_total", "actions, by action", "Actions of operators that were carried out or tried."},
-	{"cyclamenhitch_config_version", "version", "Version in force; 0 before the first."},
-	{"cyclamenhitch_ready", "0 or 1", "Whether the instance takes new work."},
-	{"cyclamenhitch_members", "instances", "Instances that this one knows as live, itself included."},
-	{"cyclamenhitch_peer_sent_bytes_total", "bytes", "Bytes of calls and answers sent to other instances."},
-	{"cyclamenhitch_peer_received_bytes_total", "bytes", "Bytes of calls and answers received from other instances."},
-	{"cyclamenhitch_peer_calls_total", "calls", "Calls made to other instances."},
+	{"cyclamenhitch_ready", "0 or 1, by instance", "Whether the instance takes new work."},
+	{"cyclamenhitch_control", "by instance", "Traffic between instances and the view of the fleet; the next rows are its fields."},
+	{"cyclamenhitch_control.datagram_sent_bytes", "bytes", "Heartbeat bytes sent."},
+	{"cyclamenhitch_control.datagram_received_bytes", "bytes", "Heartbeat bytes received."},
+	{"cyclamenhitch_control.datagrams_sent", "datagrams", "Heartbeats sent."},
+	{"cyclamenhitch_control.datagrams_received", "datagrams", "Heartbeats received."},
+	{"cyclamenhitch_control.datagrams_refused", "datagrams", "Datagrams without a valid signature or form."},
+	{"cyclamenhitch_control.peer_sent_bytes", "bytes", "Bytes of calls and answers sent to other instances."},
+	{"cyclamenhitch_control.peer_received_bytes", "bytes", "Bytes of calls and answers received from other instances."},
+	{"cyclamenhitch_control.peer_calls", "calls", "Calls made to other instances."},
+	{"cyclamenhitch_control.members", "instances", "Instances that this one knows as live, itself included."},
+	{"cyclamenhitch_control.config_version", "version", "Version in force; 0 before the first."},
+	{"cyclamenhitch_control.config_confirmed_age_ms", "ms", "Age of the last confirmation of the version by the table service."},
+	{"cyclamenhitch_control.suspected", "instances", "Times that an instance was suspected of having failed."},
+	{"cyclamenhitch_control.removed", "instances", "Times that an instance was removed as failed."},
+	{"cyclamenhitch_control.refuted", "instances", "Times that a suspicion was refuted."},
+	{"cyclamenhitch_control.own_pauses", "pauses", "Times that this instance found that it had been paused."},
 	{"cyclamenhitch_objective_summaries_total", "summaries", "Summaries of the objectives written to the object store."},
 	{"cyclamenhitch_objective_summary_errors_total", "summaries", "Summaries that could not be written."},
 }
@@ -45,30 +55,16 @@
 	metricSummaryErrors = expvar.NewInt("cyclamenhitch_objective_summary_errors_total")
 )
 
-// metricsOf is the instance whose gauges are shown: the last one created in
-// this process.
-var metricsOf atomic.Pointer[Daemon]
+var metricReady = expvar.NewMap("cyclamenhitch_ready")
 
-func init() {
-	gauge := func(name string, value func(*Daemon) int64) {
-		expvar.Publish(name, expvar.Func(func() any {
-			if d := metricsOf.Load(); d != nil {
-				return value(d)
-			}
-			return 0
-		}))
-	}
-	gauge("cyclamenhitch_config_version", func(d *Daemon) int64 { return int64(d.admin.status().Version) })
-	gauge("cyclamenhitch_ready", func(d *Daemon) int64 {
+// publishReady publishes the readiness of one instance of the process.
+func (d *Daemon) publishReady() {
+	metricReady.Set(string(d.set.Instance), expvar.Func(func() any {
 		if d.admin.status().Ready {
 			return 1
 		}
 		return 0
-	})
-	gauge("cyclamenhitch_members", func(d *Daemon) int64 { return int64(len(d.members.View().Members)) })
-	gauge("cyclamenhitch_peer_sent_bytes_total", func(d *Daemon) int64 { return d.traffic.SentBytes.Load() })
-	gauge("cyclamenhitch_peer_received_bytes_total", func(d *Daemon) int64 { return d.traffic.ReceivedBytes.Load() })
-	gauge("cyclamenhitch_peer_calls_total", func(d *Daemon) int64 { return d.traffic.Calls.Load() })
+	}))
 }
 
 func countRequest(o httpapi.Observation) {
--- a/cmd/internal/daemon/observability_test.go
+++ b/cmd/internal/daemon/observability_test.go
@@ -68,10 +68,12 @@
 
 // Guards against a metric that is missing in the table, or the reverse.
 func TestMetricsTable(t *testing.T) {
+	newFixture(t)
 	listed := map[string]bool{}
 	for _, m := range Metrics {
 		listed[m.Name] = true
-		if expvar.Get(m.Name) == nil {
+		name, field, _ := strings.Cut(m.Name, ".")
+		if v := expvar.Get(name); v == nil || !strings.Contains(v.String(), field) {
 			t.Errorf("%s is listed but not published", m.Name)
 		}
 	}
--- a/cmd/internal/daemon/slo.go
+++ b/cmd/internal/daemon/slo.go
@@ -67,7 +67,7 @@
 	c := &sloComponent{d: d, life: fmt.Sprintf("%s-%x", d.set.Instance, time.Now().UnixMilli())}
 	c.rec = burn.NewRecorder(c.life)
 	c.history = newHistory(d)
-	metricsOf.Store(d)
+	d.publishReady()
 	d.peerServer.Mount("/slo/", http.HandlerFunc(c.takeOver))
 	return c
 }
--- a/cmd/internal/operator/status.go
+++ b/cmd/internal/operator/status.go
@@ -18,7 +18,10 @@
 	Version    uint64   `json:"version"`
 	Ready      bool     `json:"ready"`
 	Reasons    []string `json:"reasons"`
-	Error      string   `json:"error,omitempty"`
+	// ConfirmedAgeSeconds is the age of the last confirmation of the version by
+	// the table service; -1 means never.
+	ConfirmedAgeSeconds float64 `json:"confirmed_age_seconds"`
+	Error               string  `json:"error,omitempty"`
 }
 
 // statuses asks all given instances.
@@ -84,17 +87,20 @@
 
 func (e *env) printStatus(a statusAnswer) {
 	w := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "ADDRESS\tINSTANCE\tDATA CENTRE\tVERSION\tREADY\tREASONS")
+	fmt.Fprintln(w, "ADDRESS\tINSTANCE\tDATA CENTRE\tVERSION\tCONFIRMED\tREADY\tREASONS")
 	for _, s := range a.Instances {
 		if !s.Reached {
-			fmt.Fprintf(w, "%s\t-\t-\t-\t-\tnot reached\n", s.Address)
+			fmt.Fprintf(w, "%s\t-\t-\t-\t-\t-\tnot reached\n", s.Address)
 			continue
 		}
-		ready := "yes"
+		ready, confirmed := "yes", "never"
+		if s.ConfirmedAgeSeconds >= 0 {
+			confirmed = fmt.Sprintf("%.0f s ago", s.ConfirmedAgeSeconds)
+		}
 		if !s.Ready {
 			ready = "no"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\n", s.Address, s.Instance, s.DataCentre, s.Version, ready, strings.Join(s.Reasons, "; "))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%s\n", s.Address, s.Instance, s.DataCentre, s.Version, confirmed, ready, strings.Join(s.Reasons, "; "))
 	}
 	_ = w.Flush()
 }
