--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -77,14 +77,15 @@
 	PeerKeyFile string `toml:"peer_key_file"`
 	// OperatorKeysFile holds one "name sha256-hex" line for each operator. Required.
 	OperatorKeysFile string `toml:"operator_keys_file"`
-	// PeerMode is "hmac" (default) or "mtls". Calls between instances are always
-	// signed with the shared key; "mtls" adds mutual TLS.
+	// PeerMode is "hmac" or "mtls". Calls between instances are always signed
+	// with the shared key; "mtls" adds mutual TLS. Default hmac.
 	PeerMode string `toml:"peer_mode"`
-	// CertFile, KeyFile and CAFile are PEM files of the instance's certificate,
-	// its key and the certificate authority of the fleet. Required with "mtls".
+	// CertFile is a PEM file with the instance's certificate, needed with "mtls".
 	CertFile string `toml:"cert_file"`
-	KeyFile  string `toml:"key_file"`
-	CAFile   string `toml:"ca_file"`
+	// KeyFile is a PEM file with the key of the certificate, needed with "mtls".
+	KeyFile string `toml:"key_file"`
+	// CAFile is a PEM file with the certificate authority of the fleet, needed with "mtls".
+	CAFile string `toml:"ca_file"`
 }
 
 // Values of Trust.PeerMode.
--- a/core/manifest/manifest.go
+++ b/core/manifest/manifest.go
@@ -20,7 +20,7 @@
 
 // Fleet holds settings of the whole router fleet.
 type Fleet struct {
-	// Name is shown in reports; it has no effect.
+	// Name describes the fleet; it has no effect.
 	Name string `toml:"name"`
 	// KeepSeconds is how long callers may keep a lookup answer, in seconds.
 	// Default 20, range 1 to 600.
@@ -85,9 +85,9 @@
 
 // Objectives are the service-level objectives of a pool.
 type Objectives struct {
-	// FirstTokenMillis is met by 95 in 100 requests. Default 440.
+	// FirstTokenMillis is the time to the first token that 95 in 100 streams keep. Default 440.
 	FirstTokenMillis int `toml:"first_token_ms"`
-	// BetweenTokensMillis is met by 95 in 100 requests. Default 67.
+	// BetweenTokensMillis is the mean time between tokens that 95 in 100 streams keep. Default 67.
 	BetweenTokensMillis int `toml:"between_tokens_ms"`
 	// AvailabilityPercent is the share of requests answered whole. Default 99.9.
 	AvailabilityPercent float64 `toml:"availability_percent"`
