--- a/cmd/internal/daemon/admission_calls.go
+++ b/cmd/internal/daemon/admission_calls.go
@@ -164,10 +164,14 @@
 			rest.Members = append(rest.Members, m)
 		}
 	}
+	successors := admission.NewTable(rest, st.table.Index, 1)
+	if !successors.Regions()[c.d.set.Region] {
+		return // nobody could go on
+	}
 	c.refreshMu.Lock()
 	snaps := c.ledger.Export(time.Now())
 	c.refreshMu.Unlock()
-	c.sendLedgers(admission.NewTable(rest, st.table.Index, 1), snaps)
+	c.sendLedgers(successors, snaps)
 }
 
 func encodeLedger(s admission.Snapshot) *permitpb.Ledger {
--- a/cmd/internal/daemon/controlvars.go
+++ b/cmd/internal/daemon/controlvars.go
@@ -3,7 +3,7 @@
 import "expvar"
 
 // controlVars holds the control traffic of each instance of the process.
-var controlVars = expvar.NewMap("control")
+var controlVars = expvar.NewMap("cyclamenhitch_control")
 
 // publishControl publishes the bytes that membership and calls between
 // instances take, and the decisions of the failure detector.
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -49,6 +49,7 @@
 	callers   *httpapi.Server
 	admin     *adminComponent
 	stopper   *stopper
+	slo       *sloComponent
 
 	callerLn, adminLn, peerLn net.Listener
 }
@@ -127,6 +128,7 @@
 	d.members = newMemberComponent(d)
 	d.admission = newAdmissionComponent(d)
 	d.claims = newClaimsComponent(d)
+	d.slo = newSLOComponent(d)
 	gw := &gateway.Gateway{
 		Router:   d.admission,
 		Admitter: d.admission,
@@ -139,7 +141,7 @@
 	}
 	d.callers = &httpapi.Server{
 		Config: d.config.Index, Opener: gw, Directory: d.members, Gate: d.config,
-		Log: d.log, NewID: newID,
+		Log: d.log, NewID: newID, Observe: d.slo.observe,
 	}
 	d.admin = newAdminComponent(d)
 }
@@ -185,9 +187,11 @@
 	go func() { errs <- d.peerServer.Serve(d.peerLn) }()
 	go d.config.run(work)
 	go d.members.run(work)
+	go d.slo.run(work)
 	go d.admission.run(work)
 	go d.claims.run(work)
-	d.log.Info("instance started", zap.String("caller", d.CallerAddress()), zap.String("admin", d.AdminAddress()))
+	d.log.Info("instance started", zap.String("caller", d.CallerAddress()), zap.String("admin", d.AdminAddress()),
+		zap.String("peer", d.PeerAddress()), zap.String("datagram", d.DatagramAddress()))
 	select {
 	case err := <-errs:
 		return err
--- a/cmd/internal/daemon/operator_test.go
+++ b/cmd/internal/daemon/operator_test.go
@@ -39,6 +39,12 @@
 			case "platform":
 				f.platform.SetFault(parseFault(d))
 				return ""
+			case "settle":
+				f.eventually("an admitter", func() bool {
+					_, body := f.do("GET", f.daemon.AdminAddress(), "/admin/explain?model=taller-modelo&chat=c1", testOperatorKey, "")
+					return strings.Contains(body, `"admitters":["r1"]`)
+				})
+				return ""
 			case "run":
 				var out bytes.Buffer
 				args := append(strings.Fields(names.Replace(d.Input)), "--key-file", filepath.Join(f.dir, "operator.key"))
@@ -51,7 +57,7 @@
 }
 
 var (
-	secondsRE = regexp.MustCompile(`after [0-9.]+ s|"seconds":[0-9.e-]+`)
+	secondsRE = regexp.MustCompile(`after [0-9.]+ s|"(confirmed_age_)?seconds":[0-9.e-]+|[0-9]+ s ago|[0-9-]{10} [0-9:]{8} UTC`)
 	portRE    = regexp.MustCompile(`127\.0\.0\.1:[0-9]{4,5}(->127\.0\.0\.1:[0-9]{4,5})?`)
 )
 
--- a/core/admission/admitters.go
+++ b/core/admission/admitters.go
@@ -35,9 +35,12 @@
 		hashes  []uint64
 	}
 	regions := map[fleet.RegionID]*region{}
+	staying := stayingRegions(view)
 	for i := range view.Members {
 		m := &view.Members[i]
-		if !m.Eligible || m.Leaving {
+		// A leaving instance serves its keep time and its running requests. Without
+		// a successor in its region it keeps its roles until it exits.
+		if !m.Eligible && (!m.Leaving || staying[m.Region]) {
 			continue
 		}
 		r := regions[m.Region]
@@ -70,6 +73,18 @@
 	return t
 }
 
+// stayingRegions are the regions that have an instance which may hold roles and
+// is not leaving.
+func stayingRegions(view *membership.View) map[fleet.RegionID]bool {
+	out := map[fleet.RegionID]bool{}
+	for i := range view.Members {
+		if m := &view.Members[i]; m.Eligible && !m.Leaving {
+			out[m.Region] = true
+		}
+	}
+	return out
+}
+
 // owner returns the first eligible instance for a key, or nil.
 func (t *Table) owner(key string) *membership.Member {
 	var buf [1]int
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -113,6 +113,7 @@
 			return nil, markOutcome(err, mayHaveRun)
 		}
 		srv := ranked[i]
+		req.Server = srv
 		// Servers before the admitted one refused; they may have room by now.
 		ranked = append(ranked[:i], ranked[i+1:]...)
 		if claim != nil {
