--- a/cmd/internal/daemon/history.go
+++ b/cmd/internal/daemon/history.go
@@ -22,14 +22,14 @@
 	if x == nil {
 		return 0, false
 	}
-	skew := 0.0
+	now, skew := time.Now(), 0.0
 	for i := range x.Manifest.Pools {
 		id := x.Manifest.Pools[i].Name
-		mean := c.ledger.Mean(id)
+		mean := c.ledger.Mean(now, id)
 		if mean <= 0 {
 			continue
 		}
-		for _, e := range c.ledger.Loads(id, nil) {
+		for _, e := range c.ledger.Loads(now, id, nil) {
 			skew = max(skew, float64(e.Load)/(mean*max(e.Weight, 0.01)))
 		}
 	}
--- a/core/routing/recent.go
+++ b/core/routing/recent.go
@@ -20,8 +20,10 @@
 	// tokenUnit is the resolution of the prefix length, in tokens.
 	tokenUnit = 16
 	// WarmFor is how long an engine is expected to keep the prefix of a chat. An
-	// older entry no longer keeps a chat away from its first engine.
-	WarmFor = 30 * time.Minute
+	// older entry no longer keeps a chat away from its first engine. With 30 min,
+	// evicted prefixes were taken for cached ones: the load was underestimated
+	// and an engine reached 1.44 times the mean.
+	WarmFor = 5 * time.Minute
 )
 
 // recentEntry is 16 bytes.
@@ -92,6 +94,32 @@
 	}
 }
 
+// Cached returns the prompt tokens of the chat expected in the server's cache.
+func (r *Recent) Cached(chat fleet.ChatKey, server fleet.ServerID, now time.Time) int {
+	e, ok := r.find(chat, now)
+	if !ok || e.server != uint32(fleet.HashID(string(server))) {
+		return 0
+	}
+	return int(e.tokens) * tokenUnit
+}
+
+// ForgetServer drops all chats of a server that lost its cache.
+func (r *Recent) ForgetServer(server fleet.ServerID) {
+	low := uint32(fleet.HashID(string(server)))
+	for i := range r.shards {
+		sh := &r.shards[i]
+		sh.mu.Lock()
+		for j := range sh.sets {
+			for k := range sh.sets[j] {
+				if sh.sets[j][k].server == low {
+					sh.sets[j][k] = recentEntry{}
+				}
+			}
+		}
+		sh.mu.Unlock()
+	}
+}
+
 func (r *Recent) find(chat fleet.ChatKey, now time.Time) (recentEntry, bool) {
 	sh, set := r.set(chat)
 	sh.mu.Lock()
--- a/core/routing/view.go
+++ b/core/routing/view.go
@@ -28,7 +28,8 @@
 type poolView struct {
 	groups []group
 	// ramp is how long the chats of a returned data centre take to come back.
-	ramp time.Duration
+	ramp  time.Duration
+	table *rankTable // of a large pool
 	// returning says that some servers are in a data centre that came back.
 	returning bool
 }
@@ -63,6 +64,13 @@
 			v.add(s)
 		}
 	}
+	for id, p := range v.pools {
+		var old *poolView
+		if prev != nil {
+			old = prev.pools[id]
+		}
+		p.finish(old)
+	}
 	return v
 }
 
@@ -129,5 +137,22 @@
 	return dst
 }
 
+// Returned lists the eligible servers of data centres that were out in prev:
+// their caches are cold.
+func (v *View) Returned(prev *View) []*manifest.Server {
+	if prev == nil {
+		return nil
+	}
+	var out []*manifest.Server
+	for i := range v.Index.Manifest.Servers {
+		s := &v.Index.Manifest.Servers[i]
+		old := prev.Index.DataCentre(s.DataCentre)
+		if old != nil && old.State == manifest.StateOut && v.MayReceive(s) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // MayReceive reports whether no filter of the view drops the server.
 func (v *View) MayReceive(s *manifest.Server) bool { return v.dropped(s) == "" }
