Let requests wait while every engine is over the bound

Cause: in a small pool the lag of the mean alone puts all engines over the bound; the demo refused 22% of its requests although engines were idle. Change: a request whose candidates are all over the bound waits up to four times 75 ms, and each wait asks for a fresh mean. The demo runs 300 chats so that the ratio is not decided by single requests.

--- a/cmd/internal/daemon/admission.go
+++ b/cmd/internal/daemon/admission.go
@@ -263,7 +263,12 @@
 	}
 	place := admission.Placement{Warm: warm, Priority: req.Priority, Left: time.Until(req.Deadline)}
 	i, v, wait := place.Step(len(ranked), try)
-	for wait > 0 && sleep(ctx, wait) == nil {
+	for wait > 0 {
+		// The mean may be out of date; a fresh one can lift the bound.
+		c.exchangeNow()
+		if sleep(ctx, wait) != nil {
+			break
+		}
 		i, v, wait = place.Step(len(ranked), try)
 	}
 	if logged {
--- a/cmd/internal/demo/callers.go
+++ b/cmd/internal/demo/callers.go
@@ -127,7 +127,7 @@
 // chat runs one returning chat until ctx ends.
 func (c *caller) chat(ctx context.Context, t *tally) {
 	chatID := fmt.Sprintf("chat-%d", c.id)
-	catalogue := fmt.Sprintf("Pattern catalogue of chat %d. ", c.id) + strings.Repeat("Cut the gusset along the grain. ", 60)
+	catalogue := fmt.Sprintf("Pattern catalogue of chat %d. ", c.id) + strings.Repeat("Cut the gusset along the grain. ", 20)
 	messages := []map[string]string{{"role": "system", "content": catalogue}}
 	for turn := 0; ctx.Err() == nil; turn++ {
 		question := fmt.Sprintf("chat %d turn %d: which leather grade?", c.id, turn)
@@ -135,7 +135,7 @@
 			messages = messages[:1]
 		}
 		messages = append(messages, map[string]string{"role": "user", "content": question})
-		tokens := 20 + c.rng.IntN(40)
+		tokens := 40 + c.rng.IntN(40)
 		body, _ := json.Marshal(map[string]any{"model": chatPool, "stream": true, "max_tokens": tokens, "messages": messages})
 		addrs := c.lookup(ctx, "model="+chatPool+"&chat="+chatID)
 		pause := time.Duration(20+c.rng.IntN(100)) * time.Millisecond
--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -18,7 +18,7 @@
 
 // Load of the demo.
 const (
-	chatCallers  = 80
+	chatCallers  = 300
 	orderCallers = 6
 )
 
--- a/cmd/internal/demo/fleet.go
+++ b/cmd/internal/demo/fleet.go
@@ -34,7 +34,7 @@
 	engines      = 10
 	servers      = 4
 	accounts     = 10
-	tokenGap     = 5 * time.Millisecond
+	tokenGap     = 20 * time.Millisecond
 	orderTime    = 5 * time.Millisecond
 	keepSeconds  = 2
 	startTimeout = 30 * time.Second
--- a/core/admission/verdict.go
+++ b/core/admission/verdict.go
@@ -48,12 +48,14 @@
 	return result.New(code, "server %s: %s", server, v).WithRetryAfter(after)
 }
 
-// Bounds of the wait of a chat whose engine is over its bound. An engine with 60
-// running requests of 10 s ends one each 170 ms, and a lost prefix of 2,500
-// tokens costs more time than the wait.
+// Bounds of the wait of a request when the engine that holds its prefix, or
+// every engine, is over its bound. An engine with 60 running requests of 10 s
+// ends one each 170 ms, and a lost prefix of 2,500 tokens costs more time than
+// the wait. In a small pool the lag of the mean alone puts all engines over the
+// bound for an exchange interval.
 const (
-	WarmWait  = 75 * time.Millisecond
-	warmTries = 4
+	BoundWait  = 75 * time.Millisecond
+	boundTries = 4
 	// defaultPriority and above may wait for all tries, lower ones for half.
 	defaultPriority = 5
 )
@@ -82,9 +84,7 @@
 			return 0, last, 0
 		}
 		if last == OverBound && p.mayWait() {
-			p.waits++
-			p.Left -= WarmWait
-			return -1, last, WarmWait
+			return -1, last, p.wait()
 		}
 		start = 1
 	}
@@ -110,13 +110,22 @@
 		}
 		last = max(last, v)
 	}
+	if (last == OverBound || last == OverRamp) && p.mayWait() {
+		return -1, last, p.wait()
+	}
 	return -1, last, 0
 }
 
+func (p *Placement) wait() time.Duration {
+	p.waits++
+	p.Left -= BoundWait
+	return BoundWait
+}
+
 func (p *Placement) mayWait() bool {
-	tries := warmTries
+	tries := boundTries
 	if p.Priority < defaultPriority {
 		tries /= 2
 	}
-	return p.waits < tries && p.Left > 2*WarmWait
+	return p.waits < tries && p.Left > 2*BoundWait
 }
