--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -7,8 +7,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"net"
 	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -60,13 +64,21 @@
 	NewID func() string
 
 	// srv is stored when Serve begins; Shutdown may run on another goroutine.
-	srv atomic.Pointer[fasthttp.Server]
+	srv      atomic.Pointer[fasthttp.Server]
+	running  atomic.Int64
+	baseOnce sync.Once
+	base     context.Context
+	abort    context.CancelCauseFunc
+	draining atomic.Bool
+	stopping atomic.Bool
 }
 
 // Observation is what a finished request showed.
 type Observation struct {
 	Account fleet.ClientAccountID
 	Pool    fleet.PoolID
+	// DataCentre is that of the last server; empty when none was chosen.
+	DataCentre fleet.DataCentreID
 	// Code is 0 for a complete answer.
 	Code    result.Code
 	Outcome result.Outcome
@@ -84,23 +96,64 @@
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(ln net.Listener, l Limits) error {
 	srv := &fasthttp.Server{
-		Handler:               s.handle,
-		Name:                  "cyclamenhitch",
-		ReadTimeout:           l.ReadTimeout,
-		WriteTimeout:          l.WriteTimeout,
-		IdleTimeout:           l.IdleTimeout,
-		Concurrency:           l.MaxConnections,
-		MaxConnsPerIP:         l.MaxConnectionsPerIP,
-		MaxRequestBodySize:    l.MaxBodyBytes,
-		ReadBufferSize:        l.MaxHeaderBytes,
+		Handler:            s.handle,
+		Name:               "cyclamenhitch",
+		ReadTimeout:        l.ReadTimeout,
+		IdleTimeout:        l.IdleTimeout,
+		Concurrency:        l.MaxConnections + 1, // the listener refuses first, with a code
+		MaxRequestBodySize: l.MaxBodyBytes,
+		ReadBufferSize:     l.MaxHeaderBytes,
+		// Returns the read buffer of max_header_bytes to a pool while a
+		// request runs; open streams would keep it otherwise.
+		ReduceMemoryUsage:     true,
 		CloseOnShutdown:       true,
 		NoDefaultServerHeader: true,
+		NoDefaultContentType:  true,
+		// A multipart body is passed on as it is, not parsed and rebuilt.
+		DisablePreParseMultipartForm: true,
+		// Errors of the library quote header bytes, among them keys.
+		SecureErrorLogMessage: true,
+		Logger:                debugLogger{s.Log},
 		ErrorHandler:          s.handleProtocolError,
 	}
+	conns, err := newCallerListener(ln, l)
+	if err != nil {
+		return err
+	}
+	defer conns.stop()
 	s.srv.Store(srv)
-	return srv.Serve(ln)
+	return srv.Serve(conns)
+}
+
+// debugLogger passes the library's log lines on at level debug.
+type debugLogger struct{ log *zap.Logger }
+
+func (l debugLogger) Printf(format string, args ...any) {
+	l.log.Debug("caller connection", zap.String("detail", fmt.Sprintf(format, args...)))
 }
 
+// Drain closes each connection after its running request, so that callers look
+// up an address again. New requests are still served.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Refuse answers new requests with code 2006.
+func (s *Server) Refuse() { s.stopping.Store(true) }
+
+// Abort ends the running requests with code 2006; streams end with its event.
+func (s *Server) Abort() {
+	s.baseContext()
+	s.abort(result.New(result.Stopping, "the instance stops and the request did not end in time").WithOutcome(result.Unknown))
+}
+
+// baseContext is the parent of all requests' contexts.
+func (s *Server) baseContext() context.Context {
+	s.baseOnce.Do(func() { s.base, s.abort = context.WithCancelCause(context.Background()) })
+	return s.base
+}
+
+// Running is the number of requests that have not ended, streams included.
+func (s *Server) Running() int { return int(s.running.Load()) }
+
 // Shutdown stops accepting and waits for running requests until ctx ends.
 func (s *Server) Shutdown(ctx context.Context) error {
 	if srv := s.srv.Load(); srv != nil {
@@ -109,21 +162,46 @@
 	return nil
 }
 
+// handleProtocolError answers a request that cannot be read. The library's
+// message is not passed on, because it may quote the header.
 func (s *Server) handleProtocolError(ctx *fasthttp.RequestCtx, err error) {
-	code := result.BadRequest
-	if err == fasthttp.ErrBodyTooLarge {
-		code = result.BodyTooLarge
+	var small *fasthttp.ErrSmallBuffer
+	var ne net.Error
+	e := result.New(result.BadRequest, "the request is not valid HTTP")
+	switch {
+	case errors.Is(err, fasthttp.ErrBodyTooLarge):
+		e = result.New(result.BodyTooLarge, "the request body is over the limit")
+	case errors.As(err, &small):
+		e = result.New(result.HeaderTooLarge, "the request header is over the limit")
+	case errors.As(err, &ne) && ne.Timeout():
+		e = result.New(result.BadRequest, "the request did not arrive in time")
 	}
-	writeError(ctx, result.New(code, "request cannot be read: %v", err))
+	writeError(ctx, e)
+	ctx.SetConnectionClose()
 }
 
-var (
-	pathChat    = []byte("/v1/chat/completions")
-	pathLookup  = []byte("/v1/lookup")
-	pathService = []byte("/svc/")
+const (
+	pathChat    = "/v1/chat/completions"
+	pathLookup  = "/v1/lookup"
+	pathService = "/svc/"
 )
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	defer func() {
+		if p := recover(); p != nil {
+			s.Log.Error("request handler panicked", zap.Any("panic", p), zap.Stack("stack"))
+			ctx.Response.Reset()
+			writeError(ctx, result.New(result.Internal, "an unexpected error inside the instance"))
+			ctx.SetConnectionClose()
+		}
+	}()
+	if s.draining.Load() {
+		ctx.SetConnectionClose()
+	}
+	if s.stopping.Load() {
+		writeError(ctx, result.New(result.Stopping, "the instance is stopping"))
+		return
+	}
 	x := s.Config()
 	if x == nil {
 		writeError(ctx, result.New(result.NotReady, "the instance has no configuration yet").WithRetryAfter(time.Second))
@@ -134,14 +212,18 @@
 		writeError(ctx, result.New(result.Unauthenticated, "the bearer key is missing or unknown"))
 		return
 	}
-	path := ctx.Path()
+	t, e := parseTarget(ctx.Request.Header.RequestURI())
+	if e != nil {
+		writeError(ctx, e)
+		return
+	}
 	switch {
-	case bytes.Equal(path, pathChat):
+	case t.path == pathChat:
 		s.handleChat(ctx, x, account)
-	case bytes.Equal(path, pathLookup):
+	case t.path == pathLookup:
 		s.handleLookup(ctx, x, account)
-	case bytes.HasPrefix(path, pathService):
-		s.handleService(ctx, x, account)
+	case strings.HasPrefix(t.path, pathService):
+		s.handleService(ctx, x, account, t)
 	default:
 		writeError(ctx, result.New(result.UnknownRoute, "no such path"))
 	}
@@ -172,6 +254,10 @@
 		writeError(ctx, result.New(result.UnknownModel, "no pool serves model %q", args.Peek("model")))
 		return
 	}
+	if !account.MayUse(pool.Name) {
+		writeError(ctx, result.New(result.PoolForbidden, "account %s may not use pool %s", account.Name, pool.Name))
+		return
+	}
 	addrs := s.Directory.Addresses(pool, chatKey(account, args.Peek("chat")))
 	if len(addrs) == 0 {
 		writeError(ctx, result.New(result.NoServer, "no instance takes new work").WithRetryAfter(time.Second))
@@ -195,34 +281,65 @@
 func (s *Server) run(ctx *fasthttp.RequestCtx, req *gateway.Request) {
 	start := time.Now()
 	obs := Observation{Account: req.Account.Name, Pool: req.Pool.Name}
+	s.running.Add(1)
 	if err := s.Gate.Check(); err != nil {
 		s.finish(ctx, req, obs, start, result.As(err))
 		return
 	}
 	// The request outlives the handler when it streams, so it must not use ctx.
-	ans, err := s.Opener.Open(context.Background(), req)
+	work, cancel := context.WithCancel(s.baseContext())
+	conn, _ := ctx.Conn().(*callerConn)
+	if conn != nil {
+		conn.onHangUp(cancel)
+	}
+	end := func() {
+		if conn != nil {
+			conn.onHangUp(nil)
+		}
+		cancel()
+	}
+	ans, err := s.Opener.Open(work, req)
 	if err != nil {
+		end()
 		s.finish(ctx, req, obs, start, result.As(err))
 		return
 	}
+	stream := false
 	ctx.SetStatusCode(ans.Status())
 	for _, f := range ans.Fields() {
+		switch f.Name {
+		case "Content-Length": // of an answer to HEAD
+			if n, err := strconv.Atoi(f.Value); err == nil {
+				ctx.Response.Header.SetContentLength(n)
+			}
+			continue
+		case "Content-Type":
+			stream = req.Stream && strings.HasPrefix(f.Value, "text/event-stream")
+		}
 		ctx.Response.Header.Set(f.Name, f.Value)
 	}
 	ctx.Response.Header.Set("X-Request-Id", req.ID)
-	if req.Stream {
-		ctx.Response.ImmediateHeaderFlush = true
-		ctx.SetBodyStream(&relay{srv: s, req: req, ans: ans, obs: obs, start: start}, -1)
+	if stream {
+		ctx.SetBodyStream(&relay{srv: s, req: req, ans: ans, obs: obs, start: start, release: end}, -1)
 		return
 	}
-	body, rerr := collect(ans)
+	s.passWhole(ctx, req, ans, obs, start)
+	end()
+}
+
+// passWhole passes an answer on that is not streamed, once it is complete.
+func (s *Server) passWhole(ctx *fasthttp.RequestCtx, req *gateway.Request, ans gateway.Answer, obs Observation, start time.Time) {
+	body, err := collect(ans)
 	ans.Close()
-	if rerr != nil {
+	if err != nil {
 		ctx.Response.Reset()
-		s.finish(ctx, req, obs, start, result.As(rerr))
+		if s.draining.Load() {
+			ctx.SetConnectionClose()
+		}
+		s.finish(ctx, req, obs, start, result.As(err))
 		return
 	}
-	ctx.SetBody(body)
+	ctx.Response.SetBodyRaw(body)
 	obs.Parts, obs.FirstPart = 1, time.Since(start)
 	s.finish(ctx, req, obs, start, nil)
 }
@@ -237,8 +354,12 @@
 }
 
 func (s *Server) record(req *gateway.Request, obs Observation, start time.Time, e *result.Error) {
+	s.running.Add(-1)
 	obs.Total = time.Since(start)
 	obs.Outcome = result.Ran
+	if req.Server != nil {
+		obs.DataCentre = req.Server.DataCentre
+	}
 	if e != nil {
 		obs.Code, obs.Outcome = e.Code, e.Outcome
 		s.Log.Info("request failed", zap.String(logging.FieldRequest, req.ID),
--- a/cmd/internal/daemon/control_test.go
+++ b/cmd/internal/daemon/control_test.go
@@ -29,13 +29,16 @@
 func TestMembersFindEachOther(t *testing.T) {
 	f := newFixture(t)
 	other := f.startInstance("r2")
+	f.applyManifest()
+	pool := f.daemon.config.Index().PoolByModel("taller-modelo")
 	f.eventually("both instances in both views", func() bool {
 		return other.members.View().Find("r1") != nil && f.daemon.members.View().Find("r2") != nil
 	})
 	other.members.setLeaving()
 	f.eventually("leaving seen", func() bool {
 		m := f.daemon.members.View().Find("r2")
-		return m != nil && m.Leaving && !m.Eligible && len(f.daemon.members.Addresses(nil, 1)) == 1
+		addrs := f.daemon.members.Addresses(pool, 1)
+		return m != nil && m.Leaving && !m.Eligible && len(addrs) == 1 && addrs[0] == f.daemon.CallerAddress()
 	})
 }
 
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -4,8 +4,9 @@
 
 import (
 	"context"
-	"crypto/rand"
+	crand "crypto/rand"
 	"encoding/hex"
+	"math/rand/v2"
 	"net"
 	"strings"
 	"time"
@@ -47,6 +48,8 @@
 	claims    *claimsComponent
 	callers   *httpapi.Server
 	admin     *adminComponent
+	stopper   *stopper
+	slo       *sloComponent
 
 	callerLn, adminLn, peerLn net.Listener
 }
@@ -120,28 +123,44 @@
 }
 
 func (d *Daemon) build() {
+	d.stopper = &stopper{d: d}
 	d.config = newConfigComponent(d)
 	d.members = newMemberComponent(d)
 	d.admission = newAdmissionComponent(d)
 	d.claims = newClaimsComponent(d)
+	d.slo = newSLOComponent(d)
 	gw := &gateway.Gateway{
-		Router:   d.config,
+		Router:   d.admission,
 		Admitter: d.admission,
 		Upstream: &engine.Client{MaxAnswerBytes: d.set.Limits.MaxAnswerBytes},
 		Claimer:  d.claims,
 		Budget:   d.admission,
 		Now:      time.Now,
+		Sleep:    sleep,
+		Int64N:   rand.Int64N,
 	}
 	d.callers = &httpapi.Server{
 		Config: d.config.Index, Opener: gw, Directory: d.members, Gate: d.config,
-		Log: d.log, NewID: newID,
+		Log: d.log, NewID: newID, Observe: d.slo.observe,
 	}
 	d.admin = newAdminComponent(d)
 }
 
+// sleep waits for dur or until ctx ends.
+func sleep(ctx context.Context, dur time.Duration) error {
+	t := time.NewTimer(dur)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
 func newID() string {
 	var b [12]byte
-	_, _ = rand.Read(b[:])
+	_, _ = crand.Read(b[:])
 	return hex.EncodeToString(b[:])
 }
 
@@ -168,26 +187,17 @@
 	go func() { errs <- d.peerServer.Serve(d.peerLn) }()
 	go d.config.run(work)
 	go d.members.run(work)
-	d.log.Info("instance started", zap.String("caller", d.CallerAddress()), zap.String("admin", d.AdminAddress()))
+	go d.slo.run(work)
+	go d.admission.run(work)
+	go d.claims.run(work)
+	d.log.Info("instance started", zap.String("caller", d.CallerAddress()), zap.String("admin", d.AdminAddress()),
+		zap.String("peer", d.PeerAddress()), zap.String("datagram", d.DatagramAddress()))
 	select {
 	case err := <-errs:
 		return err
 	case <-ctx.Done():
 	}
-	return d.stop()
-}
-
-func (d *Daemon) stop() error {
-	d.log.Info("planned stop begins")
-	limit := time.Duration(d.set.Times.StopSeconds) * time.Second
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	err := d.callers.Shutdown(ctx)
-	d.admin.shutdown(ctx)
-	_ = d.peerServer.Shutdown(ctx)
-	d.members.close()
-	d.log.Info("planned stop ends", zap.Bool("complete", err == nil))
-	return err
+	return d.stopper.run()
 }
 
 func (d *Daemon) limits() httpapi.Limits {
--- a/cmd/internal/daemon/members.go
+++ b/cmd/internal/daemon/members.go
@@ -17,10 +17,6 @@
 	"cyclamenhitch/core/result"
 )
 
-// lookupAddresses is how many addresses a lookup names: the primary admitter
-// and two standbys.
-const lookupAddresses = 3
-
 // memberComponent runs the failure detector over the datagram socket.
 type memberComponent struct {
 	d       *Daemon
@@ -176,18 +172,6 @@
 }
 
 // Addresses implements httpapi.Directory.
-func (c *memberComponent) Addresses(_ *manifest.Pool, chat fleet.ChatKey) []string {
-	var hashes []uint64
-	var addrs []string
-	for _, m := range c.View().Members {
-		if !m.Leaving {
-			hashes = append(hashes, fleet.HashID(string(m.ID)))
-			addrs = append(addrs, m.Caller)
-		}
-	}
-	var out []string
-	for _, i := range fleet.Best(nil, uint64(chat), hashes, lookupAddresses) {
-		out = append(out, addrs[i])
-	}
-	return out
+func (c *memberComponent) Addresses(pool *manifest.Pool, chat fleet.ChatKey) []string {
+	return c.d.admission.addresses(pool, chat)
 }
--- /dev/null
+++ b/measure/cmd/capacity/main.go
@@ -0,0 +1,95 @@
+// Command capacity fits lines through benchmark results and rewrites the
+// generated tables of the capacity page.
+package main
+
+import (
+	"bytes"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+)
+
+func main() {
+	bench := flag.String("bench", "out/capacity.txt", "output of the benchmarks")
+	page := flag.String("page", "docs/CAPACITY.md", "page to rewrite")
+	flag.Parse()
+	if err := run(*bench, *page); err != nil {
+		fmt.Fprintln(os.Stderr, "capacity:", err)
+		os.Exit(1)
+	}
+}
+
+func run(bench, page string) error {
+	f, err := os.Open(bench)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	fits, plain, err := readBench(f)
+	if err != nil {
+		return err
+	}
+	src, err := os.ReadFile(page)
+	if err != nil {
+		return err
+	}
+	m := model{fits: fits, plain: plain}
+	for _, block := range []struct {
+		name string
+		text string
+	}{
+		{"slopes", m.slopeTable()},
+	} {
+		if src, err = replaceBlock(src, block.name, block.text); err != nil {
+			return err
+		}
+	}
+	return os.WriteFile(page, src, 0o644)
+}
+
+// replaceBlock replaces the text between the markers of a generated block.
+func replaceBlock(src []byte, name, text string) ([]byte, error) {
+	begin, end := []byte("<!-- begin "+name+" -->\n"), []byte("<!-- end "+name+" -->")
+	i := bytes.Index(src, begin)
+	j := bytes.Index(src, end)
+	if i < 0 || j < i {
+		return nil, fmt.Errorf("page has no block %q", name)
+	}
+	out := slices.Clone(src[:i+len(begin)])
+	out = append(out, text...)
+	return append(out, src[j:]...), nil
+}
+
+// model gives access to the measured lines and values.
+type model struct {
+	fits  map[series]fit
+	plain map[string]float64
+}
+
+// slopeTable lists each series that was measured at two or more sizes.
+func (m model) slopeTable() string {
+	var keys []series
+	for s, f := range m.fits {
+		if len(f.points) > 1 {
+			keys = append(keys, s)
+		}
+	}
+	slices.SortFunc(keys, func(a, b series) int {
+		return strings.Compare(a.bench+a.param+a.metric, b.bench+b.param+b.metric)
+	})
+	var b strings.Builder
+	b.WriteString("| benchmark | size | metric | range | at smallest | at largest | slope for each unit of size | intercept | R² |\n")
+	b.WriteString("| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, s := range keys {
+		f := m.fits[s]
+		first, last := f.points[0], f.points[len(f.points)-1]
+		fmt.Fprintf(&b, "| Benchmark%s | %s | %s | %g to %g | %s | %s | %s | %s | %.3f |\n",
+			s.bench, s.param, s.metric, first.x, last.x, num(first.y), num(last.y), num(f.slope), num(f.intercept), f.r2)
+	}
+	return b.String()
+}
+
+// num prints three significant digits.
+func num(v float64) string { return fmt.Sprintf("%.3g", v) }
