--- a/core/membership/net_test.go
+++ b/core/membership/net_test.go
@@ -9,9 +9,6 @@
 	"cyclamenhitch/core/fleet"
 )
 
-// maxLatency is the longest delay of a datagram that is not held back.
-const maxLatency = 2 * time.Millisecond
-
 type flight struct {
 	from, to string
 	at       time.Time
--- a/measure/control/control_test.go
+++ b/measure/control/control_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"cyclamenhitch/core/configstate"
 	"cyclamenhitch/core/manifest"
 )
 
@@ -252,3 +253,45 @@
 		}
 	})
 }
+
+// BenchmarkControlPeak measures the largest heap of an instance with 18,000
+// accounts while it changes from one version to the next: both bodies, both
+// indexes and what decoding leaves to the collector.
+func BenchmarkControlPeak(b *testing.B) {
+	for b.Loop() {
+		before := heapBytes()
+		var h configstate.History
+		var x *manifest.Index
+		var peak uint64
+		for v := uint64(1); v <= 5; v++ {
+			next := body(accounts, v)
+			h.Push(next)
+			stop, done := make(chan struct{}), make(chan uint64)
+			go samplePeak(stop, done)
+			m, err := manifest.Decode(next.Text)
+			if err != nil {
+				b.Fatal(err)
+			}
+			x = manifest.NewIndex(v, m)
+			close(stop)
+			peak = max(peak, <-done)
+		}
+		b.ReportMetric(float64(peak-before), "peak-heap-B")
+		runtime.KeepAlive(x)
+	}
+}
+
+func samplePeak(stop chan struct{}, done chan uint64) {
+	var peak uint64
+	var m runtime.MemStats
+	for {
+		runtime.ReadMemStats(&m)
+		peak = max(peak, m.HeapAlloc)
+		select {
+		case <-stop:
+			done <- peak
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+}
