--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -92,7 +92,17 @@
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(ln net.Listener, l Limits) error {
-	s.srv = &fasthttp.Server{
+	s.srv = s.newHTTP(l)
+	conns, err := newCallerListener(ln, l)
+	if err != nil {
+		return err
+	}
+	defer conns.stop()
+	return s.srv.Serve(conns)
+}
+
+func (s *Server) newHTTP(l Limits) *fasthttp.Server {
+	return &fasthttp.Server{
 		Handler:            s.handle,
 		Name:               "cyclamenhitch",
 		ReadTimeout:        l.ReadTimeout,
@@ -113,12 +123,6 @@
 		Logger:                debugLogger{s.Log},
 		ErrorHandler:          s.handleProtocolError,
 	}
-	conns, err := newCallerListener(ln, l)
-	if err != nil {
-		return err
-	}
-	defer conns.stop()
-	return s.srv.Serve(conns)
 }
 
 // debugLogger passes the library's log lines on at level debug.
--- a/adapters/platform/members.go
+++ b/adapters/platform/members.go
@@ -47,7 +47,8 @@
 	return ParseMembers(resp.Body())
 }
 
-// ParseMembers decodes the list.
+// ParseMembers decodes the list. An entry without a name or an address cannot
+// be reached and is left out.
 func ParseMembers(body []byte) ([]Member, error) {
 	var groups []targetGroup
 	if err := json.Unmarshal(body, &groups); err != nil {
@@ -56,6 +57,9 @@
 	var out []Member
 	for _, g := range groups {
 		for _, target := range g.Targets {
+			if target == "" || g.Labels["instance"] == "" {
+				continue
+			}
 			out = append(out, Member{
 				Instance:   fleet.InstanceID(g.Labels["instance"]),
 				DataCentre: fleet.DataCentreID(g.Labels["data_centre"]),
