Read chat bodies in one pass

Change: scanChat validates and walks the body; FuzzChat compares it with encoding/json. The relay no longer builds an error for each complete stream.

--- a/adapters/httpapi/fuzz_test.go
+++ b/adapters/httpapi/fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"net"
 	"net/http"
 	"net/url"
@@ -57,6 +58,7 @@
 	x := testIndex(f)
 	account := &x.Manifest.Accounts[0]
 	f.Fuzz(func(t *testing.T, body, chatID []byte) {
+		compareDecoders(t, body)
 		req, e := parseChat(body, x, account, chatID)
 		if e != nil {
 			if e.Outcome != result.NotRun {
@@ -124,3 +126,45 @@
 		}
 	})
 }
+
+// compareDecoders requires that scanChat agrees with encoding/json on bodies
+// whose member names are written plainly and once.
+func compareDecoders(t *testing.T, body []byte) {
+	got, err := scanChat(body)
+	var want struct {
+		Model  string `json:"model"`
+		Stream bool   `json:"stream"`
+		Max    int    `json:"max_tokens"`
+		Other  int    `json:"max_completion_tokens"`
+	}
+	wantErr := json.Unmarshal(body, &want)
+	if wantErr != nil || err != nil {
+		if err == nil && !json.Valid(body) {
+			t.Fatalf("%q: accepted, want %v", body, wantErr)
+		}
+		return
+	}
+	var names map[string]json.RawMessage
+	_ = json.Unmarshal(body, &names)
+	for name := range names {
+		if lower := strings.ToLower(name); lower != name || strings.Count(string(body), `"`+name+`"`) != 1 {
+			return
+		}
+	}
+	if want.Model != got.model || want.Stream != got.stream || want.Max != got.maxTokens || want.Other != got.maxCompletionTokens {
+		t.Fatalf("%q: %+v, want %+v", body, got, want)
+	}
+}
+
+// Guards against a chat that changes its engine from one turn to the next.
+func TestChatPrefix(t *testing.T) {
+	turns := []string{
+		`{"messages":[{"role":"system","content":"s"},{"content":"q1","role":"user"}]}`,
+		`{"messages":[{"role":"system","content":"s"},{"content":"q1","role":"user"},{"role":"assistant","content":"a"}, {"role":"user","content":"q2"}],"stream":true}`,
+	}
+	first, err := scanChat([]byte(turns[0]))
+	second, err2 := scanChat([]byte(turns[1]))
+	if err != nil || err2 != nil || len(first.prefix) == 0 || string(first.prefix) != string(second.prefix) {
+		t.Errorf("%q, %v and %q, %v", first.prefix, err, second.prefix, err2)
+	}
+}
--- a/adapters/httpapi/relay.go
+++ b/adapters/httpapi/relay.go
@@ -124,6 +124,9 @@
 // Close is called by the HTTP server at the end of the response; before the end
 // of the answer it means that the caller is gone, and cancels the request.
 func (r *relay) Close() error {
+	if r.ended {
+		return nil
+	}
 	r.end(result.New(result.CallerGone, "the caller closed the connection after %d parts", r.obs.Parts))
 	return nil
 }
--- a/adapters/httpapi/requests.go
+++ b/adapters/httpapi/requests.go
@@ -1,8 +1,6 @@
 package httpapi
 
 import (
-	"bytes"
-	"encoding/json"
 	"strconv"
 	"strings"
 	"time"
@@ -21,20 +19,6 @@
 // maxKeyBytes bounds chat ids and idempotency keys.
 const maxKeyBytes = 256
 
-// chatBody holds the fields of a chat-completions request that routing needs.
-type chatBody struct {
-	Model               string        `json:"model"`
-	Stream              bool          `json:"stream"`
-	MaxTokens           int           `json:"max_tokens"`
-	MaxCompletionTokens int           `json:"max_completion_tokens"`
-	Messages            []chatMessage `json:"messages"`
-}
-
-type chatMessage struct {
-	Role    string          `json:"role"`
-	Content json.RawMessage `json:"content"`
-}
-
 func (s *Server) handleChat(ctx *fasthttp.RequestCtx, x *manifest.Index, account *manifest.Account) {
 	if !ctx.IsPost() {
 		writeError(ctx, result.New(result.BadRequest, "want POST"))
@@ -55,13 +39,13 @@
 
 // parseChat builds the request of a chat body. The body is not copied.
 func parseChat(body []byte, x *manifest.Index, account *manifest.Account, chatID []byte) (*gateway.Request, *result.Error) {
-	var b chatBody
-	if err := json.Unmarshal(body, &b); err != nil {
+	b, err := scanChat(body)
+	if err != nil {
 		return nil, result.New(result.BadRequest, "body is not a chat completion request: %v", err)
 	}
-	pool := x.PoolByModel(b.Model)
+	pool := x.PoolByModel(b.model)
 	if pool == nil {
-		return nil, result.New(result.UnknownModel, "no pool serves model %q", b.Model)
+		return nil, result.New(result.UnknownModel, "no pool serves model %q", b.model)
 	}
 	if !account.MayUse(pool.Name) {
 		return nil, result.New(result.PoolForbidden, "account %s may not use pool %s", account.Name, pool.Name)
@@ -69,36 +53,20 @@
 	if len(chatID) > maxKeyBytes {
 		return nil, result.New(result.BadRequest, "X-Chat-Id is over %d bytes", maxKeyBytes)
 	}
-	out := max(b.MaxTokens, b.MaxCompletionTokens)
+	out := max(b.maxTokens, b.maxCompletionTokens)
 	if out <= 0 || out > pool.ExpectedOutputTokens {
 		out = pool.ExpectedOutputTokens
 	}
 	if len(chatID) == 0 {
-		chatID = prefix(b.Messages)
+		chatID = b.prefix
 	}
 	return &gateway.Request{
 		Account: account, Pool: pool, Chat: chatKey(account, chatID), Body: body,
-		Stream: b.Stream, Idempotent: true,
+		Stream: b.stream, Idempotent: true,
 		PromptTokens: len(body) / bytesPerToken, OutputTokens: out,
 	}, nil
 }
 
-// prefix returns the messages up to the first one of the user: they stay the
-// same in each later turn of a chat.
-func prefix(messages []chatMessage) []byte {
-	var buf bytes.Buffer
-	for _, m := range messages {
-		buf.WriteString(m.Role)
-		buf.WriteByte(0)
-		buf.Write(m.Content)
-		buf.WriteByte(0)
-		if m.Role == "user" {
-			break
-		}
-	}
-	return buf.Bytes()
-}
-
 // forwardedFields are the request header fields passed on to plain services.
 // Authorization is not among them: a caller's key never reaches a server.
 var forwardedFields = []string{
--- a/cmd/internal/daemon/stop.go
+++ b/cmd/internal/daemon/stop.go
@@ -25,15 +25,12 @@
 type stopper struct {
 	d *Daemon
 	// leaving is set when the stop begins.
-	leaving   atomic.Bool
+	leaving atomic.Bool
+	// handOvers run after the announcement, all at once. Components append to
+	// them in their constructors.
 	handOvers []handOver
 }
 
-// onHandOver adds a hand-over. Components call it in their constructors.
-func (s *stopper) onHandOver(name string, run func(context.Context) error) {
-	s.handOvers = append(s.handOvers, handOver{name, run})
-}
-
 // announcer tells the fleet that the instance leaves, so that lookups at any
 // instance no longer name it.
 type announcer interface{ setLeaving() }
