End waits for the first byte on lost connections

Cause: a request that waits for its first byte on a silent connection ended only at its deadline when the server answered probes, because a prefill looks the same.

A server counts as sending comments once it has sent one.

--- a/adapters/engine/events.go
+++ b/adapters/engine/events.go
@@ -165,6 +165,7 @@
 		case "":
 			if len(line) > 0 {
 				s.conn.watch.KeepAlive = true
+				s.conn.host.keepAlive.Store(true)
 			}
 		case "data":
 			if parts++; parts > 1 {
--- a/adapters/engine/pool.go
+++ b/adapters/engine/pool.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -28,10 +29,13 @@
 // host holds the idle connections to one address.
 type host struct {
 	addr string
+	// keepAlive is set once the server has sent a keep-alive comment.
+	keepAlive atomic.Bool
 
 	mu    sync.Mutex
 	idle  []*conn
 	epoch uint64 // grows when the idle connections are dropped
+	lost  uint64 // connections of an earlier epoch than this are suspect
 	timer *time.Timer
 }
 
@@ -162,8 +166,9 @@
 
 // dropIdle closes the idle connections, and running ones are not kept after
 // their exchange: a connection to the address has gone silent, so others that
-// took the same path may be silent too.
-func (h *host) dropIdle() {
+// took the same path may be silent too. lost says that the server's keep-alive
+// comments stopped, so that it was not just slow.
+func (h *host) dropIdle(lost bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for _, c := range h.idle {
@@ -171,6 +176,15 @@
 	}
 	h.idle = nil
 	h.epoch++
+	if lost {
+		h.lost = h.epoch
+	}
+}
+
+func (h *host) suspects(c *conn) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return c.epoch < h.lost
 }
 
 // Write notes whether a byte of the request may have left.
@@ -209,11 +223,13 @@
 	v := c.watch.OnQuiet(time.Now())
 	if v == liveness.Probe {
 		known, alive := c.client.probe(c.host.addr)
+		c.watch.KeepAlive = c.watch.KeepAlive || c.host.keepAlive.Load()
+		c.watch.Suspect = c.host.suspects(c)
 		v = c.watch.OnProbe(time.Now(), known, alive)
 	}
 	if v == liveness.Drop || v == liveness.Resume {
 		c.client.Silent.Add(1)
-		c.host.dropIdle()
+		c.host.dropIdle(c.watch.Begun && c.watch.KeepAlive)
 	}
 	return v
 }
--- a/core/liveness/liveness.go
+++ b/core/liveness/liveness.go
@@ -44,6 +44,9 @@
 	Begun bool
 	// KeepAlive says that the server sends keep-alive comments on this stream.
 	KeepAlive bool
+	// Suspect says that another connection to the address, opened after this
+	// one or at about the same time, has lost its keep-alive comments.
+	Suspect bool
 	// Resumable says that the stream can be continued after its last event.
 	Resumable bool
 }
@@ -97,8 +100,10 @@
 	}
 	w.failures = 0
 	// A live server whose keep-alive comments stopped has lost this connection,
-	// and a resumed stream loses nothing when it was only slow.
-	if w.Begun && (w.KeepAlive || w.Resumable) {
+	// and a resumed stream loses nothing when it was only slow. A wait for the
+	// first byte shows neither, so it ends only when a connection of the same
+	// age was lost.
+	if w.Suspect || w.Begun && (w.KeepAlive || w.Resumable) {
 		return w.giveUp()
 	}
 	w.spacing = min(2*w.spacing, maxSpacing*w.silence)
--- a/core/liveness/liveness_test.go
+++ b/core/liveness/liveness_test.go
@@ -39,6 +39,8 @@
 				w.KeepAlive = true
 			case "resumable":
 				w.Resumable = true
+			case "suspect":
+				w.Suspect = true
 			case "quiet":
 				verdict = names[w.OnQuiet(now)]
 			case "alive", "dead", "nobudget":
