--- a/measure/proxy/proxy_test.go
+++ b/measure/proxy/proxy_test.go
@@ -76,6 +76,34 @@
 	return float64(calls) / time.Since(start).Seconds()
 }
 
+// benchSequential calls with one caller, so that waiting for a core on a busy
+// machine disturbs least. It shows the cost of the path, not the bound.
+func benchSequential(b *testing.B) {
+	const calls = 6000
+	e := startModel(b, 0)
+	router := startRouter(b, e.Address())
+	for b.Loop() {
+		var lat [2][]time.Duration
+		var cpu [2]time.Duration
+		for i, addr := range []string{router, e.Address()} {
+			c := hostClient(addr)
+			cpu[i], _ = cost(func() {
+				for range calls {
+					start := time.Now()
+					if err := call(c, addr, false, 16); err != nil {
+						b.Fatal(err)
+					}
+					lat[i] = append(lat[i], time.Since(start))
+				}
+			})
+			sortDurations(lat[i])
+		}
+		b.ReportMetric(float64((quantile(lat[0], 0.5) - quantile(lat[1], 0.5)).Microseconds()), "added-p50-µs")
+		b.ReportMetric(float64((quantile(lat[0], 0.99) - quantile(lat[1], 0.99)).Microseconds()), "added-p99-µs")
+		b.ReportMetric(float64((cpu[0]-cpu[1]).Microseconds())/calls, "added-cpu-µs/request")
+	}
+}
+
 // directEvery is the share of direct calls among the paced calls: they sample
 // the direct latency under the same load.
 const directEvery = 8
@@ -135,6 +163,7 @@
 // BenchmarkProxy measures the router against direct calls in the same run.
 func BenchmarkProxy(b *testing.B) {
 	b.Run("latency", benchLatency)
+	b.Run("sequential", benchSequential)
 	b.Run("allocations", benchAllocations)
 	b.Run("tokens", benchTokens)
 	b.Run("memory", benchMemory)
