--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -95,7 +95,18 @@
 
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(ln net.Listener, l Limits) error {
-	srv := &fasthttp.Server{
+	srv := s.newHTTP(l)
+	conns, err := newCallerListener(ln, l)
+	if err != nil {
+		return err
+	}
+	defer conns.stop()
+	s.srv.Store(srv)
+	return srv.Serve(conns)
+}
+
+func (s *Server) newHTTP(l Limits) *fasthttp.Server {
+	return &fasthttp.Server{
 		Handler:            s.handle,
 		Name:               "cyclamenhitch",
 		ReadTimeout:        l.ReadTimeout,
@@ -116,13 +127,6 @@
 		Logger:                debugLogger{s.Log},
 		ErrorHandler:          s.handleProtocolError,
 	}
-	conns, err := newCallerListener(ln, l)
-	if err != nil {
-		return err
-	}
-	defer conns.stop()
-	s.srv.Store(srv)
-	return srv.Serve(conns)
 }
 
 // debugLogger passes the library's log lines on at level debug.
--- a/cmd/internal/daemon/stop.go
+++ b/cmd/internal/daemon/stop.go
@@ -25,7 +25,8 @@
 type stopper struct {
 	d *Daemon
 	// leaving is set when the stop begins.
-	leaving   atomic.Bool
+	leaving atomic.Bool
+	// handOvers run after the announcement, all at once.
 	handOvers []handOver
 }
 
