Bring accepted versions to instances that are cut off from the store

Cause: a region that reaches neither the store nor an instance with the new version kept the old one, although the operators could reach it. Change: apply answers a proof of acceptance (HMAC over version and digest with the shared key); while waiting, the command brings the version after 1 s to the reached instances without it, which check the proof. apply waits up to 30 s by default. Conclusion: an operator can carry a version, but not one that was not accepted.

--- a/cmd/internal/daemon/admin.go
+++ b/cmd/internal/daemon/admin.go
@@ -63,6 +63,8 @@
 		c.handleManifest(ctx)
 	case "/admin/apply":
 		c.handleApply(ctx, operator)
+	case "/admin/offer":
+		c.handleOffer(ctx, operator)
 	case "/admin/slo":
 		c.d.slo.handleSLO(ctx)
 	case "/admin/slo/summaries":
@@ -127,6 +129,7 @@
 		writeAdminError(ctx, result.As(err))
 		return
 	}
+	ctx.Response.Header.Set("X-Config-Proof", c.d.proof(head))
 	ctx.SetContentType("application/toml")
 	ctx.SetBody(body)
 }
@@ -145,7 +148,7 @@
 		return
 	}
 	c.d.config.accepted(head, bytes.Clone(ctx.PostBody()))
-	writeAdminJSON(ctx, head)
+	writeAdminJSON(ctx, acceptedAnswer{head, c.d.proof(head)})
 }
 
 // maxReasonBytes bounds what an operator's command adds to the audit log.
--- a/cmd/internal/operator/apply.go
+++ b/cmd/internal/operator/apply.go
@@ -55,7 +55,7 @@
 	File   string        `arg:"" help:"Manifest file."`
 	Base   uint64        `required:"" help:"Version that the manifest was made from, as status shows it; 0 for the first."`
 	DryRun bool          `help:"Check and show the difference, but change nothing."`
-	Wait   time.Duration `help:"Wait this long until all reached instances have the version in force; 0 does not wait." default:"0s"`
+	Wait   time.Duration `help:"Wait this long until all reached instances have the version in force; 0 does not wait." default:"30s"`
 }
 
 // applyAnswer is the JSON answer of apply, datacentre and server.
@@ -74,22 +74,22 @@
 	if err != nil {
 		return err
 	}
-	version, current, err := e.current()
+	current, err := e.current()
 	if err != nil {
 		return err
 	}
-	changes, err := difference(current, proposed)
+	changes, err := difference(current.body, proposed)
 	if err != nil {
 		return err
 	}
 	if !e.JSON {
-		e.printChanges(version, changes)
+		e.printChanges(current.number, changes)
 	}
-	if version != c.Base {
-		e.detail = map[string]any{"base": c.Base, "version": version, "changes": changes}
-		return result.New(result.ConfigConflict, "base version %d is out of date, version %d is in force; nothing was changed", c.Base, version)
+	if current.number != c.Base {
+		e.detail = map[string]any{"base": c.Base, "version": current.number, "changes": changes}
+		return result.New(result.ConfigConflict, "base version %d is out of date, version %d is in force; nothing was changed", c.Base, current.number)
 	}
-	a := applyAnswer{DryRun: c.DryRun, Base: c.Base, Version: version, Changes: changes}
+	a := applyAnswer{DryRun: c.DryRun, Base: c.Base, Version: current.number, Changes: changes}
 	if c.DryRun {
 		return e.print(a, func() { fmt.Fprintln(e.out, "dry run: nothing was changed") })
 	}
@@ -111,7 +111,11 @@
 const maxChanges = 50
 
 func (e *env) printChanges(version uint64, changes []edit.Change) {
-	fmt.Fprintf(e.out, "difference to version %d: %d entries\n", version, len(changes))
+	entries := "entries"
+	if len(changes) == 1 {
+		entries = "entry"
+	}
+	fmt.Fprintf(e.out, "difference to version %d: %d %s\n", version, len(changes), entries)
 	for i, c := range changes {
 		if i == maxChanges {
 			fmt.Fprintf(e.out, "  and %d more; --json lists all\n", len(changes)-i)
@@ -124,22 +128,22 @@
 // applyAndWait applies src, waits if asked to, and prints the answer.
 // reason goes into the audit log.
 func (e *env) applyAndWait(a applyAnswer, src []byte, reason string, wait time.Duration) error {
-	version, err := e.apply(a.Base, src, reason)
+	v, err := e.apply(a.Base, src, reason)
 	if err != nil {
 		return err
 	}
-	a.Accepted, a.Version = true, version
-	return e.finish(a, wait)
+	a.Accepted, a.Version = true, v.number
+	return e.finish(a, v, wait)
 }
 
 // finish waits until the version is in force and prints the answer.
-func (e *env) finish(a applyAnswer, wait time.Duration) error {
+func (e *env) finish(a applyAnswer, v version, wait time.Duration) error {
 	if a.Accepted && !e.JSON {
 		fmt.Fprintf(e.out, "version %d accepted\n", a.Version)
 	}
 	var late error
 	if wait > 0 {
-		f, err := e.awaitInForce(a.Version, wait)
+		f, err := e.awaitInForce(v, wait)
 		if err != nil {
 			return err
 		}
@@ -157,16 +161,24 @@
 	return late
 }
 
-// current returns the newest accepted version; 0 and nil before the first.
-func (e *env) current() (uint64, []byte, error) {
+// version is an accepted version.
+type version struct {
+	number uint64
+	body   []byte
+	// proof shows to an instance that the version was accepted.
+	proof string
+}
+
+// current returns the newest accepted version; number 0 before the first.
+func (e *env) current() (version, error) {
 	r, err := e.first("GET", "/admin/manifest", nil)
 	if err != nil {
 		if result.As(err).Code == result.ConfigMissing {
-			return 0, nil, nil
+			return version{}, nil
 		}
-		return 0, nil, err
+		return version{}, err
 	}
-	return r.version, r.body, nil
+	return version{r.version, r.body, r.proof}, nil
 }
 
 // applyAttempts bounds how often an apply without an answer is repeated.
@@ -175,34 +187,35 @@
 // apply makes src version base+1. An attempt whose outcome is not known is
 // settled by reading the version in force. Repeating it is safe, because the
 // base version is a condition and at most one attempt takes effect.
-func (e *env) apply(base uint64, src []byte, reason string) (uint64, error) {
+func (e *env) apply(base uint64, src []byte, reason string) (version, error) {
 	var unsettled *result.Error
 	for range applyAttempts {
 		var head struct {
 			Version uint64 `json:"version"`
+			Proof   string `json:"proof"`
 		}
 		err := e.call("POST", fmt.Sprintf("/admin/apply?base=%d&reason=%s", base, url.QueryEscape(reason)), src, &head)
 		if err == nil {
-			return head.Version, nil
+			return version{head.Version, src, head.Proof}, nil
 		}
 		r := result.As(err)
 		if r.Outcome == result.NotRun && unsettled == nil {
-			return 0, err
+			return version{}, err
 		}
 		if r.Outcome == result.Unknown {
 			unsettled = r
 		}
-		version, body, rerr := e.current()
+		now, rerr := e.current()
 		switch {
 		case rerr != nil:
 			continue
-		case version == base+1 && bytes.Equal(body, src):
-			return version, nil
-		case version == base+1:
-			return 0, result.New(result.ConfigConflict, "base version %d is out of date, version %d is in force; nothing was changed", base, version)
-		case version > base+1:
-			return 0, result.New(result.ConfigConflict, "version %d is in force; whether version %d was this one is not known", version, base+1).WithOutcome(result.Unknown)
+		case now.number == base+1 && bytes.Equal(now.body, src):
+			return now, nil
+		case now.number == base+1:
+			return version{}, result.New(result.ConfigConflict, "base version %d is out of date, version %d is in force; nothing was changed", base, now.number)
+		case now.number > base+1:
+			return version{}, result.New(result.ConfigConflict, "version %d is in force; whether version %d was this one is not known", now.number, base+1).WithOutcome(result.Unknown)
 		}
 	}
-	return 0, result.Wrap(unsettled.Code, unsettled.Cause, "%s; it is not known whether version %d was accepted", unsettled.Message, base+1).WithOutcome(result.Unknown)
+	return version{}, result.Wrap(unsettled.Code, unsettled.Cause, "%s; it is not known whether version %d was accepted", unsettled.Message, base+1).WithOutcome(result.Unknown)
 }
--- a/cmd/internal/operator/client.go
+++ b/cmd/internal/operator/client.go
@@ -50,6 +50,7 @@
 type reply struct {
 	body    []byte
 	version uint64 // header X-Config-Version
+	proof   string // header X-Config-Proof
 }
 
 // call sends one request to the first instance that answers and decodes its JSON.
@@ -142,7 +143,7 @@
 	data := bytes.Clone(body)
 	if resp.StatusCode() == fasthttp.StatusOK {
 		v, _ := strconv.ParseUint(string(resp.Header.Peek("X-Config-Version")), 10, 64)
-		return reply{data, v}, nil
+		return reply{data, v, string(resp.Header.Peek("X-Config-Proof"))}, nil
 	}
 	return reply{}, decodeError(addr, resp.StatusCode(), data)
 }
--- a/cmd/internal/operator/state.go
+++ b/cmd/internal/operator/state.go
@@ -61,10 +61,11 @@
 // it. After a conflict it starts again from the newer version.
 func (e *env) setState(table, name, state string, o stateOptions) error {
 	for attempt := 1; ; attempt++ {
-		base, src, err := e.current()
+		current, err := e.current()
 		if err != nil {
 			return err
 		}
+		base, src := current.number, current.body
 		if src == nil {
 			return result.New(result.ConfigMissing, "there is no version to change")
 		}
@@ -84,7 +85,7 @@
 			if !e.JSON {
 				fmt.Fprintf(e.out, "%s %q is already %q in version %d\n", table, name, state, base)
 			}
-			return e.finish(a, o.Wait)
+			return e.finish(a, current, o.Wait)
 		}
 		if !e.JSON {
 			e.printChanges(base, a.Changes)
--- a/cmd/internal/operator/status.go
+++ b/cmd/internal/operator/status.go
@@ -117,9 +117,16 @@
 // inForceInterval is the time between two rounds of asking the instances.
 const inForceInterval = 100 * time.Millisecond
 
-// awaitInForce asks the instances until all that are reached have the version.
-func (e *env) awaitInForce(version uint64, limit time.Duration) (*inForce, error) {
-	start := time.Now()
+// offerAfter is when the command brings a version to the instances that do not
+// have it yet. By then it has spread to all that reach the table service or an
+// instance that has it; the bound is 4 s.
+const offerAfter = time.Second
+
+// awaitInForce asks the instances until all that are reached have the version,
+// and brings it to those that stay behind.
+func (e *env) awaitInForce(v version, limit time.Duration) (*inForce, error) {
+	start, version := time.Now(), v.number
+	offered := false
 	var f inForce
 	var have, of atomic.Int64
 	stop := e.progress(func() string {
@@ -148,10 +155,28 @@
 		if (f.Waiting == 0 && f.InForce > 0) || time.Since(start) >= limit {
 			return &f, nil
 		}
+		if !offered && time.Since(start) >= offerAfter {
+			offered = true
+			e.offer(v, list)
+		}
 		time.Sleep(inForceInterval)
 	}
 }
 
+// offer brings the version to the reached instances that do not have it. What
+// fails shows in the next round of asking.
+func (e *env) offer(v version, list []instanceStatus) {
+	if v.proof == "" {
+		return
+	}
+	path := fmt.Sprintf("/admin/offer?version=%d&proof=%s", v.number, v.proof)
+	_ = e.each(func(i int, addr, key string) {
+		if list[i].Reached && list[i].Version < v.number {
+			_, _ = e.client.do(addr, "POST", path, key, v.body)
+		}
+	})
+}
+
 func (f *inForce) problem(version uint64) error {
 	switch {
 	case f.Waiting > 0:
