--- a/cmd/internal/daemon/admission.go
+++ b/cmd/internal/daemon/admission.go
@@ -79,6 +79,10 @@
 	c.nextID.Store(seed) // ids of two lives of an instance must differ
 	srv := permitpb.NewPermitsServer(&permitServer{c})
 	d.peerServer.Mount(srv.PathPrefix(), srv)
+	d.stopper.onHandOver("admission", func(context.Context) error {
+		c.handover()
+		return nil
+	})
 	return c
 }
 
--- a/cmd/internal/daemon/claims.go
+++ b/cmd/internal/daemon/claims.go
@@ -42,6 +42,10 @@
 	c.outbox = newClaimOutbox(c)
 	srv := claimpb.NewClaimsServer(&claimsServer{c})
 	d.peerServer.Mount(srv.PathPrefix(), srv)
+	d.stopper.onHandOver("claims", func(ctx context.Context) error {
+		c.handOver(ctx)
+		return nil
+	})
 	return c
 }
 
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -49,6 +49,7 @@
 	callers   *httpapi.Server
 	admin     *adminComponent
 	slo       *sloComponent
+	stopper   *stopper
 
 	callerLn, adminLn, peerLn net.Listener
 }
@@ -122,6 +123,7 @@
 }
 
 func (d *Daemon) build() {
+	d.stopper = &stopper{d: d}
 	d.config = newConfigComponent(d)
 	d.members = newMemberComponent(d)
 	d.admission = newAdmissionComponent(d)
@@ -194,25 +196,7 @@
 		return err
 	case <-ctx.Done():
 	}
-	return d.stop()
-}
-
-func (d *Daemon) stop() error {
-	d.log.Info("planned stop begins")
-	limit := time.Duration(d.set.Times.StopSeconds) * time.Second
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	d.claims.handOver(ctx)
-	err := d.callers.Shutdown(ctx)
-	d.slo.handOver(ctx)
-	if left := d.claims.flush(ctx); left > 0 {
-		d.log.Warn("ends of attempts not recorded, their keys become unknown", zap.Int("count", left))
-	}
-	d.admin.shutdown(ctx)
-	_ = d.peerServer.Shutdown(ctx)
-	d.members.close()
-	d.log.Info("planned stop ends", zap.Bool("complete", err == nil))
-	return err
+	return d.stopper.run()
 }
 
 func (d *Daemon) limits() httpapi.Limits {
--- a/cmd/internal/daemon/daemon_test.go
+++ b/cmd/internal/daemon/daemon_test.go
@@ -95,6 +95,8 @@
 members = "%[2]s/members"
 access_key_id = "router"
 secret_file = %[3]q
+[times]
+stop_seconds = 1
 [trust]
 peer_key_file = %[4]q
 operator_keys_file = %[5]q
--- a/cmd/internal/daemon/slo.go
+++ b/cmd/internal/daemon/slo.go
@@ -34,6 +34,8 @@
 	// summaryPrefix is followed by the day of the write and the life's name. The
 	// bucket should expire these objects after 8 days.
 	summaryPrefix = "slo/"
+	// handOverTime bounds the hand-over with the summary that replaces it.
+	handOverTime = 4 * time.Second
 	// handOverPath is served on the peer address.
 	handOverPath = "/slo/handover"
 	// maxSummaryBytes bounds a summary after decompression: 18,000 accounts
@@ -176,6 +178,9 @@
 	if len(c.rec.Snapshot(time.Now()).Pools) == 0 {
 		return
 	}
+	// A stop at its limit still has this long to save the windows.
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), handOverTime)
+	defer cancel()
 	err := c.sendWindows(ctx)
 	if err == nil {
 		c.handedOver.Store(true)
--- a/core/burn/pool.go
+++ b/core/burn/pool.go
@@ -69,7 +69,7 @@
 		s.causes = map[Cause]uint64{}
 	}
 	if _, ok := s.causes[c]; !ok && len(s.causes) >= maxCauses {
-		c = Cause{Cause: "other"}
+		c = otherCause
 	}
 	s.causes[c] += n
 }
--- a/core/burn/recorder.go
+++ b/core/burn/recorder.go
@@ -109,15 +109,24 @@
 	return out
 }
 
-// accountCauses is how many causes are kept for an account and slot; the
-// last one collects further ones.
-const accountCauses = 4
+// accountCauses is how many causes are kept for an account and slot: most
+// losses of an account have one or two codes in one or two data centres. The
+// last one collects further ones; from there on, which causes a merged report
+// names depends on the order, but not how many events it has.
+const accountCauses = 8
 
+// maxShardCauses bounds the table of causes of a shard.
+const maxShardCauses = 4096
+
+// accountCause takes 8 bytes; id is an index of the shard's table of causes.
 type accountCause struct {
-	cause Cause
-	n     uint64
+	id uint16
+	n  uint32
 }
 
+// otherCause is the first entry of the table.
+var otherCause = Cause{Cause: "other"}
+
 // shard holds some of the accounts as columns, so that a slot change is a swap.
 type shard struct {
 	mu      sync.Mutex
@@ -129,7 +138,9 @@
 	}
 	// causes are kept for the longest window, and only for accounts that lost
 	// budget: the current and the previous slot.
-	causes [2]map[uint32][]accountCause
+	causes   [2]map[uint32][]accountCause
+	causeIDs map[Cause]uint16
+	causeOf  []Cause
 }
 
 // find returns the position of an account and adds it when it is new.
@@ -152,20 +163,34 @@
 }
 
 func (s *shard) addCause(slot int, i uint32, c Cause, n uint64) {
+	id := s.causeID(c)
 	list := s.causes[slot][i]
 	for k := range list {
-		if list[k].cause == c || k == accountCauses-1 {
-			if list[k].cause != c {
-				list[k].cause = Cause{Cause: "other"}
+		if list[k].id == id || k == accountCauses-1 {
+			if list[k].id != id {
+				list[k].id = 0
 			}
-			list[k].n += n
+			list[k].n = uint32(min(uint64(list[k].n)+n, 1<<32-1))
 			return
 		}
 	}
 	if s.causes[slot] == nil {
 		s.causes[slot] = map[uint32][]accountCause{}
 	}
-	s.causes[slot][i] = append(list, accountCause{c, n})
+	s.causes[slot][i] = append(list, accountCause{id, uint32(min(n, 1<<32-1))})
+}
+
+func (s *shard) causeID(c Cause) uint16 {
+	if s.causeIDs == nil {
+		s.causeIDs, s.causeOf = map[Cause]uint16{otherCause: 0}, []Cause{otherCause}
+	}
+	id, ok := s.causeIDs[c]
+	if !ok && len(s.causeOf) < maxShardCauses {
+		id = uint16(len(s.causeOf))
+		s.causeIDs[c] = id
+		s.causeOf = append(s.causeOf, c)
+	}
+	return id
 }
 
 // rotate starts new slots where now is past the current ones.
