--- a/cmd/internal/daemon/admission.go
+++ b/cmd/internal/daemon/admission.go
@@ -52,6 +52,7 @@
 	nextID   atomic.Uint64
 	sampled  atomic.Uint64
 	exchange chan struct{}
+	hurry    atomic.Bool // the next exchange must not wait
 	poll     chan struct{}
 
 	failedMu sync.Mutex
@@ -121,6 +122,9 @@
 	c.sawOthers = c.sawOthers || len(members.Members) > 1
 	ended := c.ledger.SetRoles(now, t, alone)
 	c.ledger.Configure(x)
+	for _, s := range st.view.Returned(prev) {
+		c.ledger.MarkCold(now, s.Name)
+	}
 	c.owner.SetTable(now, t, alone)
 	c.totals.Retain(func(s fleet.ServerID) bool { return eligible(st.view, x, s) })
 	for i := range x.Manifest.Pools {
@@ -128,7 +132,7 @@
 	}
 	c.state.Store(st)
 	c.exchangeLocal(now, st)
-	kick(c.exchange)
+	c.exchangeNow()
 	kick(c.poll)
 	if len(ended) > 0 {
 		go c.sendLedgers(t, ended)
@@ -141,6 +145,12 @@
 	return s != nil && v.MayReceive(s)
 }
 
+// exchangeNow asks for an exchange before the next interval.
+func (c *admissionComponent) exchangeNow() {
+	c.hurry.Store(true)
+	kick(c.exchange)
+}
+
 func kick(ch chan struct{}) {
 	select {
 	case ch <- struct{}{}:
@@ -196,7 +206,7 @@
 		return
 	}
 	c, now := p.c, time.Now()
-	c.holds.Remove(p.server.Name, p.id)
+	c.holds.End(p.server.Name, p.id)
 	c.ledger.Release(now, p.server.Name, c.self, p.id)
 	if p.limited {
 		c.slices.Release(p.req.Account.Name)
@@ -243,20 +253,24 @@
 	var trace []tried
 	logged := c.sample()
 	warm := first && req.CachedTokens > 0
-	i, v := admission.Place(len(ranked), warm, func(i int, relaxed bool) admission.Verdict {
+	try := func(i int, relaxed bool) admission.Verdict {
 		a := askFor(req, ranked[i], c.self, id, relaxed)
-		if warm && i == 0 {
-			a.Tokens = admission.Cost(req.PromptTokens, req.CachedTokens, req.OutputTokens)
-		}
-		v := c.ask(ctx, st, a)
-		if v == admission.Granted {
-			c.holds.Add(a.Server, admission.HeldPermit{Holder: c.self, ID: id, Account: a.Account, Weight: a.Weight, Tokens: a.Tokens})
-		}
+		v := c.ask(ctx, st, &a)
 		if logged {
 			trace = append(trace, tried{string(a.Server), relaxed, v.String()})
 		}
 		return v
-	})
+	}
+	place := admission.Placement{Warm: warm, Priority: req.Priority, Left: time.Until(req.Deadline)}
+	i, v, wait := place.Step(len(ranked), try)
+	for wait > 0 {
+		// The mean may be out of date; a fresh one can lift the bound.
+		c.exchangeNow()
+		if sleep(ctx, wait) != nil {
+			break
+		}
+		i, v, wait = place.Step(len(ranked), try)
+	}
 	if logged {
 		c.d.log.Info("routing decision", zap.String(logging.FieldRequest, req.ID), zap.String(logging.FieldPool, string(req.Pool.Name)),
 			zap.String(logging.FieldAccount, string(req.Account.Name)), zap.Any("candidates", trace),
@@ -286,7 +300,7 @@
 func askFor(req *gateway.Request, s *manifest.Server, self fleet.InstanceID, id uint64, relaxed bool) admission.Ask {
 	return admission.Ask{
 		Server: s.Name, Holder: self, ID: id, Account: req.Account.Name, Weight: req.Account.Weight,
-		Priority: req.Priority, Tokens: admission.Cost(req.PromptTokens, 0, req.OutputTokens), Relaxed: relaxed,
+		Priority: req.Priority, Chat: req.Chat, Prompt: req.PromptTokens, Output: req.OutputTokens, Relaxed: relaxed,
 	}
 }
 
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -48,8 +48,8 @@
 	claims    *claimsComponent
 	callers   *httpapi.Server
 	admin     *adminComponent
-	slo       *sloComponent
 	stopper   *stopper
+	slo       *sloComponent
 
 	callerLn, adminLn, peerLn net.Listener
 }
@@ -190,7 +190,8 @@
 	go d.slo.run(work)
 	go d.admission.run(work)
 	go d.claims.run(work)
-	d.log.Info("instance started", zap.String("caller", d.CallerAddress()), zap.String("admin", d.AdminAddress()))
+	d.log.Info("instance started", zap.String("caller", d.CallerAddress()), zap.String("admin", d.AdminAddress()),
+		zap.String("peer", d.PeerAddress()), zap.String("datagram", d.DatagramAddress()))
 	select {
 	case err := <-errs:
 		return err
