--- a/cmd/internal/daemon/operator_test.go
+++ b/cmd/internal/daemon/operator_test.go
@@ -58,6 +58,7 @@
 
 var (
 	secondsRE = regexp.MustCompile(`after [0-9.]+ s|"(confirmed_age_)?seconds":[0-9.e-]+|[0-9]+ s ago|[0-9-]{10} [0-9:]{8} UTC`)
+	scoreRE   = regexp.MustCompile(`\b[0-9]+\.[0-9]{3,}\b`)
 	portRE    = regexp.MustCompile(`127\.0\.0\.1:[0-9]{4,5}(->127\.0\.0\.1:[0-9]{4,5})?`)
 )
 
@@ -65,6 +66,7 @@
 func (f *fixture) normalise(s, lossy string) string {
 	s = strings.NewReplacer(f.dir, "$dir", f.daemon.AdminAddress(), "$admin", lossy, "$lossy").Replace(s)
 	s = secondsRE.ReplaceAllString(s, "after N s")
+	s = scoreRE.ReplaceAllString(s, "SCORE")
 	s = portRE.ReplaceAllString(s, "$$port")
 	lines := strings.Split(s, "\n")
 	for i, l := range lines {
--- a/cmd/internal/daemon/stop.go
+++ b/cmd/internal/daemon/stop.go
@@ -94,11 +94,11 @@
 func (s *stopper) exit(ctx context.Context, stop *lifecycle.Stop, left int, handedOver bool) error {
 	d := s.d
 	err := d.callers.Shutdown(ctx)
-	// The windows go last, so that they hold the end of every request.
-	d.slo.handOver(ctx)
 	if n := d.claims.flush(ctx); n > 0 {
 		d.log.Warn("ends of attempts not recorded, their keys become unknown", zap.Int("count", n))
 	}
+	// The windows go last, so that they hold the end of every request.
+	d.slo.handOver(ctx)
 	d.admin.shutdown(ctx)
 	_ = d.peerServer.Shutdown(ctx)
 	d.members.close()
