--- a/cmd/internal/daemon/admin.go
+++ b/cmd/internal/daemon/admin.go
@@ -63,6 +63,8 @@
 		c.handleManifest(ctx)
 	case "/admin/apply":
 		c.handleApply(ctx, operator)
+	case "/admin/offer":
+		c.handleOffer(ctx, operator)
 	case "/admin/slo":
 		c.d.slo.handleSLO(ctx)
 	case "/admin/slo/summaries":
@@ -101,6 +103,9 @@
 	if c.d.stopper.leaving.Load() {
 		s.Reasons = append(s.Reasons, result.Stopping.Info().Name+": a planned stop has begun")
 	}
+	if c.d.stopper.leaving.Load() {
+		s.Reasons = append(s.Reasons, result.Stopping.Info().Name+": the instance is stopping as planned")
+	}
 	s.Ready = len(s.Reasons) == 0
 	return s
 }
@@ -130,6 +135,7 @@
 		writeAdminError(ctx, result.As(err))
 		return
 	}
+	ctx.Response.Header.Set("X-Config-Proof", c.d.proof(head))
 	ctx.SetContentType("application/toml")
 	ctx.SetBody(body)
 }
@@ -148,7 +154,7 @@
 		return
 	}
 	c.d.config.accepted(head, bytes.Clone(ctx.PostBody()))
-	writeAdminJSON(ctx, head)
+	writeAdminJSON(ctx, acceptedAnswer{head, c.d.proof(head)})
 }
 
 // maxReasonBytes bounds what an operator's command adds to the audit log.
--- a/cmd/internal/daemon/stop.go
+++ b/cmd/internal/daemon/stop.go
@@ -98,6 +98,8 @@
 	if n := d.claims.flush(ctx); n > 0 {
 		d.log.Warn("ends of attempts not recorded, their keys become unknown", zap.Int("count", n))
 	}
+	// The windows go last, so that they hold the end of every request.
+	d.slo.handOver(ctx)
 	d.admin.shutdown(ctx)
 	_ = d.peerServer.Shutdown(ctx)
 	d.members.close()
--- a/core/burn/report.go
+++ b/core/burn/report.go
@@ -267,7 +267,7 @@
 		all := map[Cause]uint64{}
 		for k := range s.causes {
 			for _, c := range s.causes[k][uint32(i)] {
-				all[c.cause] += c.n
+				all[s.causeOf[c.id]] += uint64(c.n)
 			}
 		}
 		out = append(out, Subject{Name: string(name), Sums: sumsOf(sums), Burns: burnsOf(sums, o), Causes: sortedCauses(all)})
