Add pool leases and orders to engines

Cause: nothing brought engines to the models, adapters, versions and role that operators want. Change: core/lease holds one row for each pool, with a fencing number that grows with each holder and a check of both clocks right before each send; the next holder waits out the order time for engines that ignore the number. core/orders states the wanted state of an engine as one repeatable order and takes loads from a rate row for the whole fleet. The manifest gains versions, adapters, role and fleet.weight_loads_per_minute. Stand-in engines take orders, with and without a check of the number; a stand-in weight store refuses loads above its rate. Before: no orders.

--- /dev/null
+++ b/adapters/engine/orders.go
@@ -0,0 +1,73 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/orders"
+	"cyclamenhitch/core/result"
+)
+
+// Orders reads the reports of engines and sends orders to them.
+type Orders struct {
+	// Client is shared by all engines; nil means fasthttp's default client.
+	Client *fasthttp.Client
+}
+
+func (o *Orders) do(req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) error {
+	if o.Client != nil {
+		return o.Client.DoTimeout(req, resp, timeout)
+	}
+	return fasthttp.DoTimeout(req, resp, timeout)
+}
+
+// Report reads the state of an engine.
+func (o *Orders) Report(_ context.Context, srv *manifest.Server, timeout time.Duration) (orders.Report, error) {
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + srv.Address + "/load")
+	var r orders.Report
+	if err := o.do(req, resp, timeout); err != nil {
+		return r, result.Wrap(result.ConnectionLost, err, "report of server %s", srv.Name)
+	}
+	if resp.StatusCode() != fasthttp.StatusOK {
+		return r, result.New(result.ServerError, "server %s answered status %d to a report", srv.Name, resp.StatusCode())
+	}
+	if err := json.Unmarshal(resp.Body(), &r); err != nil {
+		return r, result.Wrap(result.AnswerInvalid, err, "report of server %s", srv.Name)
+	}
+	r.Engine = srv.Name
+	return r, nil
+}
+
+// Send sends an order on a new connection, so that the timeout bounds the time
+// until its effect: a connection that is closed carries no late order.
+func (o *Orders) Send(_ context.Context, srv *manifest.Server, order orders.Order, timeout time.Duration) error {
+	body, err := json.Marshal(order)
+	if err != nil {
+		return result.As(err)
+	}
+	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(req)
+	defer fasthttp.ReleaseResponse(resp)
+	req.SetRequestURI("http://" + srv.Address + "/orders")
+	req.Header.SetMethod(fasthttp.MethodPost)
+	req.Header.SetContentType("application/json")
+	req.SetConnectionClose()
+	req.SetBodyRaw(body)
+	if err := o.do(req, resp, timeout); err != nil {
+		return result.Wrap(result.ConnectionLost, err, "order to server %s", srv.Name)
+	}
+	switch code := resp.StatusCode(); {
+	case code == fasthttp.StatusConflict:
+		return result.New(result.LeaseLost, "server %s knows a higher fencing number than %d", srv.Name, order.Fencing)
+	case code >= 300:
+		return result.New(result.ServerError, "server %s answered status %d to an order", srv.Name, code)
+	}
+	return nil
+}
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -45,6 +45,7 @@
 	members   *memberComponent
 	admission *admissionComponent
 	claims    *claimsComponent
+	orders    *ordersComponent
 	callers   *httpapi.Server
 	admin     *adminComponent
 
@@ -104,6 +105,7 @@
 	d.members = newMemberComponent(d)
 	d.admission = newAdmissionComponent(d)
 	d.claims = newClaimsComponent(d)
+	d.orders = newOrdersComponent(d)
 	gw := &gateway.Gateway{
 		Router:   d.config,
 		Admitter: d.admission,
@@ -146,13 +148,17 @@
 	go d.config.run(work)
 	go d.members.run(work)
 	go d.claims.run(work)
+	orders := make(chan struct{})
+	go func() { defer close(orders); d.orders.run(ctx) }()
 	d.log.Info("instance started", zap.String("caller", d.CallerAddress()), zap.String("admin", d.AdminAddress()))
 	select {
 	case err := <-errs:
 		return err
 	case <-ctx.Done():
 	}
-	return d.stop()
+	err := d.stop()
+	<-orders // leases are released, so that the next holder need not wait
+	return err
 }
 
 func (d *Daemon) stop() error {
--- /dev/null
+++ b/cmd/internal/daemon/orders.go
@@ -0,0 +1,253 @@
+package daemon
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"cyclamenhitch/adapters/engine"
+	"cyclamenhitch/adapters/logging"
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/lease"
+	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/orders"
+)
+
+const (
+	// orderInterval is the time between passes over a pool's engines.
+	orderInterval = 5 * time.Second
+	// reportTimeout bounds one report; reports are answered from memory.
+	reportTimeout = 2 * time.Second
+	// orderConcurrency bounds the engines of a pool that are asked at once.
+	orderConcurrency = 8
+)
+
+// ordersComponent holds the leases of the pools for which this instance is the
+// best or second candidate, and brings their engines to the declared state.
+type ordersComponent struct {
+	d      *Daemon
+	holder string
+	client engine.Orders
+
+	mu    sync.Mutex
+	pools map[fleet.PoolID]*poolOrders
+}
+
+// poolOrders is the work on one pool. The lease is ticked by its own goroutine,
+// so that slow engines do not let it run out.
+type poolOrders struct {
+	mu    sync.Mutex // guards lease
+	lease *lease.Lease
+	sent  orders.Sent
+	// sentMu guards sent.
+	sentMu sync.Mutex
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+func newOrdersComponent(d *Daemon) *ordersComponent {
+	return &ordersComponent{
+		d: d, holder: string(d.set.Instance) + "/" + newID(), pools: map[fleet.PoolID]*poolOrders{},
+		// DoTimeout abandons a call without closing its connection; the read and
+		// write deadlines close it in the same time.
+		client: engine.Orders{Client: &fasthttp.Client{
+			ReadTimeout: lease.OrderTimeout / 2, WriteTimeout: lease.OrderTimeout / 4,
+			MaxIdemponentCallAttempts: 1, MaxConnWaitTimeout: reportTimeout,
+		}},
+	}
+}
+
+// run starts and ends the work on pools until ctx ends, and then releases the
+// leases.
+func (c *ordersComponent) run(ctx context.Context) {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		c.update(ctx)
+		select {
+		case <-ctx.Done():
+			c.stop()
+			return
+		case <-tick.C:
+		}
+	}
+}
+
+// update makes the set of pools follow the configuration and the membership.
+func (c *ordersComponent) update(ctx context.Context) {
+	x := c.d.config.Index()
+	if x == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i := range x.Manifest.Pools {
+		p := &x.Manifest.Pools[i]
+		_, managed := orders.WantOf(p)
+		managed = managed && c.isCandidate(p.Name)
+		po := c.pools[p.Name]
+		switch {
+		case managed && po == nil:
+			c.pools[p.Name] = c.start(ctx, p.Name)
+		case !managed && po != nil:
+			delete(c.pools, p.Name)
+			go c.end(po)
+		}
+	}
+	for name, po := range c.pools {
+		if x.Pool(name) == nil {
+			delete(c.pools, name)
+			go c.end(po)
+		}
+	}
+}
+
+// isCandidate keeps all but two instances from asking for a pool's lease.
+func (c *ordersComponent) isCandidate(pool fleet.PoolID) bool {
+	var hashes []uint64
+	var ids []fleet.InstanceID
+	for _, m := range c.d.members.View().Members {
+		if m.Eligible {
+			hashes = append(hashes, fleet.HashID(string(m.ID)))
+			ids = append(ids, m.ID)
+		}
+	}
+	for _, i := range fleet.Best(nil, fleet.HashID("lease/"+string(pool)), hashes, 2) {
+		if ids[i] == c.d.set.Instance {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *ordersComponent) start(ctx context.Context, pool fleet.PoolID) *poolOrders {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	// A new Lease never continues an earlier one of this process: its orders
+	// may still be under way.
+	po := &poolOrders{lease: lease.New(pool, c.holder+"/"+newID(), c.d.store, newID), cancel: cancel}
+	po.done.Go(func() { c.tickLease(ctx, pool, po) })
+	po.done.Go(func() {
+		tick := time.NewTicker(orderInterval)
+		defer tick.Stop()
+		for ctx.Err() == nil {
+			c.pass(ctx, pool, po)
+			select {
+			case <-ctx.Done():
+			case <-tick.C:
+			}
+		}
+	})
+	return po
+}
+
+func (c *ordersComponent) tickLease(ctx context.Context, pool fleet.PoolID, po *poolOrders) {
+	tick := time.NewTicker(lease.RenewInterval / 2)
+	defer tick.Stop()
+	for ctx.Err() == nil {
+		po.mu.Lock()
+		err := po.lease.Tick(ctx, time.Now, true)
+		po.mu.Unlock()
+		if err != nil {
+			c.d.log.Warn("lease not renewed", zap.String(logging.FieldPool, string(pool)), zap.Error(err))
+		}
+		select {
+		case <-ctx.Done():
+		case <-tick.C:
+		}
+	}
+}
+
+// end stops the work on a pool, waits for running orders, and releases the lease.
+func (c *ordersComponent) end(po *poolOrders) {
+	po.cancel()
+	po.done.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	defer cancel()
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	_ = po.lease.Release(ctx, time.Now)
+}
+
+func (c *ordersComponent) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var wg sync.WaitGroup
+	for name, po := range c.pools {
+		delete(c.pools, name)
+		wg.Go(func() { c.end(po) })
+	}
+	wg.Wait()
+}
+
+// maySend is asked right before each send.
+func (po *poolOrders) maySend(checksFencing bool) (uint64, bool) {
+	po.mu.Lock()
+	defer po.mu.Unlock()
+	return po.lease.MaySend(time.Now(), checksFencing)
+}
+
+// pass compares each engine of the pool with the wanted state.
+func (c *ordersComponent) pass(ctx context.Context, pool fleet.PoolID, po *poolOrders) {
+	x := c.d.config.Index()
+	p := x.Pool(pool)
+	if p == nil {
+		return
+	}
+	want, ok := orders.WantOf(p)
+	if _, held := po.maySend(true); !ok || !held {
+		return
+	}
+	slots := make(chan struct{}, orderConcurrency)
+	var wg sync.WaitGroup
+	for _, srv := range x.Servers(pool) {
+		if srv.State != manifest.StateIn {
+			continue
+		}
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			if err := c.bring(ctx, x, po, srv, want); err != nil && ctx.Err() == nil {
+				c.d.log.Warn("engine not brought to its wanted state", zap.String(logging.FieldServer, string(srv.Name)), zap.Error(err))
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// bring sends one engine its next order when one is needed.
+func (c *ordersComponent) bring(ctx context.Context, x *manifest.Index, po *poolOrders, srv *manifest.Server, want orders.Want) error {
+	report, err := c.client.Report(ctx, srv, reportTimeout)
+	if err != nil {
+		return err
+	}
+	step := orders.Compare(want, report)
+	po.sentMu.Lock()
+	due := po.sent.Due(report, want, time.Now())
+	po.sentMu.Unlock()
+	if _, ok := po.maySend(srv.ChecksFencing); !ok || !step.Needed || !due {
+		return nil
+	}
+	granted := 0
+	if step.Loads > 0 {
+		granted, err = orders.Reserve(ctx, c.d.store, step.Loads, x.Manifest.Fleet.WeightLoadsPerMinute, time.Now, newID)
+		if err != nil {
+			return err
+		}
+	}
+	order := step.Order(report, granted)
+	if !order.Changes(report) {
+		return nil
+	}
+	po.sentMu.Lock()
+	po.sent.Note(report, want, order, time.Now())
+	po.sentMu.Unlock()
+	fencing, ok := po.maySend(srv.ChecksFencing)
+	if !ok {
+		return nil
+	}
+	order.Fencing = fencing
+	return c.client.Send(ctx, srv, order, lease.OrderTimeout)
+}
--- a/core/manifest/decode.go
+++ b/core/manifest/decode.go
@@ -92,6 +92,7 @@
 
 func (m *Manifest) applyDefaults() {
 	setDefault(&m.Fleet.KeepSeconds, 20)
+	setDefault(&m.Fleet.WeightLoadsPerMinute, 60)
 	for i := range m.DataCentres {
 		setDefault(&m.DataCentres[i].State, StateIn)
 	}
@@ -161,6 +162,9 @@
 	if k := m.Fleet.KeepSeconds; k < 1 || k > 600 {
 		c.addf("fleet", 0, "keep_seconds is %d, accepted range: 1 to 600", k)
 	}
+	if n := m.Fleet.WeightLoadsPerMinute; n < 1 || n > 100000 {
+		c.addf("fleet", 0, "weight_loads_per_minute is %d, accepted range: 1 to 100000", n)
+	}
 	dcs, pools := map[string]int{}, map[string]int{}
 	for i, d := range m.DataCentres {
 		c.unique(dcs, "data_centre", i, string(d.Name))
@@ -175,6 +179,7 @@
 	for i := range m.Pools {
 		c.unique(pools, "pool", i, string(m.Pools[i].Name))
 		c.checkPool(i, &m.Pools[i], models)
+		c.checkOrders(i, &m.Pools[i])
 	}
 	servers := map[string]int{}
 	for i := range m.Servers {
--- a/core/manifest/manifest.go
+++ b/core/manifest/manifest.go
@@ -24,6 +24,9 @@
 	// KeepSeconds is how long callers may keep a lookup answer, in seconds.
 	// Default 20, range 1 to 600.
 	KeepSeconds int `toml:"keep_seconds"`
+	// WeightLoadsPerMinute is the weight store's rate for the whole fleet, in
+	// models or adapters per minute. Default 60, range 1 to 100000.
+	WeightLoadsPerMinute int `toml:"weight_loads_per_minute"`
 }
 
 // Data centre states.
@@ -55,6 +58,13 @@
 	Kind string `toml:"kind"`
 	// Models lists the model names that callers may ask for. Default: the pool's name.
 	Models []string `toml:"models"`
+	// Versions gives the wanted version of models, by model name. A pool that
+	// sets none of versions, adapters and role receives no orders.
+	Versions map[string]string `toml:"versions"`
+	// Adapters lists adapters to load with each model, as "name@version".
+	Adapters []string `toml:"adapters"`
+	// Role is the wanted role of the engines: "prefill", "decode" or "both".
+	Role string `toml:"role"`
 	// LoadBound is the multiple of the pool's mean load that no engine exceeds.
 	// Default 1.25, minimum 1.
 	LoadBound float64 `toml:"load_bound"`
--- /dev/null
+++ b/core/manifest/orders_test.go
@@ -0,0 +1,41 @@
+package manifest
+
+import (
+	"strings"
+	"testing"
+
+	"cyclamenhitch/core/result"
+)
+
+// Guards against a wanted state that no engine can reach, and against errors
+// without a position.
+func TestCheckOrders(t *testing.T) {
+	const src = `format = 1
+[fleet]
+weight_loads_per_minute = -1
+[[pool]]
+name = "m"
+versions = { other = "1", m = "" }
+adapters = ["a@1", "a@2", "b"]
+role = "training"
+[[pool]]
+name = "s"
+kind = "service"
+role = "both"
+`
+	_, err := Decode([]byte(src))
+	got := result.As(err).Cause.Error()
+	for _, want := range []string{
+		"2:1: weight_loads_per_minute is -1",
+		`4:1: versions names model "other"`,
+		`4:1: versions gives no version for model "m"`,
+		`4:1: adapter "a" is listed twice`,
+		`4:1: adapter is "b", want name@version`,
+		`4:1: role is "training"`,
+		`9:1: pool "s" is of kind service`,
+	} {
+		if !strings.Contains(got, want) {
+			t.Errorf("no error %q in\n%s", want, got)
+		}
+	}
+}
--- a/standins/model/model.go
+++ b/standins/model/model.go
@@ -28,6 +28,10 @@
 	PrefillPerToken time.Duration
 	// CacheChats bounds the prefix cache, in chats.
 	CacheChats int
+	// ChecksFencing refuses orders with an old fencing number.
+	ChecksFencing bool
+	// WeightStore is the base URL that loads come from; empty means none.
+	WeightStore string
 }
 
 // Fault is a fault of the next answer.
@@ -66,6 +70,8 @@
 	fault     Fault
 	lastStart time.Time
 	closed    chan struct{}
+
+	orders orderState
 }
 
 // Start starts an engine.
@@ -135,6 +141,8 @@
 		ctx.SetStatusCode(200)
 	case "/load":
 		e.handleLoad(ctx)
+	case "/orders":
+		e.handleOrders(ctx)
 	case "/v1/chat/completions":
 		e.handleChat(ctx)
 	default:
@@ -143,7 +151,9 @@
 }
 
 func (e *Engine) handleLoad(ctx *fasthttp.RequestCtx) {
+	items, role := e.Loaded()
 	body, _ := json.Marshal(map[string]any{
+		"items": items, "role": role,
 		"engine": e.cfg.Name, "incarnation": e.incarnation, "running": e.running.Load(),
 		"at_ms": time.Now().UnixMilli(),
 	})
