Limit calls to a failing platform and reload its signing key

Failures are counted by reason. The signing key is read for each call. Query follows pages. Before: 200 calls to a service that is down were 200 sends. After: fewer than 50 are sent, the others are refused at once; one call is sent at the return.

--- /dev/null
+++ b/adapters/platform/platform_test.go
@@ -0,0 +1,195 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cyclamenhitch/core/result"
+	"cyclamenhitch/core/store"
+	fake "cyclamenhitch/standins/platform"
+)
+
+func newStore(t *testing.T, secret func() []byte) (*Store, *fake.Server) {
+	t.Helper()
+	srv, err := fake.Start("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(srv.Close)
+	return NewStore(Config{
+		TableURL: srv.URL(), TableName: "t", ObjectsURL: srv.URL(), Bucket: "b", AccessKeyID: "router", SecretKey: secret,
+		CallTimeout: 300 * time.Millisecond, MaxConcurrent: 4,
+	}), srv
+}
+
+func key32() []byte { return []byte("0123456789abcdef0123456789abcdef") }
+
+func codeOf(err error) result.Code {
+	var e *result.Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return 0
+}
+
+// Guards against a lost reply that looks like a failed write, a failure without
+// a reason, and a read that stops at the end of a page.
+func TestStoreFaults(t *testing.T) {
+	ctx := context.Background()
+	s, srv := newStore(t, key32)
+	row := store.Row{Partition: "p", Sort: "0000", Version: 1, Writer: "n1", Data: []byte("x")}
+	srv.SetFault(fake.Fault{LoseReplies: 1})
+	if err := s.Put(ctx, row, 0); codeOf(err) != result.StoreUnavailable {
+		t.Fatalf("lost reply: %v", err)
+	}
+	if got, err := s.Get(ctx, "p", "0000"); err != nil || got.Writer != "n1" {
+		t.Fatalf("after a lost reply: %+v, %v", got, err)
+	}
+	if err := s.Put(ctx, row, 0); !errors.Is(err, store.ErrConditionFailed) {
+		t.Fatalf("second write: %v", err)
+	}
+	for i := 1; i < 250; i++ {
+		if err := s.Put(ctx, store.Row{Partition: "p", Sort: fmt.Sprintf("%04d", i), Version: 1}, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if rows, err := s.Query(ctx, "p", "0000", 256); err != nil || len(rows) != 250 {
+		t.Fatalf("query over pages: %d rows, %v", len(rows), err)
+	}
+	srv.SetFault(fake.Fault{Delay: time.Second})
+	if _, err := s.GetObject(ctx, "o"); codeOf(err) != result.StoreUnavailable {
+		t.Fatalf("slow: %v", err)
+	}
+	srv.SetFault(fake.Fault{Down: true})
+	if _, err := s.Get(ctx, "p", "0000"); codeOf(err) != result.StoreUnavailable {
+		t.Fatalf("down: %v", err)
+	}
+	srv.SetFault(fake.Fault{})
+	if _, err := s.GetObject(ctx, "o"); !errors.Is(err, store.ErrNotFound) {
+		t.Fatalf("missing object: %v", err)
+	}
+	table, objects := s.Failures()
+	if table[ReasonDown] != 2 || objects[ReasonSlow] != 1 {
+		t.Fatalf("failures by reason: table %v, objects %v", table, objects)
+	}
+}
+
+// Guards against callers that each wait for a deadline while the service is
+// down, and against a service that stays given up after its return.
+func TestStoreOutageIsNoticedOnce(t *testing.T) {
+	ctx := context.Background()
+	s, srv := newStore(t, key32)
+	srv.SetFault(fake.Fault{Down: true})
+	for range 200 {
+		if _, err := s.Get(ctx, "p", "0"); codeOf(err) != result.StoreUnavailable {
+			t.Fatalf("down: %v", err)
+		}
+	}
+	if table, _ := s.Failures(); table[ReasonOpen] < 150 {
+		t.Fatalf("failures by reason: %v, want most calls not sent", table)
+	}
+	srv.SetFault(fake.Fault{})
+	for range 1000 {
+		if _, err := s.Get(ctx, "p", "0"); errors.Is(err, store.ErrNotFound) {
+			return
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	t.Fatal("the service is back and no call reaches it")
+}
+
+// Guards against a stampede when a service returns: one probe, then slow growth,
+// and never more calls than the cap. Each call also ends with its deadline.
+func TestBreakerLimitsCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit = 8
+		b := newBreaker(limit, time.Second)
+		up := false
+		var running, most, sent atomic.Int64
+		call := func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+			defer cancel()
+			probe, err := b.enter(ctx)
+			if err != nil {
+				return
+			}
+			sent.Add(1)
+			if n := running.Add(1); n > most.Load() {
+				most.Store(n)
+			}
+			time.Sleep(100 * time.Millisecond)
+			running.Add(-1)
+			reason := Reason("")
+			if !up {
+				reason = ReasonDown
+			}
+			b.leave(probe, 100*time.Millisecond, reason)
+		}
+		burst := func() {
+			var wg sync.WaitGroup
+			for range 100 {
+				wg.Go(call)
+			}
+			wg.Wait()
+		}
+		burst()
+		if n := most.Load(); n > limit {
+			t.Fatalf("%d calls at once, the cap is %d", n, limit)
+		}
+		if n := sent.Load(); n > openAfter+limit {
+			t.Fatalf("%d of 100 calls sent to a service that is down", n)
+		}
+		up = true
+		time.Sleep(2 * openMax)
+		most.Store(0)
+		sent.Store(0)
+		burst()
+		if sent.Load() != 1 {
+			t.Fatalf("%d calls sent at the return, want one probe", sent.Load())
+		}
+		go call()
+		go call()
+		synctest.Wait()
+		if running.Load() != 1 {
+			t.Fatalf("%d calls at once right after the probe, want 1", running.Load())
+		}
+		for range 3 {
+			burst()
+		}
+		if most.Load() != limit {
+			t.Fatalf("at most %d calls at once after the recovery, want %d", most.Load(), limit)
+		}
+	})
+}
+
+// Guards against a slow service that holds up all callers: slow counts as down.
+func TestBreakerTreatsSlowAsDown(t *testing.T) {
+	b := newBreaker(2, 100*time.Millisecond)
+	for range openAfter {
+		if _, err := b.enter(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		b.leave(false, time.Second, "")
+	}
+	if _, err := b.enter(context.Background()); !errors.Is(err, errOpen) {
+		t.Fatalf("after slow calls: %v", err)
+	}
+}
+
+// Guards against a signing key that is read only at the start.
+func TestSecretIsReadForEachCall(t *testing.T) {
+	reads := 0
+	s, _ := newStore(t, func() []byte { reads++; return key32() })
+	for range 3 {
+		_, _ = s.Get(context.Background(), "p", "0")
+	}
+	if reads != 3 {
+		t.Fatalf("secret read %d times for 3 calls", reads)
+	}
+}
--- a/adapters/platform/table.go
+++ b/adapters/platform/table.go
@@ -9,6 +9,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -30,6 +31,9 @@
 	TableURL, TableName string
 	ObjectsURL, Bucket  string
 	AccessKeyID, Secret string
+	// SecretKey, unless nil, is asked for the secret key for each call, so that a
+	// changed key file needs no restart. It takes the place of Secret.
+	SecretKey func() []byte
 	// CallTimeout is the deadline of each call.
 	CallTimeout time.Duration
 	// MaxConcurrent caps concurrent calls, so that a returning store is not overrun.
@@ -41,12 +45,19 @@
 	cfg     Config
 	table   *dynamodb.Client
 	objects *s3.Client
-	slots   chan struct{}
+
+	// Each service has its own breaker: the object store may be down alone.
+	tableCalls, objectCalls *breaker
 }
 
 // NewStore returns a client; it opens no connection.
 func NewStore(cfg Config) *Store {
-	creds := aws.NewCredentialsCache(credentials.NewStaticCredentialsProvider(cfg.AccessKeyID, cfg.Secret, ""))
+	var creds aws.CredentialsProvider = credentials.NewStaticCredentialsProvider(cfg.AccessKeyID, cfg.Secret, "")
+	if cfg.SecretKey != nil {
+		creds = aws.CredentialsProviderFunc(func(context.Context) (aws.Credentials, error) {
+			return aws.Credentials{AccessKeyID: cfg.AccessKeyID, SecretAccessKey: string(cfg.SecretKey()), Source: "key file"}, nil
+		})
+	}
 	hc := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.MaxConcurrent, IdleConnTimeout: 30 * time.Second}}
 	return &Store{
 		cfg: cfg,
@@ -60,29 +71,47 @@
 			RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
 			ResponseChecksumValidation: aws.ResponseChecksumValidationWhenRequired,
 		}),
-		slots: make(chan struct{}, cfg.MaxConcurrent),
+		// A call that takes half of its deadline counts as failed: a service that
+		// slow holds up every caller although it answers.
+		tableCalls:  newBreaker(cfg.MaxConcurrent, cfg.CallTimeout/2),
+		objectCalls: newBreaker(cfg.MaxConcurrent, cfg.CallTimeout),
 	}
 }
 
-// call runs fn with the deadline and within the cap on concurrent calls.
-func (s *Store) call(ctx context.Context, op string, fn func(context.Context) error) error {
+// call runs fn with the deadline and within the limits of the breaker.
+func (s *Store) call(ctx context.Context, b *breaker, op string, fn func(context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, s.cfg.CallTimeout)
 	defer cancel()
-	select {
-	case s.slots <- struct{}{}:
-		defer func() { <-s.slots }()
-	case <-ctx.Done():
-		return result.Wrap(result.StoreUnavailable, ctx.Err(), "%s: no free call slot", op)
+	probe, err := b.enter(ctx)
+	if err != nil {
+		return result.Wrap(result.StoreUnavailable, err, "%s: %s", op, reasonOf(err))
 	}
-	err := fn(ctx)
+	start := time.Now()
+	err = fn(ctx)
 	var ccf *types.ConditionalCheckFailedException
-	switch {
-	case err == nil, errors.Is(err, store.ErrNotFound):
+	condition := errors.As(err, &ccf)
+	if err == nil || condition || errors.Is(err, store.ErrNotFound) {
+		b.leave(probe, time.Since(start), "")
+		if condition {
+			return store.ErrConditionFailed
+		}
 		return err
-	case errors.As(err, &ccf):
-		return store.ErrConditionFailed
 	}
-	return result.Wrap(result.StoreUnavailable, err, "%s failed", op)
+	reason := reasonOf(err)
+	b.leave(probe, time.Since(start), reason)
+	return result.Wrap(result.StoreUnavailable, err, "%s: %s", op, reason)
+}
+
+// Failures returns how many calls to the table service and the object store
+// failed, by reason.
+func (s *Store) Failures() (table, objects map[Reason]int64) {
+	return s.tableCalls.failed(), s.objectCalls.failed()
+}
+
+func (b *breaker) failed() map[Reason]int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.reasons)
 }
 
 func key(partition, sort string) map[string]types.AttributeValue {
@@ -96,7 +125,7 @@
 // with code StoreUnavailable.
 func (s *Store) Get(ctx context.Context, partition, sort string) (store.Row, error) {
 	var row store.Row
-	err := s.call(ctx, "get "+partition, func(ctx context.Context) error {
+	err := s.call(ctx, s.tableCalls, "get "+partition, func(ctx context.Context) error {
 		out, err := s.table.GetItem(ctx, &dynamodb.GetItemInput{
 			TableName: &s.cfg.TableName, Key: key(partition, sort), ConsistentRead: aws.Bool(true),
 		})
@@ -129,38 +158,49 @@
 			":v": &types.AttributeValueMemberN{Value: strconv.FormatUint(expect, 10)},
 		}
 	}
-	return s.call(ctx, "put "+row.Partition, func(ctx context.Context) error {
+	return s.call(ctx, s.tableCalls, "put "+row.Partition, func(ctx context.Context) error {
 		_, err := s.table.PutItem(ctx, in)
 		return err
 	})
 }
 
-// Query returns up to limit rows of a partition with Sort at or after from, in order.
+// Query returns up to limit rows of a partition with Sort at or after from, in
+// order. The service answers in pages of at most 1 MB; fewer rows than limit mean
+// that the partition has no more.
 func (s *Store) Query(ctx context.Context, partition, from string, limit int) ([]store.Row, error) {
 	var rows []store.Row
-	err := s.call(ctx, "query "+partition, func(ctx context.Context) error {
-		out, err := s.table.Query(ctx, &dynamodb.QueryInput{
-			TableName: &s.cfg.TableName, ConsistentRead: aws.Bool(true), Limit: aws.Int32(int32(limit)),
-			KeyConditionExpression: aws.String("pk = :p AND sk >= :s"),
-			ExpressionAttributeValues: map[string]types.AttributeValue{
-				":p": &types.AttributeValueMemberS{Value: partition},
-				":s": &types.AttributeValueMemberS{Value: from},
-			},
+	var next map[string]types.AttributeValue
+	for {
+		err := s.call(ctx, s.tableCalls, "query "+partition, func(ctx context.Context) error {
+			out, err := s.table.Query(ctx, &dynamodb.QueryInput{
+				TableName: &s.cfg.TableName, ConsistentRead: aws.Bool(true), Limit: aws.Int32(int32(limit - len(rows))),
+				KeyConditionExpression: aws.String("pk = :p AND sk >= :s"), ExclusiveStartKey: next,
+				ExpressionAttributeValues: map[string]types.AttributeValue{
+					":p": &types.AttributeValueMemberS{Value: partition},
+					":s": &types.AttributeValueMemberS{Value: from},
+				},
+			})
+			if err != nil {
+				return err
+			}
+			for _, item := range out.Items {
+				rows = append(rows, rowOf(item))
+			}
+			next = out.LastEvaluatedKey
+			return nil
 		})
 		if err != nil {
-			return err
+			return nil, err
 		}
-		for _, item := range out.Items {
-			rows = append(rows, rowOf(item))
+		if len(rows) >= limit || len(next) == 0 {
+			return rows, nil
 		}
-		return nil
-	})
-	return rows, err
+	}
 }
 
 // Delete removes a row; a missing row is not an error.
 func (s *Store) Delete(ctx context.Context, partition, sort string) error {
-	return s.call(ctx, "delete "+partition, func(ctx context.Context) error {
+	return s.call(ctx, s.tableCalls, "delete "+partition, func(ctx context.Context) error {
 		_, err := s.table.DeleteItem(ctx, &dynamodb.DeleteItemInput{TableName: &s.cfg.TableName, Key: key(partition, sort)})
 		return err
 	})
@@ -193,7 +233,7 @@
 // StoreUnavailable.
 func (s *Store) GetObject(ctx context.Context, name string) ([]byte, error) {
 	var body []byte
-	err := s.call(ctx, "get object "+name, func(ctx context.Context) error {
+	err := s.call(ctx, s.objectCalls, "get object "+name, func(ctx context.Context) error {
 		out, err := s.objects.GetObject(ctx, &s3.GetObjectInput{Bucket: &s.cfg.Bucket, Key: &name})
 		var api smithy.APIError
 		if errors.As(err, &api) && strings.Contains(api.ErrorCode(), "NoSuchKey") {
@@ -211,7 +251,7 @@
 
 // PutObject writes an object; writing the same name again replaces it.
 func (s *Store) PutObject(ctx context.Context, name string, body []byte) error {
-	return s.call(ctx, "put object "+name, func(ctx context.Context) error {
+	return s.call(ctx, s.objectCalls, "put object "+name, func(ctx context.Context) error {
 		_, err := s.objects.PutObject(ctx, &s3.PutObjectInput{
 			Bucket: &s.cfg.Bucket, Key: &name, Body: bytes.NewReader(body), ContentLength: aws.Int64(int64(len(body))),
 		})
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -62,18 +62,18 @@
 	if d.peerKey, err = keys.OpenSecret(set.Trust.PeerKeyFile); err != nil {
 		return nil, err
 	}
-	secret := ""
+	var secret func() []byte
 	if set.Platform.SecretFile != "" {
 		k, err := keys.OpenSecret(set.Platform.SecretFile)
 		if err != nil {
 			return nil, err
 		}
-		secret = string(k.Bytes())
+		secret = k.Bytes
 	}
 	d.store = platform.NewStore(platform.Config{
 		TableURL: set.Platform.Table, TableName: set.Platform.TableName,
 		ObjectsURL: set.Platform.Objects, Bucket: set.Platform.Bucket,
-		AccessKeyID: set.Platform.AccessKeyID, Secret: secret,
+		AccessKeyID: set.Platform.AccessKeyID, SecretKey: secret,
 		CallTimeout:   time.Duration(set.Platform.CallTimeoutMillis) * time.Millisecond,
 		MaxConcurrent: maxStoreCalls,
 	})
--- a/core/store/store.go
+++ b/core/store/store.go
@@ -32,7 +32,8 @@
 	// Put writes the row on condition that the stored version is expect; 0 means
 	// that the row must not exist. Otherwise it returns ErrConditionFailed.
 	Put(ctx context.Context, row Row, expect uint64) error
-	// Query returns up to limit rows of a partition with Sort at or after from, in order.
+	// Query returns up to limit rows of a partition with Sort at or after from, in
+	// order. Fewer rows mean that there are no more.
 	Query(ctx context.Context, partition, from string, limit int) ([]Row, error)
 	// Delete removes a row; a missing row is not an error.
 	Delete(ctx context.Context, partition, sort string) error
--- a/standins/platform/table.go
+++ b/standins/platform/table.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"encoding/json"
 	"sort"
 
@@ -11,11 +12,15 @@
 // the router uses.
 type tableRequest struct {
 	Item, Key                 item
+	ExclusiveStartKey         item
 	ConditionExpression       string
 	ExpressionAttributeValues item
 	Limit                     int
 }
 
+// pageRows is the most rows of one answer; the service's own limit is 1 MB.
+const pageRows = 100
+
 func (s *Server) handleTable(ctx *fasthttp.RequestCtx, op string) {
 	var req tableRequest
 	if err := json.Unmarshal(ctx.PostBody(), &req); err != nil {
@@ -81,18 +86,24 @@
 	from := req.ExpressionAttributeValues[":s"]["S"]
 	var keys []string
 	part := s.rows[req.ExpressionAttributeValues[":p"]["S"]]
+	after := req.ExclusiveStartKey["sk"]["S"]
 	for sk := range part {
-		if sk >= from {
+		if sk >= from && sk > after {
 			keys = append(keys, sk)
 		}
 	}
 	sort.Strings(keys)
-	if req.Limit > 0 && len(keys) > req.Limit {
-		keys = keys[:req.Limit]
+	more := false
+	if n := min(cmp.Or(req.Limit, pageRows), pageRows); len(keys) > n {
+		keys, more = keys[:n], true
 	}
 	items := make([]item, len(keys))
 	for i, sk := range keys {
 		items[i] = part[sk]
 	}
-	writeJSON(ctx, 200, map[string]any{"Items": items, "Count": len(items), "ScannedCount": len(items)})
+	out := map[string]any{"Items": items, "Count": len(items), "ScannedCount": len(items)}
+	if last := len(keys) - 1; more {
+		out["LastEvaluatedKey"] = item{"pk": items[last]["pk"], "sk": items[last]["sk"]}
+	}
+	writeJSON(ctx, 200, out)
 }
