--- a/core/manifest/decode.go
+++ b/core/manifest/decode.go
@@ -106,6 +106,7 @@
 
 func (m *Manifest) applyDefaults() {
 	setDefault(&m.Fleet.KeepSeconds, 20)
+	setDefault(&m.Fleet.WeightLoadsPerMinute, 60)
 	for i := range m.DataCentres {
 		setDefault(&m.DataCentres[i].State, StateIn)
 	}
@@ -175,7 +176,7 @@
 // mustNotBeZero are the keys whose zero value means that they are not set, so
 // that a written 0 would silently become the default.
 var mustNotBeZero = map[string]bool{
-	"keep_seconds": true, "load_bound": true, "expected_output_tokens": true, "cold_start_load": true,
+	"keep_seconds": true, "weight_loads_per_minute": true, "load_bound": true, "expected_output_tokens": true, "cold_start_load": true,
 	"cold_start_seconds": true, "silence_seconds": true, "timeout_seconds": true, "retry_percent": true,
 	"first_token_ms": true, "between_tokens_ms": true, "availability_percent": true, "refused_percent": true,
 	"weight": true, "state": true, "kind": true,
@@ -210,6 +211,7 @@
 	if m.Format != 1 {
 		c.at([]string{"format"}, "format is %d, accepted value: 1", m.Format)
 	}
+	c.fleetNumber("weight_loads_per_minute", float64(m.Fleet.WeightLoadsPerMinute))
 	c.fleetNumber("keep_seconds", float64(m.Fleet.KeepSeconds))
 	dcs, pools := map[string]int{}, map[string]int{}
 	for i, d := range m.DataCentres {
@@ -225,6 +227,7 @@
 	for i := range m.Pools {
 		if c.unique(pools, "pool", i, string(m.Pools[i].Name)) {
 			c.checkPool(i, &m.Pools[i], models)
+			c.checkOrders(i, &m.Pools[i])
 		}
 	}
 	servers := map[string]int{}
--- a/core/manifest/limits.go
+++ b/core/manifest/limits.go
@@ -18,6 +18,7 @@
 // Limits are the accepted ranges by table and key. docs/operators.md is
 // generated from them.
 var Limits = map[string]Limit{
+	"fleet.weight_loads_per_minute":        {Min: 1, Max: 100000, Unit: "loads/min"},
 	"fleet.keep_seconds":                   {Min: 1, Max: 600, Unit: "s"},
 	"pool.load_bound":                      {Min: 1, Max: 100, Unit: "multiple of the mean"},
 	"pool.expected_output_tokens":          {Min: 1, Max: math.MaxInt32, Unit: "tokens"},
