Refuse surging accounts early and spare caches while capacity is short

Cause: at target size an account that surged tenfold caused 95 KB/s of permit calls at one instance, and its new chats displaced the prefixes of others.

Change: searches of mostly refused accounts ask two servers; chats without a cached prefix leave the lent capacity first; a waiting request checks again that its server may receive work; permits of dead instances end after 2 s.

--- a/cmd/internal/daemon/admission.go
+++ b/cmd/internal/daemon/admission.go
@@ -44,9 +44,12 @@
 	budgets *retry.Budgets
 	recent  *routing.Recent
 
+	refusals *admission.Refusals
+
 	refreshMu sync.Mutex
 	state     atomic.Pointer[admissionState]
-	sawOthers bool // guarded by refreshMu
+	sawOthers bool        // guarded by refreshMu
+	stopping  atomic.Bool // set by handover
 
 	clients  sync.Map // peer address to permitpb.Permits
 	nextID   atomic.Uint64
@@ -73,7 +76,7 @@
 		ledger: admission.NewLedger(self, admission.Params{Seed: seed}),
 		holds:  admission.NewHolds(), totals: admission.NewTotals(),
 		owner: admission.NewAccountOwner(self), slices: admission.NewSlices(),
-		budgets: retry.NewBudgets(), recent: routing.NewRecent(time.Now()),
+		budgets: retry.NewBudgets(), recent: routing.NewRecent(time.Now()), refusals: admission.NewRefusals(),
 		exchange: make(chan struct{}, 1), poll: make(chan struct{}, 1),
 		failed: map[fleet.ServerID]bool{},
 	}
@@ -90,6 +93,10 @@
 	if x == nil {
 		return nil
 	}
+	// A stopping instance that is the last one keeps its roles.
+	if c.stopping.Load() && len(members.Members) > 1 {
+		members = without(members, c.self)
+	}
 	if st := c.state.Load(); st != nil && st.table.Index == x && sameMembers(st.table.View, members) {
 		return st
 	}
@@ -251,17 +258,23 @@
 	warm := first && req.CachedTokens > 0
 	try := func(i int, relaxed bool) admission.Verdict {
 		a := askFor(req, ranked[i], c.self, id, relaxed)
-		v := c.ask(ctx, st, &a)
+		// The configuration may have changed while the request waited.
+		v := admission.Unavailable
+		if now := c.current(); eligible(now.view, now.table.Index, a.Server) {
+			v = c.ask(ctx, now, &a)
+		}
 		if logged {
 			trace = append(trace, tried{string(a.Server), relaxed, v.String()})
 		}
 		return v
 	}
 	place := admission.Placement{Warm: warm, Priority: req.Priority, Left: time.Until(req.Deadline)}
-	i, v, wait := place.Step(len(ranked), try)
+	n := c.refusals.Search(time.Now(), req.Account.Name, req.Pool.Name, len(ranked))
+	i, v, wait := place.Step(n, try)
 	for wait > 0 && sleep(ctx, wait) == nil {
-		i, v, wait = place.Step(len(ranked), try)
+		i, v, wait = place.Step(n, try)
 	}
+	c.refusals.Note(time.Now(), req.Account.Name, req.Pool.Name, v)
 	if logged {
 		c.d.log.Info("routing decision", zap.String(logging.FieldRequest, req.ID), zap.String(logging.FieldPool, string(req.Pool.Name)),
 			zap.String(logging.FieldAccount, string(req.Account.Name)), zap.Any("candidates", trace),
--- a/cmd/internal/daemon/admission_calls.go
+++ b/cmd/internal/daemon/admission_calls.go
@@ -170,22 +170,22 @@
 }
 
 // handover ends all roles of the instance before a planned stop and sends the
-// ledgers to the instances that take over.
+// ledgers to the instances that take over. The instance goes on serving with
+// permits of others.
 func (c *admissionComponent) handover() {
-	st := c.state.Load()
-	if st == nil {
-		return
-	}
-	rest := &membership.View{At: st.table.View.At}
-	for _, m := range st.table.View.Members {
-		if m.ID != c.self {
+	c.stopping.Store(true)
+	c.current()
+}
+
+// without returns the members except one.
+func without(v *membership.View, id fleet.InstanceID) *membership.View {
+	rest := &membership.View{At: v.At}
+	for _, m := range v.Members {
+		if m.ID != id {
 			rest.Members = append(rest.Members, m)
 		}
 	}
-	c.refreshMu.Lock()
-	snaps := c.ledger.Export(time.Now())
-	c.refreshMu.Unlock()
-	c.sendLedgers(admission.NewTable(rest, st.table.Index, 1), snaps)
+	return rest
 }
 
 func encodeLedger(s admission.Snapshot) *permitpb.Ledger {
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -172,6 +172,7 @@
 
 func (d *Daemon) stop() error {
 	d.log.Info("planned stop begins")
+	d.admission.handover()
 	limit := time.Duration(d.set.Times.StopSeconds) * time.Second
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
--- a/core/admission/ledger.go
+++ b/core/admission/ledger.go
@@ -146,7 +146,7 @@
 		if after > most && used > 0 {
 			return OverLoad
 		}
-		if float64(after) > l.lend(a.Priority)*float64(most) && e.overShare(a, most) {
+		if float64(after) > l.lend(a)*float64(most) && e.overShare(a, most) {
 			return OverShare
 		}
 	}
@@ -174,12 +174,20 @@
 	return min(l.params.Margin+l.params.Noise/math.Sqrt(max(n, 1)), maxMargin)
 }
 
-// priorityStep lowers the lending threshold for each priority below the default
-// of 5, so that low priorities are refused first when capacity is short.
+// priorityStep lowers the lending threshold for each priority below the default, so that low priorities are refused first when capacity is short.
 const priorityStep = 0.02
 
-func (l *Ledger) lend(priority int) float64 {
-	return l.params.LendThreshold - priorityStep*float64(max(5-priority, 0))
+// coldStep lowers the lending threshold for chats without a cached prefix. A
+// surging account then uses what is lent for the chats that it has running,
+// instead of filling the caches with prefixes of ever more chats.
+const coldStep = 0.1
+
+func (l *Ledger) lend(a Ask) float64 {
+	t := l.params.LendThreshold - priorityStep*float64(max(defaultPriority-a.Priority, 0))
+	if a.Tokens > int64(a.Prompt/2+a.Output) {
+		t -= coldStep
+	}
+	return t
 }
 
 // shareFloor is the part of an engine's capacity that any account may use. The
--- a/core/admission/params.go
+++ b/core/admission/params.go
@@ -24,7 +24,7 @@
 	HandoverWait = membership.DisagreementBound + PermitLifetime
 	// HolderTimeout is how long the permits of an instance that is not alive any
 	// more count after its last message.
-	HolderTimeout = 5 * time.Second
+	HolderTimeout = 2 * time.Second
 	// SyncInterval is the time between two messages about ended permits.
 	SyncInterval = time.Second
 	// ExchangeInterval is the time between two exchanges of pool totals. At
--- a/measure/policy/fleet.go
+++ b/measure/policy/fleet.go
@@ -20,10 +20,11 @@
 	staleAddress = 0.03
 	// lossRate is the share of lost peer calls and of lost replies.
 	lossRate = 0.001
-	// httpBytes is the header size of one call and of its reply: measured 396
-	// and 141 bytes for a twirp call with the signature header.
-	httpBytes  = 396
-	replyBytes = 141
+	// httpBytes and replyBytes are the sizes of a twirp call with the signature
+	// header and of its reply, without their bodies, as counted on a connection
+	// between peer.Client and peer.Server. TCP and IP headers are not counted.
+	httpBytes  = 354
+	replyBytes = 111
 	// maxReportLag bounds the age of engine reports.
 	maxReportLag = 2 * time.Second
 )
@@ -35,6 +36,7 @@
 	totals *admission.Totals
 	holds  *admission.Holds
 	recent *routing.Recent
+	early  *admission.Refusals
 	down   bool
 	sent   int64 // bytes of control traffic, sent and received
 }
@@ -51,7 +53,6 @@
 	view      *routing.View
 	table     *admission.Table // of engines or parts
 	parts     map[fleet.ServerID]*engineFake
-	pools     map[fleet.PoolID]int
 	nextID    uint64
 	asked     int64 // remote permit calls
 	requests  int64
@@ -65,7 +66,7 @@
 		id := fleet.InstanceID(fmt.Sprintf("r%03d", i))
 		in := &instance{
 			id: id, ledger: admission.NewLedger(id, params), totals: admission.NewTotals(),
-			holds: admission.NewHolds(), recent: routing.NewRecent(epoch),
+			holds: admission.NewHolds(), recent: routing.NewRecent(epoch), early: admission.NewRefusals(),
 		}
 		r.instances = append(r.instances, in)
 		r.byID[id] = in
@@ -275,7 +276,7 @@
 	r.requests++
 	now := w.time()
 	key := fleet.ChatKey(fleet.Mix(uint64(req.chat)+1, 99))
-	pool := w.manifest.Pools[int(req.chat)%w.size.Models].Name
+	pool := r.poolOf(req)
 	ranked := r.view.RankAt(pool, key, now, make([]*manifest.Server, 0, 9))
 	if len(ranked) == 0 {
 		then(nil)
@@ -299,6 +300,10 @@
 	t.step()
 }
 
+func (r *routers) poolOf(req *request) fleet.PoolID {
+	return r.w.manifest.Pools[int(req.chat)%r.w.size.Models].Name
+}
+
 // attempt is one request on its way to an engine.
 type attempt struct {
 	r      *routers
@@ -315,8 +320,12 @@
 
 func (t *attempt) step() {
 	r := t.r
-	i, v, wait := t.place.Step(len(t.ranked), func(i int, relaxed bool) admission.Verdict {
+	n := t.in.early.Search(r.w.time(), t.ask.Account, r.poolOf(t.req), len(t.ranked))
+	i, v, wait := t.place.Step(n, func(i int, relaxed bool) admission.Verdict {
 		t.ask.Server, t.ask.Relaxed = r.part(t.ranked[i].Name, t.part), relaxed
+		if !r.view.MayReceive(r.w.index.Server(t.ranked[i].Name)) {
+			return admission.Unavailable
+		}
 		return r.ask(t.in, &t.ask)
 	})
 	if wait > 0 && !t.in.down {
@@ -324,6 +333,7 @@
 		r.w.after(wait, t.step)
 		return
 	}
+	t.in.early.Note(r.w.time(), t.ask.Account, r.poolOf(t.req), v)
 	r.verdicts[v]++
 	r.waited += t.waited
 	if i < 0 {
--- a/measure/policy/policy_test.go
+++ b/measure/policy/policy_test.go
@@ -68,6 +68,7 @@
 var plans = []plan{
 	{Today, Steady, 150 * time.Second, 1800 * time.Second},
 	{Today, Churn, 150 * time.Second, 3600 * time.Second},
+	{Today, Surge, 150 * time.Second, 300 * time.Second},
 	{Today, Surge, 150 * time.Second, 600 * time.Second},
 	{Target, Steady, 150 * time.Second, 150 * time.Second},
 	{Target, Churn, 150 * time.Second, 300 * time.Second},
@@ -82,7 +83,7 @@
 			if only := os.Getenv("POLICY"); only != "" && name != only && name != "oracle" {
 				continue
 			}
-			b.Run(fmt.Sprintf("size=%s/scenario=%s/policy=%s", p.size.Name, p.scenario, name), func(b *testing.B) {
+			b.Run(fmt.Sprintf("size=%s/scenario=%s/seconds=%d/policy=%s", p.size.Name, p.scenario, int(p.measured.Seconds()), name), func(b *testing.B) {
 				var res Result
 				for b.Loop() {
 					res = Run{Size: p.size, Scenario: p.scenario, Policy: name, Seed: seed, Warmup: p.warmup, Measured: p.measured}.Do()
