--- a/core/admission/accounts.go
+++ b/core/admission/accounts.go
@@ -10,12 +10,20 @@
 // SliceLifetime is how long a holder may use a granted slice without renewal.
 const SliceLifetime = 2 * time.Second
 
+// ownerWait is how long a new owner waits: until all instances see it as owner,
+// and then for two renewals, of which one may be lost.
+const ownerWait = HandoverWait + 2*SyncInterval
+
 // sliceSpare is how many requests beyond the running ones a holder asks for, so
 // that a steady account needs one call a second and not one for each request.
 const sliceSpare = 1
 
+// ownedSlice is what one holder may use. A smaller slice counts only from a call
+// after the larger one has ended: the reply that made it smaller may be lost, and
+// the holder may have filled the larger one meanwhile.
 type ownedSlice struct {
 	granted int
+	given   time.Time // when the holder was last given granted
 	heard   time.Time
 }
 
@@ -39,7 +47,7 @@
 }
 
 // SetTable takes the accounts with a limit that this instance owns. A new owner
-// waits for HandoverWait before it grants, because holders may still use slices
+// waits for ownerWait before it grants, because holders may still use slices
 // of the earlier owner; immediate skips the wait.
 func (o *AccountOwner) SetTable(now time.Time, t *Table, immediate bool) {
 	o.mu.Lock()
@@ -52,7 +60,7 @@
 			continue
 		}
 		if o.accounts[a.Name] == nil {
-			from := now.Add(HandoverWait)
+			from := now.Add(ownerWait)
 			if immediate {
 				from = now
 			}
@@ -90,11 +98,16 @@
 	if !now.Before(acc.from) {
 		granted = max(running, min(want, limit-others))
 	}
-	if granted == 0 {
+	s := acc.slices[holder]
+	if granted >= s.granted || now.Sub(s.given) >= SliceLifetime {
+		s.granted, s.given = granted, now
+	}
+	s.heard = now
+	if s.granted == 0 {
 		delete(acc.slices, holder)
 		return 0, true
 	}
-	acc.slices[holder] = ownedSlice{granted, now}
+	acc.slices[holder] = s
 	return granted, true
 }
 
--- a/core/admission/params.go
+++ b/core/admission/params.go
@@ -41,8 +41,8 @@
 // Params are settings of the decisions. The zero value of a field means its
 // default.
 type Params struct {
-	// Margin is the part of the load bound that is kept back because the pool
-	// mean lags. Default 0.02.
+	// Margin is the part of the load bound that is kept back for each second of
+	// the exchange interval, because the pool mean lags. Default 0.02.
 	Margin float64
 	// Noise scales the part that is kept back because the mean may fall while
 	// requests run: with n running requests in the pool, the total varies by
--- a/core/admission/pool.go
+++ b/core/admission/pool.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,11 @@
 type poolState struct {
 	local  atomic.Int64 // load of the engines admitted to by this instance
 	remote atomic.Pointer[remoteLoad]
+	// expected is the declared weight of the eligible engines, as float bits. It
+	// stands in for the total's weight until partialHold after the first total,
+	// because the first totals of a fleet cover only some of the engines.
+	expected atomic.Uint64
+	firstAt  atomic.Int64 // UnixNano of the first total
 }
 
 // remoteLoad is the answer of the last exchange without the loads it was sent.
@@ -55,6 +61,10 @@
 // set takes the load of the other engines and the pool's weight.
 func (p *poolState) set(now time.Time, load int64, weight float64) {
 	old := p.remote.Load()
+	p.firstAt.CompareAndSwap(0, now.UnixNano())
+	if now.UnixNano()-p.firstAt.Load() < int64(partialHold) {
+		weight = max(weight, math.Float64frombits(p.expected.Load()))
+	}
 	next := &remoteLoad{load: load, weight: weight, at: now}
 	if old != nil {
 		if weight < old.weight/2 && now.Sub(old.at) < partialHold {
--- a/core/admission/refusals.go
+++ b/core/admission/refusals.go
@@ -18,7 +18,7 @@
 	refusalMemory = 10 * time.Second
 	// shortSearch is the number of servers asked meanwhile. With all six, an
 	// account that surged tenfold caused 95 KB/s of permit calls at one instance.
-	shortSearch = 2
+	shortSearch = 1
 	// maxRefusals bounds the memory; the surging accounts are few.
 	maxRefusals = 4096
 )
--- a/core/admission/roles.go
+++ b/core/admission/roles.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"cyclamenhitch/core/fleet"
@@ -36,6 +37,7 @@
 // ledgers of the roles that ended, for the next primaries.
 func (l *Ledger) SetRoles(now time.Time, t *Table, immediate bool) []Snapshot {
 	var ended []Snapshot
+	l.interval.Store(int64(t.ExchangeInterval()))
 	l.each(func(id fleet.ServerID, e *engine, sh *ledgerShard) {
 		if t.Primary(id, l.self) {
 			return
@@ -45,12 +47,19 @@
 		}
 		l.drop(id, e, sh)
 	})
+	expected := map[fleet.PoolID]float64{}
 	for i := range t.Index.Manifest.Servers {
 		s := &t.Index.Manifest.Servers[i]
+		if t.Index.MayReceive(s) {
+			expected[s.Pool] += s.Weight
+		}
 		if t.Primary(s.Name, l.self) {
 			l.activate(now, s.Name, LimitsOf(t.Index, s), immediate)
 		}
 	}
+	for id, w := range expected {
+		l.pool(id).expected.Store(math.Float64bits(w))
+	}
 	return ended
 }
 
