--- a/cmd/internal/daemon/admission_calls.go
+++ b/cmd/internal/daemon/admission_calls.go
@@ -67,7 +67,7 @@
 func (c *admissionComponent) admitHere(st *admissionState, a *admission.Ask) admission.Verdict {
 	now := time.Now()
 	a.Tokens = admission.Cost(a.Prompt, c.recent.Cached(a.Chat, a.Server, now), a.Output)
-	v := c.ledger.Admit(now, *a)
+	v := c.ledger.Admit(now, a)
 	if v == admission.Granted {
 		c.recent.Note(a.Chat, a.Server, a.Prompt+a.Output, now)
 	}
--- a/core/admission/ledger.go
+++ b/core/admission/ledger.go
@@ -30,8 +30,6 @@
 	poolMu sync.RWMutex
 	pools  map[fleet.PoolID]*poolState
 
-	interval atomic.Int64 // between two exchanges, in ns
-
 	// lastTick is the UnixNano of the last Tick; 0 before the first.
 	lastTick atomic.Int64
 
@@ -105,8 +103,9 @@
 	}
 }
 
-// Admit grants the ask or says why not.
-func (l *Ledger) Admit(now time.Time, a Ask) Verdict {
+// Admit grants the ask or says why not. It raises a.Tokens to the whole prompt
+// while the engine is cold.
+func (l *Ledger) Admit(now time.Time, a *Ask) Verdict {
 	sh := l.shard(a.Server)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -129,18 +128,23 @@
 	return Granted
 }
 
-func (l *Ledger) check(now time.Time, e *engine, a Ask) Verdict {
+func (l *Ledger) check(now time.Time, e *engine, a *Ask) Verdict {
 	if !e.failedAt.IsZero() {
 		return Unavailable
 	}
+	part := e.rampPart(now)
+	if part < 1 {
+		// The cache of a cold engine is not counted on, because this instance may
+		// not have heard of the restart when it estimated the load.
+		a.Tokens = max(a.Tokens, Cost(a.Prompt, 0, a.Output))
+	}
 	used := e.used()
 	after := used + a.Tokens
 	mean := e.pool.mean(now) * e.limits.Weight
 	margin := l.margin(now, e)
-	if e.rampPart(now) < 1 {
+	if part < 1 {
 		ramp := RampCap(e.limits, now.Sub(e.coldSince), mean*(1-maxMargin))
-		// The cache of a cold engine is not counted on.
-		if used+Cost(a.Prompt, 0, a.Output) > ramp || after > ramp {
+		if after > ramp {
 			return OverRamp
 		}
 	}
@@ -148,7 +152,7 @@
 		if after > most && used > 0 {
 			return OverLoad
 		}
-		if float64(after) > l.lend(a)*float64(most) && e.overShare(a, most) {
+		if float64(after) > l.lend(*a)*float64(most) && e.overShare(*a, most) {
 			return OverShare
 		}
 	}
@@ -167,17 +171,13 @@
 // maxMargin keeps the cap above the mean for pools with few requests.
 const maxMargin = 0.15
 
-// lagBase is the margin for the delay of an exchange itself.
-const lagBase = 0.01
-
 // margin is the part of the load bound that is kept back.
 func (l *Ledger) margin(now time.Time, e *engine) float64 {
 	if len(e.permits) == 0 || e.load <= 0 {
 		return maxMargin
 	}
 	n := float64(e.pool.total(now)) * float64(len(e.permits)) / float64(e.load)
-	lag := time.Duration(l.interval.Load()).Seconds()
-	return min(lagBase+l.params.Margin*lag+l.params.Noise/math.Sqrt(max(n, 1)), maxMargin)
+	return min(l.params.Margin+l.params.Noise/math.Sqrt(max(n, 1)), maxMargin)
 }
 
 // priorityStep lowers the lending threshold for each priority below the default, so that low priorities are refused first when capacity is short.
--- a/core/admission/params.go
+++ b/core/admission/params.go
@@ -41,8 +41,8 @@
 // Params are settings of the decisions. The zero value of a field means its
 // default.
 type Params struct {
-	// Margin is the part of the load bound that is kept back for each second of
-	// the exchange interval, because the pool mean lags. Default 0.02.
+	// Margin is the part of the load bound that is kept back because the pool
+	// mean lags. Default 0.022.
 	Margin float64
 	// Noise scales the part that is kept back because the mean may fall while
 	// requests run: with n running requests in the pool, the total varies by
@@ -61,7 +61,7 @@
 }
 
 func (p Params) withDefaults() Params {
-	setDefault(&p.Margin, 0.02)
+	setDefault(&p.Margin, 0.022)
 	setDefault(&p.Noise, 2.4)
 	setDefault(&p.SoftGap, 0.1)
 	setDefault(&p.LendThreshold, 0.9)
--- a/core/admission/property_test.go
+++ b/core/admission/property_test.go
@@ -142,7 +142,7 @@
 		s := nd.table.Index.Manifest.Servers[i].Name
 		*id++
 		a := Ask{Server: s, Holder: nd.ledger.self, ID: *id, Account: "a", Weight: 1, Tokens: 10, Relaxed: true}
-		if nd.ledger.Admit(now, a) != Granted {
+		if nd.ledger.Admit(now, &a) != Granted {
 			continue
 		}
 		nd.ledger.Release(now, s, nd.ledger.self, *id)
@@ -227,7 +227,7 @@
 	if a.Account == "" {
 		a.Account = "a"
 	}
-	v := m.of(a.Server).Admit(m.now, a)
+	v := m.of(a.Server).Admit(m.now, &a) // raises a.Tokens on a cold engine
 	if v == Granted {
 		m.load[a.Server] += a.Tokens
 		m.running = append(m.running, a)
--- a/measure/policy/fleet.go
+++ b/measure/policy/fleet.go
@@ -379,7 +379,7 @@
 func (r *routers) admit(in *instance, a *admission.Ask) admission.Verdict {
 	now := r.w.time()
 	a.Tokens = admission.Cost(a.Prompt, in.recent.Cached(a.Chat, r.parts[a.Server].server.Name, now), a.Output)
-	v := in.ledger.Admit(now, *a)
+	v := in.ledger.Admit(now, a)
 	if v == admission.Granted {
 		in.recent.Note(a.Chat, r.parts[a.Server].server.Name, a.Prompt+a.Output, now)
 	}
