--- a/cmd/internal/daemon/admin.go
+++ b/cmd/internal/daemon/admin.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"net"
@@ -47,6 +48,7 @@
 	}
 	operator := c.d.operators.Name(bearerKey(string(ctx.Request.Header.Peek("Authorization"))))
 	if operator == "" {
+		c.d.log.Warn("operator refused", zap.String(logging.FieldAddress, ctx.RemoteAddr().String()), zap.ByteString(logging.FieldAction, ctx.Path()))
 		writeAdminError(ctx, result.New(result.OperatorForbidden, "the operator key is missing or unknown"))
 		return
 	}
@@ -61,6 +63,12 @@
 		c.handleManifest(ctx)
 	case "/admin/apply":
 		c.handleApply(ctx, operator)
+	case "/admin/slo":
+		c.d.slo.handleSLO(ctx)
+	case "/admin/slo/summaries":
+		c.d.slo.handleSummaries(ctx)
+	case "/admin/slo/summary":
+		c.d.slo.handleSummary(ctx)
 	default:
 		writeAdminError(ctx, result.New(result.UnknownRoute, "no such path"))
 	}
@@ -72,13 +80,28 @@
 	DataCentre string `json:"data_centre"`
 	Version    uint64 `json:"version"`
 	Ready      bool   `json:"ready"`
+	// Reasons says why the instance is not ready; it is empty otherwise.
+	Reasons []string `json:"reasons"`
+	// ConfirmedAgeSeconds is the age of the last confirmation of the version by
+	// the table service; -1 means never.
+	ConfirmedAgeSeconds float64 `json:"confirmed_age_seconds"`
 }
 
 func (c *adminComponent) status() Status {
-	s := Status{Instance: string(c.d.set.Instance), DataCentre: string(c.d.set.DataCentre)}
-	if x := c.d.config.Index(); x != nil {
-		s.Version, s.Ready = x.Version, true
+	s := Status{Instance: string(c.d.set.Instance), DataCentre: string(c.d.set.DataCentre), Reasons: []string{}}
+	s.Version = c.d.config.version()
+	s.ConfirmedAgeSeconds = -1
+	if age := c.d.config.confirmedAge(); age >= 0 {
+		s.ConfirmedAgeSeconds = age.Seconds()
 	}
+	if err := c.d.config.Check(); err != nil {
+		e := result.As(err)
+		s.Reasons = append(s.Reasons, e.Code.Info().Name+": "+e.Message)
+	}
+	if c.d.stopper.leaving.Load() {
+		s.Reasons = append(s.Reasons, result.Stopping.Info().Name+": a planned stop has begun")
+	}
+	s.Ready = len(s.Reasons) == 0
 	return s
 }
 
@@ -117,15 +140,37 @@
 		writeAdminError(ctx, result.New(result.BadRequest, "parameter base must be a version number"))
 		return
 	}
+	reason := string(ctx.QueryArgs().Peek("reason"))
 	head, err := configstate.Accept(context.Background(), c.d.store, c.d.store, base, ctx.PostBody(), operator, newID())
+	c.audit(ctx, operator, "apply", reason, base, head.Version, err)
 	if err != nil {
 		writeAdminError(ctx, result.As(err))
 		return
 	}
-	c.d.log.Info("configuration accepted", zap.Uint64(logging.FieldVersion, head.Version), zap.String(logging.FieldOperator, operator))
+	c.d.config.accepted(head, bytes.Clone(ctx.PostBody()))
 	writeAdminJSON(ctx, head)
 }
 
+// maxReasonBytes bounds what an operator's command adds to the audit log.
+const maxReasonBytes = 200
+
+// audit logs one operator action, also one that was refused or whose outcome is
+// not known. version is 0 unless the action made one.
+func (c *adminComponent) audit(ctx *fasthttp.RequestCtx, operator, action, reason string, base, version uint64, err error) {
+	metricActions.Add(action, 1)
+	code, outcome := result.Code(0), result.Ran
+	if err != nil {
+		e := result.As(err)
+		code, outcome = e.Code, e.Outcome
+	}
+	c.d.log.Info("operator action",
+		zap.String(logging.FieldOperator, operator), zap.String(logging.FieldAction, action),
+		zap.String(logging.FieldReason, reason[:min(len(reason), maxReasonBytes)]),
+		zap.Uint64("base", base), zap.Uint64(logging.FieldVersion, version),
+		zap.Int(logging.FieldCode, int(code)), zap.String(logging.FieldOutcome, string(outcome)),
+		zap.String(logging.FieldAddress, ctx.RemoteAddr().String()))
+}
+
 func writeAdminJSON(ctx *fasthttp.RequestCtx, v any) {
 	body, err := json.Marshal(v)
 	if err != nil {
--- a/cmd/internal/daemon/admission.go
+++ b/cmd/internal/daemon/admission.go
@@ -57,6 +57,7 @@
 	exchange chan struct{}
 	hurry    atomic.Bool // the next exchange must not wait
 	poll     chan struct{}
+	sync     chan struct{}
 
 	failedMu sync.Mutex
 	failed   map[fleet.ServerID]bool // broke here, admitted elsewhere
@@ -77,12 +78,16 @@
 		holds:  admission.NewHolds(), totals: admission.NewTotals(),
 		owner: admission.NewAccountOwner(self), slices: admission.NewSlices(),
 		budgets: retry.NewBudgets(), recent: routing.NewRecent(time.Now()), refusals: admission.NewRefusals(),
-		exchange: make(chan struct{}, 1), poll: make(chan struct{}, 1),
+		exchange: make(chan struct{}, 1), poll: make(chan struct{}, 1), sync: make(chan struct{}, 1),
 		failed: map[fleet.ServerID]bool{},
 	}
 	c.nextID.Store(seed) // ids of two lives of an instance must differ
 	srv := permitpb.NewPermitsServer(&permitServer{c})
 	d.peerServer.Mount(srv.PathPrefix(), srv)
+	d.stopper.onHandOver("admission", func(context.Context) error {
+		c.handover()
+		return nil
+	})
 	return c
 }
 
@@ -93,9 +98,11 @@
 	if x == nil {
 		return nil
 	}
-	// A stopping instance that is the last one keeps its roles.
-	if c.stopping.Load() && len(members.Members) > 1 {
-		members = without(members, c.self)
+	// A stopping instance that is the last one of its region keeps its roles.
+	if c.stopping.Load() {
+		if rest := without(members, c.self); serves(rest, c.d.set.Region) {
+			members = rest
+		}
 	}
 	if st := c.state.Load(); st != nil && st.table.Index == x && sameMembers(st.table.View, members) {
 		return st
@@ -211,6 +218,9 @@
 	c, now := p.c, time.Now()
 	c.holds.End(p.server.Name, p.id)
 	c.ledger.Release(now, p.server.Name, c.self, p.id)
+	if st := c.state.Load(); st != nil {
+		c.changed(st, p.server.Name, admission.Cost(p.req.PromptTokens, 0, p.req.OutputTokens))
+	}
 	if p.limited {
 		c.slices.Release(p.req.Account.Name)
 	}
@@ -271,7 +281,12 @@
 	place := admission.Placement{Warm: warm, Priority: req.Priority, Left: time.Until(req.Deadline)}
 	n := c.refusals.Search(time.Now(), req.Account.Name, req.Pool.Name, len(ranked))
 	i, v, wait := place.Step(n, try)
-	for wait > 0 && sleep(ctx, wait) == nil {
+	for wait > 0 {
+		// The mean may be out of date; a fresh one can lift the bound.
+		c.exchangeNow()
+		if sleep(ctx, wait) != nil {
+			break
+		}
 		i, v, wait = place.Step(n, try)
 	}
 	c.refusals.Note(time.Now(), req.Account.Name, req.Pool.Name, v)
--- a/cmd/internal/daemon/admission_calls.go
+++ b/cmd/internal/daemon/admission_calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -71,20 +72,31 @@
 	if v == admission.Granted {
 		c.recent.Note(a.Chat, a.Server, a.Prompt+a.Output, now)
 	}
-	c.wantTotals(st, a, v)
+	c.changed(st, a.Server, a.Tokens)
 	return v
 }
 
 // lightLoad is the number of requests at the pool mean below which one request
-// changes the mean noticeably, so that a refusal asks for new totals at once.
+// changes the mean noticeably. Changes are then told at once: with the usual
+// intervals, two engines with a few short requests were both over the bound.
 const lightLoad = 8
 
-func (c *admissionComponent) wantTotals(st *admissionState, a *admission.Ask, v admission.Verdict) {
-	if v != admission.OverBound && v != admission.OverSoft {
+// light reports whether the pool of the server carries little load, measured in
+// requests of the given tokens.
+func (c *admissionComponent) light(pool fleet.PoolID, tokens int64) bool {
+	return c.ledger.Mean(time.Now(), pool) < float64(lightLoad*tokens)
+}
+
+// changed tells a light pool about a request that began or ended here.
+func (c *admissionComponent) changed(st *admissionState, s fleet.ServerID, tokens int64) {
+	srv := st.view.Index.Server(s)
+	if srv == nil || len(st.table.View.Members) < 2 || !c.light(srv.Pool, tokens) {
 		return
 	}
-	if s := st.view.Index.Server(a.Server); s != nil && c.ledger.Mean(time.Now(), s.Pool) < float64(lightLoad*a.Tokens) {
+	if st.table.Primary(s, c.self) {
 		c.exchangeNow()
+	} else {
+		kick(c.sync)
 	}
 }
 
@@ -188,6 +200,13 @@
 	return rest
 }
 
+// serves reports whether some member of the region may hold roles.
+func serves(v *membership.View, region fleet.RegionID) bool {
+	return slices.ContainsFunc(v.Members, func(m membership.Member) bool {
+		return m.Region == region && m.Eligible && !m.Leaving
+	})
+}
+
 func encodeLedger(s admission.Snapshot) *permitpb.Ledger {
 	l := &permitpb.Ledger{Server: string(s.Server), Incarnation: s.Incarnation, Bias: s.Bias, ColdAgeMs: -1}
 	if s.ColdAge >= 0 {
--- a/cmd/internal/daemon/admission_loops.go
+++ b/cmd/internal/daemon/admission_loops.go
@@ -148,7 +148,7 @@
 }
 
 func (c *admissionComponent) runSync(ctx context.Context) {
-	every(ctx, admission.SyncInterval, 0, nil, func() {
+	every(ctx, admission.SyncInterval, exchangeGap, c.sync, func() {
 		if st := c.current(); st != nil {
 			c.ledger.Expire(time.Now(), func(id fleet.InstanceID) bool { return st.table.View.Find(id) != nil })
 			c.syncHolds(ctx, st)
@@ -162,6 +162,11 @@
 // takeList applies what a holder tells about one engine.
 func (c *admissionComponent) takeList(now time.Time, holder fleet.InstanceID, l admission.List) {
 	c.ledger.Ended(now, holder, l.Server, l.Ended)
+	if st := c.state.Load(); st != nil && holder != c.self && len(l.Ended) > 0 {
+		if s := st.table.Index.Server(l.Server); s != nil {
+			c.changed(st, l.Server, admission.LimitsOf(st.table.Index, s).AverageCost)
+		}
+	}
 	if l.Full {
 		c.ledger.Sync(now, holder, l.Server, l.Held)
 	}
--- a/cmd/internal/demo/fleet.go
+++ b/cmd/internal/demo/fleet.go
@@ -34,7 +34,7 @@
 	engines      = 10
 	servers      = 4
 	accounts     = 10
-	tokenGap     = 5 * time.Millisecond
+	tokenGap     = 20 * time.Millisecond
 	orderTime    = 5 * time.Millisecond
 	keepSeconds  = 2
 	startTimeout = 30 * time.Second
@@ -207,7 +207,7 @@
 	f.daemons = append(f.daemons, d)
 	f.platform.SetMember(name, platform.Member{Target: d.CallerAddress(), Labels: map[string]string{
 		"instance": name, "data_centre": dc, "region": region, "state": "live",
-		"admin": d.AdminAddress(), "peer": d.PeerAddress(),
+		"admin": d.AdminAddress(), "peer": d.PeerAddress(), "datagram": d.DatagramAddress(),
 	}})
 	go func() { f.stopped <- d.Run(ctx) }()
 	return nil
--- a/core/admission/admitters.go
+++ b/core/admission/admitters.go
@@ -37,9 +37,12 @@
 		regions: map[fleet.RegionID]bool{}, busy: map[fleet.InstanceID]int{},
 	}
 	regions := map[fleet.RegionID]*regionState{}
+	staying := stayingRegions(view)
 	for i := range view.Members {
 		m := &view.Members[i]
-		if !m.Eligible || m.Leaving {
+		// A leaving instance serves its keep time and its running requests. Without
+		// a successor in its region it keeps its roles until it exits.
+		if !m.Eligible && (!m.Leaving || staying[m.Region]) {
 			continue
 		}
 		r := regions[m.Region]
@@ -65,6 +68,18 @@
 	return t
 }
 
+// stayingRegions are the regions that have an instance which may hold roles and
+// is not leaving.
+func stayingRegions(view *membership.View) map[fleet.RegionID]bool {
+	out := map[fleet.RegionID]bool{}
+	for i := range view.Members {
+		if m := &view.Members[i]; m.Eligible && !m.Leaving {
+			out[m.Region] = true
+		}
+	}
+	return out
+}
+
 // regionState holds the eligible instances of a region and its servers.
 type regionState struct {
 	members []*membership.Member
--- a/core/admission/pool.go
+++ b/core/admission/pool.go
@@ -35,8 +35,13 @@
 // other engines really do not report.
 const partialHold = 2 * time.Second
 
-// trendLimit bounds how far the load of the other engines is projected.
-const trendLimit = 2 * time.Second
+// trendLimit and trendPart bound how far, and by which part, the load of the
+// other engines is projected. In a pool with few requests, two exchanges that
+// follow each other closely give any slope.
+const (
+	trendLimit = 2 * time.Second
+	trendPart  = 0.1
+)
 
 // total is the load of the pool as expected now. A total that falls is
 // projected to the present, because a mean that lags lets engines exceed the
@@ -47,7 +52,8 @@
 		return max(p.local.Load(), 0)
 	}
 	age := min(max(now.Sub(r.at), 0), trendLimit)
-	return max(r.load+int64(r.falling*age.Seconds())+p.local.Load(), 0)
+	drop := min(-r.falling*age.Seconds(), trendPart*float64(max(r.load, 0)))
+	return max(r.load-int64(drop)+p.local.Load(), 0)
 }
 
 func (p *poolState) mean(now time.Time) float64 {
--- a/measure/cmd/capacity/fit.go
+++ b/measure/cmd/capacity/fit.go
@@ -24,19 +24,6 @@
 	points               []point
 }
 
-// at evaluates the line.
-func (f fit) at(x float64) float64 { return f.intercept + f.slope*x }
-
-// measured returns the value measured at x, or the line's value.
-func (f fit) measured(x float64) float64 {
-	for _, p := range f.points {
-		if p.x == x {
-			return p.y
-		}
-	}
-	return f.at(x)
-}
-
 var sizeParam = regexp.MustCompile(`^(.*?)/([a-z_]+)=([0-9.]+)(-\d+)?$`)
 
 // readBench collects all series of a benchmark output. Values of repeated runs
