--- a/cmd/internal/daemon/admission.go
+++ b/cmd/internal/daemon/admission.go
@@ -44,9 +44,12 @@
 	budgets *retry.Budgets
 	recent  *routing.Recent
 
+	refusals *admission.Refusals
+
 	refreshMu sync.Mutex
 	state     atomic.Pointer[admissionState]
-	sawOthers bool // guarded by refreshMu
+	sawOthers bool        // guarded by refreshMu
+	stopping  atomic.Bool // set by handover
 
 	clients  sync.Map // peer address to permitpb.Permits
 	nextID   atomic.Uint64
@@ -54,6 +57,7 @@
 	exchange chan struct{}
 	hurry    atomic.Bool // the next exchange must not wait
 	poll     chan struct{}
+	sync     chan struct{}
 
 	failedMu sync.Mutex
 	failed   map[fleet.ServerID]bool // broke here, admitted elsewhere
@@ -73,8 +77,8 @@
 		ledger: admission.NewLedger(self, admission.Params{Seed: seed}),
 		holds:  admission.NewHolds(), totals: admission.NewTotals(),
 		owner: admission.NewAccountOwner(self), slices: admission.NewSlices(),
-		budgets: retry.NewBudgets(), recent: routing.NewRecent(time.Now()),
-		exchange: make(chan struct{}, 1), poll: make(chan struct{}, 1),
+		budgets: retry.NewBudgets(), recent: routing.NewRecent(time.Now()), refusals: admission.NewRefusals(),
+		exchange: make(chan struct{}, 1), poll: make(chan struct{}, 1), sync: make(chan struct{}, 1),
 		failed: map[fleet.ServerID]bool{},
 	}
 	c.nextID.Store(seed) // ids of two lives of an instance must differ
@@ -94,6 +98,12 @@
 	if x == nil {
 		return nil
 	}
+	// A stopping instance that is the last one of its region keeps its roles.
+	if c.stopping.Load() {
+		if rest := without(members, c.self); serves(rest, c.d.set.Region) {
+			members = rest
+		}
+	}
 	if st := c.state.Load(); st != nil && st.table.Index == x && sameMembers(st.table.View, members) {
 		return st
 	}
@@ -208,6 +218,9 @@
 	c, now := p.c, time.Now()
 	c.holds.End(p.server.Name, p.id)
 	c.ledger.Release(now, p.server.Name, c.self, p.id)
+	if st := c.state.Load(); st != nil {
+		c.changed(st, p.server.Name, admission.Cost(p.req.PromptTokens, 0, p.req.OutputTokens))
+	}
 	if p.limited {
 		c.slices.Release(p.req.Account.Name)
 	}
@@ -255,22 +268,28 @@
 	warm := first && req.CachedTokens > 0
 	try := func(i int, relaxed bool) admission.Verdict {
 		a := askFor(req, ranked[i], c.self, id, relaxed)
-		v := c.ask(ctx, st, &a)
+		// The configuration may have changed while the request waited.
+		v := admission.Unavailable
+		if now := c.current(); eligible(now.view, now.table.Index, a.Server) {
+			v = c.ask(ctx, now, &a)
+		}
 		if logged {
 			trace = append(trace, tried{string(a.Server), relaxed, v.String()})
 		}
 		return v
 	}
 	place := admission.Placement{Warm: warm, Priority: req.Priority, Left: time.Until(req.Deadline)}
-	i, v, wait := place.Step(len(ranked), try)
+	n := c.refusals.Search(time.Now(), req.Account.Name, req.Pool.Name, len(ranked))
+	i, v, wait := place.Step(n, try)
 	for wait > 0 {
 		// The mean may be out of date; a fresh one can lift the bound.
 		c.exchangeNow()
 		if sleep(ctx, wait) != nil {
 			break
 		}
-		i, v, wait = place.Step(len(ranked), try)
+		i, v, wait = place.Step(n, try)
 	}
+	c.refusals.Note(time.Now(), req.Account.Name, req.Pool.Name, v)
 	if logged {
 		c.d.log.Info("routing decision", zap.String(logging.FieldRequest, req.ID), zap.String(logging.FieldPool, string(req.Pool.Name)),
 			zap.String(logging.FieldAccount, string(req.Account.Name)), zap.Any("candidates", trace),
--- a/core/admission/params.go
+++ b/core/admission/params.go
@@ -24,7 +24,7 @@
 	HandoverWait = membership.DisagreementBound + PermitLifetime
 	// HolderTimeout is how long the permits of an instance that is not alive any
 	// more count after its last message.
-	HolderTimeout = 5 * time.Second
+	HolderTimeout = 2 * time.Second
 	// SyncInterval is the time between two messages about ended permits.
 	SyncInterval = time.Second
 	// ExchangeInterval is the time between two exchanges of pool totals. At
@@ -42,7 +42,7 @@
 // default.
 type Params struct {
 	// Margin is the part of the load bound that is kept back because the pool
-	// mean lags. Default 0.02.
+	// mean lags. Default 0.022.
 	Margin float64
 	// Noise scales the part that is kept back because the mean may fall while
 	// requests run: with n running requests in the pool, the total varies by
@@ -61,7 +61,7 @@
 }
 
 func (p Params) withDefaults() Params {
-	setDefault(&p.Margin, 0.02)
+	setDefault(&p.Margin, 0.022)
 	setDefault(&p.Noise, 2.4)
 	setDefault(&p.SoftGap, 0.1)
 	setDefault(&p.LendThreshold, 0.9)
--- a/core/admission/pool.go
+++ b/core/admission/pool.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,11 @@
 type poolState struct {
 	local  atomic.Int64 // load of the engines admitted to by this instance
 	remote atomic.Pointer[remoteLoad]
+	// expected is the declared weight of the eligible engines, as float bits. It
+	// stands in for the total's weight until partialHold after the first total,
+	// because the first totals of a fleet cover only some of the engines.
+	expected atomic.Uint64
+	firstAt  atomic.Int64 // UnixNano of the first total
 }
 
 // remoteLoad is the answer of the last exchange without the loads it was sent.
@@ -29,8 +35,13 @@
 // other engines really do not report.
 const partialHold = 2 * time.Second
 
-// trendLimit bounds how far the load of the other engines is projected.
-const trendLimit = 2 * time.Second
+// trendLimit and trendPart bound how far, and by which part, the load of the
+// other engines is projected. In a pool with few requests, two exchanges that
+// follow each other closely give any slope.
+const (
+	trendLimit = 2 * time.Second
+	trendPart  = 0.1
+)
 
 // total is the load of the pool as expected now. A total that falls is
 // projected to the present, because a mean that lags lets engines exceed the
@@ -41,7 +52,8 @@
 		return max(p.local.Load(), 0)
 	}
 	age := min(max(now.Sub(r.at), 0), trendLimit)
-	return max(r.load+int64(r.falling*age.Seconds())+p.local.Load(), 0)
+	drop := min(-r.falling*age.Seconds(), trendPart*float64(max(r.load, 0)))
+	return max(r.load-int64(drop)+p.local.Load(), 0)
 }
 
 func (p *poolState) mean(now time.Time) float64 {
@@ -55,6 +67,10 @@
 // set takes the load of the other engines and the pool's weight.
 func (p *poolState) set(now time.Time, load int64, weight float64) {
 	old := p.remote.Load()
+	p.firstAt.CompareAndSwap(0, now.UnixNano())
+	if now.UnixNano()-p.firstAt.Load() < int64(partialHold) {
+		weight = max(weight, math.Float64frombits(p.expected.Load()))
+	}
 	next := &remoteLoad{load: load, weight: weight, at: now}
 	if old != nil {
 		if weight < old.weight/2 && now.Sub(old.at) < partialHold {
--- a/core/admission/roles.go
+++ b/core/admission/roles.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"time"
 
 	"cyclamenhitch/core/fleet"
@@ -45,12 +46,19 @@
 		}
 		l.drop(id, e, sh)
 	})
+	expected := map[fleet.PoolID]float64{}
 	for i := range t.Index.Manifest.Servers {
 		s := &t.Index.Manifest.Servers[i]
+		if t.Index.MayReceive(s) {
+			expected[s.Pool] += s.Weight
+		}
 		if t.Primary(s.Name, l.self) {
 			l.activate(now, s.Name, LimitsOf(t.Index, s), immediate)
 		}
 	}
+	for id, w := range expected {
+		l.pool(id).expected.Store(math.Float64bits(w))
+	}
 	return ended
 }
 
