--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -46,6 +46,7 @@
 	members   *memberComponent
 	admission *admissionComponent
 	claims    *claimsComponent
+	orders    *ordersComponent
 	callers   *httpapi.Server
 	admin     *adminComponent
 	stopper   *stopper
@@ -64,18 +65,18 @@
 	if d.peerKey, err = keys.OpenSecret(set.Trust.PeerKeyFile); err != nil {
 		return nil, err
 	}
-	secret := ""
+	var secret func() []byte
 	if set.Platform.SecretFile != "" {
 		k, err := keys.OpenSecret(set.Platform.SecretFile)
 		if err != nil {
 			return nil, err
 		}
-		secret = string(k.Bytes())
+		secret = k.Bytes
 	}
 	d.store = platform.NewStore(platform.Config{
 		TableURL: set.Platform.Table, TableName: set.Platform.TableName,
 		ObjectsURL: set.Platform.Objects, Bucket: set.Platform.Bucket,
-		AccessKeyID: set.Platform.AccessKeyID, Secret: secret,
+		AccessKeyID: set.Platform.AccessKeyID, SecretKey: secret,
 		CallTimeout:   time.Duration(set.Platform.CallTimeoutMillis) * time.Millisecond,
 		MaxConcurrent: maxStoreCalls,
 	})
@@ -128,6 +129,7 @@
 	d.members = newMemberComponent(d)
 	d.admission = newAdmissionComponent(d)
 	d.claims = newClaimsComponent(d)
+	d.orders = newOrdersComponent(d)
 	d.slo = newSLOComponent(d)
 	gw := &gateway.Gateway{
 		Router:   d.admission,
@@ -190,6 +192,8 @@
 	go d.slo.run(work)
 	go d.admission.run(work)
 	go d.claims.run(work)
+	orders := make(chan struct{})
+	go func() { defer close(orders); d.orders.run(ctx) }()
 	d.log.Info("instance started", zap.String("caller", d.CallerAddress()), zap.String("admin", d.AdminAddress()),
 		zap.String("peer", d.PeerAddress()), zap.String("datagram", d.DatagramAddress()))
 	select {
@@ -197,7 +201,9 @@
 		return err
 	case <-ctx.Done():
 	}
-	return d.stopper.run()
+	err := d.stopper.run()
+	<-orders // leases are released, so that the next holder need not wait
+	return err
 }
 
 func (d *Daemon) limits() httpapi.Limits {
--- a/core/burn/snapshot.go
+++ b/core/burn/snapshot.go
@@ -104,7 +104,7 @@
 		}
 		for k := range s.causes {
 			for _, c := range s.causes[k][uint32(i)] {
-				a.Causes[k] = append(a.Causes[k], CauseCount{c.cause, c.n})
+				a.Causes[k] = append(a.Causes[k], CauseCount{s.causeOf[c.id], uint64(c.n)})
 			}
 		}
 		out = append(out, a)
--- a/standins/model/model.go
+++ b/standins/model/model.go
@@ -29,6 +29,10 @@
 	PrefillPerToken time.Duration
 	// CacheChats bounds the prefix cache, in chats.
 	CacheChats int
+	// ChecksFencing refuses orders with an old fencing number.
+	ChecksFencing bool
+	// WeightStore is the base URL that loads come from; empty means none.
+	WeightStore string
 	// Meter sums the load of the pool; nil means none.
 	Meter *Meter
 	// EventIDs numbers the events of a stream and allows to resume it with the
@@ -76,6 +80,8 @@
 	requests  map[string]bool // request ids that can be resumed
 	resumed   atomic.Int64
 	closed    chan struct{}
+
+	orders orderState
 }
 
 // Start starts an engine.
@@ -152,6 +158,8 @@
 		ctx.SetStatusCode(200)
 	case "/load":
 		e.handleLoad(ctx)
+	case "/orders":
+		e.handleOrders(ctx)
 	case "/v1/chat/completions":
 		e.handleChat(ctx)
 	default:
@@ -160,7 +168,9 @@
 }
 
 func (e *Engine) handleLoad(ctx *fasthttp.RequestCtx) {
+	items, role := e.Loaded()
 	body, _ := json.Marshal(map[string]any{
+		"items": items, "role": role,
 		"engine": e.cfg.Name, "incarnation": e.incarnation, "running": e.running.Load(),
 		"at_ms": time.Now().UnixMilli(),
 	})
