Work out capacity for each role from measured lines

Change: the capacity command fits lines through benchmark output and rewrites the tables of docs/CAPACITY.md; make capacity runs the benchmarks it needs and fails when a value is missing. The tables are filled in after the run. Conclusion: none yet.

--- a/Makefile
+++ b/Makefile
@@ -24,13 +24,18 @@
 measure:
 	go test -run '^$$' -bench . -benchtime 1x -timeout 60m ./measure/...
 
-# Measures the slopes again and rewrites the tables of docs/CAPACITY.md.
+# Measures the slopes again and rewrites the tables of docs/CAPACITY.md, about 10
+# minutes. CAPACITY_OUT keeps the benchmark output.
+CAPACITY_OUT ?= out/capacity.txt
 capacity:
-	go run ./measure/cmd/capacity
-
-# Writes the generated tables of docs/operators.md and docs/result-codes.md.
-docs:
-	go run ./cmd/internal/doctable
+	@mkdir -p $(dir $(CAPACITY_OUT))
+	go test -run '^$$' -bench Slope -benchtime 1x ./measure/slopes > $(CAPACITY_OUT)
+	go test -run '^$$' -bench 'BenchmarkControl$$' -benchtime 1x ./measure/control >> $(CAPACITY_OUT)
+	go test -run '^$$' -bench 'Claims/index' -benchtime 1x ./measure/claims >> $(CAPACITY_OUT)
+	go test -run '^$$' -bench 'Proxy/(sequential|tokens|memory)' -benchtime 1x ./measure/proxy >> $(CAPACITY_OUT)
+	go test -run '^$$' -bench State -benchtime 1x ./core/burn >> $(CAPACITY_OUT)
+	POLICY=router go test -run '^$$' -bench 'Policy/size=target/scenario=steady' -benchtime 1x -timeout 30m ./measure/policy >> $(CAPACITY_OUT)
+	go run ./measure/cmd/capacity -bench $(CAPACITY_OUT) -page docs/CAPACITY.md
 
 # Needs protoc, protoc-gen-go and protoc-gen-twirp; generated code is committed.
 generate:
--- a/measure/cmd/capacity/fit.go
+++ b/measure/cmd/capacity/fit.go
@@ -18,6 +18,12 @@
 // such as BenchmarkControl, instances, B/s.
 type series struct{ bench, param, metric string }
 
+// value is one measured metric of one benchmark.
+type value struct {
+	name, unit string
+	y          float64
+}
+
 // fit is a least-squares line through a series.
 type fit struct {
 	slope, intercept, r2 float64
@@ -28,9 +34,9 @@
 
 // readBench collects all series of a benchmark output. Values of repeated runs
 // are reduced to their median.
-func readBench(r io.Reader) (map[series]fit, map[string]float64, error) {
+func readBench(r io.Reader) (map[series]fit, []value, error) {
 	raw := map[series]map[float64][]float64{}
-	plain := map[string][]float64{}
+	var all []value
 	br := benchfmt.NewReader(r, "bench")
 	for br.Scan() {
 		res, ok := br.Result().(*benchfmt.Result)
@@ -39,14 +45,13 @@
 		}
 		name := string(res.Name.Full())
 		for _, v := range res.Values {
-			value, unit := v.Value, v.Unit
+			y, unit := v.Value, v.Unit
 			if v.OrigUnit != "" {
-				value, unit = v.OrigValue, v.OrigUnit
+				y, unit = v.OrigValue, v.OrigUnit
 			}
+			all = append(all, value{name, unit, y})
 			m := sizeParam.FindStringSubmatch(name)
 			if m == nil {
-				base, _ := res.Name.Parts()
-				plain[string(base)+" "+unit] = append(plain[string(base)+" "+unit], value)
 				continue
 			}
 			x, err := strconv.ParseFloat(m[3], 64)
@@ -57,7 +62,7 @@
 			if raw[s] == nil {
 				raw[s] = map[float64][]float64{}
 			}
-			raw[s][x] = append(raw[s][x], value)
+			raw[s][x] = append(raw[s][x], y)
 		}
 	}
 	fits := map[series]fit{}
@@ -68,11 +73,7 @@
 		}
 		fits[s] = fitLine(pts)
 	}
-	medians := map[string]float64{}
-	for k, ys := range plain {
-		medians[k] = median(ys)
-	}
-	return fits, medians, br.Err()
+	return fits, all, br.Err()
 }
 
 func median(ys []float64) float64 {
--- a/measure/cmd/capacity/main.go
+++ b/measure/cmd/capacity/main.go
@@ -27,7 +27,7 @@
 		return err
 	}
 	defer f.Close()
-	fits, plain, err := readBench(f)
+	fits, all, err := readBench(f)
 	if err != nil {
 		return err
 	}
@@ -35,17 +35,24 @@
 	if err != nil {
 		return err
 	}
-	m := model{fits: fits, plain: plain}
+	m := &model{fits: fits, all: all}
 	for _, block := range []struct {
 		name string
 		text string
 	}{
 		{"slopes", m.slopeTable()},
+		{"today", m.roleTable(sizes[0])},
+		{"target", m.roleTable(sizes[1])},
+		{"thousands", m.roleTable(sizes[2])},
+		{"platform", m.platformTable()},
 	} {
 		if src, err = replaceBlock(src, block.name, block.text); err != nil {
 			return err
 		}
 	}
+	if len(m.missing) > 0 {
+		return fmt.Errorf("the benchmark output lacks %s", strings.Join(m.missing, ", "))
+	}
 	return os.WriteFile(page, src, 0o644)
 }
 
@@ -62,14 +69,55 @@
 	return append(out, src[j:]...), nil
 }
 
-// model gives access to the measured lines and values.
+// model gives access to the measured lines and values. It collects what is
+// missing, so that no table is written from an incomplete run.
 type model struct {
-	fits  map[series]fit
-	plain map[string]float64
+	fits    map[series]fit
+	all     []value
+	missing []string
+}
+
+// value returns the median of the metric over all benchmarks whose names
+// contain every part.
+func (m *model) value(unit string, parts ...string) float64 {
+	var ys []float64
+	for _, v := range m.all {
+		ok := v.unit == unit
+		for _, p := range parts {
+			ok = ok && strings.Contains(v.name, p)
+		}
+		if ok {
+			ys = append(ys, v.y)
+		}
+	}
+	if len(ys) == 0 {
+		m.miss(strings.Join(parts, "…") + " " + unit)
+		return 0
+	}
+	return median(ys)
+}
+
+func (m *model) miss(what string) {
+	if !slices.Contains(m.missing, what) {
+		m.missing = append(m.missing, what)
+	}
+}
+
+// slope and line evaluate the fit of a series.
+func (m *model) slope(bench, param, metric string) float64 {
+	f, ok := m.fits[series{bench, param, metric}]
+	if !ok {
+		m.miss(bench + "/" + param + " " + metric)
+	}
+	return f.slope
+}
+
+func (m *model) line(bench, param, metric string, x float64) float64 {
+	return m.fits[series{bench, param, metric}].intercept + m.slope(bench, param, metric)*x
 }
 
 // slopeTable lists each series that was measured at two or more sizes.
-func (m model) slopeTable() string {
+func (m *model) slopeTable() string {
 	var keys []series
 	for s, f := range m.fits {
 		if len(f.points) > 1 {
