Keep control traffic and claim memory under their bounds at target size

Cause: the capacity tables add up to 23.5 KB/s of control for an instance (bound 22) and 68.7 MB for the owner of a claim partition (bound 64). Change: datagrams carry one full and four compact records of other instances instead of two and six; 32 partitions of claims instead of 16.

--- a/core/claims/doc.go
+++ b/core/claims/doc.go
@@ -10,7 +10,7 @@
 
 const (
 	// Partitions is the default number of logs.
-	Partitions = 16
+	Partitions = 32
 	// WritesPerSecond is the write budget of the whole fleet.
 	WritesPerSecond = 300
 	// Retention is the shortest time for which a claim is remembered.
@@ -29,7 +29,7 @@
 	MaxInlineOutcome = 8 << 10
 	// maxGroupBytes bounds one row; the table service accepts items of 400 KB.
 	maxGroupBytes = 256 << 10
-	// maxQueue bounds waiting commands of a partition. At 300 writes/s for 16
+	// maxQueue bounds waiting commands of a partition. At 300 writes/s for 32
 	// partitions a full queue drains within seconds.
 	maxQueue = 8192
 	// staleAfter is how long an index may go without contact to the log before
--- a/core/membership/gossip.go
+++ b/core/membership/gossip.go
@@ -20,8 +20,8 @@
 	versionRounds = 4
 	// fillFull and fillCompact are the records of other instances that each
 	// probe and ack carries; they repair lost gossip at a constant cost.
-	fillFull    = 2
-	fillCompact = 6
+	fillFull    = 1
+	fillCompact = 4
 )
 
 // sendLimit is how often one update is sent: enough that with 10% loss fewer
--- a/measure/cmd/capacity/size.go
+++ b/measure/cmd/capacity/size.go
@@ -29,7 +29,7 @@
 	daySeconds = 86400.0
 	// retentionSeconds is how long claims are kept: 48 h and a generation of 4 h.
 	retentionSeconds = 52 * 3600.0
-	partitions       = 16.0
+	partitions       = 32.0
 	leaseSeconds     = 5.0
 	headReads        = 20.0 // a second, for the fleet
 	claimWrites      = 300.0
