Count waiting load in the pool mean, so that a surge from idle is admitted

Cause: each admitter compares its engine with a mean of granted load that is out of date by an exchange interval. From idle, load grew by about one request for each engine and exchange, and the rest was refused while engines were idle.

Change: Exchange carries the holder and, for each pool, the load that waits at it for a permit; the reply carries the load that waits elsewhere. Instances without engines in a pool report too. The pool total and the mean count waiting load beyond 5% of the granted load. Reports expire after 300 ms, the longest wait, at the aggregator and at the admitter. Both subtract what was granted since the report: without that, a load that was granted by another admitter counts twice, and TestSurgeFromIdle saw an engine with 650 tokens against a limit of 625.

Conclusion: the surge is admitted except for up to 5% of it.

--- a/cmd/internal/daemon/admission.go
+++ b/cmd/internal/daemon/admission.go
@@ -281,6 +281,11 @@
 	place := admission.Placement{Warm: warm, Priority: req.Priority, Left: time.Until(req.Deadline)}
 	n := c.refusals.Search(time.Now(), req.Account.Name, req.Pool.Name, len(ranked))
 	i, v, wait := place.Step(n, try)
+	if wait > 0 {
+		tokens := admission.Cost(req.PromptTokens, req.CachedTokens, req.OutputTokens)
+		c.ledger.Wait(req.Pool.Name, tokens)
+		defer c.ledger.Wait(req.Pool.Name, -tokens)
+	}
 	for wait > 0 {
 		// The mean may be out of date; a fresh one can lift the bound.
 		c.exchangeNow()
--- a/cmd/internal/daemon/admission_loops.go
+++ b/cmd/internal/daemon/admission_loops.go
@@ -88,7 +88,9 @@
 		pool := st.table.Index.Manifest.Pools[i].Name
 		if m := st.table.Aggregator(pool); m != nil && m.ID == c.self {
 			loads := c.poolLoads(st, pool)
-			c.ledger.SetTotal(now, pool, c.totals.Exchange(now, pool, loads), loads)
+			t := c.totals.Exchange(now, pool, loads)
+			t.Waiting = c.totals.Waiting(now, pool, c.self, c.ledger.Waiting(pool))
+			c.ledger.SetTotal(now, pool, t, loads)
 		}
 	}
 }
@@ -115,15 +117,15 @@
 		if m == nil || m.ID == c.self {
 			continue
 		}
-		loads := c.poolLoads(st, pool)
-		if len(loads) == 0 {
+		loads, waiting := c.poolLoads(st, pool), c.ledger.Waiting(pool)
+		if len(loads) == 0 && waiting == 0 {
 			continue
 		}
 		sent[pool] = loads
 		if requests[m] == nil {
-			requests[m] = &permitpb.ExchangeRequest{}
+			requests[m] = &permitpb.ExchangeRequest{Holder: string(c.self)}
 		}
-		pl := &permitpb.PoolLoads{Pool: string(pool)}
+		pl := &permitpb.PoolLoads{Pool: string(pool), Waiting: waiting}
 		for _, l := range loads {
 			pl.Loads = append(pl.Loads, &permitpb.EngineLoad{Server: string(l.Server), Load: l.Load, Weight: l.Weight})
 		}
@@ -140,7 +142,10 @@
 			}
 			for _, t := range r.Totals {
 				pool := fleet.PoolID(t.Pool)
-				c.ledger.SetTotal(time.Now(), pool, admission.Total{Load: t.Load, Weight: t.Weight}, sent[pool])
+				// Without engines, no later exchange would replace this total.
+				if len(sent[pool]) > 0 {
+					c.ledger.SetTotal(time.Now(), pool, admission.Total{Load: t.Load, Weight: t.Weight, Waiting: t.Waiting}, sent[pool])
+				}
 			}
 		})
 	}
--- a/cmd/internal/daemon/admission_server.go
+++ b/cmd/internal/daemon/admission_server.go
@@ -57,7 +57,8 @@
 			}
 		}
 		t := s.c.totals.Exchange(now, fleet.PoolID(p.Pool), loads)
-		out.Totals = append(out.Totals, &permitpb.PoolTotal{Pool: p.Pool, Load: t.Load, Weight: t.Weight})
+		t.Waiting = s.c.totals.Waiting(now, fleet.PoolID(p.Pool), fleet.InstanceID(r.Holder), p.Waiting)
+		out.Totals = append(out.Totals, &permitpb.PoolTotal{Pool: p.Pool, Load: t.Load, Weight: t.Weight, Waiting: t.Waiting})
 	}
 	return out, nil
 }
--- a/core/admission/ledger.go
+++ b/core/admission/ledger.go
@@ -125,6 +125,9 @@
 	}
 	e.add(k, permit{a.Account, a.Weight, a.Tokens, now})
 	e.heard[a.Holder] = now
+	if a.Holder != l.self {
+		e.pool.lent.Add(a.Tokens)
+	}
 	return Granted
 }
 
@@ -234,6 +237,8 @@
 
 // Loads appends the loads of the engines of a pool that this instance admits to.
 func (l *Ledger) Loads(now time.Time, pool fleet.PoolID, dst []EngineLoad) []EngineLoad {
+	p := l.pool(pool)
+	p.lentSent.Store(p.lent.Load())
 	l.each(func(id fleet.ServerID, e *engine, _ *ledgerShard) {
 		if e.active && e.limits.Pool == pool {
 			dst = append(dst, EngineLoad{id, e.used(), e.share(now)})
@@ -242,6 +247,13 @@
 	return dst
 }
 
+// Wait adds tokens to the load that waits at this instance for a permit; a
+// negative number ends the wait.
+func (l *Ledger) Wait(pool fleet.PoolID, tokens int64) { l.pool(pool).waiting.Add(tokens) }
+
+// Waiting returns the load that waits at this instance for a permit.
+func (l *Ledger) Waiting(pool fleet.PoolID) int64 { return l.pool(pool).waiting.Load() }
+
 // Mean returns the pool mean as seen now, for an engine of weight 1.
 func (l *Ledger) Mean(now time.Time, pool fleet.PoolID) float64 { return l.pool(pool).mean(now) }
 
@@ -252,7 +264,7 @@
 	for _, s := range sent {
 		others -= s.Load
 	}
-	p.set(now, others, t.Weight)
+	p.set(now, others, t.Waiting, t.Weight)
 }
 
 // Used returns the load of an engine that counts against its cap.
--- a/core/admission/pool.go
+++ b/core/admission/pool.go
@@ -14,6 +14,11 @@
 type poolState struct {
 	local  atomic.Int64 // load of the engines admitted to by this instance
 	remote atomic.Pointer[remoteLoad]
+	// waiting is the load of requests that wait at this instance for a permit.
+	waiting atomic.Int64
+	// lent is the sum of all grants to other instances, and lentSent its value
+	// when loads were last read for an exchange.
+	lent, lentSent atomic.Int64
 	// expected is the declared weight of the eligible engines, as float bits. It
 	// stands in for the total's weight until partialHold after the first total,
 	// because the first totals of a fleet cover only some of the engines.
@@ -26,6 +31,9 @@
 	load   int64
 	weight float64 // of all engines of the pool, this instance's included
 	at     time.Time
+	// waiting is the load that waits for permits at other instances.
+	waiting int64
+	lent    int64 // poolState.lent when the loads were sent
 	// falling is the change of load a second; 0 when it grows.
 	falling float64
 }
@@ -43,10 +51,31 @@
 	trendPart  = 0.1
 )
 
-// total is the load of the pool as expected now. A total that falls is
+// waitKeep is how long reported waiting load counts. It is the longest wait of a
+// request: older load was granted or refused.
+const waitKeep = boundTries * BoundWait
+
+// waitPart is the part of the granted load up to which waiting load does not
+// count, so that the few waiting requests of a steady state do not raise the
+// bound.
+const waitPart = 0.05
+
+// total is the granted load of the pool as expected now, and the waiting load
+// beyond waitPart of it. Without the waiting load, a surge from idle grows by
+// one request for each engine and exchange, and is refused.
+func (p *poolState) total(now time.Time) int64 {
+	granted, waiting := p.granted(now), max(p.waiting.Load(), 0)
+	if r := p.remote.Load(); r != nil && now.Sub(r.at) <= waitKeep {
+		// Grants since then to other instances are granted load already.
+		waiting += max(r.waiting-(p.lent.Load()-r.lent), 0)
+	}
+	return granted + max(waiting-int64(waitPart*float64(granted)), 0)
+}
+
+// granted is the granted load of the pool as expected now. A total that falls is
 // projected to the present, because a mean that lags lets engines exceed the
 // bound; one that grows is not.
-func (p *poolState) total(now time.Time) int64 {
+func (p *poolState) granted(now time.Time) int64 {
 	r := p.remote.Load()
 	if r == nil {
 		return max(p.local.Load(), 0)
@@ -64,14 +93,15 @@
 	return float64(p.total(now)) / r.weight
 }
 
-// set takes the load of the other engines and the pool's weight.
-func (p *poolState) set(now time.Time, load int64, weight float64) {
+// set takes the load of the other engines, the load that waits at other
+// instances, and the pool's weight.
+func (p *poolState) set(now time.Time, load, waiting int64, weight float64) {
 	old := p.remote.Load()
 	p.firstAt.CompareAndSwap(0, now.UnixNano())
 	if now.UnixNano()-p.firstAt.Load() < int64(partialHold) {
 		weight = max(weight, math.Float64frombits(p.expected.Load()))
 	}
-	next := &remoteLoad{load: load, weight: weight, at: now}
+	next := &remoteLoad{load: load, waiting: waiting, lent: p.lentSent.Load(), weight: weight, at: now}
 	if old != nil {
 		if weight < old.weight/2 && now.Sub(old.at) < partialHold {
 			return
@@ -87,6 +117,8 @@
 type Total struct {
 	Load   int64
 	Weight float64
+	// Waiting is the load that waits at instances other than the receiver.
+	Waiting int64
 }
 
 // EngineLoad is the load of one engine in an exchange.
@@ -112,11 +144,22 @@
 type Totals struct {
 	mu    sync.Mutex
 	pools map[fleet.PoolID]map[fleet.ServerID]totalEntry
+	waits map[fleet.PoolID]map[fleet.InstanceID]waitEntry
+}
+
+type waitEntry struct {
+	load int64
+	at   time.Time
+	// granted is the load of the pool when the entry was reported.
+	granted int64
 }
 
 // NewTotals returns empty totals.
 func NewTotals() *Totals {
-	return &Totals{pools: map[fleet.PoolID]map[fleet.ServerID]totalEntry{}}
+	return &Totals{
+		pools: map[fleet.PoolID]map[fleet.ServerID]totalEntry{},
+		waits: map[fleet.PoolID]map[fleet.InstanceID]waitEntry{},
+	}
 }
 
 // Exchange records the loads and returns the pool's totals with them.
@@ -143,6 +186,40 @@
 	return sum
 }
 
+// Waiting records the load that waits at the holder and returns the load that
+// waits at the other instances. What was granted since their oldest report is
+// subtracted, because it would count twice. Call it after Exchange.
+func (t *Totals) Waiting(now time.Time, pool fleet.PoolID, holder fleet.InstanceID, load int64) int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	m := t.waits[pool]
+	if m == nil {
+		m = map[fleet.InstanceID]waitEntry{}
+		t.waits[pool] = m
+	}
+	delete(m, holder)
+	granted := int64(0)
+	for _, e := range t.pools[pool] {
+		granted += e.load
+	}
+	sum, before, oldest := int64(0), granted, now
+	for id, e := range m {
+		if now.Sub(e.at) > waitKeep {
+			delete(m, id)
+			continue
+		}
+		sum += e.load
+		if e.at.Before(oldest) || e.at.Equal(oldest) && e.granted < before {
+			before, oldest = e.granted, e.at
+		}
+	}
+	sum = max(sum-max(granted-before, 0), 0)
+	if load > 0 {
+		m[holder] = waitEntry{load, now, granted}
+	}
+	return sum
+}
+
 // Retain drops engines that are not eligible any more, so that a data centre
 // that is out leaves the mean at once.
 func (t *Totals) Retain(eligible func(fleet.ServerID) bool) {
