--- a/core/gateway/claim_test.go
+++ b/core/gateway/claim_test.go
@@ -101,7 +101,7 @@
 // lost stored answer, and against a lookup after the claim or for an idempotent
 // request. Without the call of refused every case with a lookup is red; when refused
 // ignores the answer or the error of the lookup, "stored", or "in progress",
-// "unknown" and "conflict"; without its markOutcome the cases "not found out";
+// "unknown" and "conflict"; without withOutcomeUnknown the cases "not found out";
 // without the asked flag "claimed".
 func TestRefusalBeforeTheClaimLooksUpTheKey(t *testing.T) {
 	fail := func(c result.Code) func() (Answer, bool, error) {
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -95,7 +95,10 @@
 	if ans != nil || err != nil {
 		return ans, err
 	}
-	return nil, markOutcome(refusal, !known)
+	if !known {
+		return nil, withOutcomeUnknown(refusal)
+	}
+	return nil, refusal
 }
 
 func readAll(ans Answer) ([]byte, error) {
@@ -125,12 +128,12 @@
 		return nil, result.New(result.NoServer, "no server of pool %s may receive work", req.Pool.Name).WithRetryAfter(time.Second)
 	}
 	g.Budget.OnRequest(req.Pool.Name)
-	mayHaveRun := false
+	var unsettled *result.Error // of an attempt that may have run
 	var wait retry.Backoff
 	for attempt := 1; ; attempt++ {
 		i, permit, err := g.admit(ctx, req, ranked, attempt == 1)
 		if err != nil {
-			return nil, markOutcome(err, mayHaveRun)
+			return nil, finalError(err, unsettled)
 		}
 		srv := ranked[i]
 		req.Server = srv
@@ -149,13 +152,15 @@
 		}
 		permit.Release(err)
 		e := result.As(err)
-		mayHaveRun = mayHaveRun || e.Outcome != result.NotRun
+		if e.Outcome != result.NotRun {
+			unsettled = e
+		}
 		if !retry.Eligible(req.Idempotent, e.Outcome) || attempt == maxAttempts || len(ranked) == 0 ||
 			ctx.Err() != nil || !g.Budget.TryRetry(req.Pool.Name) {
-			return nil, markOutcome(e, mayHaveRun)
+			return nil, finalError(e, unsettled)
 		}
 		if err := g.pause(ctx, &wait); err != nil {
-			return nil, markOutcome(e, mayHaveRun)
+			return nil, finalError(e, unsettled)
 		}
 	}
 }
@@ -183,13 +188,19 @@
 	return g.Admitter.Admit(ctx, req, ranked[:min(len(ranked), maxCandidates)], first)
 }
 
-// markOutcome turns not_run into unknown when an earlier attempt may have run,
-// so that a refusal after a retry stays true.
-func markOutcome(err error, mayHaveRun bool) error {
+// withOutcomeUnknown returns a copy of err whose outcome is unknown.
+func withOutcomeUnknown(err error) error {
+	c := *result.As(err)
+	return c.WithOutcome(result.Unknown)
+}
+
+// finalError is the error of a request whose last attempt ended with err. When an
+// earlier attempt may have run, a later not_run would be untrue and hide the
+// cause, so that the earlier error is the answer.
+func finalError(err error, unsettled *result.Error) error {
 	e := result.As(err)
-	if mayHaveRun && e.Outcome == result.NotRun {
-		c := *e
-		return c.WithOutcome(result.Unknown)
+	if unsettled != nil && e.Outcome == result.NotRun {
+		return unsettled
 	}
 	return e
 }
