Report the demo's load ratio without transitions as well

Cause: load_ratio_max of the demo mixes the steady state with a start from idle and with returning engines, which count in the mean by their ramp. Change: load_ratio_max_steady leaves out 2 s after each transition.

--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -26,6 +26,11 @@
 // new work.
 const outGrace = 4 * time.Second
 
+// transition is how long the load ratio of the steady state leaves out a start
+// from idle and a change of data centres: waiting load counts in the mean, and
+// engines that return count by their ramp of 1 s, both unlike the stand-in.
+const transition = 2 * time.Second
+
 // Options configures a run.
 type Options struct {
 	// Duration is how long traffic runs.
@@ -42,15 +47,17 @@
 
 // Report is the last line of the demo.
 type Report struct {
-	Sent            int64   `json:"sent"`
-	Answered        int64   `json:"answered"`
-	RefusedNotRun   int64   `json:"refused_not_run"`
-	Unknown         int64   `json:"unknown"`
-	WrongAnswer     int64   `json:"wrong_answer"`
-	Cut             int64   `json:"cut"`
-	RunTwice        int     `json:"run_twice"`
-	CacheReuse      float64 `json:"cache_reuse"`
-	LoadRatioMax    float64 `json:"load_ratio_max"`
+	Sent          int64   `json:"sent"`
+	Answered      int64   `json:"answered"`
+	RefusedNotRun int64   `json:"refused_not_run"`
+	Unknown       int64   `json:"unknown"`
+	WrongAnswer   int64   `json:"wrong_answer"`
+	Cut           int64   `json:"cut"`
+	RunTwice      int     `json:"run_twice"`
+	CacheReuse    float64 `json:"cache_reuse"`
+	LoadRatioMax  float64 `json:"load_ratio_max"`
+	// SteadyRatioMax leaves out the transitions.
+	SteadyRatioMax  float64 `json:"load_ratio_max_steady"`
 	NewWorkAfterOut int     `json:"new_work_after_out"`
 	// Codes counts refusals and errors by result code name.
 	Codes map[string]int `json:"codes"`
@@ -79,6 +86,7 @@
 	t := &tally{codes: map[string]int{}}
 	load, cancel := context.WithTimeout(ctx, o.Duration)
 	defer cancel()
+	f.meter.SetTransition(time.Now().Add(transition))
 	wait := f.startCallers(load, t)
 	err = f.cycleDataCentre(load, o)
 	wait()
@@ -153,6 +161,7 @@
 
 // setDataCentre changes the state with the operators' command.
 func (f *fleet) setDataCentre(dc, state string) error {
+	f.meter.SetTransition(time.Now().Add(transition))
 	f.states[dc] = state
 	if err := os.WriteFile(f.path("manifest.toml"), []byte(f.manifest()), 0o600); err != nil {
 		return err
@@ -187,7 +196,7 @@
 	r := Report{
 		Sent: t.sent.Load(), Answered: t.answered.Load(), RefusedNotRun: t.refusedNotRun.Load(),
 		Unknown: t.unknown.Load(), WrongAnswer: t.wrongAnswer.Load(), Cut: t.cut.Load(),
-		RunTwice: f.ledger.RunTwice(), LoadRatioMax: f.meter.RatioMax(), NewWorkAfterOut: f.meter.StartsAfterOut() + f.ledger.StartsAfterOut(),
+		RunTwice: f.ledger.RunTwice(), LoadRatioMax: f.meter.RatioMax(), SteadyRatioMax: f.meter.SteadyRatioMax(), NewWorkAfterOut: f.meter.StartsAfterOut() + f.ledger.StartsAfterOut(),
 		Codes: t.codes,
 	}
 	var prompt, cached int64
--- a/standins/model/meter.go
+++ b/standins/model/meter.go
@@ -13,7 +13,10 @@
 	load     map[string]int
 	out      map[string]time.Time
 	ratioMax float64
-	afterOut int
+	// steadyMax is taken from steadyFrom on.
+	steadyMax  float64
+	steadyFrom time.Time
+	afterOut   int
 }
 
 // NewMeter returns a meter without engines.
@@ -45,6 +48,20 @@
 	return m.ratioMax
 }
 
+// SetTransition leaves the time until end out of SteadyRatioMax.
+func (m *Meter) SetTransition(end time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.steadyFrom = end
+}
+
+// SteadyRatioMax is RatioMax without the transitions.
+func (m *Meter) SteadyRatioMax() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.steadyMax
+}
+
 // StartsAfterOut counts the requests that started after out.
 func (m *Meter) StartsAfterOut() int {
 	m.mu.Lock()
@@ -77,7 +94,11 @@
 		}
 	}
 	if before*n > total-tokens {
-		m.ratioMax = max(m.ratioMax, float64(m.load[engine])*float64(n)/float64(total))
+		ratio := float64(m.load[engine]) * float64(n) / float64(total)
+		m.ratioMax = max(m.ratioMax, ratio)
+		if !time.Now().Before(m.steadyFrom) {
+			m.steadyMax = max(m.steadyMax, ratio)
+		}
 	}
 }
 
