--- a/measure/cmd/capacity/main.go
+++ b/measure/cmd/capacity/main.go
@@ -120,7 +120,7 @@
 func (m *model) slopeTable() string {
 	var keys []series
 	for s, f := range m.fits {
-		if len(f.points) > 1 {
+		if len(f.points) > 1 && (strings.HasPrefix(s.bench, "Slope") || s.bench == "Control") && s.metric != "ns/op" || s.bench == "SlopeConfig/decode" {
 			keys = append(keys, s)
 		}
 	}
