--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 measure:
 	go test -run '^$$' -bench . -benchtime 1x -timeout 60m ./measure/...
 
-# Measures the slopes again and rewrites the tables of docs/CAPACITY.md, about 10
+# Measures the slopes again and rewrites the tables of docs/CAPACITY.md, about 3
 # minutes. CAPACITY_OUT keeps the benchmark output.
 CAPACITY_OUT ?= out/capacity.txt
 capacity:
