Run the end-to-end tests with the default retry budget

Cause: retry_percent = 100 was set in the end-to-end manifest while admission refused requests of an idle pool; that fault is mended.

--- a/cmd/internal/e2e/fleet_test.go
+++ b/cmd/internal/e2e/fleet_test.go
@@ -129,7 +129,7 @@
 func (f *testFleet) manifest() string {
 	var b strings.Builder
 	b.WriteString("format = 1\n[fleet]\nkeep_seconds = 1\n[[data_centre]]\nname = \"cordon\"\nregion = \"montevideo\"\n")
-	b.WriteString("[[pool]]\nname = \"taller-modelo\"\nsilence_seconds = 1\nretry_percent = 100\n")
+	b.WriteString("[[pool]]\nname = \"taller-modelo\"\nsilence_seconds = 1\n")
 	for i, e := range f.engines {
 		fmt.Fprintf(&b, "[[server]]\nname = \"engine-%d\"\npool = \"taller-modelo\"\ndata_centre = \"cordon\"\naddress = %q\n", i, e.Address())
 	}
