--- a/adapters/platform/platform_test.go
+++ b/adapters/platform/platform_test.go
@@ -104,7 +104,7 @@
 	t.Fatal("the service is back and no call reaches it")
 }
 
-// Guards against a stampede when a service returns: one probe, then slow growth,
+// Guards against a thundering herd when a service returns: one probe, then slow growth,
 // and never more calls than the cap. Each call also ends with its deadline.
 func TestBreakerLimitsCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/cmd/internal/daemon/admission.go
+++ b/cmd/internal/daemon/admission.go
@@ -55,7 +55,7 @@
 	nextID   atomic.Uint64
 	sampled  atomic.Uint64
 	exchange chan struct{}
-	hurry    atomic.Bool // the next exchange must not wait
+	urgent   atomic.Bool // the next exchange skips the interval
 	poll     chan struct{}
 	sync     chan struct{}
 
@@ -157,7 +157,7 @@
 
 // exchangeNow asks for an exchange before the next interval.
 func (c *admissionComponent) exchangeNow() {
-	c.hurry.Store(true)
+	c.urgent.Store(true)
 	kick(c.exchange)
 }
 
--- a/cmd/internal/daemon/admission_loops.go
+++ b/cmd/internal/daemon/admission_loops.go
@@ -75,7 +75,7 @@
 		}
 		// The tick fits small fleets; large ones use every second one, except
 		// when a change asked for an exchange.
-		if now := time.Now(); c.hurry.Swap(false) || now.Sub(last) >= st.table.ExchangeInterval()-exchangeGap {
+		if now := time.Now(); c.urgent.Swap(false) || now.Sub(last) >= st.table.ExchangeInterval()-exchangeGap {
 			last = now
 			c.exchangeTotals(ctx, st)
 		}
