Rotate the shared key without a gap

Cause: all instances had to have the same shared key, so that replacing it refused calls and heartbeats between instances with different files; the page for operators asked for a stop of the whole fleet.

Change: the key file may hold up to four keys, one on each line. The first one signs, all are accepted, and an answer is signed with the key of its call.

--- a/adapters/datagram/codec.go
+++ b/adapters/datagram/codec.go
@@ -91,9 +91,9 @@
 	return dst
 }
 
-// Decode checks the code and the format of a datagram. Every byte must belong
-// to a field; nothing of src is kept.
-func Decode(key, src []byte) (*membership.Packet, error) {
+// Decode checks the code and the format of a datagram, which must be signed with
+// one of the keys. Every byte must belong to a field; nothing of src is kept.
+func Decode(keys [][]byte, src []byte) (*membership.Packet, error) {
 	if len(src) > membership.MaxPacketBytes {
 		return nil, errLong
 	}
@@ -101,10 +101,12 @@
 		return nil, errFormat
 	}
 	body, sum := src[:len(src)-codeBytes], src[len(src)-codeBytes:]
-	if !hmac.Equal(code(key, body), sum) {
-		return nil, errCode
+	for _, key := range keys {
+		if hmac.Equal(code(key, body), sum) {
+			return decodeBody(body)
+		}
 	}
-	return decodeBody(body)
+	return nil, errCode
 }
 
 func decodeBody(body []byte) (*membership.Packet, error) {
--- a/adapters/datagram/datagram_test.go
+++ b/adapters/datagram/datagram_test.go
@@ -17,6 +17,8 @@
 
 func (k testKey) Bytes() []byte { return k }
 
+func (k testKey) Accepted() [][]byte { return [][]byte{k} }
+
 var key = testKey(strings.Repeat("k", 32))
 
 func drawUpdate(t *rapid.T, full bool) membership.Update {
@@ -58,7 +60,7 @@
 		if err != nil || len(b) != p.WireBytes() {
 			t.Fatalf("encode: %d bytes, estimate %d, %v", len(b), p.WireBytes(), err)
 		}
-		got, err := Decode(key, b)
+		got, err := Decode([][]byte{[]byte("another key"), key}, b)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -67,7 +69,7 @@
 			t.Fatalf("decoded packet differs: %+v, %v", got, err)
 		}
 		b[rapid.IntRange(0, len(b)-1).Draw(t, "byte")] ^= 1 << rapid.IntRange(0, 7).Draw(t, "bit")
-		if _, err := Decode(key, b); err == nil {
+		if _, err := Decode(key.Accepted(), b); err == nil {
 			t.Fatal("a changed datagram was accepted")
 		}
 	})
--- a/adapters/datagram/socket.go
+++ b/adapters/datagram/socket.go
@@ -21,8 +21,11 @@
 // socketBufferBytes holds bursts while the event loop waits for a processor.
 const socketBufferBytes = 1 << 20
 
-// Keyer gives the shared key in force.
-type Keyer interface{ Bytes() []byte }
+// Keyer gives the shared key that signs and the keys that are accepted.
+type Keyer interface {
+	Bytes() []byte
+	Accepted() [][]byte
+}
 
 // Traffic counts payload bytes and datagrams of one instance.
 type Traffic struct {
@@ -62,7 +65,7 @@
 	if err != nil {
 		return gnet.None
 	}
-	p, err := Decode(e.key.Bytes(), b)
+	p, err := Decode(e.key.Accepted(), b)
 	if err != nil {
 		e.traffic.Refused.Add(1)
 		return gnet.None
--- a/adapters/keys/keys.go
+++ b/adapters/keys/keys.go
@@ -17,6 +17,10 @@
 // MinSecretBytes is the shortest accepted shared key.
 const MinSecretBytes = 32
 
+// maxSecrets bounds the keys of one file, because a datagram with a wrong
+// signature is checked against each of them. A rotation needs two.
+const maxSecrets = 4
+
 // reloadInterval bounds how often a file's modification time is checked.
 const reloadInterval = time.Second
 
@@ -76,26 +80,44 @@
 	return f.value
 }
 
-// Secret is a shared key.
-type Secret struct{ f *file[[]byte] }
+// Secret is a shared key, with the keys that are accepted beside it while the
+// key is rotated.
+type Secret struct{ f *file[[][]byte] }
 
-// OpenSecret reads a shared key; surrounding white space is not part of it.
+// OpenSecret reads a file with one key on each line; white space around a key is
+// not part of it.
 func OpenSecret(path string) (*Secret, error) {
-	f, err := open(path, func(src []byte) ([]byte, error) {
-		key := bytes.TrimSpace(src)
-		if len(key) < MinSecretBytes {
-			return nil, result.New(result.KeyFileInvalid, "has %d bytes, want at least %d", len(key), MinSecretBytes)
-		}
-		return key, nil
-	})
+	f, err := open(path, parseSecret)
 	if err != nil {
 		return nil, err
 	}
 	return &Secret{f}, nil
 }
 
-// Bytes returns the key in force. The caller must not change it.
-func (s *Secret) Bytes() []byte { return s.f.get() }
+func parseSecret(src []byte) ([][]byte, error) {
+	var out [][]byte
+	for i, line := range bytes.Split(bytes.TrimSpace(src), []byte("\n")) {
+		key := bytes.TrimSpace(line)
+		if len(key) == 0 && i > 0 {
+			continue
+		}
+		if len(key) < MinSecretBytes {
+			return nil, result.New(result.KeyFileInvalid, "line %d: has %d bytes, want at least %d", i+1, len(key), MinSecretBytes)
+		}
+		out = append(out, key)
+	}
+	if len(out) > maxSecrets {
+		return nil, result.New(result.KeyFileInvalid, "has %d keys, want at most %d", len(out), maxSecrets)
+	}
+	return out, nil
+}
+
+// Bytes returns the key that signs, the first one. The caller must not change it.
+func (s *Secret) Bytes() []byte { return s.f.get()[0] }
+
+// Accepted returns all keys that verify, the one that signs first. The caller
+// must not change them.
+func (s *Secret) Accepted() [][]byte { return s.f.get() }
 
 // Operators maps operator keys to operator names.
 type Operators struct{ f *file[map[[32]byte]string] }
--- a/adapters/keys/keys_test.go
+++ b/adapters/keys/keys_test.go
@@ -1,6 +1,7 @@
 package keys
 
 import (
+	"bytes"
 	"os"
 	"path/filepath"
 	"strings"
@@ -43,11 +44,19 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for i, step := range []struct{ content, want string }{{"short", old}, {next, next}} {
+	for i, step := range []struct{ content, want string }{
+		{"short", old},
+		{old + "\nshort", old},
+		{strings.Repeat(next+"\n", maxSecrets+1), old},
+		{old + "\n" + next + "\n", old + " " + next},
+		{" " + next + "\r\n\n" + old, next + " " + old},
+		{next, next},
+	} {
 		writeFile(t, path, step.content, start.Add(time.Duration(i+1)*time.Minute))
 		s.f.checked = time.Time{}
-		if got := string(s.Bytes()); got != step.want {
-			t.Errorf("after %q: key %q, want %q", step.content, got, step.want)
+		got := string(bytes.Join(s.Accepted(), []byte(" ")))
+		if signs, _, _ := strings.Cut(step.want, " "); got != step.want || string(s.Bytes()) != signs {
+			t.Errorf("after %q: keys %q, want %q; signs with %q", step.content, got, step.want, s.Bytes())
 		}
 	}
 }
--- a/adapters/peer/auth.go
+++ b/adapters/peer/auth.go
@@ -63,3 +63,13 @@
 	got, err := hex.DecodeString(sum)
 	return err == nil && hmac.Equal(got, mac(key, path, stamp, body))
 }
+
+// signer returns the key that signed the call, or nil.
+func signer(keys [][]byte, path string, body []byte, header string, now time.Time) []byte {
+	for _, key := range keys {
+		if verify(key, path, body, header, now) {
+			return key
+		}
+	}
+	return nil
+}
--- a/adapters/peer/peer.go
+++ b/adapters/peer/peer.go
@@ -16,8 +16,11 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 )
 
-// Keyer gives the shared key in force.
-type Keyer interface{ Bytes() []byte }
+// Keyer gives the shared key that signs and the keys that are accepted.
+type Keyer interface {
+	Bytes() []byte
+	Accepted() [][]byte
+}
 
 // maxCallBytes bounds one call or its answer.
 const maxCallBytes = 32 << 20
@@ -89,7 +92,8 @@
 	path := string(ctx.Path())
 	body := ctx.PostBody()
 	auth := string(ctx.Request.Header.Peek(authHeader))
-	if !verify(s.key.Bytes(), path, body, auth, time.Now()) {
+	key := signer(s.key.Accepted(), path, body, auth, time.Now())
+	if key == nil {
 		ctx.SetStatusCode(fasthttp.StatusForbidden)
 		return
 	}
@@ -97,7 +101,7 @@
 	s.dispatch(ctx, path)
 	answer := ctx.Response.Body()
 	s.traffic.SentBytes.Add(int64(len(answer)))
-	ctx.Response.Header.Set(answerHeader, signAnswer(s.key.Bytes(), path, auth, ctx.Response.StatusCode(), answer))
+	ctx.Response.Header.Set(answerHeader, signAnswer(key, path, auth, ctx.Response.StatusCode(), answer))
 }
 
 func (s *Server) dispatch(ctx *fasthttp.RequestCtx, path string) {
@@ -155,7 +159,10 @@
 		req.Body = io.NopCloser(bytes.NewReader(body))
 	}
 	path := req.URL.Path
-	auth := sign(c.key.Bytes(), path, body, time.Now())
+	// The answer is signed with the key of the call, so that instances that are at
+	// different steps of a rotation understand each other.
+	key := c.key.Bytes()
+	auth := sign(key, path, body, time.Now())
 	req.Header.Set(authHeader, auth)
 	c.traffic.Calls.Add(1)
 	c.traffic.SentBytes.Add(int64(len(body)))
@@ -169,7 +176,7 @@
 		return nil, err
 	}
 	c.traffic.ReceivedBytes.Add(int64(len(answer)))
-	if len(answer) > maxCallBytes || !verifyAnswer(c.key.Bytes(), path, auth, resp.StatusCode, answer, resp.Header.Get(answerHeader)) {
+	if len(answer) > maxCallBytes || !verifyAnswer(key, path, auth, resp.StatusCode, answer, resp.Header.Get(answerHeader)) {
 		return nil, errAnswer
 	}
 	resp.Body = io.NopCloser(bytes.NewReader(answer))
--- a/adapters/peer/peer_test.go
+++ b/adapters/peer/peer_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +15,21 @@
 
 func (k testKey) Bytes() []byte { return []byte(k) }
 
+func (k testKey) Accepted() [][]byte { return [][]byte{[]byte(k)} }
+
+// testRing signs with its first key and accepts all.
+type testRing []string
+
+func (r testRing) Bytes() []byte { return []byte(r[0]) }
+
+func (r testRing) Accepted() [][]byte {
+	var out [][]byte
+	for _, k := range r {
+		out = append(out, []byte(k))
+	}
+	return out
+}
+
 func call(t *testing.T, c *Client, addr string) (string, error) {
 	t.Helper()
 	req, err := http.NewRequest("POST", "http://"+addr+"/svc/Echo", strings.NewReader("question"))
@@ -97,3 +113,24 @@
 		}
 	}
 }
+
+// Guards against calls that fail while two instances are at neighbouring steps
+// of a key rotation, and against a removed key that still counts.
+func TestRotation(t *testing.T) {
+	old, next := strings.Repeat("o", 32), strings.Repeat("n", 32)
+	steps := []testRing{{old}, {old, next}, {next, old}, {next}}
+	var traffic Traffic
+	for i, server := range steps {
+		srv := NewServer(server, nil, &traffic)
+		srv.Mount("/svc/", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") }))
+		ln := listen(t)
+		go func() { _ = srv.Serve(ln) }()
+		for j, client := range steps {
+			_, err := call(t, NewClient(client, nil, &traffic), ln.Addr().String())
+			if want := slices.Contains(server, client[0]); (err == nil) != want {
+				t.Errorf("call from step %d to step %d: %v, want success %v", j, i, err, want)
+			}
+		}
+		_ = srv.Shutdown(context.Background())
+	}
+}
--- a/adapters/settings/settings.go
+++ b/adapters/settings/settings.go
@@ -73,7 +73,8 @@
 
 // Trust holds key files. They are read again when they change.
 type Trust struct {
-	// PeerKeyFile holds the shared key of all instances, 32 bytes or more. Required.
+	// PeerKeyFile holds the shared key of all instances, 32 bytes or more. Further
+	// lines hold keys that are accepted too, while the key is rotated. Required.
 	PeerKeyFile string `toml:"peer_key_file"`
 	// OperatorKeysFile holds one "name sha256-hex" line for each operator. Required.
 	OperatorKeysFile string `toml:"operator_keys_file"`
--- a/cmd/internal/e2e/e2e_test.go
+++ b/cmd/internal/e2e/e2e_test.go
@@ -170,6 +170,27 @@
 	}
 }
 
+// Guards against calls and heartbeats that fail while the shared key is rotated.
+func TestKeyRotation(t *testing.T) {
+	f := startFleet(t, testEngine, 2)
+	old, next := strings.Repeat("p", 32), strings.Repeat("n", 32)
+	l := startLoad(f, testCallers, testTokens, false)
+	for _, content := range []string{old + "\n" + next, next + "\n" + old, next} {
+		f.write("peer.key", content)
+		time.Sleep(3 * time.Second) // files are checked each second
+		f.more(l, 50)
+	}
+	l.finish()
+	if l.short.Load()+l.lost.Load()+l.failed.Load() > 0 {
+		t.Error(l)
+	}
+	for _, in := range f.instances {
+		if n := f.metric(in, "cyclamenhitch_control", "datagrams_refused"); n != 0 {
+			t.Errorf("%s refused %v datagrams", in.name, n)
+		}
+	}
+}
+
 // Guards against a caller's key in a log.
 func TestKeyIsNotLogged(t *testing.T) {
 	f := startFleet(t, testEngine, 1)
--- a/cmd/internal/e2e/fleet_test.go
+++ b/cmd/internal/e2e/fleet_test.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -243,6 +244,34 @@
 	})
 }
 
+// metric returns a figure of the instance's part of an expvar map.
+func (f *testFleet) metric(in *instance, group, name string) float64 {
+	f.t.Helper()
+	req, err := http.NewRequest("GET", "http://"+in.admin+"/admin/metrics", nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	req.Header.Set("Authorization", "Bearer "+operatorKey)
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	var groups map[string]json.RawMessage
+	if err := json.NewDecoder(resp.Body).Decode(&groups); err != nil {
+		f.t.Fatal(err)
+	}
+	var figures map[string]map[string]float64
+	if err := json.Unmarshal(groups[group], &figures); err != nil {
+		f.t.Fatalf("%s: %v", group, err)
+	}
+	got, ok := figures[in.name][name]
+	if !ok {
+		f.t.Fatalf("%s has no figure %s", group, name)
+	}
+	return got
+}
+
 func (f *testFleet) eventually(what string, ok func() bool) {
 	f.t.Helper()
 	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
--- a/measure/control/sim.go
+++ b/measure/control/sim.go
@@ -31,6 +31,8 @@
 
 var key = []byte(strings.Repeat("k", 32))
 
+var accepted = [][]byte{key}
+
 // epoch is the start of virtual time.
 var epoch = time.UnixMilli(1_790_000_000_000)
 
@@ -222,7 +224,7 @@
 	if !nd.up {
 		return
 	}
-	p, err := datagram.Decode(key, b)
+	p, err := datagram.Decode(accepted, b)
 	if err != nil {
 		s.err = err
 		return
--- a/measure/slopes/control_test.go
+++ b/measure/slopes/control_test.go
@@ -26,6 +26,8 @@
 
 func (k sharedKey) Bytes() []byte { return k }
 
+func (k sharedKey) Accepted() [][]byte { return [][]byte{k} }
+
 var testKey = sharedKey("shared key of the measured instances")
 
 // processorTime is the user and system time of this process.
