Start the ramp of an engine that lost its cache without a restart

Cause: an engine that drops its cache and neither restarts nor reports it kept its full share. Its warm chats then cost whole prompts, and the ledger counted them as cached. Ledger.MarkCold had no caller for this case.

Change: the gateway tells the permit how long the server took to the first part of its answer; the admitter keeps the usual first token of warm chats for each engine and starts the ramp when six of the last eight took over four times that plus 100 ms, and drops the engine's prefix records. When another engine of the pool is half way there, nothing changes.

Before: TestEngineTurnsCold had nothing to see.

--- a/cmd/internal/daemon/admission.go
+++ b/cmd/internal/daemon/admission.go
@@ -207,9 +207,24 @@
 	server   *manifest.Server
 	id       uint64
 	limited  bool
+	warm     bool // the server was expected to hold the chat's prefix
 	released atomic.Bool
 }
 
+// Opened implements gateway.Permit.
+func (p *permitHeld) Opened(took time.Duration) {
+	if !p.warm || !p.req.Stream || p.req.Route != nil {
+		return
+	}
+	c, s := p.c, p.server.Name
+	if !c.ledger.FirstToken(time.Now(), s, took) {
+		return
+	}
+	c.recent.ForgetServer(s)
+	c.d.log.Warn("engine lost its cache without a restart; it starts its ramp", zap.String(logging.FieldServer, string(s)),
+		zap.Duration("first_token", took))
+}
+
 // Release implements gateway.Permit.
 func (p *permitHeld) Release(err error) {
 	if p.released.Swap(true) {
@@ -264,6 +279,7 @@
 	}
 	id := c.nextID.Add(1)
 	var trace []tried
+	asked := admission.Ask{}
 	logged := c.sample()
 	warm := first && req.CachedTokens > 0
 	try := func(i int, relaxed bool) admission.Verdict {
@@ -273,6 +289,7 @@
 		if now := c.current(); eligible(now.view, now.table.Index, a.Server) {
 			v = c.ask(ctx, now, &a)
 		}
+		asked = a
 		if logged {
 			trace = append(trace, tried{string(a.Server), relaxed, v.String()})
 		}
@@ -306,7 +323,7 @@
 		}
 		return 0, nil, v.Err(ranked[0].Name, c.ledger.RetryAfter(ranked[0].Name))
 	}
-	return i, &permitHeld{c: c, req: req, server: ranked[i], id: id, limited: limited}, nil
+	return i, &permitHeld{c: c, req: req, server: ranked[i], id: id, limited: limited, warm: asked.Warm()}, nil
 }
 
 // tried is one candidate in a logged decision.
--- a/cmd/internal/e2e/caller_test.go
+++ b/cmd/internal/e2e/caller_test.go
@@ -81,7 +81,11 @@
 // chat sends one chat and checks the answer. A nil error means that it is
 // whole; errShort that the caller was misled.
 func (c *caller) chat(addr string, stream bool, tokens int) error {
-	prompt := fmt.Sprintf("question %d", c.rnd.Uint32())
+	return c.say(addr, fmt.Sprintf("question %d", c.rnd.Uint32()), stream, tokens)
+}
+
+// say sends a chat with the prompt.
+func (c *caller) say(addr, prompt string, stream bool, tokens int) error {
 	resp, err := c.request("POST", addr, "/v1/chat/completions", fmt.Sprintf(
 		`{"model":"taller-modelo","stream":%v,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, stream, tokens, prompt))
 	if err != nil {
--- a/cmd/internal/e2e/e2e_test.go
+++ b/cmd/internal/e2e/e2e_test.go
@@ -1,7 +1,9 @@
 package e2e
 
 import (
+	"fmt"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -170,6 +172,45 @@
 	}
 }
 
+// Guards against full load on an engine that lost its cache without a restart.
+func TestEngineTurnsCold(t *testing.T) {
+	engine := testEngine
+	engine.PrefillPerToken = 300 * time.Microsecond
+	f := startFleet(t, engine, 1)
+	round := func() {
+		var wg sync.WaitGroup
+		for i := range 8 {
+			wg.Go(func() {
+				c := newCaller(f, uint64(i))
+				for chat := i; chat < 48; chat += 8 {
+					// 4,000 characters are 1,000 tokens, 300 ms without a cache.
+					if err := c.say(f.instances[0].caller, fmt.Sprintf("chat-%d %04000d", chat, 0), true, 4); err != nil {
+						t.Error(err)
+					}
+				}
+			})
+		}
+		wg.Wait()
+	}
+	round()
+	round()
+	round()
+	const lost = "engine lost its cache"
+	if log := f.instances[0].logText(); strings.Contains(log, lost) {
+		t.Fatal("an engine with a warm cache was taken for cold")
+	}
+	f.engines[0].DropCache()
+	round()
+	f.eventually("engine seen as cold", func() bool {
+		return strings.Contains(f.instances[0].logText(), lost)
+	})
+	for ln := range strings.Lines(f.instances[0].logText()) {
+		if strings.Contains(ln, lost) && !strings.Contains(ln, "engine-0") {
+			t.Error(ln)
+		}
+	}
+}
+
 // Guards against calls and heartbeats that fail while the shared key is rotated.
 func TestKeyRotation(t *testing.T) {
 	f := startFleet(t, testEngine, 2)
--- a/core/admission/params.go
+++ b/core/admission/params.go
@@ -115,6 +115,9 @@
 	Relaxed bool
 }
 
+// Warm reports whether a granted ask counted most of the prompt as cached.
+func (a *Ask) Warm() bool { return a.Tokens < int64(a.Output+a.Prompt/2) }
+
 // Cost returns the load of a request in tokens, at least 1. A prompt of less
 // than half of what was cached is another text under the same chat id.
 func Cost(prompt, cached, output int) int64 {
--- a/core/admission/report.go
+++ b/core/admission/report.go
@@ -83,5 +83,6 @@
 	defer sh.mu.Unlock()
 	if e := sh.engines[server]; e != nil && e.coldSince.IsZero() {
 		e.coldSince = now
+		e.first.slow = 0
 	}
 }
--- a/core/admission/scenario_test.go
+++ b/core/admission/scenario_test.go
@@ -35,7 +35,8 @@
 }
 
 // Guards against a change of admission decisions that the files under testdata
-// describe: load bound, cold start, account shares and handover.
+// describe: load bound, cold start (also seen by first tokens), account shares and
+// handover.
 func TestScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var m *loadModel
@@ -64,6 +65,15 @@
 				m.of(server(d)).Report(m.now, server(d), r)
 			case "fail":
 				m.of(server(d)).Failed(m.now, server(d))
+			case "first":
+				cold := 0
+				for range intArg(d, t, "count", 1) {
+					m.now = m.now.Add(100 * time.Millisecond)
+					if m.of(server(d)).FirstToken(m.now, server(d), time.Duration(intArg(d, t, "ms", 0))*time.Millisecond) {
+						cold++
+					}
+				}
+				return fmt.Sprintf("cold x%d\n", cold)
 			case "members":
 				m.members(t, d)
 			default:
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -146,8 +146,10 @@
 			}
 			claim = nil
 		}
+		sent := g.Now()
 		ans, err := g.Upstream.Open(ctx, srv, req, req.ID+"-"+strconv.Itoa(attempt))
 		if err == nil {
+			permit.Opened(g.Now().Sub(sent))
 			return &permitAnswer{Answer: ans, permit: permit}, nil
 		}
 		permit.Release(err)
--- a/core/gateway/ports.go
+++ b/core/gateway/ports.go
@@ -71,6 +71,9 @@
 
 // Permit is the right to put one request on one server.
 type Permit interface {
+	// Opened tells how long the server took to the first part of its answer,
+	// which is the first token of a stream.
+	Opened(took time.Duration)
 	// Release returns the load. It may be called more than once. err says how
 	// the attempt ended: nil or io.EOF for an answer that ended well or was
 	// closed by the caller.
--- a/core/gateway/retry_property_test.go
+++ b/core/gateway/retry_property_test.go
@@ -34,6 +34,8 @@
 	released bool
 }
 
+func (p *retryPermit) Opened(time.Duration) {}
+
 func (p *retryPermit) Release(error) {
 	if !p.released {
 		p.released = true
--- a/standins/model/model.go
+++ b/standins/model/model.go
@@ -293,6 +293,14 @@
 	return total - cached
 }
 
+// DropCache forgets all prefixes without a restart.
+func (e *Engine) DropCache() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	clear(e.cache)
+	e.order = nil
+}
+
 // resumeFrom returns how many events the caller has; ok is false when it asks
 // for a stream that the engine does not know.
 func (e *Engine) resumeFrom(ctx *fasthttp.RequestCtx, id string) (from int, ok bool) {
