--- a/measure/policy/fleet.go
+++ b/measure/policy/fleet.go
@@ -149,13 +149,7 @@
 		}
 	}
 	r.members = v
-	for _, e := range r.w.engines {
-		for req := range e.running {
-			if req.holder == in {
-				r.w.end(req, false)
-			}
-		}
-	}
+	r.w.breakStreams(func(req *request) bool { return req.holder == in })
 	r.rebuild(false)
 }
 
--- a/measure/policy/network.go
+++ b/measure/policy/network.go
@@ -86,30 +86,12 @@
 	return v
 }
 
-// breakStreams ends requests in the order of their chats, so that a seed gives
-// one history.
-func (r *routers) breakStreams(broken func(*request) bool) int {
-	var list []*request
-	for _, e := range r.w.engines {
-		for req := range e.running {
-			if broken(req) {
-				list = append(list, req)
-			}
-		}
-	}
-	slices.SortFunc(list, func(a, b *request) int { return cmp.Compare(a.chat, b.chat) })
-	for _, req := range list {
-		r.w.end(req, false)
-	}
-	return len(list)
-}
-
 // kill stops instances; the others see it after the detection time.
 func (r *routers) kill(dead func(i int) bool, detect time.Duration) int {
 	for i, in := range r.instances {
 		in.down = in.down || dead(i)
 	}
-	n := r.breakStreams(func(req *request) bool { return req.holder.down })
+	n := r.w.breakStreams(func(req *request) bool { return req.holder.down })
 	r.w.after(detect, func() {
 		r.members = r.filtered(func(*instance) bool { return true })
 		r.rebuild(false)
@@ -124,7 +106,7 @@
 	for i, in := range r.instances {
 		in.cutOff = r.inCut(i % r.w.size.DataCentres)
 	}
-	n := r.breakStreams(func(req *request) bool { return req.holder.cutOff != r.inCut(req.engine.dc) })
+	n := r.w.breakStreams(func(req *request) bool { return req.holder.cutOff != r.inCut(req.engine.dc) })
 	r.w.after(detect, func() {
 		r.away = &network{members: r.filtered(func(in *instance) bool { return in.cutOff }), view: r.view}
 		r.members = r.filtered(func(in *instance) bool { return !in.cutOff })
--- a/measure/policy/recovery.go
+++ b/measure/policy/recovery.go
@@ -123,7 +123,7 @@
 		dead = func(i int) bool { return r.instances[i] == victim }
 	case KillDataCentre:
 		dead = func(i int) bool { return i%w.size.DataCentres == 0 }
-		c.broken += r.breakStreams(func(req *request) bool { return req.engine.dc == 0 })
+		c.broken += w.breakStreams(func(req *request) bool { return req.engine.dc == 0 })
 		for _, e := range w.engines {
 			if e.dc == 0 {
 				w.takeDown(e)
--- a/measure/policy/scenario.go
+++ b/measure/policy/scenario.go
@@ -1,6 +1,8 @@
 package policy
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"cyclamenhitch/core/admission"
@@ -125,13 +127,29 @@
 
 func (w *world) takeDown(e *engineFake) {
 	e.up = false
-	for req := range e.running {
-		w.end(req, false)
-	}
+	w.breakStreams(func(req *request) bool { return req.engine == e })
 	e.load = 0
 	w.recount()
 }
 
+// breakStreams ends requests in the order of their chats, so that a seed gives
+// one history.
+func (w *world) breakStreams(broken func(*request) bool) int {
+	var list []*request
+	for _, e := range w.engines {
+		for req := range e.running {
+			if broken(req) {
+				list = append(list, req)
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b *request) int { return cmp.Compare(a.chat, b.chat) })
+	for _, req := range list {
+		w.end(req, false)
+	}
+	return len(list)
+}
+
 func (w *world) dataCentreOut(dc int) {
 	w.outDC = dc
 	w.recount()
@@ -141,11 +159,9 @@
 // dataCentreIn brings the data centre back with cold caches: its engines were
 // restarted meanwhile.
 func (w *world) dataCentreIn(dc int) {
+	w.breakStreams(func(req *request) bool { return req.engine.dc == dc })
 	for _, e := range w.engines {
 		if e.dc == dc {
-			for req := range e.running {
-				w.end(req, false)
-			}
 			e.restart(w.now)
 		}
 	}
