Keep a replaced engine down when its data centre returns

Cause: dataCentreIn restarted an engine that was being replaced, and the end of its replacement restarted it again with requests running, whose load then counted twice as ended. In the churn scenario at today's size the data centre returns in the second in which an engine is replaced.

Change: an engine that is down stays down until its replacement ends.

--- a/measure/policy/scenario.go
+++ b/measure/policy/scenario.go
@@ -157,11 +157,11 @@
 }
 
 // dataCentreIn brings the data centre back with cold caches: its engines were
-// restarted meanwhile.
+// restarted meanwhile. An engine that is being replaced stays down.
 func (w *world) dataCentreIn(dc int) {
 	w.breakStreams(func(req *request) bool { return req.engine.dc == dc })
 	for _, e := range w.engines {
-		if e.dc == dc {
+		if e.dc == dc && e.up {
 			e.restart(w.now)
 		}
 	}
