Copy prefix records to the instance that takes over an engine

Cause: after a crash the new primary admitter of an engine had no record of the prefixes in its cache, and charged whole prompts. Its ledger showed twice the true load, and engines of other admitters passed the bound.

Change: the primary admitter sends the records of its engines (chat, cached tokens, age; 11 bytes each) in the Sync call to the instance that takes over when it fails, each 15 s, or after 5 s when a Sync goes there anyway. The receiver is worked out from the table without the sender, because the second admitter may hold as many engines as it is allowed. A copy also tells the engine's incarnation and the age of its cold start, so that the new admitter sees a restart and continues a ramp. A handover carries all records with the ledger. An entry of a chat no longer gets a second place in Recent when an earlier place of its set is empty.

--- a/cmd/internal/daemon/admission.go
+++ b/cmd/internal/daemon/admission.go
@@ -43,6 +43,7 @@
 	slices  *admission.Slices
 	budgets *retry.Budgets
 	recent  *routing.Recent
+	copies  *admission.Copies // used by runSync
 
 	refusals *admission.Refusals
 
@@ -75,7 +76,7 @@
 	c := &admissionComponent{
 		d: d, self: self,
 		ledger: admission.NewLedger(self, admission.Params{Seed: seed}),
-		holds:  admission.NewHolds(), totals: admission.NewTotals(),
+		holds:  admission.NewHolds(), totals: admission.NewTotals(), copies: admission.NewCopies(self),
 		owner: admission.NewAccountOwner(self), slices: admission.NewSlices(),
 		budgets: retry.NewBudgets(), recent: routing.NewRecent(time.Now()), refusals: admission.NewRefusals(),
 		exchange: make(chan struct{}, 1), poll: make(chan struct{}, 1), sync: make(chan struct{}, 1),
--- a/cmd/internal/daemon/admission_calls.go
+++ b/cmd/internal/daemon/admission_calls.go
@@ -157,19 +157,27 @@
 	handoverTimeout = time.Second
 )
 
-// sendLedgers hands ledgers to the primaries of table t.
+// sendLedgers hands ledgers, with the prefix records of their engines, to the
+// primaries of table t.
 func (c *admissionComponent) sendLedgers(t *admission.Table, snaps []admission.Snapshot) {
-	byMember := map[*membership.Member][]*permitpb.Ledger{}
+	byMember := map[*membership.Member]*permitpb.ImportRequest{}
+	copies := admission.CopiesOf(time.Now(), snaps, c.recent)
 	for _, s := range snaps {
 		if a := t.Of(s.Server); len(a) > 0 && a[0].ID != c.self {
-			byMember[a[0]] = append(byMember[a[0]], encodeLedger(s))
+			r := byMember[a[0]]
+			if r == nil {
+				r = &permitpb.ImportRequest{}
+				byMember[a[0]] = r
+			}
+			r.Ledgers = append(r.Ledgers, encodeLedger(s))
+			r.Copies = append(r.Copies, permitpb.EncodeCopies([]admission.Copy{copies[s.Server]})...)
 		}
 	}
-	for m, ledgers := range byMember {
+	for m, req := range byMember {
 		var err error
 		for range handoverTries {
 			ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
-			_, err = c.client(m).Import(ctx, &permitpb.ImportRequest{Ledgers: ledgers})
+			_, err = c.client(m).Import(ctx, req)
 			cancel()
 			if err == nil {
 				break
--- a/cmd/internal/daemon/admission_loops.go
+++ b/cmd/internal/daemon/admission_loops.go
@@ -207,9 +207,15 @@
 			r.Failed = append(r.Failed, string(s))
 		}
 	}
+	copies := c.copies.Due(time.Now(), st.table, c.ledger, c.recent, func(to fleet.InstanceID) bool { return requests[to] != nil })
+	for to, ks := range copies {
+		r := request(to)
+		r.Copies = permitpb.EncodeCopies(ks)
+	}
 	ctx, cancel := context.WithTimeout(ctx, admission.SyncInterval)
 	defer cancel()
 	var wg sync.WaitGroup
+	var arrived sync.Map
 	for to, r := range requests {
 		m := st.table.View.Find(to)
 		wg.Go(func() {
@@ -217,10 +223,17 @@
 				for _, l := range lists[to] {
 					c.holds.Undelivered(l)
 				}
+				return
 			}
+			arrived.Store(to, true)
 		})
 	}
 	wg.Wait()
+	for to, ks := range copies {
+		if _, ok := arrived.Load(to); ok {
+			c.copies.Delivered(to, ks)
+		}
+	}
 }
 
 // loadReport is the JSON answer of an engine.
--- a/cmd/internal/daemon/admission_server.go
+++ b/cmd/internal/daemon/admission_server.go
@@ -40,6 +40,7 @@
 		s.c.ledger.Failed(now, fleet.ServerID(f))
 		kick(s.c.poll)
 	}
+	s.c.takeCopies(now, r.Copies)
 	return &permitpb.SyncReply{}, nil
 }
 
@@ -90,5 +91,12 @@
 		}
 		s.c.ledger.Import(now, snap)
 	}
+	s.c.takeCopies(now, r.Copies)
 	return &permitpb.ImportReply{}, nil
 }
+
+func (c *admissionComponent) takeCopies(now time.Time, cs []*permitpb.Copy) {
+	for _, k := range permitpb.DecodeCopies(cs) {
+		c.ledger.TakeCopy(now, k, c.recent)
+	}
+}
--- a/cmd/internal/daemon/admission_test.go
+++ b/cmd/internal/daemon/admission_test.go
@@ -8,6 +8,7 @@
 
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/routing"
 )
 
 func (f *fixture) chat(d *Daemon, text string) int {
@@ -18,7 +19,7 @@
 
 // Guards against a break of the permit calls: a request that reaches an instance
 // which does not admit to its engine, a role that moves when an instance joins or
-// stops, and load that is not returned.
+// stops, load that is not returned, and a handover without the prefix records.
 func TestPermitsBetweenInstances(t *testing.T) {
 	f := newFixture(t)
 	f.applyManifest()
@@ -52,7 +53,26 @@
 		}
 		return sum == 0
 	})
+	for i := range 10 {
+		f.eventually("request answered", func() bool { return f.chat(r2, fmt.Sprint("only here ", i)) == 200 })
+	}
+	now, since := time.Now(), map[fleet.ServerID]time.Time{}
+	for _, s := range []fleet.ServerID{"engine-0", "engine-1"} {
+		if primary(r2, s) == "r2" {
+			since[s] = time.Time{}
+		}
+	}
+	records := r2.admission.recent.Prefixes(now, now.Add(routing.PrefixAge), since)
 	r2.admission.handover()
+	f.eventually("prefix records handed over", func() bool {
+		got := f.daemon.admission.recent.Prefixes(now, now.Add(time.Minute), since)
+		for s := range since {
+			if len(records[s]) == 0 || len(got[s]) < len(records[s]) {
+				return false
+			}
+		}
+		return len(since) > 0
+	})
 	f.eventually("requests go on after a handover", func() bool { return f.chat(r2, "after") == 200 && f.chat(f.daemon, "after") == 200 })
 }
 
--- a/core/admission/admitters.go
+++ b/core/admission/admitters.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"sync"
 	"time"
 
 	"cyclamenhitch/core/fleet"
@@ -15,7 +16,8 @@
 const Admitters = 3
 
 // Table names the admitters of each engine and the aggregator of each pool, for
-// one membership view and one configuration. It is immutable.
+// one membership view and one configuration. It does not change, but for the
+// successors, which are worked out when they are first asked for.
 type Table struct {
 	View    *membership.View
 	Index   *manifest.Index
@@ -25,6 +27,10 @@
 	members []*membership.Member // eligible members of all regions
 	hashes  []uint64
 	busy    map[fleet.InstanceID]int // engines admitted to, and pools summed
+
+	byRegion    map[fleet.RegionID]*regionState
+	successorMu sync.Mutex // guards successors
+	successors  map[fleet.InstanceID]map[fleet.ServerID]*membership.Member
 }
 
 // NewTable ranks the eligible instances of each engine's region by rendezvous
@@ -61,8 +67,13 @@
 			regions[dc.Region].servers = append(regions[dc.Region].servers, s.Name)
 		}
 	}
+	t.byRegion = regions
 	for _, r := range regions {
-		t.assignServers(r, k)
+		r.sortServers()
+		r.assign(k, func(s fleet.ServerID, members []*membership.Member) {
+			t.servers[s] = members
+			t.busy[members[0].ID]++
+		})
 	}
 	t.assignPools(x)
 	return t
@@ -92,13 +103,17 @@
 // control traffic was four times the mean.
 const spread = 1.25
 
-// assignServers names the admitters of a region's engines: the first instance
-// by rendezvous hashing that is under the bound, then the next ones. Servers are
-// taken in the order of their hashes, so that every instance finds the same.
-func (t *Table) assignServers(r *regionState, k int) {
+// sortServers puts a region's servers in the order of their hashes, so that every
+// instance names the same admitters.
+func (r *regionState) sortServers() {
 	slices.SortFunc(r.servers, func(a, b fleet.ServerID) int {
 		return cmp.Or(cmp.Compare(fleet.HashID(string(a)), fleet.HashID(string(b))), cmp.Compare(a, b))
 	})
+}
+
+// assign names the k admitters of each of a region's engines: the first instance
+// by rendezvous hashing that is under the bound, then the next ones.
+func (r *regionState) assign(k int, name func(fleet.ServerID, []*membership.Member)) {
 	limit := int(math.Ceil(spread * float64(len(r.servers)) / float64(len(r.members))))
 	count := make([]int, len(r.members))
 	var best []int
@@ -110,15 +125,14 @@
 			first = slices.IndexFunc(best, func(b int) bool { return count[b] < limit })
 			want *= 2
 		}
-		b := best[first]
-		count[b]++
-		t.busy[r.members[b].ID]++
-		t.servers[s] = append(t.servers[s], r.members[b])
+		count[best[first]]++
+		admitters := append(make([]*membership.Member, 0, k), r.members[best[first]])
 		for i, b := range best {
-			if i != first && len(t.servers[s]) < k {
-				t.servers[s] = append(t.servers[s], r.members[b])
+			if i != first && len(admitters) < k {
+				admitters = append(admitters, r.members[b])
 			}
 		}
+		name(s, admitters)
 	}
 }
 
--- /dev/null
+++ b/core/admission/copies.go
@@ -0,0 +1,218 @@
+package admission
+
+import (
+	"slices"
+	"time"
+
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/membership"
+	"cyclamenhitch/core/routing"
+)
+
+const (
+	// CopyInterval is the time between two copies of an engine's prefix records to
+	// the instance that takes over when its admitter fails. What the last copy does
+	// not hold is counted as whole prompts then, which for a chat that came back is
+	// one turn and for a new chat its prompt.
+	CopyInterval = 15 * time.Second
+	// copySooner is the interval when a message goes to that instance anyway,
+	// which saves the 465 bytes of a call.
+	copySooner = 5 * time.Second
+	// maxCopy bounds the records of one copy, about 11 bytes each. An engine at
+	// target size has about 700 records of the last routing.WarmFor; the newest
+	// ones are sent.
+	maxCopy = 2048
+)
+
+// Copy is what the next admitter of an engine must know besides the permits,
+// which their holders list.
+type Copy struct {
+	Server      fleet.ServerID
+	Incarnation uint64
+	// ColdAge is the time since the cold start; negative means warm.
+	ColdAge  time.Duration
+	Prefixes []routing.Prefix
+	// until is where the next copy begins, and life the receiver's incarnation:
+	// a restarted instance has no copies.
+	until time.Time
+	life  uint64
+}
+
+// copied is the state of one engine's copies.
+type copied struct {
+	to          fleet.InstanceID
+	life        uint64
+	incarnation uint64
+	until       time.Time
+}
+
+// Copies decides which records go to which instance. One goroutine uses it.
+type Copies struct {
+	self    fleet.InstanceID
+	servers map[fleet.ServerID]copied
+	sent    map[fleet.InstanceID]time.Time
+}
+
+// NewCopies returns a state without copies.
+func NewCopies(self fleet.InstanceID) *Copies {
+	return &Copies{self: self, servers: map[fleet.ServerID]copied{}, sent: map[fleet.InstanceID]time.Time{}}
+}
+
+// Due returns the copies to send now, by receiver. The first copy to a receiver
+// has all records, later ones what was used since. going says that a message
+// goes to the instance anyway. The caller passes what arrived to Delivered.
+func (c *Copies) Due(now time.Time, t *Table, l *Ledger, recent *routing.Recent, going func(fleet.InstanceID) bool) map[fleet.InstanceID][]Copy {
+	next := t.Successors(c.self)
+	since := map[fleet.ServerID]time.Time{}
+	for s := range c.servers {
+		if next[s] == nil {
+			delete(c.servers, s)
+		}
+	}
+	for to := range c.sent {
+		if t.View.Find(to) == nil {
+			delete(c.sent, to)
+		}
+	}
+	for s, m := range next {
+		if age := now.Sub(c.sent[m.ID]); age >= CopyInterval || age >= copySooner && going(m.ID) {
+			since[s] = time.Time{}
+			if last := c.servers[s]; last.to == m.ID && last.life == m.Incarnation {
+				since[s] = last.until
+			}
+		}
+	}
+	if len(since) == 0 {
+		return nil
+	}
+	out := map[fleet.InstanceID][]Copy{}
+	records := recent.Prefixes(now, now, since)
+	for s := range since {
+		to := next[s].ID
+		c.sent[to] = now
+		k := Copy{Server: s, Prefixes: newest(records[s]), until: now, life: next[s].Incarnation}
+		k.Incarnation, k.ColdAge = l.coldState(now, s)
+		if len(k.Prefixes) > 0 || k.Incarnation != c.servers[s].incarnation {
+			out[to] = append(out[to], k)
+		}
+	}
+	return out
+}
+
+// newest drops the oldest records beyond maxCopy.
+func newest(ps []routing.Prefix) []routing.Prefix {
+	if len(ps) <= maxCopy {
+		return ps
+	}
+	slices.SortFunc(ps, func(a, b routing.Prefix) int { return int(a.Age) - int(b.Age) })
+	return ps[:maxCopy]
+}
+
+// Delivered notes that copies arrived. Those that did not are part of the next.
+func (c *Copies) Delivered(to fleet.InstanceID, ks []Copy) {
+	for _, k := range ks {
+		c.servers[k.Server] = copied{to, k.life, k.Incarnation, k.until}
+	}
+}
+
+// CopiesOf returns all records of servers, for the handover of their ledgers.
+func CopiesOf(now time.Time, snaps []Snapshot, recent *routing.Recent) map[fleet.ServerID]Copy {
+	since := make(map[fleet.ServerID]time.Time, len(snaps))
+	for _, s := range snaps {
+		since[s.Server] = time.Time{}
+	}
+	records := recent.Prefixes(now, now.Add(routing.PrefixAge), since)
+	out := make(map[fleet.ServerID]Copy, len(snaps))
+	for _, s := range snaps {
+		out[s.Server] = Copy{Server: s.Server, Incarnation: s.Incarnation, ColdAge: s.ColdAge, Prefixes: newest(records[s.Server])}
+	}
+	return out
+}
+
+// TakeCopy takes what the admitter of an engine sent to this instance.
+func (l *Ledger) TakeCopy(now time.Time, k Copy, recent *routing.Recent) {
+	l.pendingMu.Lock()
+	last, ok := l.copies[k.Server]
+	if ok && k.Incarnation < last.incarnation {
+		l.pendingMu.Unlock()
+		return // overtaken by a later copy
+	}
+	st := coldState{incarnation: k.Incarnation}
+	if k.ColdAge >= 0 {
+		st.since = now.Add(-k.ColdAge)
+	}
+	l.copies[k.Server] = st
+	l.pendingMu.Unlock()
+	if ok && k.Incarnation > last.incarnation {
+		recent.ForgetServer(k.Server)
+	}
+	recent.Merge(now, k.Server, k.Prefixes)
+}
+
+// coldState is what a copy tells about the restarts of an engine.
+type coldState struct {
+	incarnation uint64
+	since       time.Time // of the cold start; zero when warm
+}
+
+// coldState returns the incarnation of an engine admitted to here and the time
+// since its cold start, negative when warm.
+func (l *Ledger) coldState(now time.Time, server fleet.ServerID) (uint64, time.Duration) {
+	sh := l.shard(server)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	e := sh.engines[server]
+	if e == nil || e.rampPart(now) >= 1 {
+		if e == nil {
+			return 0, -1
+		}
+		return e.incarnation, -1
+	}
+	return e.incarnation, now.Sub(e.coldSince)
+}
+
+// resume continues the ramp of a copied engine, so that an engine which turned
+// cold before its admitter failed, or while none was there, is not taken for a
+// warm one.
+func (l *Ledger) resume(id fleet.ServerID, e *engine) {
+	l.pendingMu.Lock()
+	st, ok := l.copies[id]
+	delete(l.copies, id)
+	l.pendingMu.Unlock()
+	if ok {
+		e.incarnation, e.coldSince = st.incarnation, st.since
+	}
+}
+
+// Successors returns the instances that become the primary admitters of an
+// instance's engines when it fails. These are not always the second ones: those
+// may admit to as many engines as they are allowed already.
+func (t *Table) Successors(self fleet.InstanceID) map[fleet.ServerID]*membership.Member {
+	t.successorMu.Lock()
+	defer t.successorMu.Unlock()
+	if out, ok := t.successors[self]; ok {
+		return out
+	}
+	out := map[fleet.ServerID]*membership.Member{}
+	for _, r := range t.byRegion {
+		i := slices.IndexFunc(r.members, func(m *membership.Member) bool { return m.ID == self })
+		if i < 0 || len(r.members) == 1 {
+			continue
+		}
+		rest := &regionState{
+			members: slices.Delete(slices.Clone(r.members), i, i+1),
+			hashes:  slices.Delete(slices.Clone(r.hashes), i, i+1),
+			servers: r.servers,
+		}
+		rest.assign(1, func(s fleet.ServerID, members []*membership.Member) {
+			if t.Primary(s, self) {
+				out[s] = members[0]
+			}
+		})
+	}
+	if t.successors == nil {
+		t.successors = map[fleet.InstanceID]map[fleet.ServerID]*membership.Member{}
+	}
+	t.successors[self] = out
+	return out
+}
--- a/core/admission/ledger.go
+++ b/core/admission/ledger.go
@@ -37,13 +37,14 @@
 
 	pendingMu sync.Mutex
 	pending   map[fleet.ServerID]pendingImport
+	copies    map[fleet.ServerID]coldState
 }
 
 // NewLedger returns an empty ledger of the instance.
 func NewLedger(self fleet.InstanceID, p Params) *Ledger {
 	l := &Ledger{
 		self: self, params: p.withDefaults(),
-		pools: map[fleet.PoolID]*poolState{}, pending: map[fleet.ServerID]pendingImport{},
+		pools: map[fleet.PoolID]*poolState{}, pending: map[fleet.ServerID]pendingImport{}, copies: map[fleet.ServerID]coldState{},
 	}
 	for i := range l.shards {
 		l.shards[i].engines = map[fleet.ServerID]*engine{}
--- a/core/admission/roles.go
+++ b/core/admission/roles.go
@@ -85,6 +85,7 @@
 	if immediate {
 		e.grantFrom = now
 	}
+	l.resume(id, e)
 	sh.engines[id] = e
 	l.pendingMu.Lock()
 	p, ok := l.pending[id]
--- a/core/routing/recent.go
+++ b/core/routing/recent.go
@@ -65,21 +65,27 @@
 		return // 0 marks an empty entry
 	}
 	t := r.tick(now)
-	e := recentEntry{chat, uint32(fleet.HashID(string(server))), t, uint16(min(max(tokens, 0)/tokenUnit, 1<<16-1))}
-	sh, set := r.set(chat)
+	r.put(t, recentEntry{chat, uint32(fleet.HashID(string(server))), t, uint16(min(max(tokens, 0)/tokenUnit, 1<<16-1))})
+}
+
+// put stores an entry at tick t, unless what it would replace was used later.
+func (r *Recent) put(t uint16, e recentEntry) {
+	sh, set := r.set(e.chat)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	victim := 0
 	for i := range set {
-		if set[i].chat == chat || set[i].chat == 0 {
+		if set[i].chat == e.chat {
 			victim = i
 			break
 		}
-		if t-set[i].used > t-set[victim].used {
+		if set[victim].chat != 0 && (set[i].chat == 0 || t-set[i].used > t-set[victim].used) {
 			victim = i
 		}
 	}
-	set[victim] = e
+	if v := set[victim]; v.chat == 0 || t-v.used >= t-e.used {
+		set[victim] = e
+	}
 }
 
 // Forget drops the chat, for example when its engine lost its cache.
--- a/measure/policy/fleet.go
+++ b/measure/policy/fleet.go
@@ -38,6 +38,7 @@
 	totals *admission.Totals
 	holds  *admission.Holds
 	recent *routing.Recent
+	copies *admission.Copies
 	early  *admission.Refusals
 	down   bool
 	cutOff bool  // in the region that is cut off
@@ -69,7 +70,7 @@
 		id := fleet.InstanceID(fmt.Sprintf("r%03d", i))
 		in := &instance{
 			id: id, ledger: admission.NewLedger(id, params), totals: admission.NewTotals(),
-			holds: admission.NewHolds(), recent: routing.NewRecent(epoch), early: admission.NewRefusals(),
+			holds: admission.NewHolds(), recent: routing.NewRecent(epoch), copies: admission.NewCopies(id), early: admission.NewRefusals(),
 		}
 		r.instances = append(r.instances, in)
 		r.byID[id] = in
@@ -125,8 +126,12 @@
 		}
 		n := r.net(in)
 		in.ledger.Configure(x)
-		for _, s := range in.ledger.SetRoles(now, n.table, first) {
-			r.byID[n.table.Of(s.Server)[0].ID].ledger.Import(now, s)
+		ended := in.ledger.SetRoles(now, n.table, first)
+		copies := admission.CopiesOf(now, ended, in.recent)
+		for _, s := range ended {
+			to := r.byID[n.table.Of(s.Server)[0].ID]
+			to.ledger.Import(now, s)
+			to.ledger.TakeCopy(now, copies[s.Server], to.recent)
 		}
 		for _, s := range n.view.Returned(n.prev) {
 			for j := range r.k {
@@ -207,13 +212,23 @@
 	in.ledger.Tick(now)
 	in.ledger.Expire(now, func(id fleet.InstanceID) bool { return r.net(in).members.Find(id) != nil })
 	all := in.holds.Lists(now, r.net(in).table)
+	copies := in.copies.Due(now, r.net(in).table, in.ledger, in.recent, func(to fleet.InstanceID) bool { return all[to] != nil })
+	for to := range copies {
+		all[to] = append(all[to], nil...)
+	}
 	for _, to := range slices.Sorted(maps.Keys(all)) { // each takes a random number
 		lists := all[to]
 		lost := false
 		if to != in.id {
-			r.count(in, r.byID[to], syncSize(in.id, lists), 0)
+			r.count(in, r.byID[to], syncSize(in.id, lists, copies[to]), 0)
 			lost = r.lost() || !r.reaches(in, r.byID[to])
 		}
+		if !lost && len(copies[to]) > 0 {
+			for _, k := range copies[to] {
+				r.byID[to].ledger.TakeCopy(now, k, r.byID[to].recent)
+			}
+			in.copies.Delivered(to, copies[to])
+		}
 		for _, l := range lists {
 			if lost {
 				in.holds.Undelivered(l)
--- a/measure/policy/network.go
+++ b/measure/policy/network.go
@@ -129,8 +129,8 @@
 }
 
 // syncSize is the size of the message of a holder, in bytes.
-func syncSize(holder fleet.InstanceID, lists []admission.List) int {
-	m := &permitpb.SyncRequest{Holder: string(holder)}
+func syncSize(holder fleet.InstanceID, lists []admission.List, copies []admission.Copy) int {
+	m := &permitpb.SyncRequest{Holder: string(holder), Copies: permitpb.EncodeCopies(copies)}
 	for _, l := range lists {
 		sl := &permitpb.ServerList{Server: string(l.Server), Ended: l.Ended, Full: l.Full}
 		for _, p := range l.Held {
