Carry calls between instances with 163 bytes instead of 465

A call and its answer carried 354 + 111 bytes besides their messages: twirp's path, five header fields that no peer reads, and signatures in hex. net/http passed each call over two goroutines of its own, fasthttpadaptor over a third.

Signatures now precede the messages in the bodies, as bytes: 6 of time and the whole HMAC-SHA256 in a call, the HMAC in an answer. They cover what they covered before (path, time and message; the call, status and answer). The path prefix of a service has 3 bytes, and Host and Content-Length are the only fields. The client uses fasthttp as a codec on the caller's goroutine, with its own pool: a connection is used again only when it is open and holds no unread bytes. The server calls the handlers on its own goroutine.

Permit call without message: 354 + 111 bytes before, 92 + 71 after.

The format changed: an instance of an earlier build and one of this build refuse each other's calls.

--- a/adapters/peer/auth.go
+++ b/adapters/peer/auth.go
@@ -6,60 +6,85 @@
 import (
 	"crypto/hmac"
 	"crypto/sha256"
-	"encoding/hex"
-	"strconv"
-	"strings"
+	"encoding/binary"
 	"time"
 )
 
-// authHeader carries "<unix ms>.<hex HMAC-SHA256>".
-const authHeader = "X-Peer-Auth"
+const (
+	// stampBytes holds the time of a call, in ms since 1970, big-endian.
+	stampBytes = 6
+	// macBytes is a whole HMAC-SHA256.
+	macBytes = sha256.Size
+	// callAuthBytes precede the message in the body of a call, macBytes the
+	// message in the body of an answer. In the body they need no text encoding
+	// and no header line.
+	callAuthBytes = stampBytes + macBytes
+)
 
 // authWindow bounds the age of a signature and the clock difference of two
 // instances.
 const authWindow = 30 * time.Second
 
-func mac(key []byte, path, stamp string, body []byte) []byte {
+// Domains separate the signatures of calls and of answers.
+const (
+	callDomain   = 'c'
+	answerDomain = 'a'
+)
+
+// sign appends the time and the HMAC of a call to dst.
+func sign(dst, key []byte, path string, message []byte, now time.Time) []byte {
+	var stamp [8]byte
+	binary.BigEndian.PutUint64(stamp[:], uint64(now.UnixMilli())<<16)
+	dst = append(dst, stamp[:stampBytes]...)
+	return callMAC(dst, key, stamp[:stampBytes], path, message)
+}
+
+func callMAC(dst, key, stamp []byte, path string, message []byte) []byte {
 	h := hmac.New(sha256.New, key)
+	h.Write([]byte{callDomain})
+	h.Write(stamp)
 	h.Write([]byte(path))
 	h.Write([]byte{0})
-	h.Write([]byte(stamp))
-	h.Write([]byte{0})
-	h.Write(body)
-	return h.Sum(nil)
-}
-
-// answerHeader carries the hex HMAC-SHA256 of an answer. It covers the header
-// of the call, so that an answer cannot be replayed for another call, and a
-// process that took over an address cannot answer without the key.
-const answerHeader = "X-Peer-Answer"
-
-func signAnswer(key []byte, path, callAuth string, status int, body []byte) string {
-	return hex.EncodeToString(mac(key, "answer "+path, strconv.Itoa(status)+" "+callAuth, body))
+	h.Write(message)
+	return h.Sum(dst)
 }
 
-func verifyAnswer(key []byte, path, callAuth string, status int, body []byte, header string) bool {
-	return hmac.Equal([]byte(header), []byte(signAnswer(key, path, callAuth, status, body)))
+// verify splits the body of a call and reports whether it is signed within the
+// window.
+func verify(key []byte, path string, body []byte, now time.Time) (auth, message []byte, ok bool) {
+	if len(body) < callAuthBytes {
+		return nil, nil, false
+	}
+	auth, message = body[:callAuthBytes], body[callAuthBytes:]
+	var stamp [8]byte
+	copy(stamp[8-stampBytes:], auth)
+	age := now.Sub(time.UnixMilli(int64(binary.BigEndian.Uint64(stamp[:]))))
+	if age > authWindow || age < -authWindow {
+		return nil, nil, false
+	}
+	var sum [macBytes]byte
+	return auth, message, hmac.Equal(auth[stampBytes:], callMAC(sum[:0], key, auth[:stampBytes], path, message))
 }
 
-func sign(key []byte, path string, body []byte, now time.Time) string {
-	stamp := strconv.FormatInt(now.UnixMilli(), 10)
-	return stamp + "." + hex.EncodeToString(mac(key, path, stamp, body))
+// signAnswer appends the HMAC of an answer to dst. It covers the time and the
+// HMAC of the call, so that an answer cannot be replayed for another call, and a
+// process that took over an address cannot answer without the key.
+func signAnswer(dst, key, callAuth []byte, status int, message []byte) []byte {
+	h := hmac.New(sha256.New, key)
+	h.Write([]byte{answerDomain})
+	h.Write(callAuth)
+	h.Write([]byte{byte(status >> 8), byte(status)})
+	h.Write(message)
+	return h.Sum(dst)
 }
 
-// verify reports whether the header signs path and body within the window.
-func verify(key []byte, path string, body []byte, header string, now time.Time) bool {
-	stamp, sum, ok := strings.Cut(header, ".")
-	if !ok {
-		return false
-	}
-	ms, err := strconv.ParseInt(stamp, 10, 64)
-	if err != nil {
-		return false
-	}
-	if age := now.Sub(time.UnixMilli(ms)); age > authWindow || age < -authWindow {
-		return false
+// verifyAnswer splits the body of an answer and reports whether it is signed
+// for the call.
+func verifyAnswer(key, callAuth []byte, status int, body []byte) ([]byte, bool) {
+	if len(body) < macBytes {
+		return nil, false
 	}
-	got, err := hex.DecodeString(sum)
-	return err == nil && hmac.Equal(got, mac(key, path, stamp, body))
+	message := body[macBytes:]
+	var sum [macBytes]byte
+	return message, hmac.Equal(body[:macBytes], signAnswer(sum[:0], key, callAuth, status, message))
 }
--- /dev/null
+++ b/adapters/peer/client.go
@@ -0,0 +1,130 @@
+package peer
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// errAnswer reports an answer without a valid signature.
+var errAnswer = errors.New("the answer is not signed with the shared key")
+
+// Client calls other instances. It implements the HTTPClient interface that
+// twirp clients take. It uses fasthttp as a codec, on the caller's goroutine.
+type Client struct {
+	key     Keyer
+	traffic *Traffic
+	conns   pool
+	readers sync.Pool // of *bufio.Reader; idle connections hold none
+	writers sync.Pool // of *bufio.Writer
+}
+
+// NewClient returns a client; deadlines come from the context of each call.
+// With t, connections use mutual TLS although URLs have the scheme http.
+func NewClient(key Keyer, t TLS, traffic *Traffic) *Client {
+	return &Client{
+		key: key, traffic: traffic, conns: pool{tls: t},
+		readers: sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 4096) }},
+		writers: sync.Pool{New: func() any { return bufio.NewWriterSize(nil, 4096) }},
+	}
+}
+
+// Do signs and sends one call, and checks the signature of the answer. The
+// answer has no header fields.
+func (c *Client) Do(req *http.Request) (*http.Response, error) {
+	var message []byte
+	if req.Body != nil {
+		var err error
+		if message, err = io.ReadAll(req.Body); err != nil {
+			return nil, err
+		}
+	}
+	path := wirePath(req.URL.Path)
+	out, in := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(out)
+	defer fasthttp.ReleaseResponse(in)
+	body := sign(make([]byte, 0, callAuthBytes+len(message)), c.key.Bytes(), path, message, time.Now())
+	auth := body[:callAuthBytes]
+	out.Header.SetMethod(fasthttp.MethodPost)
+	out.Header.SetHost(host)
+	out.Header.SetNoDefaultContentType(true)
+	if t := req.Header.Get("Content-Type"); t != protobufType {
+		out.Header.SetContentType(t)
+	}
+	out.SetRequestURI(path)
+	out.SetBodyRaw(append(body, message...))
+	c.traffic.Calls.Add(1)
+	c.traffic.SentBytes.Add(int64(CallBytes(path, len(message))))
+	if err := c.exchange(req.Context(), req.URL.Host, out, in); err != nil {
+		return nil, err
+	}
+	status := in.StatusCode()
+	signed, ok := verifyAnswer(c.key.Bytes(), auth, status, in.Body())
+	if !ok {
+		return nil, errAnswer
+	}
+	c.traffic.ReceivedBytes.Add(int64(AnswerBytes(len(signed))))
+	answer := bytes.Clone(signed)
+	return &http.Response{
+		StatusCode: status, Status: http.StatusText(status), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Header: http.Header{}, Body: io.NopCloser(bytes.NewReader(answer)), ContentLength: int64(len(answer)), Request: req,
+	}, nil
+}
+
+// exchange sends a call and reads its answer within the context. A connection
+// is used again only after a whole answer with nothing behind it.
+func (c *Client) exchange(ctx context.Context, addr string, out *fasthttp.Request, in *fasthttp.Response) error {
+	cn, err := c.conns.acquire(ctx, addr)
+	if err != nil {
+		return err
+	}
+	deadline, _ := ctx.Deadline()
+	if err := cn.SetDeadline(deadline); err != nil {
+		_ = cn.Close()
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
+	reusable, err := c.roundTrip(cn, out, in)
+	if !stop() || !reusable {
+		_ = cn.Close()
+	} else {
+		c.conns.release(cn)
+	}
+	if err != nil && ctx.Err() != nil {
+		return ctx.Err()
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) { // the context's timer may fire later
+		return context.DeadlineExceeded
+	}
+	return err
+}
+
+func (c *Client) roundTrip(cn net.Conn, out *fasthttp.Request, in *fasthttp.Response) (reusable bool, err error) {
+	bw := c.writers.Get().(*bufio.Writer)
+	bw.Reset(cn)
+	err = out.Write(bw)
+	if err == nil {
+		err = bw.Flush()
+	}
+	bw.Reset(nil)
+	c.writers.Put(bw)
+	if err != nil {
+		return false, err
+	}
+	br := c.readers.Get().(*bufio.Reader)
+	br.Reset(cn)
+	err = in.ReadLimitBody(br, maxCallBytes+macBytes)
+	reusable = err == nil && br.Buffered() == 0 && !in.ConnectionClose()
+	br.Reset(nil)
+	c.readers.Put(br)
+	return reusable, err
+}
--- a/adapters/peer/peer.go
+++ b/adapters/peer/peer.go
@@ -1,11 +1,8 @@
 package peer
 
 import (
-	"bytes"
 	"context"
 	"crypto/tls"
-	"errors"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -13,16 +10,16 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
-	"github.com/valyala/fasthttp/fasthttpadaptor"
 )
 
 // Keyer gives the shared key in force.
 type Keyer interface{ Bytes() []byte }
 
-// maxCallBytes bounds one call or its answer.
+// maxCallBytes bounds the message of one call or of its answer.
 const maxCallBytes = 32 << 20
 
-// Traffic counts the body bytes and calls of one instance.
+// Traffic counts the calls of one instance and the bytes of calls and answers
+// with their HTTP headers, without TLS, TCP and IP.
 type Traffic struct{ SentBytes, ReceivedBytes, Calls atomic.Int64 }
 
 // TLS makes the configurations of mutual TLS; each call reads changed files.
@@ -31,9 +28,6 @@
 	Client() *tls.Config
 }
 
-// errAnswer reports an answer without a valid signature.
-var errAnswer = errors.New("the answer is not signed with the shared key")
-
 // Server serves calls of other instances.
 type Server struct {
 	key     Keyer
@@ -52,7 +46,7 @@
 
 type mount struct {
 	prefix  string
-	handler fasthttp.RequestHandler
+	handler http.Handler
 }
 
 // NewServer returns a server without services. Calls are signed with the shared
@@ -60,7 +54,9 @@
 func NewServer(key Keyer, t TLS, traffic *Traffic) *Server {
 	s := &Server{key: key, tls: t, traffic: traffic}
 	s.srv = &fasthttp.Server{
-		Handler: s.handle, MaxRequestBodySize: maxCallBytes, NoDefaultServerHeader: true,
+		Handler: s.handle, MaxRequestBodySize: maxCallBytes + callAuthBytes,
+		// Peers read none of these fields.
+		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
 		// The default logs the bytes of requests that are not HTTP.
 		SecureErrorLogMessage: true, Logger: quiet{},
 		ReadTimeout: 30 * time.Second, WriteTimeout: 30 * time.Second, IdleTimeout: 2 * time.Minute,
@@ -71,7 +67,7 @@
 // Mount adds a twirp service; prefix is its PathPrefix. It must be called
 // before Serve.
 func (s *Server) Mount(prefix string, h http.Handler) {
-	s.mounts = append(s.mounts, mount{prefix, fasthttpadaptor.NewFastHTTPHandler(h)})
+	s.mounts = append(s.mounts, mount{prefix, h})
 }
 
 // Serve accepts connections until Shutdown.
@@ -87,91 +83,25 @@
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
-	body := ctx.PostBody()
-	auth := string(ctx.Request.Header.Peek(authHeader))
-	if !verify(s.key.Bytes(), path, body, auth, time.Now()) {
+	auth, message, ok := verify(s.key.Bytes(), path, ctx.PostBody(), time.Now())
+	if !ok {
 		ctx.SetStatusCode(fasthttp.StatusForbidden)
 		return
 	}
-	s.traffic.ReceivedBytes.Add(int64(len(body)))
-	s.dispatch(ctx, path)
-	answer := ctx.Response.Body()
-	s.traffic.SentBytes.Add(int64(len(answer)))
-	ctx.Response.Header.Set(answerHeader, signAnswer(s.key.Bytes(), path, auth, ctx.Response.StatusCode(), answer))
+	s.traffic.ReceivedBytes.Add(int64(CallBytes(path, len(message))))
+	status, answer := s.dispatch(ctx, servicePath(path), message)
+	s.traffic.SentBytes.Add(int64(AnswerBytes(len(answer) - macBytes)))
+	signAnswer(answer[:0], s.key.Bytes(), auth, status, answer[macBytes:])
+	ctx.SetStatusCode(status)
+	ctx.Response.SetBodyRaw(answer)
 }
 
-func (s *Server) dispatch(ctx *fasthttp.RequestCtx, path string) {
+// dispatch returns an answer that begins with room for its signature.
+func (s *Server) dispatch(ctx *fasthttp.RequestCtx, path string, message []byte) (int, []byte) {
 	for _, m := range s.mounts {
 		if strings.HasPrefix(path, m.prefix) {
-			m.handler(ctx)
-			return
-		}
-	}
-	ctx.SetStatusCode(fasthttp.StatusNotFound)
-}
-
-// Client calls other instances. It implements the HTTPClient interface that
-// twirp clients take.
-type Client struct {
-	key     Keyer
-	traffic *Traffic
-	http    *http.Client
-}
-
-// NewClient returns a client; deadlines come from the context of each call.
-// With t, connections use mutual TLS although URLs have the scheme http.
-func NewClient(key Keyer, t TLS, traffic *Traffic) *Client {
-	dialer := &net.Dialer{Timeout: time.Second}
-	dial := dialer.DialContext
-	if t != nil {
-		dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, addr)
-			if err != nil {
-				return nil, err
-			}
-			tc := tls.Client(conn, t.Client())
-			if err := tc.HandshakeContext(ctx); err != nil {
-				_ = conn.Close()
-				return nil, err
-			}
-			return tc, nil
-		}
-	}
-	return &Client{key: key, traffic: traffic, http: &http.Client{Transport: &http.Transport{
-		DialContext:         dial,
-		MaxIdleConnsPerHost: 4,
-		IdleConnTimeout:     time.Minute,
-	}}}
-}
-
-// Do signs and sends one call, and checks the signature of the answer.
-func (c *Client) Do(req *http.Request) (*http.Response, error) {
-	var body []byte
-	if req.Body != nil {
-		var err error
-		if body, err = io.ReadAll(req.Body); err != nil {
-			return nil, err
+			return run(m.handler, ctx, path, message)
 		}
-		req.Body = io.NopCloser(bytes.NewReader(body))
-	}
-	path := req.URL.Path
-	auth := sign(c.key.Bytes(), path, body, time.Now())
-	req.Header.Set(authHeader, auth)
-	c.traffic.Calls.Add(1)
-	c.traffic.SentBytes.Add(int64(len(body)))
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxCallBytes+1))
-	_ = resp.Body.Close()
-	if err != nil {
-		return nil, err
-	}
-	c.traffic.ReceivedBytes.Add(int64(len(answer)))
-	if len(answer) > maxCallBytes || !verifyAnswer(c.key.Bytes(), path, auth, resp.StatusCode, answer, resp.Header.Get(answerHeader)) {
-		return nil, errAnswer
 	}
-	resp.Body = io.NopCloser(bytes.NewReader(answer))
-	return resp, nil
+	return fasthttp.StatusNotFound, make([]byte, macBytes)
 }
--- a/adapters/peer/peer_test.go
+++ b/adapters/peer/peer_test.go
@@ -61,16 +61,24 @@
 	if _ = resp.Body.Close(); resp.StatusCode != http.StatusForbidden {
 		t.Fatalf("a call without a signature is answered with status %d", resp.StatusCode)
 	}
-	recorded := signAnswer(ours.Bytes(), "/svc/Echo", sign(ours.Bytes(), "/svc/Echo", []byte("question"), time.Now().Add(-time.Second)), 200, []byte("answer"))
-	for _, header := range []string{"", recorded, signAnswer(theirs.Bytes(), "/svc/Echo", "", 200, []byte("answer"))} {
-		fake := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set(answerHeader, header)
-			_, _ = io.WriteString(w, "answer")
+	// Answers of a process without the key: unsigned, too short, recorded from
+	// another call, under another key, and signed for another status.
+	old := sign(nil, ours.Bytes(), "/svc/Echo", []byte("question"), time.Now().Add(-time.Second))
+	for _, forged := range []func(call []byte) []byte{
+		func([]byte) []byte { return nil },
+		func([]byte) []byte { return make([]byte, macBytes-1) },
+		func([]byte) []byte { return signAnswer(nil, ours.Bytes(), old, 200, []byte("answer")) },
+		func(call []byte) []byte { return signAnswer(nil, theirs.Bytes(), call, 200, []byte("answer")) },
+		func(call []byte) []byte { return signAnswer(nil, ours.Bytes(), call, 404, []byte("answer")) },
+	} {
+		fake := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			body, _ := io.ReadAll(r.Body)
+			_, _ = w.Write(append(forged(body[:callAuthBytes]), "answer"...))
 		})}
 		ln := listen(t)
 		go func() { _ = fake.Serve(ln) }()
 		if got, err := call(t, NewClient(ours, nil, &traffic), ln.Addr().String()); err == nil {
-			t.Fatalf("answer %q with signature %q was taken", got, header)
+			t.Fatalf("forged answer %q was taken", got)
 		}
 		_ = fake.Close()
 	}
@@ -80,7 +88,7 @@
 // another path or body.
 func TestVerify(t *testing.T) {
 	key, now := []byte(strings.Repeat("a", 32)), time.Unix(1_790_000_000, 0)
-	h := sign(key, "/p", []byte("b"), now)
+	signed := sign(nil, key, "/p", []byte("b"), now)
 	for _, c := range []struct {
 		path, body string
 		at         time.Time
@@ -92,8 +100,16 @@
 		{"/q", "b", now, false},
 		{"/p", "c", now, false},
 	} {
-		if got := verify(key, c.path, []byte(c.body), h, c.at); got != c.want {
+		if _, _, got := verify(key, c.path, append(signed[:callAuthBytes:callAuthBytes], c.body...), c.at); got != c.want {
 			t.Errorf("%+v: got %v", c, got)
 		}
 	}
+	if _, _, ok := verify(key, "/p", signed[:callAuthBytes-1], now); ok {
+		t.Error("a call shorter than its signature is accepted")
+	}
+	moved := append([]byte(nil), signed...)
+	moved[stampBytes-1]++
+	if _, _, ok := verify(key, "/p", append(moved, 'b'), now); ok {
+		t.Error("a call with another time is accepted")
+	}
 }
--- a/measure/cmd/capacity/roles.go
+++ b/measure/cmd/capacity/roles.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"strings"
+
+	"cyclamenhitch/adapters/peer"
+	"cyclamenhitch/adapters/peer/claimpb"
 )
 
 // cost is what one role costs one instance, or the fleet for platform roles.
@@ -18,6 +21,10 @@
 // perCall is the processor time of one peer call, both sides, in seconds.
 func (m *model) perCall() float64 { return m.slope("SlopePeerCall", "calls", "cpu-µs") / 1e6 }
 
+// claimCall is the size of a claim or of the record of its end, in bytes. The
+// two messages of a call, 215 and 20 bytes in the mean, are assumed.
+var claimCall = float64(peer.CallBytes(claimpb.ClaimsPathPrefix+"Finish", 215) + peer.AnswerBytes(20))
+
 // instanceCosts returns the roles of one instance at a size.
 func (m *model) instanceCosts(s size) []cost {
 	req := s.requests / s.instances
@@ -62,11 +69,11 @@
 		},
 		{
 			"claims, serving instance", "ends not yet recorded", "call to the partition's owner",
-			2 * claims, 2 * claims * 700, 2 * claims * m.perCall(), 0, true,
+			2 * claims, 2 * claims * claimCall, 2 * claims * m.perCall(), 0, true,
 		},
 		{
 			"claims, owner of a partition", fmt.Sprintf("%.2g claims", claimsKept), "log in the table, index in memory",
-			2 * s.requests * s.claimShare / partitions, 2 * s.requests * s.claimShare / partitions * 700,
+			2 * s.requests * s.claimShare / partitions, 2 * s.requests * s.claimShare / partitions * claimCall,
 			2 * s.requests * s.claimShare / partitions * m.perCall(), claimsKept * m.value("B/claim", "Claims/index"), true,
 		},
 		{
--- a/measure/control/spread.go
+++ b/measure/control/spread.go
@@ -8,15 +8,16 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"cyclamenhitch/adapters/peer"
 	"cyclamenhitch/adapters/peer/configpb"
 	"cyclamenhitch/core/configstate"
 	"cyclamenhitch/core/membership"
 )
 
 const (
-	// callOverhead is what HTTP headers, the two signatures and TCP/IP headers
-	// add to the bodies of a call and its answer.
-	callOverhead = 900
+	// connectionBytes is what TCP and IP headers add to a call and its answer on
+	// a new connection: 8 segments with 52 bytes and 2 with SYN and 60 bytes.
+	connectionBytes = 8*52 + 2*60
 	// applyTime is the time to decode and index a body of 18,000 accounts, from
 	// BenchmarkControlApply.
 	applyTime = 200 * time.Millisecond
@@ -77,7 +78,8 @@
 		b.sums[to] = next.Sum[:]
 	}
 	req := &configpb.FetchRequest{Sha256: b.sums[from]}
-	n := proto.Size(req) + proto.Size(configpb.Answer(&b.history, req)) + callOverhead
+	n := peer.CallBytes(configpb.ConfigPathPrefix+"Fetch", proto.Size(req)) +
+		peer.AnswerBytes(proto.Size(configpb.Answer(&b.history, req))) + connectionBytes
 	b.sizes[k] = n
 	return n
 }
--- a/measure/policy/fleet.go
+++ b/measure/policy/fleet.go
@@ -22,11 +22,6 @@
 	staleAddress = 0.03
 	// lossRate is the share of lost peer calls and of lost replies.
 	lossRate = 0.001
-	// httpBytes and replyBytes are the sizes of a twirp call with the signature
-	// header and of its reply, without their bodies, as counted on a connection
-	// between peer.Client and peer.Server. TCP and IP headers are not counted.
-	httpBytes  = 354
-	replyBytes = 111
 	// maxReportLag bounds the age of engine reports.
 	maxReportLag = 2 * time.Second
 )
@@ -201,7 +196,7 @@
 		r.w.after(2*time.Millisecond, func() { in.ledger.SetTotal(r.w.time(), pool, t, loads) })
 	}
 	for to, c := range calls {
-		r.count(in, r.byID[to], proto.Size(c), 24*len(c.Pools))
+		r.count("Exchange", in, r.byID[to], proto.Size(c), 24*len(c.Pools))
 	}
 }
 
@@ -217,7 +212,7 @@
 		lists := all[to]
 		lost := false
 		if to != in.id {
-			r.count(in, r.byID[to], syncSize(in.id, lists), 0)
+			r.count("Sync", in, r.byID[to], syncSize(in.id, lists), 0)
 			lost = r.lost() || !r.reaches(in, r.byID[to])
 		}
 		for _, l := range lists {
@@ -378,7 +373,7 @@
 			v = r.admit(in, a)
 		} else {
 			r.asked++
-			r.count(in, to, 48+len(a.Server)+len(a.Account)+len(a.Holder), 5)
+			r.count("Ask", in, to, 48+len(a.Server)+len(a.Account)+len(a.Holder), 5)
 			if r.lost() || !r.reaches(in, to) {
 				continue
 			}
--- a/measure/policy/network.go
+++ b/measure/policy/network.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"cyclamenhitch/adapters/peer"
 	"cyclamenhitch/adapters/peer/permitpb"
 	"cyclamenhitch/core/admission"
 	"cyclamenhitch/core/fleet"
@@ -139,9 +140,10 @@
 	return n
 }
 
-// count adds the bytes of one call to both sides.
-func (r *routers) count(from, to *instance, request, reply int) {
-	n := int64(request + reply + httpBytes + replyBytes)
+// count adds the bytes of one call to both sides, with HTTP headers and
+// signatures, without TCP and IP headers.
+func (r *routers) count(method string, from, to *instance, request, reply int) {
+	n := int64(peer.CallBytes(permitpb.PermitsPathPrefix+method, request) + peer.AnswerBytes(reply))
 	from.sent += n
 	to.sent += n
 }
