Notice a pause before an instance's first tick

The instance was paused for 9 s between taking its first roles and its first Tick; the pause check had no time to compare with and let it grant with its old view.

Change: the first SetRoles sets the time that the pause check compares with.

Conclusion: a fault of the ledger, not of the model. In the daemon the first tick follows the first roles within 100 ms, so that the window was short.

--- a/core/admission/roles.go
+++ b/core/admission/roles.go
@@ -37,6 +37,8 @@
 // ledgers of the roles that ended, for the next primaries.
 func (l *Ledger) SetRoles(now time.Time, t *Table, immediate bool) []Snapshot {
 	var ended []Snapshot
+	// A pause between the first roles and the first Tick must be noticed too.
+	l.lastTick.CompareAndSwap(0, now.UnixNano())
 	l.interval.Store(int64(t.ExchangeInterval()))
 	l.each(func(id fleet.ServerID, e *engine, sh *ledgerShard) {
 		if t.Primary(id, l.self) {
