Say not_run only for keys that are known to be free

Cause: a claim that got no clear answer (store down, cold index, full queue, timeout) was refused not_run although an earlier call with its key may have run. A lookup at a new owner missed a claim that the former owner was still writing. Gates of a stopping or isolated instance said not_run without a look at the key.

Change: an owner refuses a claim as RefusedFree only when the log was read, or appended to, by an operation begun after the claim arrived and the key was free; every other refusal is unknown. Claims that find the queue full are refused after a read of the tail. A Tenure tells since when an instance owns a partition in its own view; for 7 s (5 s of differing views and 2 s of waiting calls) no key is found free, also after the instance refuted its removal or read a row of another instance, and for 2 s after a claim was dropped without a row. No writes are added.

TestClaimDuringStoreOutage required not_run while the store is down, which nobody can know; it now requires unknown, and that no instance says not_run for a key that ran.

--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -203,12 +203,12 @@
 		ctx.SetConnectionClose()
 	}
 	if s.stopping.Load() {
-		writeError(ctx, result.New(result.Stopping, "the instance is stopping"))
+		writeError(ctx, unclaimed(ctx, result.New(result.Stopping, "the instance is stopping")))
 		return
 	}
 	x := s.Config()
 	if x == nil {
-		writeError(ctx, result.New(result.NotReady, "the instance has no configuration yet").WithRetryAfter(time.Second))
+		writeError(ctx, unclaimed(ctx, result.New(result.NotReady, "the instance has no configuration yet").WithRetryAfter(time.Second)))
 		return
 	}
 	account := x.AccountByKey(bearer(ctx))
@@ -233,6 +233,16 @@
 	}
 }
 
+// unclaimed makes a refusal before the route is known true for an idempotency
+// key: nobody has looked up whether an earlier call with it ran.
+func unclaimed(ctx *fasthttp.RequestCtx, e *result.Error) *result.Error {
+	safe := ctx.IsGet() || ctx.IsHead() || ctx.IsOptions()
+	if !safe && len(ctx.Request.Header.Peek("Idempotency-Key")) > 0 && bytes.HasPrefix(ctx.Path(), []byte(pathService)) {
+		return e.WithOutcome(result.Unknown)
+	}
+	return e
+}
+
 func bearer(ctx *fasthttp.RequestCtx) []byte {
 	key, ok := bytes.CutPrefix(ctx.Request.Header.Peek("Authorization"), []byte("Bearer "))
 	if !ok {
@@ -287,7 +297,11 @@
 	obs := Observation{Account: req.Account.Name, Pool: req.Pool.Name}
 	s.running.Add(1)
 	if err := s.Gate.Check(); err != nil {
-		s.finish(ctx, req, obs, start, result.As(err))
+		e := result.As(err)
+		if !req.Idempotent { // the state of the key is not looked up
+			e = e.WithOutcome(result.Unknown)
+		}
+		s.finish(ctx, req, obs, start, e)
 		return
 	}
 	// The request outlives the handler when it streams, so it must not use ctx.
--- a/adapters/httpapi/server_test.go
+++ b/adapters/httpapi/server_test.go
@@ -357,8 +357,14 @@
 	}
 }
 
-// Guards against callers that stay on a leaving instance, and against refusals
-// without a code.
+// closedGate refuses all new work.
+type closedGate struct{}
+
+func (closedGate) Check() error { return result.New(result.Isolated, "test") }
+
+// Guards against callers that stay on a leaving instance, against refusals
+// without a code, and against a refusal marked not_run for a key that nobody
+// looked up.
 func TestDrainAndRefuse(t *testing.T) {
 	s, addr := startServer(t, &fakeOpener{open: answerOK}, testLimits(), zap.NewNop())
 	s.Drain()
@@ -369,6 +375,21 @@
 	if _, body, _ := exchange(t, addr, rawRequest("GET", "/svc/catalogue/a", "", "")); !strings.Contains(body, `"code":2006`) || !strings.Contains(body, "not_run") {
 		t.Errorf("stopping: %s", body)
 	}
+	keyed := func() string {
+		_, body, _ := exchange(t, addr, rawRequest("POST", "/svc/orders/1", "Idempotency-Key: k\r\n", "x"))
+		return body
+	}
+	if body := keyed(); !strings.Contains(body, `"code":2006`) || !strings.Contains(body, `"outcome":"unknown"`) {
+		t.Errorf("stopping, with a key: %s", body)
+	}
+	s, addr = startServer(t, &fakeOpener{open: answerOK}, testLimits(), zap.NewNop())
+	s.Gate = closedGate{}
+	if body := keyed(); !strings.Contains(body, `"code":2007`) || !strings.Contains(body, `"outcome":"unknown"`) {
+		t.Errorf("isolated, with a key: %s", body)
+	}
+	if _, body, _ := exchange(t, addr, rawRequest("GET", "/svc/catalogue/a", "", "")); !strings.Contains(body, `"code":2007`) || !strings.Contains(body, "not_run") {
+		t.Errorf("isolated: %s", body)
+	}
 }
 
 // direct sends each request to one server.
--- a/cmd/internal/daemon/claims.go
+++ b/cmd/internal/daemon/claims.go
@@ -17,10 +17,6 @@
 	"cyclamenhitch/core/result"
 )
 
-// claimWait bounds the wait for a claim. It is two store calls at the default
-// deadline of 1 s, one of which may be a takeover by the second candidate.
-const claimWait = 2 * time.Second
-
 // claimRetryAfter is the advice with a refused or running claim. The caller API
 // adds no jitter of its own, and a second outlasts the first backoffs.
 const claimRetryAfter = time.Second
@@ -36,6 +32,9 @@
 
 	mu         sync.Mutex
 	partitions map[int]*claimRunner
+
+	tenureMu sync.Mutex
+	tenures  [claims.Partitions]claims.Tenure
 }
 
 func newClaimsComponent(d *Daemon) *claimsComponent {
@@ -66,14 +65,7 @@
 // candidates returns the owner of a partition and its successor, as this
 // instance sees the fleet. Without a membership it is the instance itself.
 func (c *claimsComponent) candidates(partition int, exclude fleet.InstanceID) []membership.Member {
-	var members []membership.Member
-	var hashes []uint64
-	for _, m := range c.d.members.View().Members {
-		if m.Eligible && m.ID != exclude {
-			members = append(members, m)
-			hashes = append(hashes, fleet.HashID(string(m.ID)))
-		}
-	}
+	members, hashes := ownersOf(c.d.members.View(), exclude)
 	var out []membership.Member
 	for _, i := range fleet.Best(nil, fleet.HashID(claimPartitionName(partition)), hashes, 2) {
 		out = append(out, members[i])
@@ -84,6 +76,54 @@
 	return out
 }
 
+// ownersOf returns the members that may own partitions, and their hashes.
+func ownersOf(v *membership.View, exclude fleet.InstanceID) (members []membership.Member, hashes []uint64) {
+	for _, m := range v.Members {
+		if m.Eligible && m.ID != exclude {
+			members = append(members, m)
+			hashes = append(hashes, fleet.HashID(string(m.ID)))
+		}
+	}
+	return members, hashes
+}
+
+// observe takes a new view before anything else uses it, so that no lookup is
+// answered as the owner before the tenure is known.
+func (c *claimsComponent) observe(v *membership.View) {
+	members, hashes := ownersOf(v, "")
+	var life uint64
+	if self := v.Find(c.d.set.Instance); self != nil {
+		life = self.Incarnation
+	}
+	now := time.Now()
+	var begun []int
+	c.tenureMu.Lock()
+	for p := range c.tenures {
+		best := fleet.Best(nil, fleet.HashID(claimPartitionName(p)), hashes, 1)
+		if c.tenures[p].Observe(len(best) == 0 || c.isSelf(members[best[0]]), life, now) {
+			begun = append(begun, p)
+		}
+	}
+	c.tenureMu.Unlock()
+	for _, p := range begun {
+		c.mu.Lock()
+		r := c.partitions[p]
+		c.mu.Unlock()
+		if r != nil {
+			r.mu.Lock()
+			r.owner.Unsettle(c.settled(p))
+			r.mu.Unlock()
+		}
+	}
+}
+
+// settled returns the time from which keys of a partition are known to be free.
+func (c *claimsComponent) settled(partition int) time.Time {
+	c.tenureMu.Lock()
+	defer c.tenureMu.Unlock()
+	return c.tenures[partition].Settled()
+}
+
 func (c *claimsComponent) isSelf(m membership.Member) bool { return m.ID == c.d.set.Instance }
 
 func (c *claimsComponent) client(m membership.Member) claimpb.Claims {
@@ -100,13 +140,13 @@
 	if err := claims.CheckDate(req.IdempotencyKey, dated, time.Now()); err != nil {
 		return nil, nil, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, min(claimWait, time.Until(req.Deadline)))
+	ctx, cancel := context.WithTimeout(ctx, min(claims.ClaimWait, time.Until(req.Deadline)))
 	defer cancel()
 	h := &heldClaim{c: c, key: claims.KeyOf(account, route, req.IdempotencyKey), attempt: randomUint64()}
 	// An attempt of the key that was refused here may still have a row. It is
 	// freed first; otherwise this call would find the key held by nobody.
 	if !c.outbox.settled(ctx, h.key) {
-		return nil, nil, refusedClaim("an earlier refused call with the key is not settled yet")
+		return nil, nil, refusedClaim("an earlier refused call with the key is not settled yet").WithOutcome(result.Unknown)
 	}
 	ans := c.ask(ctx, &claimpb.ClaimRequest{
 		Key: h.key, Attempt: h.attempt,
@@ -122,7 +162,12 @@
 	if stored, err := c.earlier(ctx, ans.verdict, ans.reply); stored != nil || err != nil {
 		return nil, stored, err
 	}
-	return nil, nil, refusedClaim("the claim could not be recorded in time")
+	refusal := refusedClaim("the claim could not be recorded in time")
+	if ans.verdict != claims.RefusedFree {
+		// An earlier call with the key may have run: nobody has read the log since.
+		refusal = refusal.WithOutcome(result.Unknown)
+	}
+	return nil, nil, refusal
 }
 
 // earlier returns what an earlier attempt of the key means for this call, or
@@ -152,7 +197,7 @@
 	if err := claims.CheckDate(req.IdempotencyKey, dated, time.Now()); err != nil {
 		return nil, true, err
 	}
-	wait := min(claimWait, time.Until(req.Deadline))
+	wait := min(claims.ClaimWait, time.Until(req.Deadline))
 	if wait <= 0 {
 		return nil, false, nil
 	}
@@ -180,7 +225,7 @@
 	return ans, v == claims.Free, err
 }
 
-func refusedClaim(why string) error {
+func refusedClaim(why string) *result.Error {
 	return result.New(result.StoreUnavailable, "%s", why).WithRetryAfter(claimRetryAfter)
 }
 
--- a/cmd/internal/daemon/claims_outbox.go
+++ b/cmd/internal/daemon/claims_outbox.go
@@ -108,7 +108,7 @@
 // try delivers the end to the owner, or to its successor.
 func (o *claimOutbox) try(e *claimEnd) error {
 	c := o.c
-	ctx, cancel := context.WithTimeout(c.ctx, 2*claimWait)
+	ctx, cancel := context.WithTimeout(c.ctx, 2*claims.ClaimWait)
 	defer cancel()
 	p := claims.PartitionOf(e.key, claims.Partitions)
 	if out := e.outcome; out != nil && out.Object == "" && len(out.Body) > claims.MaxInlineOutcome {
--- a/cmd/internal/daemon/claims_owner.go
+++ b/cmd/internal/daemon/claims_owner.go
@@ -50,10 +50,12 @@
 }
 
 func (r *claimRunner) newOwner() *claims.Owner {
-	return claims.NewOwner(claims.Config{
+	o := claims.NewOwner(claims.Config{
 		Partition: r.partition, Rate: float64(claims.WritesPerSecond) / claims.Partitions,
 		NewNonce: newID, Rand: rand.New(rand.NewPCG(randomUint64(), randomUint64())),
 	})
+	o.Unsettle(r.c.settled(r.partition))
+	return o
 }
 
 func (r *claimRunner) run(ctx context.Context) {
@@ -137,8 +139,8 @@
 		return res, nil
 	default:
 	}
-	if r.owner.Withdraw(id) {
-		return claims.Result{ID: id, Verdict: claims.Refused}, nil
+	if res, ok := r.owner.Withdraw(id, time.Now()); ok {
+		return res, nil
 	}
 	return claims.Result{}, errClaimAmbiguous
 }
@@ -172,7 +174,7 @@
 
 // Claim implements claimpb.Claims.
 func (s *claimsServer) Claim(ctx context.Context, req *claimpb.ClaimRequest) (*claimpb.ClaimReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, min(claimWait, time.Duration(req.WaitMs)*time.Millisecond))
+	ctx, cancel := context.WithTimeout(ctx, min(claims.ClaimWait, time.Duration(req.WaitMs)*time.Millisecond))
 	defer cancel()
 	p := claims.PartitionOf(req.Key, claims.Partitions)
 	res, err := s.c.runner(p).do(ctx, claims.Record{
@@ -181,13 +183,23 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.reply(ctx, p, req.Key, res)
+	return s.reply(ctx, p, req.Key, s.owned(p, res))
+}
+
+// owned takes back the answer that a key is free unless this instance owns the
+// partition in its own view: claims of the key may wait at another one.
+func (s *claimsServer) owned(p int, res claims.Result) claims.Result {
+	free := res.Verdict == claims.Free || res.Verdict == claims.RefusedFree
+	if free && !s.c.isSelf(s.c.candidates(p, "")[0]) {
+		res.Verdict = claims.Refused
+	}
+	return res
 }
 
 // Lookup implements claimpb.Claims. An instance that does not own the partition
 // in its own view refuses, because claims of the key may wait at another one.
 func (s *claimsServer) Lookup(ctx context.Context, req *claimpb.LookupRequest) (*claimpb.ClaimReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, min(claimWait, time.Duration(req.WaitMs)*time.Millisecond))
+	ctx, cancel := context.WithTimeout(ctx, min(claims.ClaimWait, time.Duration(req.WaitMs)*time.Millisecond))
 	defer cancel()
 	p := claims.PartitionOf(req.Key, claims.Partitions)
 	if !s.c.isSelf(s.c.candidates(p, "")[0]) {
@@ -197,7 +209,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return s.reply(ctx, p, req.Key, res)
+	return s.reply(ctx, p, req.Key, s.owned(p, res))
 }
 
 // reply adds the outcome to a result that names one.
@@ -221,7 +233,7 @@
 
 // Finish implements claimpb.Claims.
 func (s *claimsServer) Finish(ctx context.Context, req *claimpb.FinishRequest) (*claimpb.FinishReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, claimWait)
+	ctx, cancel := context.WithTimeout(ctx, claims.ClaimWait)
 	defer cancel()
 	rec := claims.Record{Kind: claims.Kind(req.Kind), Key: req.Key, Attempt: req.Attempt}
 	if o := req.Outcome; o != nil {
--- a/cmd/internal/daemon/claims_test.go
+++ b/cmd/internal/daemon/claims_test.go
@@ -189,7 +189,12 @@
 	f.eventually("the place is taken", hold)
 	for key, want := range first {
 		fresh := "new-" + key
-		status, out := f.order(f.daemon, "orders", fresh, "a")
+		var status int
+		var out string
+		f.eventually(fresh+" is known to be free", func() bool { // a new owner waits
+			status, out = f.order(f.daemon, "orders", fresh, "a")
+			return status != 429 || !strings.Contains(out, `"outcome":"unknown"`)
+		})
 		if status != 429 || !strings.Contains(out, `"outcome":"not_run"`) || f.ledger.Runs(fresh) != 0 {
 			t.Fatalf("%s: status %d, %s, want a refusal for load", fresh, status, out)
 		}
@@ -204,8 +209,9 @@
 	}
 }
 
-// Guards against a refusal marked not_run whose key can never run, and against
-// a run without a durable claim, when the table service is down or loses replies.
+// Guards against a refusal marked not_run though nobody can read whether the key
+// ran, against a refused key that can never run, and against a run without a
+// durable claim, when the table service is down or loses replies.
 func TestClaimDuringStoreOutage(t *testing.T) {
 	f := newClaimFixture(t)
 	f.platform.SetFault(platformfake.Fault{LoseReplies: 1})
@@ -214,9 +220,15 @@
 	}
 	f.platform.SetFault(platformfake.Fault{Down: true})
 	status, out := f.order(f.daemon, "orders", "down", "a")
-	if status != 503 || !strings.Contains(out, `"outcome":"not_run"`) || f.ledger.Runs("down") != 0 {
+	if status != 503 || !strings.Contains(out, `"outcome":"unknown"`) || f.ledger.Runs("down") != 0 {
 		t.Fatalf("store down: status %d, %s, %d runs", status, out, f.ledger.Runs("down"))
 	}
+	// The second instance has not read the row of the key that ran.
+	for _, d := range []*Daemon{f.second, f.daemon} {
+		if status, out = f.order(d, "orders", "lost-reply", "a"); strings.Contains(out, "not_run") {
+			t.Fatalf("store down, key that ran: status %d, %s", status, out)
+		}
+	}
 	f.platform.SetFault(platformfake.Fault{})
 	for _, d := range []*Daemon{f.second, f.daemon} {
 		f.eventually("the refused key runs", func() bool {
--- a/cmd/internal/daemon/members.go
+++ b/cmd/internal/daemon/members.go
@@ -57,6 +57,7 @@
 	}
 	c.mu.Lock()
 	c.machine = m
+	c.d.claims.observe(m.View())
 	c.last.Store(m.View())
 	c.mu.Unlock()
 	return nil
@@ -81,6 +82,7 @@
 // publish takes the results of a step; the caller holds mu.
 func (c *memberComponent) publish() []membership.Out {
 	if v := c.machine.View(); v != c.last.Load() {
+		c.d.claims.observe(v)
 		c.last.Store(v)
 	}
 	if t := c.machine.LastAnswer(); !t.IsZero() {
--- a/core/claims/command.go
+++ b/core/claims/command.go
@@ -17,6 +17,9 @@
 	ID      uint64
 	Rec     Record
 	Expires time.Time
+
+	// arrived is the number of operations that the owner had begun by then.
+	arrived uint64
 }
 
 // Result is the answer to a command. Seq is the row of a Stored outcome.
--- a/core/claims/index.go
+++ b/core/claims/index.go
@@ -26,10 +26,14 @@
 	Withdrawn
 	// Recorded means that the outcome of an attempt is durable.
 	Recorded
-	// Refused means that the command left no row and never will.
+	// Refused means that the command left no row and never will. The state of its
+	// key is not known: an earlier attempt may have run.
 	Refused
 	// Free answers a lookup: the key was never claimed or has been freed.
 	Free
+	// RefusedFree means that the command left no row and never will, and that the
+	// key was free in a read of the log that began after the command arrived.
+	RefusedFree
 )
 
 type heldState byte
--- a/core/claims/owner.go
+++ b/core/claims/owner.go
@@ -68,6 +68,11 @@
 	catchUp bool
 
 	confirmed time.Time // last contact with the tail
+	begun     uint64    // operations begun
+	contact   uint64    // the last one that showed that the index is at the tail
+	// unsettled is the time until which another instance may still hold a claim
+	// of this partition that is in no row, so that no key is known to be free.
+	unsettled time.Time
 	failures  int
 	retryAt   time.Time
 	pace      pacer
@@ -119,6 +124,7 @@
 	if c.Rec.Kind == KindLookup {
 		return o.lookup(c, now)
 	}
+	c.arrived = o.begun
 	failing := o.failures > 1 && c.Rec.Kind == KindClaim
 	if o.phase == phaseReady {
 		r, decided := o.decide(c, now.UnixMilli())
@@ -126,11 +132,52 @@
 			return &r
 		}
 	}
-	if failing || len(o.queue) >= maxQueue {
-		return &Result{ID: c.ID, Verdict: Refused}
+	switch {
+	case failing:
+		r := o.refuse(&c, now)
+		return &r
+	case len(o.queue) < maxQueue:
+		o.queue = append(o.queue, c)
+		return nil
+	case c.Rec.Kind == KindClaim && len(o.lookups) < maxQueue:
+		// Refused after a read of the tail, which tells the state of the key.
+		o.lookups = append(o.lookups, c)
+		return nil
+	}
+	return &Result{ID: c.ID, Verdict: Refused}
+}
+
+// Unsettle makes lookups before until find no key free. The caller says so when
+// another instance may have taken claims of the partition.
+func (o *Owner) Unsettle(until time.Time) {
+	if until.After(o.unsettled) {
+		o.unsettled = until
 	}
-	o.queue = append(o.queue, c)
-	return nil
+}
+
+// refuse answers a claim that is in no row and is dropped. The key is known to be
+// free only when the log was read after the claim arrived. A claim whose caller
+// waits no longer may be tried at another instance.
+func (o *Owner) refuse(c *Command, now time.Time) Result {
+	r := Result{ID: c.ID, Verdict: Refused}
+	if o.phase == phaseReady && o.contact > c.arrived {
+		r = o.lookedUp(c, now)
+	}
+	o.Unsettle(now.Add(ClaimWait))
+	return r
+}
+
+// lookedUp answers a lookup, or a claim that is refused, from the index.
+func (o *Owner) lookedUp(c *Command, now time.Time) Result {
+	r := o.state(*c, now.UnixMilli())
+	switch {
+	case r.Verdict != Free:
+	case now.Before(o.unsettled):
+		r.Verdict = Refused
+	case c.Rec.Kind == KindClaim:
+		r.Verdict = RefusedFree
+	}
+	return r
 }
 
 // lookup takes a question for the state of a key. Only a stored outcome can be
@@ -163,7 +210,7 @@
 	}
 	for _, cmds := range pending {
 		for i := range cmds {
-			if rec := &cmds[i].Rec; rec.Kind == KindClaim && rec.Key == c.Rec.Key {
+			if rec := &cmds[i].Rec; rec.Kind == KindClaim && rec.Key == c.Rec.Key && cmds[i].ID != c.ID {
 				r.Verdict = InProgress
 				if rec.Digest != c.Rec.Digest {
 					r.Verdict = Conflict
@@ -180,29 +227,24 @@
 
 // Withdraw removes a waiting command. It reports true when the command has left
 // no row and never will; otherwise its row may exist or appear.
-func (o *Owner) Withdraw(id uint64) bool {
-	for i := range o.queue {
-		if o.queue[i].ID == id {
-			o.queue = append(o.queue[:i:i], o.queue[i+1:]...)
-			return true
-		}
-	}
-	for i := range o.lookups {
-		if o.lookups[i].ID == id {
-			o.lookups = append(o.lookups[:i:i], o.lookups[i+1:]...)
-			if i < o.reading {
+func (o *Owner) Withdraw(id uint64, now time.Time) (Result, bool) {
+	for _, list := range []*[]Command{&o.queue, &o.lookups, &o.fresh} {
+		for i := range *list {
+			c := (*list)[i]
+			if c.ID != id {
+				continue
+			}
+			*list = append((*list)[:i:i], (*list)[i+1:]...)
+			if list == &o.lookups && i < o.reading {
 				o.reading--
 			}
-			return true
-		}
-	}
-	for i := range o.fresh {
-		if o.fresh[i].ID == id {
-			o.fresh = append(o.fresh[:i:i], o.fresh[i+1:]...)
-			return true
+			if c.Rec.Kind == KindClaim {
+				return o.refuse(&c, now), true
+			}
+			return Result{ID: id, Verdict: Refused}, true
 		}
 	}
-	return false
+	return Result{}, false
 }
 
 // Next returns the next operation to perform, or how long to wait before asking
@@ -226,6 +268,9 @@
 
 func (o *Owner) start(op *Op) *Op {
 	o.inFlight = op != nil
+	if o.inFlight {
+		o.begun++
+	}
 	return op
 }
 
@@ -283,7 +328,7 @@
 		full = full || !decided && size > 0 && size+n > maxGroupBytes
 		switch {
 		case c.Rec.Kind == KindClaim && now.After(c.Expires):
-			out = append(out, Result{ID: c.ID, Verdict: Refused})
+			out = append(out, o.refuse(&c, now))
 		case full || keys[c.Rec.Key]:
 			rest = append(rest, c)
 		case decided && mayBeBehind(r.Verdict):
--- a/core/claims/owner_reply.go
+++ b/core/claims/owner_reply.go
@@ -28,7 +28,7 @@
 		o.catchUp = true
 	case op.Kind == OpPut:
 		o.applyRow(o.group.row, o.group.records)
-		o.confirmed = now
+		o.confirmed, o.contact = now, o.begun
 		return o.settle(now)
 	}
 	return nil
@@ -45,26 +45,26 @@
 		return nil
 	}
 	var out []Result
-	var rest []Command
-	for _, c := range append(o.fresh, o.queue...) {
+	cmds, lookups := append(o.fresh, o.queue...), o.lookups
+	o.fresh, o.queue, o.lookups, o.reading = nil, nil, nil, 0
+	for _, c := range cmds {
 		if c.Rec.Kind != KindClaim {
-			rest = append(rest, c)
+			o.queue = append(o.queue, c)
 			continue
 		}
 		r, decided := o.decide(c, now.UnixMilli())
 		if !decided {
-			r.Verdict = Refused
+			r = o.refuse(&c, now)
 		}
 		out = append(out, r)
 	}
-	for _, c := range o.lookups {
-		r := o.state(c, now.UnixMilli())
-		if o.phase != phaseReady || r.Verdict == Free {
+	for _, c := range lookups {
+		r := o.lookedUp(&c, now)
+		if o.phase != phaseReady || r.Verdict == Free || r.Verdict == RefusedFree {
 			r.Verdict = Refused
 		}
 		out = append(out, r)
 	}
-	o.fresh, o.queue, o.lookups, o.reading = nil, rest, nil, 0
 	return out
 }
 
@@ -80,12 +80,16 @@
 			return o.failed(now)
 		}
 		o.applyRow(row, rs)
+		if o.group == nil || row.Writer != o.group.row.Writer {
+			o.Unsettle(now.Add(SettleTime)) // another instance takes claims
+		}
 	}
 	o.confirmed = now
 	o.catchUp = len(rows) == queryLimit
 	if o.catchUp {
 		return nil
 	}
+	o.contact = o.begun
 	out := o.settle(now)
 	for _, c := range o.fresh {
 		r, decided := o.decide(c, now.UnixMilli())
@@ -97,7 +101,7 @@
 	}
 	o.fresh = nil
 	for _, c := range o.lookups[:o.reading] {
-		out = append(out, o.state(c, now.UnixMilli()))
+		out = append(out, o.lookedUp(&c, now))
 	}
 	o.lookups, o.reading = o.lookups[o.reading:], 0
 	return out
@@ -133,7 +137,7 @@
 		case c.Rec.Kind != KindClaim:
 			r.Verdict = Recorded
 		case !decided:
-			r.Verdict = Refused
+			r = o.refuse(&c, now)
 		}
 		out = append(out, r)
 	}
--- a/core/claims/owner_test.go
+++ b/core/claims/owner_test.go
@@ -25,6 +25,14 @@
 	sends           int    // claim messages sent
 	clean           bool   // the owner said that no row exists or will
 	verdict         Verdict
+	sent            time.Time
+	ranBefore       bool   // its key had run when the call was made
+	owner           int    // where its last claim message went
+	command         uint64 // that message
+	reached         uint64 // when its claim reached an owner, in commands; 0: never
+	// notRun is the call that was told that the key is free, though this attempt
+	// had reached an owner; it must not be granted any more.
+	notRun string
 }
 
 // message is a command under way to an owner.
@@ -34,7 +42,8 @@
 	sent time.Time
 }
 
-// claimWait is how long a serving instance waits for an owner.
+// claimWait is how long a serving instance waits for an owner when the machine
+// does not give up calls itself.
 const claimWait = 5 * time.Second
 
 // machine runs several owners of one partition against a faulty table.
@@ -54,6 +63,8 @@
 	reply     Reply              // of an operation that was executed earlier
 	lookups   map[uint64]*lookup // by command
 	foundFree int                // lookups that found a free key
+	knownFree int                // claims refused with a key known to be free
+	current   int                // owner that assertFree holds for; -1: none
 }
 
 // lookup is a question for the state of a key. ran says that the key had run
@@ -61,13 +72,15 @@
 type lookup struct {
 	key     uint64
 	ran     bool
+	asked   uint64 // when, in commands
+	owner   int
 	verdict Verdict
 }
 
 func (m *machine) lookup(key, digest uint64, owner int, t fataler) *lookup {
 	m.nextID++
 	_, ran := m.ran[key]
-	l := &lookup{key: key, ran: ran}
+	l := &lookup{key: key, ran: ran, asked: m.nextID, owner: owner}
 	m.lookups[m.nextID] = l
 	if r := m.owners[owner].Submit(Command{ID: m.nextID, Rec: Record{Kind: KindLookup, Key: key, Digest: digest}}, m.now); r != nil {
 		m.results([]Result{*r}, t)
@@ -79,7 +92,7 @@
 	m := &machine{
 		table: newMemTable(), now: testStart, attempts: map[uint64]*attempt{},
 		waiting: map[uint64]uint64{}, ran: map[uint64]uint64{}, unacked: map[uint64]Record{},
-		lookups: map[uint64]*lookup{},
+		lookups: map[uint64]*lookup{}, current: -1,
 	}
 	for range 2 {
 		m.owners = append(m.owners, NewOwner(testConfig()))
@@ -90,7 +103,8 @@
 
 func (m *machine) newAttempt(key, digest uint64) *attempt {
 	m.nextID++
-	a := &attempt{id: m.nextID, key: key, digest: digest, state: "waiting", until: m.now.Add(30 * time.Second)}
+	a := &attempt{id: m.nextID, key: key, digest: digest, state: "waiting", until: m.now.Add(30 * time.Second), sent: m.now}
+	_, a.ranBefore = m.ran[key]
 	m.attempts[a.id] = a
 	m.sendClaim(a)
 	return a
@@ -108,6 +122,12 @@
 	m.nextID++
 	c := Command{ID: m.nextID, Rec: msg.rec, Expires: msg.sent.Add(claimWait)}
 	m.waiting[c.ID] = c.Rec.Attempt
+	if a := m.attempts[c.Rec.Attempt]; c.Rec.Kind == KindClaim {
+		a.command, a.owner = c.ID, owner
+		if a.reached == 0 {
+			a.reached = c.ID
+		}
+	}
 	if r := m.owners[owner].Submit(c, m.now); r != nil {
 		m.results([]Result{*r}, t)
 	}
@@ -126,6 +146,9 @@
 			if l.ran && r.Verdict == Free {
 				t.Fatalf("key %d had run and was reported as free", l.key)
 			}
+			if r.Verdict == Free && l.owner == m.current {
+				m.assertFree(l.key, l.asked, 0, "lookup", t)
+			}
 			delete(m.lookups, r.ID)
 			continue
 		}
@@ -149,9 +172,21 @@
 		}
 		switch r.Verdict {
 		case Granted:
+			if a.notRun != "" {
+				t.Fatalf("attempt %d of key %d is granted after a %s was told that the key is free", a.id, a.key, a.notRun)
+			}
 			a.state = "running"
+		case RefusedFree:
+			m.knownFree++
+			if a.ranBefore {
+				t.Fatalf("key %d had run, and the claim of attempt %d was refused with the key known to be free", a.key, a.id)
+			}
+			if a.owner == m.current {
+				m.assertFree(a.key, a.reached, a.id, "refused claim", t)
+			}
+			fallthrough
 		case Refused:
-			a.state, a.clean = "refused", a.sends == 1
+			a.state, a.verdict, a.clean = "refused", r.Verdict, a.sends == 1
 			m.free(a)
 		default:
 			a.state, a.verdict = "ended", r.Verdict
@@ -162,6 +197,22 @@
 	}
 }
 
+// assertFree requires that no attempt that had reached an owner before a question
+// runs after the answer that its key is free.
+func (m *machine) assertFree(key, asked, self uint64, what string, t fataler) {
+	for _, a := range m.attempts {
+		if a.key != key || a.id == self || a.reached == 0 || a.reached >= asked {
+			continue
+		}
+		switch a.state {
+		case "running":
+			t.Fatalf("attempt %d of key %d runs when a %s is told that the key is free", a.id, key, what)
+		case "waiting":
+			a.notRun = what
+		}
+	}
+}
+
 // send sends the end of an attempt; heal sends it again until an owner confirms.
 func (m *machine) send(r Record) {
 	m.unacked[r.Attempt] = r
@@ -272,7 +323,7 @@
 // under crashes, pauses, lost, late, duplicate and reordered messages, a store
 // that is down or slow, and two owners at once, in any combination.
 func TestOwnerProperties(t *testing.T) {
-	total, free := 0, 0
+	total, free, known := 0, 0, 0
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine()
 		t.Repeat(map[string]func(*rapid.T){
@@ -355,7 +406,11 @@
 		m.checkHealed(t)
 		total += m.stored
 		free += m.foundFree
+		known += m.knownFree
 	})
+	if known == 0 {
+		t.Fatal("no claim was refused with its key known to be free: the test covers nothing")
+	}
 	if free == 0 {
 		t.Fatal("no lookup found a free key: the test covers nothing")
 	}
--- a/core/claims/scenario_test.go
+++ b/core/claims/scenario_test.go
@@ -22,6 +22,8 @@
 //	execute owner=0                    the store performs it, its reply comes with op fault=replied
 //	settle owner=0                     the owner works until it is idle
 //	end a outcome|free|unknown owner=0 a granted attempt ends
+//	hang-up a owner=0                  a waiting caller goes; its command is withdrawn
+//	tenure owner=0                     the instance becomes the owner in its own view
 //	give-up a owner=0                  a waiting caller is refused; the attempt is freed
 //	arrive                             a late write takes effect
 //	crash owner=0                      the owner loses its memory
@@ -85,6 +87,15 @@
 		a.state = "refused"
 		s.free(a)
 		s.flush(owner)
+	case "hang-up":
+		a := s.names[d.CmdArgs[0].Key]
+		if r, ok := s.owners[owner].Withdraw(a.command, s.now); ok {
+			s.results([]Result{r}, s.t)
+		}
+	case "tenure":
+		var tenure Tenure
+		tenure.Observe(true, 1, s.now)
+		s.owners[owner].Unsettle(tenure.Settled())
 	case "arrive":
 		s.arrive(0)
 	case "crash":
@@ -115,6 +126,9 @@
 			if state == "ended" && a.verdict != verdictWrite {
 				state = map[Verdict]string{Stored: "stored answer", InProgress: "in progress", Unknown: "unknown", Conflict: "conflict", Withdrawn: "withdrawn"}[a.verdict]
 			}
+			if state == "refused" && a.verdict == RefusedFree {
+				state = "refused, key free"
+			}
 			if state != s.seen[name] {
 				fmt.Fprintf(out, "%s: %s\n", name, state)
 				s.seen[name] = state
