Delete old segments and outcomes of claims from the object store

Cause: objects under claims/ were never deleted, while their rows were.

Change: names begin with the generation of their making. It touches neither rows nor the index. The outbox keeps a large answer until its end is recorded and writes it again in a later generation. An owner lists no segment that is older than a generation and reads the log again instead, because a sweeper may have deleted it. The store adapter and its stand-in list pages and delete.

Before: nothing is deleted.

--- a/adapters/platform/platform_test.go
+++ b/adapters/platform/platform_test.go
@@ -104,6 +104,33 @@
 	t.Fatal("the service is back and no call reaches it")
 }
 
+// Guards against a sweep that misses or repeats objects at the end of a page, or
+// that ends at one that another instance deleted.
+func TestObjectsAreListedAndDeleted(t *testing.T) {
+	ctx := context.Background()
+	s, srv := newStore(t, key32)
+	for i := range 5 {
+		if err := s.PutObject(ctx, fmt.Sprintf("a/%d", i), []byte("x")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = s.PutObject(ctx, "b/0", []byte("x"))
+	srv.SetFault(fake.Fault{LoseReplies: 1})
+	if err := s.DeleteObject(ctx, "a/1"); codeOf(err) != result.StoreUnavailable {
+		t.Fatalf("lost reply: %v", err)
+	}
+	for range 2 {
+		if err := s.DeleteObject(ctx, "a/1"); err != nil {
+			t.Fatalf("repeated deletion: %v", err)
+		}
+	}
+	for after, want := range map[string]string{"": "[a/0 a/2]", "a/2": "[a/3 a/4]", "a/4": "[]"} {
+		if got, err := s.ListObjectsAfter(ctx, "a/", after, 2); err != nil || fmt.Sprint(got) != want {
+			t.Errorf("after %q: %v, %v, want %s", after, got, err, want)
+		}
+	}
+}
+
 // Guards against a thundering herd when a service returns: one probe, then slow growth,
 // and never more calls than the cap. Each call also ends with its deadline.
 func TestBreakerLimitsCalls(t *testing.T) {
--- a/adapters/platform/table.go
+++ b/adapters/platform/table.go
@@ -259,6 +259,33 @@
 	})
 }
 
+// ListObjectsAfter returns up to limit names that begin with prefix and sort
+// after after, in order; limit is at most 1000.
+func (s *Store) ListObjectsAfter(ctx context.Context, prefix, after string, limit int) ([]string, error) {
+	var names []string
+	err := s.call(ctx, s.objectCalls, "list objects "+prefix, func(ctx context.Context) error {
+		out, err := s.objects.ListObjectsV2(ctx, &s3.ListObjectsV2Input{
+			Bucket: &s.cfg.Bucket, Prefix: &prefix, StartAfter: &after, MaxKeys: aws.Int32(int32(limit)),
+		})
+		if err != nil {
+			return err
+		}
+		for _, o := range out.Contents {
+			names = append(names, aws.ToString(o.Key))
+		}
+		return nil
+	})
+	return names, err
+}
+
+// DeleteObject removes an object; a missing object is not an error.
+func (s *Store) DeleteObject(ctx context.Context, name string) error {
+	return s.call(ctx, s.objectCalls, "delete object "+name, func(ctx context.Context) error {
+		_, err := s.objects.DeleteObject(ctx, &s3.DeleteObjectInput{Bucket: &s.cfg.Bucket, Key: &name})
+		return err
+	})
+}
+
 // ListObjects returns the names that begin with prefix, in order.
 func (s *Store) ListObjects(ctx context.Context, prefix string) ([]string, error) {
 	var names []string
--- a/cmd/internal/daemon/claims.go
+++ b/cmd/internal/daemon/claims.go
@@ -52,6 +52,7 @@
 
 // run ends the component's goroutines when ctx ends.
 func (c *claimsComponent) run(ctx context.Context) {
+	go c.sweep(c.ctx)
 	<-ctx.Done()
 	c.cancel()
 }
--- a/cmd/internal/daemon/claims_outbox.go
+++ b/cmd/internal/daemon/claims_outbox.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -32,6 +31,7 @@
 	kind         claims.Kind
 	key, attempt uint64
 	outcome      *claimpb.Outcome
+	object       string // that holds the body, once written
 	size         int
 	done         chan struct{}
 }
@@ -111,14 +111,19 @@
 	ctx, cancel := context.WithTimeout(c.ctx, 2*claims.ClaimWait)
 	defer cancel()
 	p := claims.PartitionOf(e.key, claims.Partitions)
-	if out := e.outcome; out != nil && out.Object == "" && len(out.Body) > claims.MaxInlineOutcome {
-		name := fmt.Sprintf("claims/%03d/outcome-%016x-%016x", p, e.key, e.attempt)
-		if err := c.d.store.PutObject(ctx, name, out.Body); err != nil {
-			return err
+	req := &claimpb.FinishRequest{Kind: int32(e.kind), Key: e.key, Attempt: e.attempt, Outcome: e.outcome}
+	if out := e.outcome; out != nil && len(out.Body) > claims.MaxInlineOutcome {
+		// The body is kept until the end is recorded: in a later generation it is
+		// written again, because the first object may be deleted earlier.
+		name := claims.OutcomeObject(p, e.key, e.attempt, time.Now())
+		if name != e.object {
+			if err := c.d.store.PutObject(ctx, name, out.Body); err != nil {
+				return err
+			}
+			e.object = name
 		}
-		out.Object, out.Body = name, nil
+		req.Outcome = &claimpb.Outcome{Status: out.Status, Fields: out.Fields, Object: name}
 	}
-	req := &claimpb.FinishRequest{Kind: int32(e.kind), Key: e.key, Attempt: e.attempt, Outcome: e.outcome}
 	err := errClaimAmbiguous
 	for _, m := range c.candidates(p, "") {
 		var reply *claimpb.FinishReply
--- a/core/claims/command.go
+++ b/core/claims/command.go
@@ -40,6 +40,8 @@
 	OpDelete
 	OpGetObject
 	OpPutObject
+	OpListObjects
+	OpDeleteObject
 )
 
 // Op is one operation that an owner asks for.
@@ -47,16 +49,19 @@
 	Kind   OpKind
 	Row    store.Row // Partition and Sort; for OpPut the whole row
 	Expect uint64
-	Object string
+	Object string // for OpListObjects the prefix of the names
+	After  string // for OpListObjects the name before the first one
+	Limit  int    // of names
 	Body   []byte
 }
 
 // Reply is the outcome of an operation.
 type Reply struct {
-	Err  error
-	Row  store.Row
-	Rows []store.Row
-	Body []byte
+	Err   error
+	Row   store.Row
+	Rows  []store.Row
+	Body  []byte
+	Names []string
 }
 
 // Execute performs op.
--- a/core/claims/fake_test.go
+++ b/core/claims/fake_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"os"
 	"sort"
+	"strings"
 	"testing"
 	"time"
 
@@ -34,6 +35,8 @@
 	rows    map[string]store.Row
 	objects map[string][]byte
 	writes  int
+	// headDown makes writes of the list of segments fail.
+	headDown bool
 }
 
 func newMemTable() *memTable {
@@ -49,6 +52,9 @@
 
 func (t *memTable) Put(_ context.Context, row store.Row, expect uint64) error {
 	t.writes++
+	if t.headDown && row.Partition == headPartition {
+		return errDown
+	}
 	k := row.Partition + "/" + row.Sort
 	if old, ok := t.rows[k]; ok != (expect != 0) || ok && old.Version != expect {
 		return store.ErrConditionFailed
@@ -86,6 +92,22 @@
 	return nil
 }
 
+func (t *memTable) ListObjectsAfter(_ context.Context, prefix, after string, limit int) ([]string, error) {
+	var out []string
+	for name := range t.objects {
+		if strings.HasPrefix(name, prefix) && name > after {
+			out = append(out, name)
+		}
+	}
+	sort.Strings(out)
+	return out[:min(limit, len(out))], nil
+}
+
+func (t *memTable) DeleteObject(_ context.Context, name string) error {
+	delete(t.objects, name)
+	return nil
+}
+
 var testStart = time.UnixMilli(1_790_000_000_000)
 
 var nonces int
--- a/core/claims/scenario_test.go
+++ b/core/claims/scenario_test.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"math/rand/v2"
 	"reflect"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -27,6 +30,8 @@
 //	give-up a owner=0                  a waiting caller is refused; the attempt is freed
 //	arrive                             a late write takes effect
 //	crash owner=0                      the owner loses its memory
+//	segments on|off                    the table takes or refuses the list of segments
+//	sweep                              old objects are deleted; those left are printed
 //	time 10s
 //
 // Each prints the attempts whose state changed.
@@ -100,6 +105,10 @@
 		s.arrive(0)
 	case "crash":
 		s.owners[owner], s.ops[owner] = NewOwner(testConfig()), nil
+	case "segments":
+		s.table.headDown = d.CmdArgs[0].Key == "off"
+	case "sweep":
+		s.sweep(&out)
 	case "time":
 		dur, err := time.ParseDuration(d.CmdArgs[0].Key)
 		if err != nil {
@@ -112,6 +121,23 @@
 	return s.changes(&out)
 }
 
+// sweep runs one sweep and prints the objects that are left, without their nonces.
+func (s *scenario) sweep(out *strings.Builder) {
+	sw := NewSweeper(0, rand.New(rand.NewPCG(1, 2)), s.now)
+	for now, ops := s.now, 0; ops == 0 || sw.phase != sweepHead; {
+		op, wait := sw.Next(now)
+		if now = now.Add(wait); op != nil {
+			ops++
+			sw.Reply(op, ExecuteSweep(context.Background(), s.table, s.table, *op), now)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.table.objects)) {
+		gen, rest, _ := strings.Cut(strings.TrimPrefix(name, "claims/000/g"), "/")
+		n, _ := strconv.ParseInt(gen, 10, 64)
+		fmt.Fprintf(out, "generation %d: %s\n", n-generationOf(testStart.UnixMilli()), rest[:strings.LastIndex(rest, "-")])
+	}
+}
+
 func (s *scenario) flush(owner int) {
 	for _, msg := range s.bag {
 		s.deliver(msg, owner, s.t)
--- a/core/claims/segment.go
+++ b/core/claims/segment.go
@@ -101,10 +101,16 @@
 // row, or the deletion of a row past its retention. Appends go first; upkeep uses
 // only budget that they leave, so storage grows while load is at the limit.
 func (o *Owner) upkeep(now time.Time) (*Op, time.Duration) {
+	if o.pending != nil && now.UnixMilli()-o.pending.MadeAt > generationLength.Milliseconds() {
+		// A sweeper may delete an old segment that is not listed, so it must not
+		// be listed late.
+		o.reload()
+		return o.loadOp(), 0
+	}
 	if o.pending == nil && o.segmentDue(now) {
 		o.segmentAt = now
 		o.pending = &segmentRef{From: o.covered() + 1, To: o.tail, MadeAt: now.UnixMilli()}
-		o.pending.Object = fmt.Sprintf("claims/%03d/index-%d-%s", o.cfg.Partition, o.tail, o.cfg.NewNonce())
+		o.pending.Object = objectName(o.cfg.Partition, o.pending.MadeAt, fmt.Sprintf("index-%d-%s", o.tail, o.cfg.NewNonce()))
 		o.pendingBody = o.idx.segment()
 	}
 	if o.pendingBody != nil {
--- a/standins/platform/platform.go
+++ b/standins/platform/platform.go
@@ -1,6 +1,6 @@
 // Package platform is a small stand-in of the platform: a table service that
 // speaks the subset of the DynamoDB JSON protocol that the router uses, an
-// object store that speaks GET and PUT of S3, and a membership list. It keeps
+// object store that speaks GET, PUT, DELETE and ListObjectsV2 of S3, and a membership list. It keeps
 // everything in memory, and injects outages, delays and lost replies.
 package platform
 
@@ -9,6 +9,7 @@
 	"html"
 	"net"
 	"sort"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -111,7 +112,7 @@
 		return
 	}
 	target := string(ctx.Request.Header.Peek("X-Amz-Target"))
-	write := ctx.IsPut()
+	write := ctx.IsPut() || ctx.IsDelete()
 	switch {
 	case target != "":
 		_, op, _ := strings.Cut(target, ".")
@@ -168,9 +169,16 @@
 		ctx.Response.Header.Set("ETag", `"0"`)
 		return
 	}
+	if ctx.IsDelete() {
+		s.objectWrites.Add(1)
+		delete(s.objects, name)
+		ctx.SetStatusCode(204)
+		return
+	}
 	s.objectReads.Add(1)
 	if args := ctx.QueryArgs(); args.Has("list-type") {
-		s.listObjects(ctx, name, string(args.Peek("prefix")))
+		limit, _ := args.GetUint("max-keys") // -1 when absent
+		s.listObjects(ctx, name, string(args.Peek("prefix")), string(args.Peek("start-after")), limit)
 		return
 	}
 	body, ok := s.objects[name]
@@ -186,17 +194,21 @@
 
 // listObjects answers a ListObjectsV2 call for the bucket in path. The caller
 // holds the lock.
-func (s *Server) listObjects(ctx *fasthttp.RequestCtx, path, prefix string) {
+func (s *Server) listObjects(ctx *fasthttp.RequestCtx, path, prefix, after string, limit int) {
 	bucket := strings.TrimSuffix(path, "/") + "/"
 	var names []string
 	for name := range s.objects {
-		if key, ok := strings.CutPrefix(name, bucket); ok && strings.HasPrefix(key, prefix) {
+		if key, ok := strings.CutPrefix(name, bucket); ok && strings.HasPrefix(key, prefix) && key > after {
 			names = append(names, key)
 		}
 	}
 	sort.Strings(names)
+	truncated := limit >= 0 && len(names) > limit
+	if truncated {
+		names = names[:limit]
+	}
 	ctx.SetContentType("application/xml")
-	ctx.SetBodyString("<ListBucketResult><IsTruncated>false</IsTruncated>")
+	ctx.SetBodyString("<ListBucketResult><IsTruncated>" + strconv.FormatBool(truncated) + "</IsTruncated>")
 	for _, n := range names {
 		ctx.Response.AppendBodyString("<Contents><Key>" + html.EscapeString(n) + "</Key></Contents>")
 	}
