Measure the return of the table service to a fleet

Cause: the time from the return of the table service until claims go through again, and the calls that a fleet makes meanwhile, had no measurement.

Change: the decisions of the breaker move from adapters/platform to core/breaker, unchanged, so that a fleet in virtual time can use them. BenchmarkClaimsRecovery runs fleets of 9 to 4,000 instances through an outage.

go test -run '^$' -bench ClaimsRecovery -benchtime 1x ./measure/claims before: not measured.

The recovery time is the wait for a probe (up to 7.5 s) followed by the owner's own backoff (up to 3 s).

--- a/adapters/platform/breaker.go
+++ b/adapters/platform/breaker.go
@@ -10,6 +10,8 @@
 
 	"github.com/aws/smithy-go"
 	smithyhttp "github.com/aws/smithy-go/transport/http"
+
+	policy "cyclamenhitch/core/breaker"
 )
 
 // Reason classifies a failed call.
@@ -26,45 +28,23 @@
 	ReasonBusy      Reason = "busy"      // not sent, because too many calls run
 )
 
-// Bounds of the breaker.
-const (
-	// openAfter is the number of failures in a row that open it. One lost
-	// connection is ordinary; five in a row are not.
-	openAfter = 5
-	openBase  = 200 * time.Millisecond
-	// openMax bounds the time to notice that the service is back. With 370
-	// instances a probe each 5 s is 74 calls/s, of 2,000 reads/s.
-	openMax = 5 * time.Second
-)
-
 var (
 	errOpen = errors.New("not sent: earlier calls failed")
 	errBusy = errors.New("not sent: too many calls are running")
 )
 
-// breaker limits the calls to one service. It opens after failures in a row, or
-// calls that take longer than slowAfter, so that callers are refused at once
-// instead of waiting for a deadline each. While open, one probe at a time is let
-// through. After a probe succeeds the number of concurrent calls grows by one
-// with each success, so that a returning service is not overrun.
+// breaker holds calls until core/breaker lets them through.
 type breaker struct {
-	max       int
-	slowAfter time.Duration
-	now       func() time.Time
+	now func() time.Time
 
-	mu       sync.Mutex
-	limit    int
-	running  int
-	failures int
-	openings int
-	retryAt  time.Time
-	probing  bool
-	waiters  []chan struct{}
-	reasons  map[Reason]int64
+	mu      sync.Mutex
+	state   *policy.Breaker
+	waiters []chan struct{}
+	reasons map[Reason]int64
 }
 
 func newBreaker(limit int, slowAfter time.Duration) *breaker {
-	return &breaker{max: limit, limit: limit, slowAfter: slowAfter, now: time.Now, reasons: map[Reason]int64{}}
+	return &breaker{state: policy.New(limit, slowAfter, rand.Int64N), now: time.Now, reasons: map[Reason]int64{}}
 }
 
 // enter waits for a free slot. probe says that the call decides over the breaker.
@@ -72,16 +52,13 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for {
-		switch {
-		case b.openings > 0 && (b.probing || b.now().Before(b.retryAt)):
+		switch b.state.Ask(b.now()) {
+		case policy.Refuse:
 			b.reasons[ReasonOpen]++
 			return false, errOpen
-		case b.openings > 0:
-			b.probing = true
-			b.running++
+		case policy.Probe:
 			return true, nil
-		case b.running < b.limit:
-			b.running++
+		case policy.Send:
 			return false, nil
 		}
 		ch := make(chan struct{}, 1)
@@ -103,12 +80,12 @@
 // wake lets waiting calls try again; mu is held.
 func (b *breaker) wake() {
 	for range len(b.waiters) {
-		if b.openings == 0 && b.running >= b.limit {
+		if !b.state.IsOpen() && !b.state.Free() {
 			return
 		}
 		b.waiters[0] <- struct{}{}
 		b.waiters = b.waiters[1:]
-		if b.openings == 0 {
+		if !b.state.IsOpen() {
 			return
 		}
 	}
@@ -118,35 +95,16 @@
 func (b *breaker) leave(probe bool, took time.Duration, reason Reason) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.running--
-	if reason == "" && took > b.slowAfter {
+	if reason == "" && b.state.Slow(took) {
 		reason = ReasonSlow
 	}
-	switch {
-	case reason != "":
+	if reason != "" {
 		b.reasons[reason]++
-		b.failures++
-		if probe || b.openings == 0 && b.failures >= openAfter {
-			b.open()
-		}
-	case probe:
-		b.openings, b.failures, b.limit = 0, 0, 1
-	case b.openings == 0:
-		b.failures = 0
-		b.limit = min(b.limit+1, b.max)
-	}
-	if probe {
-		b.probing = false
 	}
+	b.state.Done(probe, reason != "", b.now())
 	b.wake()
 }
 
-func (b *breaker) open() {
-	d := min(openBase<<min(b.openings, 10), openMax)
-	b.openings++
-	b.retryAt = b.now().Add(d/2 + rand.N(d))
-}
-
 // reasonOf classifies the error of a call.
 func reasonOf(err error) Reason {
 	var ne net.Error
--- a/adapters/platform/platform_test.go
+++ b/adapters/platform/platform_test.go
@@ -10,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	policy "cyclamenhitch/core/breaker"
 	"cyclamenhitch/core/result"
 	"cyclamenhitch/core/store"
 	fake "cyclamenhitch/standins/platform"
@@ -169,11 +170,11 @@
 		if n := most.Load(); n > limit {
 			t.Fatalf("%d calls at once, the cap is %d", n, limit)
 		}
-		if n := sent.Load(); n > openAfter+limit {
+		if n := sent.Load(); n > policy.OpenAfter+limit {
 			t.Fatalf("%d of 100 calls sent to a service that is down", n)
 		}
 		up = true
-		time.Sleep(2 * openMax)
+		time.Sleep(2 * policy.OpenMax)
 		most.Store(0)
 		sent.Store(0)
 		burst()
@@ -198,7 +199,7 @@
 // Guards against a slow service that holds up all callers: slow counts as down.
 func TestBreakerTreatsSlowAsDown(t *testing.T) {
 	b := newBreaker(2, 100*time.Millisecond)
-	for range openAfter {
+	for range policy.OpenAfter {
 		if _, err := b.enter(context.Background()); err != nil {
 			t.Fatal(err)
 		}
--- a/adapters/platform/table.go
+++ b/adapters/platform/table.go
@@ -22,6 +22,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 	"github.com/aws/smithy-go"
 
+	policy "cyclamenhitch/core/breaker"
 	"cyclamenhitch/core/result"
 	"cyclamenhitch/core/store"
 )
@@ -108,6 +109,24 @@
 	return s.tableCalls.failed(), s.objectCalls.failed()
 }
 
+// BreakerStatus is the state of a service's breaker and its running calls.
+type BreakerStatus struct {
+	State   policy.State
+	Running int
+}
+
+// Breakers returns the breakers of the table service and the object store.
+func (s *Store) Breakers() (table, objects BreakerStatus) {
+	return s.tableCalls.status(), s.objectCalls.status()
+}
+
+func (b *breaker) status() (s BreakerStatus) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s.State, s.Running = b.state.State()
+	return s
+}
+
 func (b *breaker) failed() map[Reason]int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- /dev/null
+++ b/core/breaker/breaker.go
@@ -0,0 +1,125 @@
+// Package breaker decides which calls to one service are sent. It opens after
+// failures in a row, or calls that take too long, so that callers are refused at
+// once instead of waiting for a deadline each. While open, one probe at a time is
+// let through. After a probe succeeds the number of concurrent calls grows by one
+// with each success, so that a returning service is not overrun. A Breaker is
+// used under its owner's lock and performs no I/O.
+package breaker
+
+import "time"
+
+const (
+	// OpenAfter is the number of failures in a row that open it. One lost
+	// connection is ordinary; five in a row are not.
+	OpenAfter = 5
+	openBase  = 200 * time.Millisecond
+	// OpenMax bounds the time to notice that the service is back. With 370
+	// instances a probe each 5 s is 74 calls/s, of 2,000 reads/s.
+	OpenMax = 5 * time.Second
+)
+
+// Decision says what becomes of a call.
+type Decision int
+
+// Decisions.
+const (
+	// Wait means that the call needs a slot and may ask again.
+	Wait Decision = iota
+	// Send means that the call takes a slot.
+	Send
+	// Probe means that the call takes a slot and decides over the breaker.
+	Probe
+	// Refuse means that the call is not sent, because earlier ones failed.
+	Refuse
+)
+
+// State is the state of a breaker.
+type State int
+
+// States.
+const (
+	// Closed lets all calls through, up to the cap.
+	Closed State = iota
+	// Growing lets fewer calls through than the cap after a return.
+	Growing
+	// Open lets one probe through at a time.
+	Open
+)
+
+// Breaker limits the calls to one service.
+type Breaker struct {
+	max       int
+	slowAfter time.Duration
+	int64n    func(n int64) int64
+
+	limit    int
+	running  int
+	failures int
+	openings int
+	retryAt  time.Time
+	probing  bool
+}
+
+// New returns a closed breaker. limit caps concurrent calls; a call that takes
+// longer than slowAfter counts as failed; int64n gives a random number below n.
+func New(limit int, slowAfter time.Duration, int64n func(n int64) int64) *Breaker {
+	return &Breaker{max: limit, limit: limit, slowAfter: slowAfter, int64n: int64n}
+}
+
+// Ask decides over a call at now.
+func (b *Breaker) Ask(now time.Time) Decision {
+	switch {
+	case b.openings > 0 && (b.probing || now.Before(b.retryAt)):
+		return Refuse
+	case b.openings > 0:
+		b.probing = true
+		b.running++
+		return Probe
+	case b.running < b.limit:
+		b.running++
+		return Send
+	}
+	return Wait
+}
+
+// Slow reports whether a call that took so long counts as failed.
+func (b *Breaker) Slow(took time.Duration) bool { return took > b.slowAfter }
+
+// Done notes the end of a call that was sent.
+func (b *Breaker) Done(probe, failed bool, now time.Time) {
+	b.running--
+	switch {
+	case failed:
+		b.failures++
+		if probe || b.openings == 0 && b.failures >= OpenAfter {
+			d := min(openBase<<min(b.openings, 10), OpenMax)
+			b.openings++
+			b.retryAt = now.Add(d/2 + time.Duration(b.int64n(int64(d))))
+		}
+	case probe:
+		b.openings, b.failures, b.limit = 0, 0, 1
+	case b.openings == 0:
+		b.failures = 0
+		b.limit = min(b.limit+1, b.max)
+	}
+	if probe {
+		b.probing = false
+	}
+}
+
+// IsOpen reports whether waiting calls will be refused.
+func (b *Breaker) IsOpen() bool { return b.openings > 0 }
+
+// Free reports whether a waiting call would be sent.
+func (b *Breaker) Free() bool { return b.openings == 0 && b.running < b.limit }
+
+// State returns the state and the number of running calls.
+func (b *Breaker) State() (s State, running int) {
+	switch {
+	case b.openings > 0:
+		s = Open
+	case b.limit < b.max:
+		s = Growing
+	}
+	return s, b.running
+}
--- a/measure/claims/bench_test.go
+++ b/measure/claims/bench_test.go
@@ -28,6 +28,51 @@
 	b.Run("index", benchIndex)
 }
 
+// BenchmarkClaimsRecovery measures the return of the table service to a fleet. The
+// bound of the design is what the service carries: 2,300 calls a second.
+func BenchmarkClaimsRecovery(b *testing.B) {
+	for _, o := range []Outage{
+		{Instances: 9, ClaimsPS: 6, Down: time.Minute},
+		{Instances: 370, ClaimsPS: 72, Down: time.Minute},
+		{Instances: 370, ClaimsPS: 72, Down: time.Minute, Silent: true},
+		{Instances: 370, ClaimsPS: 72, Down: 10 * time.Minute},
+		{Instances: 370, ClaimsPS: 720, Down: time.Minute},
+		{Instances: 4000, ClaimsPS: 720, Down: time.Minute},
+		{Instances: 370, ClaimsPS: 72, Down: time.Minute, NoBreaker: true},
+		{Instances: 370, ClaimsPS: 72, Down: time.Minute, Silent: true, NoBreaker: true},
+	} {
+		b.Run(fmt.Sprintf("instances=%d/claims_per_s=%.0f/down=%v/silent=%v/breaker=%v", o.Instances, o.ClaimsPS, o.Down, o.Silent, !o.NoBreaker), func(b *testing.B) {
+			const runs = 5 // seeds; the worst is reported
+			var w Recovery
+			var rate time.Duration
+			for b.Loop() {
+				w, rate = Recovery{}, 0
+				for i := range uint64(runs) {
+					r := Recover(seed+i, o)
+					rate += r.Rate / runs
+					w.Rate, w.LastPartition, w.LastInstance = max(w.Rate, r.Rate), max(w.LastPartition, r.LastPartition), max(w.LastInstance, r.LastInstance)
+					w.LastRefusal = max(w.LastRefusal, r.LastRefusal)
+					w.DownCalls, w.DownAtOnce = max(w.DownCalls, r.DownCalls), max(w.DownAtOnce, r.DownAtOnce)
+					w.BackCalls, w.BackAtOnce = max(w.BackCalls, r.BackCalls), max(w.BackAtOnce, r.BackAtOnce)
+				}
+			}
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(rate.Seconds(), "rate_again_s_mean")
+			b.ReportMetric(w.Rate.Seconds(), "rate_again_s_max")
+			b.ReportMetric(w.LastPartition.Seconds(), "last_partition_s_max")
+			b.ReportMetric(w.LastRefusal.Seconds(), "last_refusal_s_max")
+			b.ReportMetric(w.LastInstance.Seconds(), "last_breaker_s_max")
+			b.ReportMetric(float64(w.DownCalls), "down_calls/s_max")
+			b.ReportMetric(float64(w.DownAtOnce), "down_at_once_max")
+			b.ReportMetric(float64(w.BackCalls), "back_calls/s_max")
+			b.ReportMetric(float64(w.BackAtOnce), "back_at_once_max")
+			if w.BackCalls > tableRate {
+				b.Errorf("%d calls in a second after the return, the service carries %d", w.BackCalls, tableRate)
+			}
+		})
+	}
+}
+
 // simTime keeps the number of claims of a run below 150,000.
 func simTime(rate float64) time.Duration {
 	return time.Duration(min(300, max(12, 150000/rate))) * time.Second
--- /dev/null
+++ b/measure/claims/recovery.go
@@ -0,0 +1,284 @@
+package claims
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"cyclamenhitch/core/breaker"
+	"cyclamenhitch/core/claims"
+	"cyclamenhitch/core/store"
+)
+
+// Settings of the simulated fleet, as the daemon uses them by default.
+const (
+	callTimeout   = time.Second
+	maxConcurrent = 8
+	// tableRate is what the table service carries, reads and writes together.
+	tableRate = 2300
+	// headPolls and leaseCalls are the other table calls of a fleet, a second.
+	headPolls  = 20.0
+	leaseCalls = 20.0
+	// retryAfter is the wait that a refused caller is told; callerPatience is how
+	// long it repeats the call (assumed).
+	retryAfter     = time.Second
+	callerPatience = 10 * time.Second
+)
+
+var errCall = errors.New("call failed")
+
+// Outage describes one run: the service is down from 20 s on for Down. Silent
+// services take calls and never answer; others refuse connections.
+type Outage struct {
+	Instances int
+	ClaimsPS  float64
+	Down      time.Duration
+	Silent    bool
+	// NoBreaker sends every call, as a comparison.
+	NoBreaker bool
+}
+
+// Recovery is what happened during an outage and after it.
+type Recovery struct {
+	// Rate is the time from the return until the claims granted within a second
+	// reach the offered rate, which includes repeated calls from the outage;
+	// LastPartition until each partition granted one, LastRefusal until the last
+	// claim made after the return is refused.
+	Rate, LastPartition, LastRefusal time.Duration
+	// Calls that reached the service: the most in a second, and at once, while it
+	// is down (after the first 5 s) and in the 5 s after its return.
+	DownCalls, DownAtOnce, BackCalls, BackAtOnce int
+	// LastInstance is the time until all instances' breakers are closed.
+	LastInstance time.Duration
+}
+
+// service is the table service behind one breaker for each instance.
+type service struct {
+	l         *loop
+	t         *table
+	o         Outage
+	from, to  time.Time
+	free      time.Time
+	running   int
+	perSecond map[int]int // by second since the start
+	atOnce    map[int]int // most, by second
+}
+
+type client struct {
+	s       *service
+	b       *breaker.Breaker
+	waiting []*waiting
+}
+
+type waiting struct {
+	run  func()
+	done bool
+}
+
+func (s *service) down() bool { return !s.l.now.Before(s.from) && s.l.now.Before(s.to) }
+
+func (s *service) second() int { return int(s.l.now.Sub(epoch) / time.Second) }
+
+// serve takes one call; done receives whether it was answered and executes it.
+func (s *service) serve(done func(ok bool)) {
+	s.running++
+	s.perSecond[s.second()]++
+	s.atOnce[s.second()] = max(s.atOnce[s.second()], s.running)
+	end := func(ok bool) { s.running--; done(ok) }
+	if s.down() {
+		d := time.Millisecond
+		if s.o.Silent {
+			d = callTimeout
+		}
+		s.l.after(d, func() { end(false) })
+		return
+	}
+	if s.free.Before(s.l.now) {
+		s.free = s.l.now
+	}
+	d := s.free.Sub(s.l.now) + s.l.latency()
+	s.free = s.free.Add(time.Second / tableRate)
+	s.l.after(min(d, callTimeout), func() { end(d <= callTimeout) })
+}
+
+// call sends fn through the breaker, as adapters/platform does: it waits for a
+// slot until the deadline.
+func (c *client) call(done func(ok bool)) {
+	if c.s.o.NoBreaker {
+		c.s.serve(done)
+		return
+	}
+	w := &waiting{}
+	w.run = func() {
+		if w.done {
+			return
+		}
+		switch d := c.b.Ask(c.s.l.now); d {
+		case breaker.Wait:
+			c.waiting = append(c.waiting, w)
+		case breaker.Refuse:
+			w.done = true
+			c.s.l.after(0, func() { done(false) })
+		default:
+			w.done = true
+			start := c.s.l.now
+			c.s.serve(func(ok bool) {
+				ok = ok && !c.b.Slow(c.s.l.now.Sub(start))
+				c.b.Done(d == breaker.Probe, !ok, c.s.l.now)
+				c.wake()
+				done(ok)
+			})
+		}
+	}
+	w.run()
+	c.s.l.after(callTimeout, func() {
+		if !w.done {
+			w.done = true
+			done(false)
+		}
+	})
+}
+
+func (c *client) wake() {
+	ws := c.waiting
+	c.waiting = nil
+	for _, w := range ws {
+		w.run()
+	}
+}
+
+// recoveryFleet is a fleet of instances with the owners of all partitions.
+type recoveryFleet struct {
+	s       *service
+	clients []*client
+	nodes   []*node
+	granted []time.Time
+	first   map[int]time.Time // first grant after the return, by partition
+	id      uint64
+	refused time.Time // last
+}
+
+func newRecoveryFleet(seed uint64, o Outage) *recoveryFleet {
+	l := newLoop(seed)
+	s := &service{l: l, t: newTable(), o: o, perSecond: map[int]int{}, atOnce: map[int]int{}}
+	s.t.keep = 1
+	s.from = epoch.Add(20 * time.Second)
+	s.to = s.from.Add(o.Down)
+	f := &recoveryFleet{s: s, first: map[int]time.Time{}}
+	rng := rand.New(rand.NewPCG(seed, 2))
+	for range o.Instances {
+		c := &client{s: s, b: breaker.New(maxConcurrent, callTimeout/2, rng.Int64N)}
+		f.clients = append(f.clients, c)
+		// Each instance calls at its part of the rate, with jitter.
+		f.poll(c, time.Duration(float64(o.Instances)/(headPolls+leaseCalls)*float64(time.Second)))
+	}
+	for p := range claims.Partitions {
+		c := f.clients[rng.IntN(o.Instances)]
+		n := newNode(l, s.t, p, float64(claims.WritesPerSecond)/claims.Partitions)
+		n.call = func(op claims.Op, done func(claims.Reply)) {
+			c.call(func(ok bool) {
+				if !ok {
+					done(claims.Reply{Err: errCall})
+					return
+				}
+				done(claims.Execute(context.Background(), s.t, s.t, op))
+			})
+		}
+		f.nodes = append(f.nodes, n)
+	}
+	return f
+}
+
+func (f *recoveryFleet) poll(c *client, interval time.Duration) {
+	l := f.s.l
+	l.after(interval/2+time.Duration(l.rng.Int64N(int64(interval))), func() {
+		c.call(func(bool) {})
+		f.poll(c, interval)
+	})
+}
+
+// claim makes a call, which its caller repeats while it is refused.
+func (f *recoveryFleet) claim(key uint64, start time.Time) {
+	l := f.s.l
+	p := claims.PartitionOf(key, len(f.nodes))
+	n := f.nodes[p]
+	f.id++
+	id := f.id
+	rec := claims.Record{Kind: claims.KindClaim, Key: key, Digest: key, Attempt: id, Until: l.now.Add(time.Minute).UnixMilli()}
+	n.submit(id, rec, func(r claims.Result) {
+		if r.Verdict != claims.Granted {
+			f.refused = l.now
+			if l.now.Sub(start) < callerPatience {
+				l.after(retryAfter, func() { f.claim(key, start) })
+			}
+			return
+		}
+		f.granted = append(f.granted, l.now)
+		if _, ok := f.first[p]; !ok && !l.now.Before(f.s.to) {
+			f.first[p] = l.now
+		}
+		f.id++
+		n.submit(f.id, claims.Record{Kind: claims.KindOutcome, Key: key, Attempt: id, Outcome: claims.Outcome{Status: 200}}, nil)
+	})
+	l.after(claims.ClaimWait, func() {
+		if r, ok := n.owner.Withdraw(id, l.now); ok {
+			n.deliver([]claims.Result{r})
+		}
+	})
+}
+
+// Recover runs a fleet through an outage.
+func Recover(seed uint64, o Outage) Recovery {
+	f := newRecoveryFleet(seed, o)
+	s, l := f.s, f.s.l
+	l.arrivals(o.ClaimsPS, func() { f.claim(l.rng.Uint64(), l.now) })
+	var out Recovery
+	var watch func()
+	watch = func() {
+		for _, c := range f.clients {
+			if state, _ := c.b.State(); state == breaker.Open {
+				l.after(100*time.Millisecond, watch)
+				return
+			}
+		}
+		out.LastInstance = l.now.Sub(s.to)
+	}
+	l.after(s.to.Sub(epoch), watch)
+	l.run(s.to.Add(60 * time.Second).Sub(epoch))
+	out.Rate, out.LastPartition = f.rateAgain(), time.Hour
+	if len(f.first) == len(f.nodes) {
+		out.LastPartition = 0
+		for _, at := range f.first {
+			out.LastPartition = max(out.LastPartition, at.Sub(s.to))
+		}
+	}
+	out.LastRefusal = max(0, f.refused.Sub(s.to))
+	back := int(s.to.Sub(epoch) / time.Second)
+	for sec, n := range s.perSecond {
+		switch {
+		case sec >= back && sec < back+5:
+			out.BackCalls, out.BackAtOnce = max(out.BackCalls, n), max(out.BackAtOnce, s.atOnce[sec])
+		case sec >= 25 && sec < back:
+			out.DownCalls, out.DownAtOnce = max(out.DownCalls, n), max(out.DownAtOnce, s.atOnce[sec])
+		}
+	}
+	return out
+}
+
+// rateAgain returns the time from the return to the end of the first second in
+// which as many claims were granted as are offered in a second; an hour if none.
+func (f *recoveryFleet) rateAgain() time.Duration {
+	want, i := int(f.s.o.ClaimsPS), 0
+	for j, at := range f.granted {
+		for at.Sub(f.granted[i]) >= time.Second || i < j && f.granted[i].Before(f.s.to) {
+			i++
+		}
+		if !f.granted[i].Before(f.s.to) && j-i+1 >= want {
+			return at.Sub(f.s.to)
+		}
+	}
+	return time.Hour
+}
+
+var _ store.Table = (*table)(nil)
--- a/measure/claims/sim.go
+++ b/measure/claims/sim.go
@@ -156,6 +156,8 @@
 	waiters map[uint64]func(claims.Result)
 	pumps   int
 	ops     int
+	// call, unless nil, performs an operation in place of the table.
+	call func(op claims.Op, done func(claims.Reply))
 }
 
 func newNode(l *loop, t *table, partition int, rate float64) *node {
@@ -178,7 +180,9 @@
 	for _, r := range rs {
 		done := n.waiters[r.ID]
 		delete(n.waiters, r.ID)
-		done(r)
+		if done != nil {
+			done(r)
+		}
 	}
 }
 
@@ -188,6 +192,13 @@
 	switch {
 	case op != nil:
 		n.ops++
+		if n.call != nil {
+			n.call(*op, func(rep claims.Reply) {
+				n.deliver(n.owner.Reply(op, rep, n.l.now))
+				n.pump()
+			})
+			return
+		}
 		n.l.after(n.l.latency(), func() {
 			rep := claims.Execute(context.Background(), n.t, n.t, *op)
 			n.deliver(n.owner.Reply(op, rep, n.l.now))
