Count claims, rows, lookups and refusals, and show leases and breakers

Cause: no metric told how many claims were granted or why they were refused, how full rows are, which leases an instance holds, or the state of the breakers.

Change: expvar counters for claims by answer, refusals by cause, lookups, rows, records and records a row, deleted objects; leases held and breakers by instance. The generated table lists them; "make docs" is back.

TestMetricsTable is red for a metric that is listed and not published or the reverse; TestClaimDuringStoreOutage requires that refusals, grants and rows count.

--- a/Makefile
+++ b/Makefile
@@ -44,6 +44,10 @@
 	POLICY=router go test -run '^$$' -bench 'Policy/size=target/scenario=steady' -benchtime 1x -timeout 30m ./measure/policy >> $(CAPACITY_OUT)
 	go run ./measure/cmd/capacity -bench $(CAPACITY_OUT) -page docs/CAPACITY.md
 
+# Rewrites the tables of docs that are generated from the code.
+docs:
+	go run ./cmd/internal/doctable
+
 # Needs protoc, protoc-gen-go and protoc-gen-twirp; generated code is committed.
 generate:
 	go generate ./adapters/...
--- a/cmd/internal/daemon/claims.go
+++ b/cmd/internal/daemon/claims.go
@@ -147,6 +147,7 @@
 	// An attempt of the key that was refused here may still have a row. It is
 	// freed first; otherwise this call would find the key held by nobody.
 	if !c.outbox.settled(ctx, h.key) {
+		metricClaimRefusals.Add(causeNotSettled, 1)
 		return nil, nil, refusedClaim("an earlier refused call with the key is not settled yet").WithOutcome(result.Unknown)
 	}
 	ans := c.ask(ctx, &claimpb.ClaimRequest{
@@ -154,6 +155,7 @@
 		Digest:  claims.DigestOf(account, route, req.IdempotencyKey, req.Method, req.Path, req.Body),
 		UntilMs: req.Deadline.Add(claims.HolderMargin).UnixMilli(),
 	})
+	countClaim(ans)
 	if ans.verdict != claims.Granted && ans.ambiguous {
 		c.outbox.add(&claimEnd{kind: claims.KindFree, key: h.key, attempt: h.attempt})
 	}
@@ -218,10 +220,12 @@
 		reply, err = c.client(owner).Lookup(ctx, ask)
 	}
 	if err != nil {
+		metricClaimLookups.Add("failed", 1)
 		c.d.log.Debug("state of a key not found out", zap.Error(err))
 		return nil, false, nil
 	}
 	v := claims.Verdict(reply.Verdict)
+	metricClaimLookups.Add(v.String(), 1)
 	ans, err := c.earlier(ctx, v, reply)
 	return ans, v == claims.Free, err
 }
--- a/cmd/internal/daemon/claims_owner.go
+++ b/cmd/internal/daemon/claims_owner.go
@@ -66,6 +66,7 @@
 		r.mu.Unlock()
 		if op != nil {
 			rep := claims.Execute(ctx, r.c.d.store, r.c.d.store, *op)
+			countRow(op, rep)
 			r.mu.Lock()
 			r.deliver(r.owner.Reply(op, rep, time.Now()))
 			r.mu.Unlock()
--- a/cmd/internal/daemon/claims_sweep.go
+++ b/cmd/internal/daemon/claims_sweep.go
@@ -32,6 +32,9 @@
 			op, wait := s.Next(time.Now())
 			if op != nil {
 				rep := claims.ExecuteSweep(ctx, c.d.store, c.d.store, *op)
+				if op.Kind == claims.OpDeleteObject && rep.Err == nil {
+					metricObjectsDeleted.Add(1)
+				}
 				if rep.Err != nil {
 					c.d.log.Debug("old objects of claims not deleted", zap.Int("partition", p), zap.Error(rep.Err))
 				}
--- a/cmd/internal/daemon/claims_test.go
+++ b/cmd/internal/daemon/claims_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -211,7 +212,8 @@
 
 // Guards against a refusal marked not_run though nobody can read whether the key
 // ran, against a refused key that can never run, and against a run without a
-// durable claim, when the table service is down or loses replies.
+// durable claim, when the table service is down or loses replies. Also against
+// metrics that do not count.
 func TestClaimDuringStoreOutage(t *testing.T) {
 	f := newClaimFixture(t)
 	f.platform.SetFault(platformfake.Fault{LoseReplies: 1})
@@ -229,6 +231,16 @@
 			t.Fatalf("store down, key that ran: status %d, %s", status, out)
 		}
 	}
+	refused := 0
+	for _, cause := range []string{"not_known", "not_reached", "not_settled"} {
+		if v := metricClaimRefusals.Get(cause); v != nil {
+			n, _ := strconv.Atoi(v.String())
+			refused += n
+		}
+	}
+	if refused == 0 || metricClaims.Get("granted") == nil || metricClaimRows.Value() == 0 || metricClaimRecords.Value() < metricClaimRows.Value() {
+		t.Errorf("metrics: %d refused, answers %v, %v records in %v rows", refused, metricClaims, metricClaimRecords, metricClaimRows)
+	}
 	f.platform.SetFault(platformfake.Fault{})
 	for _, d := range []*Daemon{f.second, f.daemon} {
 		f.eventually("the refused key runs", func() bool {
--- a/cmd/internal/daemon/daemon.go
+++ b/cmd/internal/daemon/daemon.go
@@ -100,6 +100,7 @@
 		return nil, err
 	}
 	d.publishControl()
+	d.publishPlatform()
 	return d, nil
 }
 
--- a/cmd/internal/daemon/orders.go
+++ b/cmd/internal/daemon/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -41,6 +42,7 @@
 type poolOrders struct {
 	mu    sync.Mutex // guards lease
 	lease *lease.Lease
+	holds atomic.Bool // as of the last tick
 	sent  orders.Sent
 	// sentMu guards sent.
 	sentMu sync.Mutex
@@ -105,6 +107,19 @@
 	}
 }
 
+// held returns the number of leases held.
+func (c *ordersComponent) held() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, po := range c.pools {
+		if po.holds.Load() {
+			n++
+		}
+	}
+	return n
+}
+
 // isCandidate keeps all but two instances from asking for a pool's lease.
 func (c *ordersComponent) isCandidate(pool fleet.PoolID) bool {
 	var hashes []uint64
@@ -149,6 +164,8 @@
 	for ctx.Err() == nil {
 		po.mu.Lock()
 		err := po.lease.Tick(ctx, time.Now, true)
+		_, holds := po.lease.MaySend(time.Now(), true)
+		po.holds.Store(holds)
 		po.mu.Unlock()
 		if err != nil {
 			c.d.log.Warn("lease not renewed", zap.String(logging.FieldPool, string(pool)), zap.Error(err))
--- a/core/claims/command.go
+++ b/core/claims/command.go
@@ -52,7 +52,9 @@
 	Object string // for OpListObjects the prefix of the names
 	After  string // for OpListObjects the name before the first one
 	Limit  int    // of names
-	Body   []byte
+	// Records is the number of records in a row of the log.
+	Records int
+	Body    []byte
 }
 
 // Reply is the outcome of an operation.
--- a/core/claims/index.go
+++ b/core/claims/index.go
@@ -36,6 +36,15 @@
 	RefusedFree
 )
 
+// String names the verdict as the metrics do.
+func (v Verdict) String() string {
+	names := [...]string{"write", "granted", "stored", "in_progress", "unknown", "conflict", "withdrawn", "recorded", "not_known", "free", "key_free"}
+	if v < 0 || int(v) >= len(names) {
+		return "invalid"
+	}
+	return names[v]
+}
+
 type heldState byte
 
 const (
--- a/core/claims/owner.go
+++ b/core/claims/owner.go
@@ -299,7 +299,7 @@
 	case o.group != nil:
 		o.pace.take(now)
 		o.readLast = false
-		return o.start(&Op{Kind: OpPut, Row: o.group.row}), 0, out
+		return o.start(&Op{Kind: OpPut, Row: o.group.row, Records: len(o.group.records)}), 0, out
 	}
 	op, wait := o.upkeep(now)
 	o.readLast = false
