Look for the return of a platform service each 2 s

Cause: BenchmarkClaimsRecovery showed that most of the time until claims are granted again is the wait for the breaker's next probe.

Change: the largest backoff of the breaker is 2 s instead of 5 s.

--- a/core/breaker/breaker.go
+++ b/core/breaker/breaker.go
@@ -13,9 +13,11 @@
 	// connection is ordinary; five in a row are not.
 	OpenAfter = 5
 	openBase  = 200 * time.Millisecond
-	// OpenMax bounds the time to notice that the service is back. With 370
-	// instances a probe each 5 s is 74 calls/s, of 2,000 reads/s.
-	OpenMax = 5 * time.Second
+	// OpenMax bounds the time to notice that the service is back. With 5 s the
+	// last partition of claims granted again after 9.1 s instead of 4.5 s. A probe
+	// each 2 s of 370 busy instances is 185 calls/s, of 2,000 reads/s; larger
+	// fleets call less than that for each instance.
+	OpenMax = 2 * time.Second
 )
 
 // Decision says what becomes of a call.
