--- a/core/claims/command.go
+++ b/core/claims/command.go
@@ -17,6 +17,9 @@
 	ID      uint64
 	Rec     Record
 	Expires time.Time
+
+	// arrived is the number of operations that the owner had begun by then.
+	arrived uint64
 }
 
 // Result is the answer to a command. Seq is the row of a Stored outcome.
@@ -37,6 +40,8 @@
 	OpDelete
 	OpGetObject
 	OpPutObject
+	OpListObjects
+	OpDeleteObject
 )
 
 // Op is one operation that an owner asks for.
@@ -44,16 +49,21 @@
 	Kind   OpKind
 	Row    store.Row // Partition and Sort; for OpPut the whole row
 	Expect uint64
-	Object string
-	Body   []byte
+	Object string // for OpListObjects the prefix of the names
+	After  string // for OpListObjects the name before the first one
+	Limit  int    // of names
+	// Records is the number of records in a row of the log.
+	Records int
+	Body    []byte
 }
 
 // Reply is the outcome of an operation.
 type Reply struct {
-	Err  error
-	Row  store.Row
-	Rows []store.Row
-	Body []byte
+	Err   error
+	Row   store.Row
+	Rows  []store.Row
+	Body  []byte
+	Names []string
 }
 
 // Execute performs op.
