Share the prefix cache of an engine between accounts

Cause: after 300 s of a surge, the chats of one account need 45 million tokens of the 30 million that the engines cache. Each account's least recently used prefixes left after 130 s, the requests of the others cost three times as much and did not fit into the capacity.

Change: while the cache displaces prefixes younger than 4 minutes and the load is above 0.7 of the capacity, an account over its weighted share of the cached tokens gets no chats without a prefix and keeps a part of its other chats in a fixed order. An account that asks for more than 1.5 times its share gets 0.6 of its share of the cache and 0.85 of its share of the load.

--- a/core/admission/cache.go
+++ b/core/admission/cache.go
@@ -46,6 +46,8 @@
 	weight  float64
 	tokens  int64
 	chats   int
+	// refused is the recent part of its asks that was refused for a share.
+	refused float64
 }
 
 // cacheModel estimates which prefixes an engine still caches: the least recently
@@ -208,6 +210,15 @@
 	return s
 }
 
+// keeps returns how long an entry stays without use. It is at least the age of
+// the oldest entry, and unbounded while everything fits.
+func (c *cacheModel) keeps(now time.Time, more int) (time.Duration, bool) {
+	if size := c.size(); size == 0 || c.used+int64(more) <= size {
+		return 0, false
+	}
+	return c.tail(now), true
+}
+
 // learn corrects a size that is neither declared nor reported. beyond is the load
 // that the engine reports beyond the ledger, as a part of it: prompt tokens that
 // the ledger took for cached.
--- a/core/admission/cache_test.go
+++ b/core/admission/cache_test.go
@@ -112,3 +112,49 @@
 		t.Fatalf("size %d does not grow from %d", got, small)
 	}
 }
+
+// Guards against an account within its share that is refused because another
+// one fills the cache, and against a surging account that keeps more than its
+// share while the others need it.
+func TestCacheShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const capacity, size = 10_000, 20_000
+		m := newLoadModel(1, capacity)
+		l := m.of("e0")
+		l.Report(m.now, "e0", Report{Incarnation: 1, CacheTokens: size, At: m.now})
+		m.ask(Ask{Server: "e0", Account: "base", Tokens: int64(rapid.IntRange(7200, 7800).Draw(t, "load")), Relaxed: true})
+		send := func(account fleet.ClientAccountID, chat, prompt int) Verdict {
+			a := Ask{Server: "e0", Account: account, Chat: fleet.ChatKey(chat), Weight: 1, Priority: 5, Prompt: prompt, Output: 10, Relaxed: true}
+			l.Estimate(&a, prompt, m.chats[a.Chat])
+			v := m.ask(a)
+			if v == Granted {
+				m.chats[a.Chat] = m.now
+				m.end(len(m.running) - 1)
+			}
+			return v
+		}
+		c := l.shard("e0").engines["e0"].cache
+		prompt, quiet := rapid.IntRange(50, 200).Draw(t, "prompt"), rapid.IntRange(5, 30).Draw(t, "quiet chats")
+		for range rapid.IntRange(1500, 3000).Draw(t, "steps") {
+			m.now = m.now.Add(200 * time.Millisecond)
+			if rapid.IntRange(0, 9).Draw(t, "account") == 0 {
+				if v := send("quiet", 1+rapid.IntRange(0, quiet-1).Draw(t, "chat"), prompt); v != Granted {
+					t.Fatalf("the quiet account is refused: %v with %d of %d tokens", v, c.accounts["quiet"].tokens, c.used)
+				}
+				continue
+			}
+			send("big", 1000+rapid.IntRange(0, 1000).Draw(t, "chat"), prompt)
+		}
+		// The quiet account grows to its half; the surging one gives it back.
+		for i := range 5 * size / prompt {
+			m.now = m.now.Add(200 * time.Millisecond)
+			if v := send("quiet", 1+i%(size/2/(prompt+10)), prompt); v != Granted {
+				t.Fatalf("the quiet account is refused: %v with %d of %d tokens", v, c.accounts["quiet"].tokens, c.used)
+			}
+			send("big", 1000+rapid.IntRange(0, 1000).Draw(t, "chat"), prompt)
+		}
+		if keeps, full := c.keeps(m.now, prompt); full && keeps < cacheKeep && c.accounts["big"].tokens > size*11/20 {
+			t.Fatalf("the surging account has %d of %d tokens, prefixes stay for %v", c.accounts["big"].tokens, size, keeps)
+		}
+	})
+}
--- a/core/admission/ledger.go
+++ b/core/admission/ledger.go
@@ -122,7 +122,9 @@
 	if _, held := e.permits[k]; held {
 		return Granted
 	}
-	if v := l.check(now, e, a); v != Granted {
+	v := l.check(now, e, a)
+	e.cache.accounts[a.Account].note(v)
+	if v != Granted {
 		return v
 	}
 	e.add(k, permit{a.Account, a.Weight, a.Tokens, now})
@@ -163,6 +165,9 @@
 		if float64(after) > l.lend(a)*float64(most) && e.overShare(a, most) {
 			return OverShare
 		}
+		if float64(after) > (cacheLoad-lowered(a))*float64(most) && e.overCache(now, a) {
+			return OverShare
+		}
 	}
 	limit := e.limits.LoadBound * (1 - margin) * mean
 	if !a.Relaxed && float64(used) > limit-l.params.SoftGap*mean {
@@ -223,7 +228,12 @@
 	if s == nil {
 		return false
 	}
-	part := max(s.weight/e.weights, shareFloor)
+	share := s.weight / e.weights
+	part := share
+	if e.surges(a.Account, capacity) {
+		part = loadYield * share
+	}
+	part = max(part, shareFloor)
 	return float64(s.load+a.Tokens) > part*float64(capacity)
 }
 
--- a/core/admission/property_test.go
+++ b/core/admission/property_test.go
@@ -164,11 +164,12 @@
 	running []Ask
 	past    []pastLoad // after each change
 	id      uint64
-	cold    int // engines that count in the mean by a part only
+	cold    int                         // engines that count in the mean by a part only
+	chats   map[fleet.ChatKey]time.Time // last grant
 }
 
 func newLoadModel(engines, maxLoad int) *loadModel {
-	m := &loadModel{now: start, x: testIndex(engines, maxLoad), totals: NewTotals(), load: map[fleet.ServerID]int64{}}
+	m := &loadModel{now: start, x: testIndex(engines, maxLoad), totals: NewTotals(), load: map[fleet.ServerID]int64{}, chats: map[fleet.ChatKey]time.Time{}}
 	m.table = NewTable(testView(start, 0, 1, 2), m.x, Admitters)
 	for i := range 3 {
 		l := NewLedger(fleet.InstanceID(fmt.Sprintf("r%d", i)), Params{Seed: 1})
--- a/core/admission/scenario_test.go
+++ b/core/admission/scenario_test.go
@@ -46,6 +46,8 @@
 				return ""
 			case "ask":
 				return m.scenarioAsk(t, d)
+			case "chats":
+				return m.scenarioChats(t, d)
 			case "end":
 				for range intArg(d, t, "count", 1) {
 					for i := range m.running {
@@ -60,7 +62,7 @@
 			case "exchange":
 				m.exchange(nil)
 			case "report":
-				r := Report{Incarnation: uint64(intArg(d, t, "incarnation", 1)), Load: int64(intArg(d, t, "load", 0)), Cold: d.HasArg("cold"), At: m.now}
+				r := Report{Incarnation: uint64(intArg(d, t, "incarnation", 1)), Load: int64(intArg(d, t, "load", 0)), Cold: d.HasArg("cold"), At: m.now, CacheTokens: int64(intArg(d, t, "cache", 0))}
 				m.of(server(d)).Report(m.now, server(d), r)
 			case "fail":
 				m.of(server(d)).Failed(m.now, server(d))
@@ -74,6 +76,37 @@
 	})
 }
 
+// scenarioChats sends one request of each chat and ends it at once, unless keep
+// is given. A chat that was granted before is known with its whole prompt.
+func (m *loadModel) scenarioChats(t *testing.T, d *datadriven.TestData) string {
+	var vs []string
+	cost := int64(0)
+	for c := intArg(d, t, "from", 1); c <= intArg(d, t, "to", 1); c++ {
+		var name string
+		d.ScanArgs(t, "account", &name)
+		a := Ask{
+			Server: server(d), Chat: fleet.ChatKey(c), Account: fleet.ClientAccountID(name), Weight: float64(intArg(d, t, "weight", 1)),
+			Priority: intArg(d, t, "priority", 5), Prompt: intArg(d, t, "prompt", 90), Output: 10, Relaxed: true,
+		}
+		used, known := m.chats[a.Chat]
+		if known {
+			m.of(a.Server).Estimate(&a, a.Prompt, used)
+		} else {
+			m.of(a.Server).Estimate(&a, 0, time.Time{})
+		}
+		v := m.ask(a)
+		vs = append(vs, v.String())
+		if v == Granted {
+			cost += a.Tokens
+			m.chats[a.Chat] = m.now
+			if !d.HasArg("keep") {
+				m.end(len(m.running) - 1)
+			}
+		}
+	}
+	return fmt.Sprintf("%s; %d tokens\n", runLengths(vs), cost)
+}
+
 // members sets the instances that all see; with lost, no ledger arrives.
 func (m *loadModel) members(t *testing.T, d *datadriven.TestData) {
 	var ids []int
