Spare asks that an engine refuses an account again and again

Cause: each refused request of a surging account asked up to six admitters. An account gets a short search only when most of its searches are refused, which the home engine's own admitter prevents.

Change: Spared remembers the refusals for share and capacity by account and engine at the serving instance for a spread time and answers what they cover.

Tests: TestSpared and testdata_spared/refusals, each seen red without the account, the engine, the priority or the order in the key, without probes, without the end of the time and without the end at a grant.

At target size an instance rarely asks the same engine twice for one account within seconds, so that the memory spares little there.

--- a/cmd/internal/daemon/admission.go
+++ b/cmd/internal/daemon/admission.go
@@ -45,6 +45,7 @@
 	recent  *routing.Recent
 
 	refusals *admission.Refusals
+	spared   *admission.Spared
 
 	refreshMu sync.Mutex
 	state     atomic.Pointer[admissionState]
@@ -77,7 +78,7 @@
 		ledger: admission.NewLedger(self, admission.Params{Seed: seed}),
 		holds:  admission.NewHolds(), totals: admission.NewTotals(),
 		owner: admission.NewAccountOwner(self), slices: admission.NewSlices(),
-		budgets: retry.NewBudgets(), recent: routing.NewRecent(time.Now()), refusals: admission.NewRefusals(),
+		budgets: retry.NewBudgets(), recent: routing.NewRecent(time.Now()), refusals: admission.NewRefusals(), spared: admission.NewSpared(seed),
 		exchange: make(chan struct{}, 1), poll: make(chan struct{}, 1), sync: make(chan struct{}, 1),
 		failed: map[fleet.ServerID]bool{},
 	}
@@ -271,7 +272,7 @@
 		// The configuration may have changed while the request waited.
 		v := admission.Unavailable
 		if now := c.current(); eligible(now.view, now.table.Index, a.Server) {
-			v = c.ask(ctx, now, &a)
+			v = c.ask(ctx, now, &a, warm && i == 0)
 		}
 		if logged {
 			trace = append(trace, tried{string(a.Server), relaxed, v.String()})
--- a/cmd/internal/daemon/admission_calls.go
+++ b/cmd/internal/daemon/admission_calls.go
@@ -23,9 +23,23 @@
 	return p.(permitpb.Permits)
 }
 
-// ask asks the admitters of one engine, the primary first. An admitter without
+// ask asks the admitters of one engine, unless another one refused the account
+// just now. warm says that the engine is expected to hold the chat's prefix.
+func (c *admissionComponent) ask(ctx context.Context, st *admissionState, a *admission.Ask, warm bool) admission.Verdict {
+	if st.table.Primary(a.Server, c.self) {
+		return c.askAdmitters(ctx, st, a)
+	}
+	if v, ok := c.spared.Skip(time.Now(), a, warm); ok {
+		return v
+	}
+	v := c.askAdmitters(ctx, st, a)
+	c.spared.Note(time.Now(), a, warm, v)
+	return v
+}
+
+// askAdmitters asks the admitters of one engine, the primary first. An admitter without
 // the role passes the ask on to the next.
-func (c *admissionComponent) ask(ctx context.Context, st *admissionState, a *admission.Ask) admission.Verdict {
+func (c *admissionComponent) askAdmitters(ctx context.Context, st *admissionState, a *admission.Ask) admission.Verdict {
 	v := admission.NotAdmitter
 	for i, m := range st.table.Of(a.Server) {
 		if i == askedAdmitters {
--- a/core/admission/cache_test.go
+++ b/core/admission/cache_test.go
@@ -146,12 +146,14 @@
 			send("big", 1000+rapid.IntRange(0, 1000).Draw(t, "chat"), prompt)
 		}
 		// The quiet account grows to its half; the surging one gives it back.
-		for i := range 5 * size / prompt {
+		n := size / 2 / (prompt + 10)
+		for i := range 20 * n {
 			m.now = m.now.Add(200 * time.Millisecond)
-			if v := send("quiet", 1+i%(size/2/(prompt+10)), prompt); v != Granted {
+			if i%4 != 0 {
+				send("big", 1000+rapid.IntRange(0, 1000).Draw(t, "chat"), prompt)
+			} else if v := send("quiet", 1+i/4%n, prompt); v != Granted {
 				t.Fatalf("the quiet account is refused: %v with %d of %d tokens", v, c.accounts["quiet"].tokens, c.used)
 			}
-			send("big", 1000+rapid.IntRange(0, 1000).Draw(t, "chat"), prompt)
 		}
 		if keeps, full := c.keeps(m.now, prompt); full && keeps < cacheKeep && c.accounts["big"].tokens > size*11/20 {
 			t.Fatalf("the surging account has %d of %d tokens, prefixes stay for %v", c.accounts["big"].tokens, size, keeps)
--- /dev/null
+++ b/core/admission/spared_test.go
@@ -0,0 +1,93 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"cyclamenhitch/core/fleet"
+)
+
+// Guards against an ask that is held back by the refusal of another account or
+// engine, of a lower priority, or of a chat that loses its prefix earlier, and
+// against one that is held back for too long or after a grant.
+func TestSpared(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		type refusal struct {
+			at       time.Time
+			order    float64
+			priority int
+			verdict  Verdict
+		}
+		s, now := NewSpared(1), start
+		last := map[string][]refusal{} // by account and engine, since the last grant
+		for range rapid.IntRange(50, 500).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "ms")) * time.Millisecond)
+			a := Ask{
+				Account: fleet.ClientAccountID(fmt.Sprint("a", rapid.IntRange(0, 2).Draw(t, "account"))), Server: fleet.ServerID(fmt.Sprint("e", rapid.IntRange(0, 2).Draw(t, "engine"))),
+				Chat: fleet.ChatKey(rapid.IntRange(1, 20).Draw(t, "chat")), Priority: rapid.IntRange(3, 6).Draw(t, "priority"),
+			}
+			warm, key := rapid.Bool().Draw(t, "warm"), string(a.Account)+string(a.Server)
+			v, skipped := s.Skip(now, &a, warm)
+			if !skipped {
+				v = rapid.SampledFrom([]Verdict{Granted, OverShare, OverLoad, OverBound, Unavailable}).Draw(t, "verdict")
+				s.Note(now, &a, warm, v)
+				if v == OverShare || v == OverLoad {
+					last[key] = append(last[key], refusal{now, askOrder(&a, warm), a.Priority, v})
+				}
+				continue
+			}
+			ok := false
+			for _, r := range last[key] {
+				limit := time.Duration(1.5 * float64(spareShare))
+				ok = ok || v == r.verdict && now.Sub(r.at) < limit && askOrder(&a, warm) >= r.order && a.Priority <= r.priority
+			}
+			if !ok {
+				t.Fatalf("%s at %s, warm %v, priority %d: spared with %v after %v", a.Account, a.Server, warm, a.Priority, v, last[key])
+			}
+		}
+	})
+}
+
+// Guards against refusals that spare no asks, that are never probed, and that
+// outlast a grant, the retry time or a refusal for the capacity.
+func TestSparedScenario(t *testing.T) {
+	var s *Spared
+	var now time.Time
+	datadriven.RunTest(t, "testdata_spared/refusals", func(t *testing.T, d *datadriven.TestData) string {
+		var account string
+		if d.HasArg("account") {
+			d.ScanArgs(t, "account", &account)
+		}
+		a := Ask{Account: fleet.ClientAccountID(account), Server: "e0", Chat: fleet.ChatKey(intArg(d, t, "chat", 1)), Priority: intArg(d, t, "priority", 5)}
+		warm := d.HasArg("warm")
+		switch d.Cmd {
+		case "new":
+			s, now = NewSpared(1), start
+		case "wait":
+			now = now.Add(time.Duration(intArg(d, t, "ms", 0)) * time.Millisecond)
+		case "share":
+			s.Note(now, &a, warm, OverShare)
+		case "capacity":
+			s.Note(now, &a, warm, OverLoad)
+		case "granted":
+			s.Note(now, &a, warm, Granted)
+		case "asks":
+			sent, spared := 0, 0
+			for range intArg(d, t, "count", 100) {
+				if v, ok := s.Skip(now, &a, warm); !ok {
+					sent++
+				} else if spared++; v != OverShare && v != OverLoad {
+					t.Fatalf("spared with %v", v)
+				}
+			}
+			return fmt.Sprintf("sent %d, spared %d\n", sent, spared)
+		default:
+			t.Fatalf("unknown command %s", d.Cmd)
+		}
+		return ""
+	})
+}
--- a/measure/policy/fleet.go
+++ b/measure/policy/fleet.go
@@ -39,6 +39,7 @@
 	holds  *admission.Holds
 	recent *routing.Recent
 	early  *admission.Refusals
+	spared *admission.Spared
 	down   bool
 	cutOff bool  // in the region that is cut off
 	sent   int64 // bytes of control traffic, sent and received
@@ -69,7 +70,7 @@
 		id := fleet.InstanceID(fmt.Sprintf("r%03d", i))
 		in := &instance{
 			id: id, ledger: admission.NewLedger(id, params), totals: admission.NewTotals(),
-			holds: admission.NewHolds(), recent: routing.NewRecent(epoch), early: admission.NewRefusals(),
+			holds: admission.NewHolds(), recent: routing.NewRecent(epoch), early: admission.NewRefusals(), spared: admission.NewSpared(uint64(i)),
 		}
 		r.instances = append(r.instances, in)
 		r.byID[id] = in
@@ -308,7 +309,7 @@
 		if !r.net(t.in).view.MayReceive(r.w.index.Server(t.ranked[i].Name)) {
 			return admission.Unavailable
 		}
-		return r.ask(t.in, &t.ask)
+		return r.ask(t.in, &t.ask, t.place.Warm && i == 0)
 	})
 	if wait > 0 && !t.in.down {
 		t.waited += wait
@@ -369,7 +370,21 @@
 	return v
 }
 
-func (r *routers) ask(in *instance, a *admission.Ask) admission.Verdict {
+func (r *routers) ask(in *instance, a *admission.Ask, warm bool) admission.Verdict {
+	here := r.net(in).table.Primary(a.Server, in.id)
+	if !here {
+		if v, ok := in.spared.Skip(r.w.time(), a, warm); ok {
+			return v
+		}
+	}
+	v := r.askAdmitters(in, a)
+	if !here {
+		in.spared.Note(r.w.time(), a, warm, v)
+	}
+	return v
+}
+
+func (r *routers) askAdmitters(in *instance, a *admission.Ask) admission.Verdict {
 	v := admission.NotAdmitter
 	for i, m := range r.net(in).table.Of(a.Server) {
 		if i == 2 {
