--- a/cmd/internal/daemon/admission.go
+++ b/cmd/internal/daemon/admission.go
@@ -46,6 +46,7 @@
 	copies  *admission.Copies // used by runSync
 
 	refusals *admission.Refusals
+	spared   *admission.Spared
 
 	refreshMu sync.Mutex
 	state     atomic.Pointer[admissionState]
@@ -78,7 +79,7 @@
 		ledger: admission.NewLedger(self, admission.Params{Seed: seed}),
 		holds:  admission.NewHolds(), totals: admission.NewTotals(), copies: admission.NewCopies(self),
 		owner: admission.NewAccountOwner(self), slices: admission.NewSlices(),
-		budgets: retry.NewBudgets(), recent: routing.NewRecent(time.Now()), refusals: admission.NewRefusals(),
+		budgets: retry.NewBudgets(), recent: routing.NewRecent(time.Now()), refusals: admission.NewRefusals(), spared: admission.NewSpared(seed),
 		exchange: make(chan struct{}, 1), poll: make(chan struct{}, 1), sync: make(chan struct{}, 1),
 		failed: map[fleet.ServerID]bool{},
 	}
@@ -288,7 +289,7 @@
 		// The configuration may have changed while the request waited.
 		v := admission.Unavailable
 		if now := c.current(); eligible(now.view, now.table.Index, a.Server) {
-			v = c.ask(ctx, now, &a)
+			v = c.ask(ctx, now, &a, warm && i == 0)
 		}
 		asked = a
 		if logged {
--- a/cmd/internal/daemon/admission_calls.go
+++ b/cmd/internal/daemon/admission_calls.go
@@ -23,9 +23,23 @@
 	return p.(permitpb.Permits)
 }
 
-// ask asks the admitters of one engine, the primary first. An admitter without
+// ask asks the admitters of one engine, unless another one refused the account
+// just now. warm says that the engine is expected to hold the chat's prefix.
+func (c *admissionComponent) ask(ctx context.Context, st *admissionState, a *admission.Ask, warm bool) admission.Verdict {
+	if st.table.Primary(a.Server, c.self) {
+		return c.askAdmitters(ctx, st, a)
+	}
+	if v, ok := c.spared.Skip(time.Now(), a, warm); ok {
+		return v
+	}
+	v := c.askAdmitters(ctx, st, a)
+	c.spared.Note(time.Now(), a, warm, v)
+	return v
+}
+
+// askAdmitters asks the admitters of one engine, the primary first. An admitter without
 // the role passes the ask on to the next.
-func (c *admissionComponent) ask(ctx context.Context, st *admissionState, a *admission.Ask) admission.Verdict {
+func (c *admissionComponent) askAdmitters(ctx context.Context, st *admissionState, a *admission.Ask) admission.Verdict {
 	v := admission.NotAdmitter
 	for i, m := range st.table.Of(a.Server) {
 		if i == askedAdmitters {
@@ -67,7 +81,8 @@
 // because it sees all chats of the engine, also those served elsewhere.
 func (c *admissionComponent) admitHere(st *admissionState, a *admission.Ask) admission.Verdict {
 	now := time.Now()
-	a.Tokens = admission.Cost(a.Prompt, c.recent.Cached(a.Chat, a.Server, now), a.Output)
+	cached, used := c.recent.LastUse(a.Chat, a.Server, now)
+	c.ledger.Estimate(a, cached, used)
 	v := c.ledger.Admit(now, a)
 	if v == admission.Granted {
 		c.recent.Note(a.Chat, a.Server, a.Prompt+a.Output, now)
--- a/core/admission/engine.go
+++ b/core/admission/engine.go
@@ -55,6 +55,7 @@
 	bias    int64
 	history history
 	first   firstTokens
+	cache   *cacheModel
 }
 
 // used is the load that counts against the cap.
--- a/measure/policy/fleet.go
+++ b/measure/policy/fleet.go
@@ -35,6 +35,7 @@
 	recent *routing.Recent
 	copies *admission.Copies
 	early  *admission.Refusals
+	spared *admission.Spared
 	down   bool
 	cutOff bool  // in the region that is cut off
 	sent   int64 // bytes of control traffic, sent and received
@@ -65,7 +66,7 @@
 		id := fleet.InstanceID(fmt.Sprintf("r%03d", i))
 		in := &instance{
 			id: id, ledger: admission.NewLedger(id, params), totals: admission.NewTotals(),
-			holds: admission.NewHolds(), recent: routing.NewRecent(epoch), copies: admission.NewCopies(id), early: admission.NewRefusals(),
+			holds: admission.NewHolds(), recent: routing.NewRecent(epoch), copies: admission.NewCopies(id), early: admission.NewRefusals(), spared: admission.NewSpared(uint64(i)),
 		}
 		r.instances = append(r.instances, in)
 		r.byID[id] = in
@@ -101,6 +102,7 @@
 		for j := range r.k {
 			p := s
 			p.Name, p.Weight, p.MaxLoadTokens = r.part(s.Name, j), s.Weight/float64(r.k), s.MaxLoadTokens/r.k
+			p.CacheTokens = s.CacheTokens / r.k
 			m.Servers = append(m.Servers, p)
 		}
 	}
@@ -311,7 +313,7 @@
 		if !r.net(t.in).view.MayReceive(r.w.index.Server(t.ranked[i].Name)) {
 			return admission.Unavailable
 		}
-		return r.ask(t.in, &t.ask)
+		return r.ask(t.in, &t.ask, t.place.Warm && i == 0)
 	})
 	if wait > 0 && !t.in.down {
 		t.waited += wait
@@ -363,7 +365,8 @@
 // admit does what the daemon's admitHere does.
 func (r *routers) admit(in *instance, a *admission.Ask) admission.Verdict {
 	now := r.w.time()
-	a.Tokens = admission.Cost(a.Prompt, in.recent.Cached(a.Chat, r.parts[a.Server].server.Name, now), a.Output)
+	cached, used := in.recent.LastUse(a.Chat, r.parts[a.Server].server.Name, now)
+	in.ledger.Estimate(a, cached, used)
 	v := in.ledger.Admit(now, a)
 	if v == admission.Granted {
 		in.recent.Note(a.Chat, r.parts[a.Server].server.Name, a.Prompt+a.Output, now)
@@ -371,7 +374,21 @@
 	return v
 }
 
-func (r *routers) ask(in *instance, a *admission.Ask) admission.Verdict {
+func (r *routers) ask(in *instance, a *admission.Ask, warm bool) admission.Verdict {
+	here := r.net(in).table.Primary(a.Server, in.id)
+	if !here {
+		if v, ok := in.spared.Skip(r.w.time(), a, warm); ok {
+			return v
+		}
+	}
+	v := r.askAdmitters(in, a)
+	if !here {
+		in.spared.Note(r.w.time(), a, warm, v)
+	}
+	return v
+}
+
+func (r *routers) askAdmitters(in *instance, a *admission.Ask) admission.Verdict {
 	v := admission.NotAdmitter
 	for i, m := range r.net(in).table.Of(a.Server) {
 		if i == 2 {
