Leave load that ended with an instance out of the pool mean

Cause: after a crash the admitters compared engines with a mean up to 1.4 times the true one for 3 s: permits of the dead holder counted for 2 s, the waiting roles counted reports from before the crash, the last totals held the engines of the dead admitter for an exchange, and new admitters got the lists of permits up to 1 s later.

Change: permits of holders that are no members, and unexplained load of a waiting role, count against the cap and not in the mean. At a change of the members, the load of engines whose admitter died counts as ended in the last totals. A change of roles starts the message about permits at once, and a second exchange 250 ms later; the harness does what the daemon does there.

--- a/cmd/internal/daemon/admission.go
+++ b/cmd/internal/daemon/admission.go
@@ -141,9 +141,16 @@
 	for i := range x.Manifest.Pools {
 		c.budgets.Configure(x.Manifest.Pools[i].Name, x.Manifest.Pools[i].RetryPercent)
 	}
+	c.ledger.Expire(now, func(id fleet.InstanceID) bool { return members.Find(id) != nil })
+	if old != nil {
+		c.ledger.MembersLost(old.table, t)
+		c.totals.MembersLost(old.table, t)
+	}
 	c.state.Store(st)
 	c.exchangeLocal(now, st)
 	c.exchangeNow()
+	kick(c.sync)
+	time.AfterFunc(admission.SettleTime, c.exchangeNow)
 	kick(c.poll)
 	if len(ended) > 0 {
 		go c.sendLedgers(t, ended)
--- a/core/admission/engine.go
+++ b/core/admission/engine.go
@@ -18,6 +18,7 @@
 	weight  float64
 	tokens  int64
 	granted time.Time
+	gone    bool // the holder is no member; the request has probably ended
 }
 
 // share is the load of one account on one engine.
@@ -36,7 +37,9 @@
 	active    bool
 	grantFrom time.Time
 
-	load     int64
+	load int64
+	// gone is the load of the permits marked so.
+	gone     int64
 	permits  map[permitKey]permit
 	accounts map[fleet.ClientAccountID]*share
 	weights  float64 // of the accounts with load
@@ -52,13 +55,21 @@
 	// report minus the ledger at the report's time. It is never below 0: a
 	// correction downwards outlives the request that it corrects by the lag of
 	// the reports, and let an engine reach 1.28 times the mean.
-	bias    int64
+	bias int64
+	// shown is the part of bias that counts in the pool mean: none while the role
+	// waits, because the reports then show requests of the failed admitter.
+	shown   int64
 	history history
 }
 
 // used is the load that counts against the cap.
 func (e *engine) used() int64 { return e.load + e.bias }
 
+// counted is the load that counts in the pool mean. Load that may have ended
+// with an instance counts against the cap and not in the mean: when a sixth of
+// the streams broke at once, the mean was up to 1.4 times the true one for 3 s.
+func (e *engine) counted() int64 { return e.load - e.gone + e.shown }
+
 // change keeps the pool's local sum and the history in step with the load.
 func (e *engine) change(now time.Time, delta int64) {
 	e.load += delta
@@ -68,12 +79,33 @@
 	}
 }
 
-func (e *engine) setBias(b int64) {
-	b = max(b, 0)
+func (e *engine) setBias(now time.Time, b int64) {
+	e.bias = max(b, 0)
+	shown := e.bias
+	if now.Before(e.grantFrom) {
+		shown = 0
+	}
+	if e.active {
+		e.pool.local.Add(shown - e.shown)
+	}
+	e.shown = shown
+}
+
+// mark notes whether the holder of a permit is a member.
+func (e *engine) mark(k permitKey, p permit, gone bool) {
+	if p.gone == gone {
+		return
+	}
+	delta := p.tokens
+	if !gone {
+		delta = -delta
+	}
+	p.gone = gone
+	e.permits[k] = p
+	e.gone += delta
 	if e.active {
-		e.pool.local.Add(b - e.bias)
+		e.pool.local.Add(-delta)
 	}
-	e.bias = b
 }
 
 func (e *engine) add(k permitKey, p permit) {
@@ -94,6 +126,7 @@
 	if !ok {
 		return false
 	}
+	e.mark(k, p, false)
 	delete(e.permits, k)
 	s := e.accounts[p.account]
 	s.load -= p.tokens
--- a/core/admission/ledger.go
+++ b/core/admission/ledger.go
@@ -126,7 +126,7 @@
 	if v := l.check(now, e, a); v != Granted {
 		return v
 	}
-	e.add(k, permit{a.Account, a.Weight, a.Tokens, now})
+	e.add(k, permit{account: a.Account, weight: a.Weight, tokens: a.Tokens, granted: now})
 	e.heard[a.Holder] = now
 	if a.Holder != l.self {
 		e.pool.lent.Add(a.Tokens)
@@ -248,7 +248,7 @@
 	p.lentSent.Store(p.lent.Load())
 	l.each(func(id fleet.ServerID, e *engine, _ *ledgerShard) {
 		if e.active && e.limits.Pool == pool {
-			dst = append(dst, EngineLoad{id, e.used(), e.share(now)})
+			dst = append(dst, EngineLoad{id, e.counted(), e.share(now)})
 		}
 	})
 	return dst
--- a/core/admission/params.go
+++ b/core/admission/params.go
@@ -32,6 +32,10 @@
 	// SmallFleet instances use half of it: their totals vary more.
 	ExchangeInterval = time.Second
 	SmallFleet       = 12
+	// SettleTime is the time after a change of roles until the permits in use are
+	// listed to the new primaries and a second exchange of totals shows them: two
+	// ticks of 100 ms, and a call.
+	SettleTime = 250 * time.Millisecond
 	// ReportLag is the largest expected age of an engine's load report.
 	ReportLag = 2 * time.Second
 	// PauseLimit is the longest pause of an instance that keeps its roles.
--- a/core/admission/pool.go
+++ b/core/admission/pool.go
@@ -113,6 +113,50 @@
 	p.remote.Store(next)
 }
 
+// MembersLost lowers the last totals after instances died: their streams broke,
+// and most streams of an engine end at its admitter. The load of the engines that
+// they admitted to counts as ended until the next exchange. With the total from
+// before, an engine reached 1.5 times the mean in the first 200 ms.
+func (l *Ledger) MembersLost(old, next *Table) {
+	lost, all := map[fleet.PoolID]float64{}, map[fleet.PoolID]float64{}
+	for i := range next.Index.Manifest.Servers {
+		if s := &next.Index.Manifest.Servers[i]; next.Index.MayReceive(s) {
+			all[s.Pool] += s.Weight
+			if lostAdmitter(old, next, s.Name) {
+				lost[s.Pool] += s.Weight
+			}
+		}
+	}
+	for id, w := range lost {
+		p := l.pool(id)
+		if r := p.remote.Load(); r != nil {
+			less := *r
+			less.load -= int64(w / all[id] * float64(max(r.load+p.local.Load(), 0)))
+			p.remote.Store(&less)
+		}
+	}
+}
+
+// lostAdmitter reports whether the primary admitter of a server died.
+func lostAdmitter(old, next *Table, s fleet.ServerID) bool {
+	a := old.Of(s)
+	return len(a) > 0 && next.View.Find(a[0].ID) == nil
+}
+
+// MembersLost does the same at the aggregator.
+func (t *Totals) MembersLost(old, next *Table) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range t.pools {
+		for s, e := range m {
+			if lostAdmitter(old, next, s) {
+				e.load = 0
+				m[s] = e
+			}
+		}
+	}
+}
+
 // Total is the sum over the engines of a pool that report.
 type Total struct {
 	Load   int64
--- a/core/admission/report.go
+++ b/core/admission/report.go
@@ -45,7 +45,7 @@
 	}
 	e.reportedCold = r.Cold
 	e.history.note(now, point{e.load, len(e.permits)})
-	e.setBias(e.unexplained(r))
+	e.setBias(now, e.unexplained(r))
 	return cold
 }
 
--- a/core/admission/roles.go
+++ b/core/admission/roles.go
@@ -66,7 +66,7 @@
 // drop ends a role; the serving instances list their permits to the next one.
 func (l *Ledger) drop(id fleet.ServerID, e *engine, sh *ledgerShard) {
 	if e.active {
-		e.pool.local.Add(-e.used())
+		e.pool.local.Add(-e.counted())
 	}
 	delete(sh.engines, id)
 }
@@ -142,22 +142,22 @@
 	for _, p := range s.Permits {
 		e.list(now, p)
 	}
-	e.setBias(s.Bias)
+	e.grantFrom = now
+	e.setBias(now, s.Bias)
 	e.incarnation = max(e.incarnation, s.Incarnation)
 	if s.ColdAge >= 0 && e.coldSince.IsZero() {
 		e.coldSince = now.Add(-s.ColdAge)
 	}
-	e.grantFrom = now
 }
 
 // list adds a permit that its holder or the last admitter names.
 func (e *engine) list(now time.Time, p HeldPermit) {
 	k := permitKey{p.Holder, p.ID}
 	if _, ok := e.permits[k]; !ok {
-		e.add(k, permit{p.Account, p.Weight, p.Tokens, now})
+		e.add(k, permit{account: p.Account, weight: p.Weight, tokens: p.Tokens, granted: now})
 		// The engine's report may have counted this permit as unknown load.
 		if e.bias > 0 {
-			e.setBias(max(e.bias-p.Tokens, 0))
+			e.setBias(now, e.bias-p.Tokens)
 		}
 	}
 	e.heard[p.Holder] = now
@@ -201,13 +201,16 @@
 }
 
 // Expire frees the permits of instances that are not alive any more and were
-// not heard for HolderTimeout.
+// not heard for HolderTimeout. Until then they do not count in the pool mean.
 func (l *Ledger) Expire(now time.Time, alive func(fleet.InstanceID) bool) {
 	l.each(func(_ fleet.ServerID, e *engine, _ *ledgerShard) {
-		for k := range e.permits {
-			if k.holder != l.self && now.Sub(e.heard[k.holder]) > HolderTimeout && !alive(k.holder) {
+		for k, p := range e.permits {
+			gone := k.holder != l.self && !alive(k.holder)
+			if gone && now.Sub(e.heard[k.holder]) > HolderTimeout {
 				e.remove(now, k)
+				continue
 			}
+			e.mark(k, p, gone)
 		}
 	})
 }
--- a/measure/policy/fleet.go
+++ b/measure/policy/fleet.go
@@ -139,9 +139,24 @@
 			}
 		}
 		in.totals.Retain(func(s fleet.ServerID) bool { return n.view.MayReceive(r.parts[s].server) })
+		in.ledger.Expire(now, func(id fleet.InstanceID) bool { return n.members.Find(id) != nil })
+		if n.old != nil {
+			in.ledger.MembersLost(n.old, n.table)
+			in.totals.MembersLost(n.old, n.table)
+			r.settle(in)
+		}
 	}
 }
 
+// settle does what the daemon does after a change of roles: the instance tells
+// the new admitters its permits and exchanges totals before and after that.
+func (r *routers) settle(in *instance) {
+	tick := time.Duration(r.w.rnd.Int64N(int64(100 * time.Millisecond)))
+	r.w.after(tick+50*time.Millisecond, func() { r.exchange(in) })
+	r.w.after(tick+50*time.Millisecond, func() { r.sync(in) })
+	r.w.after(tick+admission.SettleTime, func() { r.exchange(in) })
+}
+
 // crash removes an instance; its streams end. Other instances see it at once
 // here; the property tests cover disagreement.
 func (r *routers) crash(i int) {
--- a/measure/policy/network.go
+++ b/measure/policy/network.go
@@ -19,10 +19,11 @@
 type network struct {
 	members    *membership.View
 	view, prev *routing.View
-	table      *admission.Table // of engines or parts
+	table, old *admission.Table // of engines or parts
 }
 
 func (n *network) build(x, admissionIndex *manifest.Index, now time.Time) {
+	n.old = n.table
 	n.table = admission.NewTable(n.members, admissionIndex, admission.Admitters)
 	n.prev = n.view
 	n.view = routing.Build(x, n.prev, n.table.Regions(), now)
