Test the load bound while instances disagree, and keep permits of joiners

Cause: no test drove load while views disagree. The new property test found two faults. An admitter freed the permits of an instance 2 s after its last message when it did not know it as a member, which holds for an instance that joined, or restarted, less than 5 s ago: engine e0 carried 100 tokens with 50 in the ledger. A primary that restarted under its name got no list of the permits in use for up to 30 s.

Change: a permit of a non-member is freed when it is older than the disagreement bound too. The holder's record of the last full list names the primary's incarnation. TestLoadBoundDuringDisagreement (rapid): four instances crash, join and flap while requests run, see changes up to 4.5 s late, and lose asks, replies, exchanges, lists and ledgers; an admission may not put an engine above the multiple of the mean that its admitter knows.

Conclusion: the bound against the mean as known holds under disagreement; the mean itself is tested with agreeing views only.

--- a/core/admission/holds.go
+++ b/core/admission/holds.go
@@ -26,8 +26,10 @@
 type held struct {
 	permits map[uint64]HeldPermit
 	ended   []uint64 // not yet told to the primary
-	// listedTo is the primary that has the full list as of listedAt.
+	// listedTo is the primary that has the full list as of listedAt, and life its
+	// incarnation, or 0 before the first message: a restarted primary has no list.
 	listedTo fleet.InstanceID
+	life     uint64
 	listedAt time.Time
 }
 
@@ -87,12 +89,15 @@
 		}
 		l := List{Server: server, Ended: s.ended}
 		s.ended = nil
-		if len(s.permits) > 0 && (s.listedTo != to[0].ID || now.Sub(s.listedAt) >= listInterval) {
+		if s.listedTo == to[0].ID && s.life == 0 {
+			s.life = to[0].Incarnation
+		}
+		if len(s.permits) > 0 && (s.listedTo != to[0].ID || s.life != to[0].Incarnation || now.Sub(s.listedAt) >= listInterval) {
 			l.Full = true
 			for _, p := range s.permits {
 				l.Held = append(l.Held, p)
 			}
-			s.listedTo, s.listedAt = to[0].ID, now
+			s.listedTo, s.life, s.listedAt = to[0].ID, to[0].Incarnation, now
 		}
 		if len(s.permits) == 0 {
 			delete(h.servers, server)
--- a/core/admission/roles.go
+++ b/core/admission/roles.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/membership"
 )
 
 // HeldPermit is one permit in a snapshot or a holder's list.
@@ -201,12 +202,14 @@
 }
 
 // Expire frees the permits of instances that are not alive any more and were
-// not heard for HolderTimeout. Until then they do not count in the pool mean.
+// not heard for HolderTimeout. Until then they do not count in the pool mean. A
+// permit of the last DisagreementBound may belong to an instance, or to a new
+// life of one, that this instance has not seen join yet.
 func (l *Ledger) Expire(now time.Time, alive func(fleet.InstanceID) bool) {
 	l.each(func(_ fleet.ServerID, e *engine, _ *ledgerShard) {
 		for k, p := range e.permits {
 			gone := k.holder != l.self && !alive(k.holder)
-			if gone && now.Sub(e.heard[k.holder]) > HolderTimeout {
+			if gone && now.Sub(e.heard[k.holder]) > HolderTimeout && now.Sub(p.granted) > membership.DisagreementBound {
 				e.remove(now, k)
 				continue
 			}
