--- a/core/admission/cache_test.go
+++ b/core/admission/cache_test.go
@@ -136,7 +136,7 @@
 		c := l.shard("e0").engines["e0"].cache
 		prompt, quiet := rapid.IntRange(50, 200).Draw(t, "prompt"), rapid.IntRange(5, 30).Draw(t, "quiet chats")
 		for range rapid.IntRange(1500, 3000).Draw(t, "steps") {
-			m.now = m.now.Add(200 * time.Millisecond)
+			m.wait(200 * time.Millisecond)
 			if rapid.IntRange(0, 9).Draw(t, "account") == 0 {
 				if v := send("quiet", 1+rapid.IntRange(0, quiet-1).Draw(t, "chat"), prompt); v != Granted {
 					t.Fatalf("the quiet account is refused: %v with %d of %d tokens", v, c.accounts["quiet"].tokens, c.used)
@@ -148,7 +148,7 @@
 		// The quiet account grows to its half; the surging one gives it back.
 		n := size / 2 / (prompt + 10)
 		for i := range 20 * n {
-			m.now = m.now.Add(200 * time.Millisecond)
+			m.wait(200 * time.Millisecond)
 			if i%4 != 0 {
 				send("big", 1000+rapid.IntRange(0, 1000).Draw(t, "chat"), prompt)
 			} else if v := send("quiet", 1+i/4%n, prompt); v != Granted {
--- a/core/admission/report.go
+++ b/core/admission/report.go
@@ -49,7 +49,7 @@
 	e.reportedCold = r.Cold
 	e.cache.reported = r.CacheTokens
 	e.history.note(now, point{e.load, len(e.permits)})
-	e.setBias(e.unexplained(r))
+	e.setBias(now, e.unexplained(r))
 	if then := e.history.at(r.At).load; r.Load > 0 && then > 0 {
 		e.cache.learn(now, float64(r.Load-then)/float64(then))
 	}
