--- a/measure/cmd/capacity/roles.go
+++ b/measure/cmd/capacity/roles.go
@@ -25,6 +25,10 @@
 // two messages of a call, 215 and 20 bytes in the mean, are assumed.
 var claimCall = float64(peer.CallBytes(claimpb.ClaimsPathPrefix+"Finish", 215) + peer.AnswerBytes(20))
 
+// changeTransfer is the transfer of one changed account, in bytes, from
+// BenchmarkControlApply.
+const changeTransfer = 1055
+
 // instanceCosts returns the roles of one instance at a size.
 func (m *model) instanceCosts(s size) []cost {
 	req := s.requests / s.instances
@@ -64,7 +68,7 @@
 		},
 		{
 			"configuration", fmt.Sprintf("version of %.0f accounts", s.accounts), "version on heartbeats, differences from peers",
-			s.changes / daySeconds, 1254 * s.changes / daySeconds,
+			s.changes / daySeconds, changeTransfer * s.changes / daySeconds,
 			s.changes / daySeconds * decode, m.line("SlopeConfig", "accounts", "heap-B", s.accounts)*2 + m.line("SlopeConfig", "accounts", "body-B", s.accounts), true,
 		},
 		{
