End the handover wait early when all live members confirm the takeover

Cause: the engines of a dead primary admitter had none for 3 s of detection and 7 s of handover wait. Dead engines whose role moved to another admitter stayed in the pool mean with weight 1 and load 0, so that the cap of the others fell with it. Change: a new primary asks all live members of its region and of the region's groups (its data centres, and one outside when it has two) to confirm that they see the same members and name it. The confirmation lists their permits and denies support to the members that they hold as dead. An admitter grants only while an instance of another group supported it within 1.5 s. With all confirmations in, the wait ends 1.6 s later with a load report from after that time; otherwise it lasts 7 s as before. Support is carried by the answers to syncs and exchanges, and by a call when those are missing. An engine whose new admitter gets no report counts in the mean neither with weight nor load. core/admission decides, the daemon and measure/policy drive it.

--- a/cmd/internal/daemon/admission.go
+++ b/cmd/internal/daemon/admission.go
@@ -45,6 +45,7 @@
 	recent  *routing.Recent
 
 	refusals *admission.Refusals
+	take     *admission.Takeover
 
 	refreshMu sync.Mutex
 	state     atomic.Pointer[admissionState]
@@ -81,6 +82,7 @@
 		exchange: make(chan struct{}, 1), poll: make(chan struct{}, 1), sync: make(chan struct{}, 1),
 		failed: map[fleet.ServerID]bool{},
 	}
+	c.take = admission.NewTakeover(c.ledger, seed)
 	c.nextID.Store(seed) // ids of two lives of an instance must differ
 	srv := permitpb.NewPermitsServer(&permitServer{c})
 	d.peerServer.Mount(srv.PathPrefix(), srv)
@@ -130,6 +132,7 @@
 	// An instance that has never seen another one cannot follow another admitter.
 	alone := t.Alone(c.self) && !c.sawOthers
 	c.sawOthers = c.sawOthers || len(members.Members) > 1
+	c.take.SetTable(now, t)
 	ended := c.ledger.SetRoles(now, t, alone)
 	c.ledger.Configure(x)
 	for _, s := range st.view.Returned(prev) {
--- a/cmd/internal/daemon/admission_loops.go
+++ b/cmd/internal/daemon/admission_loops.go
@@ -62,7 +62,9 @@
 		if c.ledger.Tick(time.Now()) {
 			c.d.log.Warn("instance was paused; its admitter roles wait again")
 		}
-		c.current()
+		if st := c.current(); st != nil {
+			c.stepTakeover(ctx, st)
+		}
 	})
 }
 
@@ -136,10 +138,12 @@
 		wg.Go(func() {
 			ctx, cancel := context.WithTimeout(ctx, admission.ExchangeInterval)
 			defer cancel()
+			begin := time.Now()
 			r, err := c.client(m).Exchange(ctx, req)
 			if err != nil {
 				return // the last totals stay in use
 			}
+			c.heard(r.Supports, begin, m.ID)
 			for _, t := range r.Totals {
 				pool := fleet.PoolID(t.Pool)
 				// Without engines, no later exchange would replace this total.
@@ -213,10 +217,14 @@
 	for to, r := range requests {
 		m := st.table.View.Find(to)
 		wg.Go(func() {
-			if _, err := c.client(m).Sync(ctx, r); err != nil {
-				for _, l := range lists[to] {
-					c.holds.Undelivered(l)
-				}
+			begin := time.Now()
+			reply, err := c.client(m).Sync(ctx, r)
+			if err == nil {
+				c.heard(reply.Supports, begin, to)
+				return
+			}
+			for _, l := range lists[to] {
+				c.holds.Undelivered(l)
 			}
 		})
 	}
--- a/cmd/internal/daemon/admission_server.go
+++ b/cmd/internal/daemon/admission_server.go
@@ -40,14 +40,14 @@
 		s.c.ledger.Failed(now, fleet.ServerID(f))
 		kick(s.c.poll)
 	}
-	return &permitpb.SyncReply{}, nil
+	return &permitpb.SyncReply{Supports: s.supports(r.Holder)}, nil
 }
 
 // Exchange implements permitpb.Permits.
 func (s *permitServer) Exchange(_ context.Context, r *permitpb.ExchangeRequest) (*permitpb.ExchangeReply, error) {
 	now := time.Now()
 	st := s.c.current()
-	out := &permitpb.ExchangeReply{}
+	out := &permitpb.ExchangeReply{Supports: s.supports(r.Holder)}
 	for _, p := range r.Pools {
 		var loads []admission.EngineLoad
 		for _, l := range p.Loads {
@@ -92,3 +92,23 @@
 	}
 	return &permitpb.ImportReply{}, nil
 }
+
+func (s *permitServer) supports(holder string) bool {
+	s.c.current() // the members as seen now
+	return s.c.take.Supports(time.Now(), fleet.InstanceID(holder))
+}
+
+// Confirm implements permitpb.Permits.
+func (s *permitServer) Confirm(_ context.Context, r *permitpb.ConfirmRequest) (*permitpb.ConfirmReply, error) {
+	s.c.current()
+	q := admission.Query{Holder: fleet.InstanceID(r.Holder), Digest: r.Digest}
+	for _, id := range r.Servers {
+		q.Servers = append(q.Servers, fleet.ServerID(id))
+	}
+	a := s.c.take.Answer(time.Now(), q, s.c.holds)
+	out := &permitpb.ConfirmReply{Supports: a.Supports, Confirmed: a.Confirmed}
+	for id, held := range a.Held {
+		out.Lists = append(out.Lists, &permitpb.ServerList{Server: string(id), Held: encodeHeld(held, false)})
+	}
+	return out, nil
+}
--- a/cmd/internal/daemon/admission_test.go
+++ b/cmd/internal/daemon/admission_test.go
@@ -76,3 +76,21 @@
 		t.Fatalf("unknown model: status %d, %s", status, body)
 	}
 }
+
+// Guards against a break of the support calls, without which no takeover is
+// confirmed and no admitter that is cut off stops.
+func TestSupportBetweenDataCentres(t *testing.T) {
+	f := newFixture(t)
+	instances := []*Daemon{f.daemon}
+	for i, dc := range []string{"goes", "prado"} {
+		f.centres = append(f.centres, dc)
+		instances = append(instances, f.startInstance(fmt.Sprint("r", i+2)))
+	}
+	f.applyManifest()
+	for i, d := range instances {
+		// A new instance gives no support for the handover wait.
+		f.eventually("support", func() bool {
+			return d.admission.take.Supported(time.Now()) && instances[(i+1)%3].admission.take.Supports(time.Now(), d.set.Instance)
+		})
+	}
+}
--- a/cmd/internal/daemon/daemon_test.go
+++ b/cmd/internal/daemon/daemon_test.go
@@ -36,6 +36,7 @@
 	engines  []*model.Engine
 	daemon   *Daemon
 	log      *zap.Logger
+	centres  []string // besides cordon; the last one is that of the next instance
 }
 
 func hexSum(s string) string {
@@ -82,7 +83,7 @@
 	f.t.Helper()
 	path := f.write(name+".toml", fmt.Sprintf(`
 instance = %q
-data_centre = "cordon"
+data_centre = %[6]q
 region = "montevideo"
 [listen]
 caller = "127.0.0.1:0"
@@ -100,7 +101,7 @@
 [trust]
 peer_key_file = %[4]q
 operator_keys_file = %[5]q
-`, name, f.platform.URL(), filepath.Join(f.dir, "secret"), filepath.Join(f.dir, "peer.key"), filepath.Join(f.dir, "operators"))+strings.Join(extra, "\n"))
+`, name, f.platform.URL(), filepath.Join(f.dir, "secret"), filepath.Join(f.dir, "peer.key"), filepath.Join(f.dir, "operators"), f.centre())+strings.Join(extra, "\n"))
 	set, err := settings.Load(path)
 	if err != nil {
 		f.t.Fatal(err)
@@ -111,7 +112,7 @@
 	}
 	f.platform.SetMember(name, platformfake.Member{
 		Target: d.CallerAddress(),
-		Labels: map[string]string{"instance": name, "data_centre": "cordon", "region": "montevideo", "state": "live", "admin": d.AdminAddress(), "peer": d.PeerAddress(), "datagram": d.DatagramAddress()},
+		Labels: map[string]string{"instance": name, "data_centre": f.centre(), "region": "montevideo", "state": "live", "admin": d.AdminAddress(), "peer": d.PeerAddress(), "datagram": d.DatagramAddress()},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
@@ -123,9 +124,21 @@
 	return d
 }
 
+// centre is the data centre of the next instance, "cordon" without others.
+func (f *fixture) centre() string {
+	if len(f.centres) == 0 {
+		return "cordon"
+	}
+	return f.centres[len(f.centres)-1]
+}
+
 func (f *fixture) manifest() string {
 	var b strings.Builder
-	b.WriteString("format = 1\n[[data_centre]]\nname = \"cordon\"\nregion = \"montevideo\"\n[[pool]]\nname = \"taller-modelo\"\n")
+	b.WriteString("format = 1\n[[data_centre]]\nname = \"cordon\"\nregion = \"montevideo\"\n")
+	for _, dc := range f.centres {
+		fmt.Fprintf(&b, "[[data_centre]]\nname = %q\nregion = \"montevideo\"\n", dc)
+	}
+	b.WriteString("[[pool]]\nname = \"taller-modelo\"\n")
 	for i, e := range f.engines {
 		fmt.Fprintf(&b, "[[server]]\nname = \"engine-%d\"\npool = \"taller-modelo\"\ndata_centre = \"cordon\"\naddress = %q\n", i, e.Address())
 	}
--- a/core/admission/admitters.go
+++ b/core/admission/admitters.go
@@ -194,6 +194,7 @@
 	l := Limits{Pool: s.Pool, Weight: s.Weight, MaxLoad: int64(s.MaxLoadTokens), LoadBound: 1.25}
 	if p := x.Pool(s.Pool); p != nil {
 		l.LoadBound = p.LoadBound
+		l.Reports = p.Kind == manifest.KindModel
 		l.ColdLoad = int64(p.ColdStartLoad)
 		l.ColdFor = seconds(p.ColdStartSeconds)
 		l.AverageCost = int64(p.ExpectedOutputTokens)
--- a/core/admission/engine.go
+++ b/core/admission/engine.go
@@ -35,6 +35,11 @@
 	// active says that this instance is the admitter; it grants from grantFrom.
 	active    bool
 	grantFrom time.Time
+	// reported says that the engine reported since the role began. aloneFrom is
+	// the time from which no other instance grants; zero while not known.
+	reported  bool
+	since     time.Time // start of the role
+	aloneFrom time.Time
 
 	load     int64
 	permits  map[permitKey]permit
@@ -118,12 +123,25 @@
 	return max(float64(age)/float64(e.limits.ColdFor), 0)
 }
 
+// firstReport is the longest expected time from the start of a role to the first
+// report of its engine.
+const firstReport = time.Second
+
+// silent reports whether nothing shows that the engine is alive.
+func (e *engine) silent() bool { return e.limits.Reports && !e.reported && e.used() == 0 }
+
+// unknown says that the last load which the former admitter sent is a better
+// guess than this ledger.
+func (e *engine) unknown(now time.Time) bool { return e.silent() && now.Sub(e.since) < firstReport }
+
 // share is the weight of the engine in the pool mean. A cold engine counts by
 // the part of the ramp that it has come: it cannot carry the mean yet, and
 // counting it whole would put the warm engines over the bound. A failed engine
-// does not count.
+// does not count, and neither does one whose new admitter gets no report: the
+// dead engines of a data centre would lower the mean, and with it the load that
+// the others may take.
 func (e *engine) share(now time.Time) float64 {
-	if !e.failedAt.IsZero() {
+	if !e.failedAt.IsZero() || e.silent() && !e.unknown(now) {
 		return 0
 	}
 	return e.limits.Weight * e.rampPart(now)
--- a/core/admission/holds.go
+++ b/core/admission/holds.go
@@ -51,6 +51,21 @@
 	}
 }
 
+// held returns the permits in use on some servers.
+func (h *Holds) held(servers []fleet.ServerID) map[fleet.ServerID][]HeldPermit {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := map[fleet.ServerID][]HeldPermit{}
+	for _, id := range servers {
+		if s := h.servers[id]; s != nil {
+			for _, p := range s.permits {
+				out[id] = append(out[id], p)
+			}
+		}
+	}
+	return out
+}
+
 // End notes the end of a request, or of an ask whose reply was lost.
 func (h *Holds) End(server fleet.ServerID, id uint64) {
 	h.mu.Lock()
--- a/core/admission/ledger.go
+++ b/core/admission/ledger.go
@@ -35,8 +35,17 @@
 	// lastTick is the UnixNano of the last Tick; 0 before the first.
 	lastTick atomic.Int64
 
+	// leaseEnd is the time until which other groups support this admitter; nil
+	// means that none did since the start or the last lapse.
+	leaseEnd atomic.Pointer[time.Time]
+	// needsLease says that an imported ledger ends a wait only with support.
+	needsLease atomic.Bool
+
 	pendingMu sync.Mutex
 	pending   map[fleet.ServerID]pendingImport
+	// late is the time until which a ledger that arrives may be from before a
+	// takeover that this instance confirmed.
+	late map[fleet.ServerID]time.Time
 }
 
 // NewLedger returns an empty ledger of the instance.
@@ -44,6 +53,7 @@
 	l := &Ledger{
 		self: self, params: p.withDefaults(),
 		pools: map[fleet.PoolID]*poolState{}, pending: map[fleet.ServerID]pendingImport{},
+		late: map[fleet.ServerID]time.Time{},
 	}
 	for i := range l.shards {
 		l.shards[i].engines = map[fleet.ServerID]*engine{}
@@ -79,12 +89,17 @@
 	if last == 0 || now.UnixNano()-last <= int64(PauseLimit) {
 		return false
 	}
+	l.waitAgain(now)
+	return true
+}
+
+// waitAgain starts the handover wait of all roles again.
+func (l *Ledger) waitAgain(now time.Time) {
 	l.each(func(_ fleet.ServerID, e *engine, _ *ledgerShard) {
 		if e.active {
-			e.grantFrom = now.Add(HandoverWait)
+			e.grantFrom, e.aloneFrom = now.Add(HandoverWait), time.Time{}
 		}
 	})
-	return true
 }
 
 // pausedAt reports whether the instance may have been paused since its last
@@ -115,7 +130,7 @@
 	if e == nil || !e.active {
 		return NotAdmitter
 	}
-	if now.Before(e.grantFrom) || l.pausedAt(now) {
+	if now.Before(e.grantFrom) || l.pausedAt(now) || l.lapsed(now) {
 		return Waiting
 	}
 	k := permitKey{a.Holder, a.ID}
@@ -246,7 +261,7 @@
 	p := l.pool(pool)
 	p.lentSent.Store(p.lent.Load())
 	l.each(func(id fleet.ServerID, e *engine, _ *ledgerShard) {
-		if e.active && e.limits.Pool == pool {
+		if e.active && e.limits.Pool == pool && !e.unknown(now) {
 			dst = append(dst, EngineLoad{id, e.used(), e.share(now)})
 		}
 	})
--- a/core/admission/params.go
+++ b/core/admission/params.go
@@ -82,6 +82,8 @@
 	Pool      fleet.PoolID
 	Weight    float64
 	LoadBound float64
+	// Reports says that the server reports its load.
+	Reports bool
 	// MaxLoad is the absolute cap in tokens; 0 means none.
 	MaxLoad int64
 	// ColdLoad and ColdFor describe the ramp of a cold engine.
--- a/core/admission/report.go
+++ b/core/admission/report.go
@@ -46,6 +46,12 @@
 	e.reportedCold = r.Cold
 	e.history.note(now, point{e.load, len(e.permits)})
 	e.setBias(e.unexplained(r))
+	e.reported = true
+	// What the former admitter granted last shows in a report from after its end.
+	// A report from the future has a clock that does not agree.
+	if !e.aloneFrom.IsZero() && !now.Before(e.aloneFrom) && !r.At.Before(e.aloneFrom) && !r.At.After(now) && now.Before(e.grantFrom) {
+		e.grantFrom = now
+	}
 	return cold
 }
 
--- a/core/admission/roles.go
+++ b/core/admission/roles.go
@@ -42,7 +42,7 @@
 		if t.Primary(id, l.self) {
 			return
 		}
-		if e.active && !now.Before(e.grantFrom) && !l.pausedAt(now) {
+		if e.granting(now) && !l.pausedAt(now) && !l.lapsed(now) {
 			ended = append(ended, e.snapshot(id, now))
 		}
 		l.drop(id, e, sh)
@@ -79,7 +79,7 @@
 		return
 	}
 	e := &engine{
-		limits: limits, pool: l.pool(limits.Pool), active: true, grantFrom: now.Add(HandoverWait),
+		limits: limits, pool: l.pool(limits.Pool), active: true, since: now, grantFrom: now.Add(HandoverWait),
 		permits: map[permitKey]permit{}, accounts: map[fleet.ClientAccountID]*share{}, heard: map[fleet.InstanceID]time.Time{},
 	}
 	if immediate {
@@ -91,7 +91,7 @@
 	delete(l.pending, id)
 	l.pendingMu.Unlock()
 	if ok && now.Sub(p.at) <= HandoverWait-PermitLifetime {
-		e.fill(p.snap, now)
+		e.fill(p.snap, now, l.supported(now))
 	}
 }
 
@@ -99,7 +99,7 @@
 func (l *Ledger) Export(now time.Time) []Snapshot {
 	var out []Snapshot
 	l.each(func(id fleet.ServerID, e *engine, sh *ledgerShard) {
-		if e.active && !now.Before(e.grantFrom) && !l.pausedAt(now) {
+		if e.granting(now) && !l.pausedAt(now) && !l.lapsed(now) {
 			out = append(out, e.snapshot(id, now))
 		}
 		l.drop(id, e, sh)
@@ -114,9 +114,15 @@
 	sh := l.shard(s.Server)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
+	l.pendingMu.Lock()
+	late := now.Before(l.late[s.Server])
+	l.pendingMu.Unlock()
+	if late {
+		return
+	}
 	if e := sh.engines[s.Server]; e != nil {
 		if now.Before(e.grantFrom) {
-			e.fill(s, now)
+			e.fill(s, now, l.supported(now))
 		}
 		return
 	}
@@ -136,8 +142,8 @@
 	return s
 }
 
-// fill fills a waiting engine from a snapshot and lets it grant.
-func (e *engine) fill(s Snapshot, now time.Time) {
+// fill fills a waiting engine from a snapshot and lets it grant if it may.
+func (e *engine) fill(s Snapshot, now time.Time, may bool) {
 	for _, p := range s.Permits {
 		e.list(now, p)
 	}
@@ -146,7 +152,9 @@
 	if s.ColdAge >= 0 && e.coldSince.IsZero() {
 		e.coldSince = now.Add(-s.ColdAge)
 	}
-	e.grantFrom = now
+	if may {
+		e.grantFrom = now
+	}
 }
 
 // list adds a permit that its holder or the last admitter names.
--- a/core/admission/scenario_test.go
+++ b/core/admission/scenario_test.go
@@ -35,10 +35,11 @@
 }
 
 // Guards against a change of admission decisions that the files under testdata
-// describe: load bound, cold start, account shares and handover.
+// describe: load bound, cold start, account shares, handover and takeover.
 func TestScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var m *loadModel
+		var f *takeoverModel
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
 			case "pool":
@@ -66,8 +67,11 @@
 				m.of(server(d)).Failed(m.now, server(d))
 			case "members":
 				m.members(t, d)
+			case "fleet":
+				f = newTakeoverModel(intArg(d, t, "instances", 6), intArg(d, t, "engines", 3))
+				f.lag = 200 * time.Millisecond
 			default:
-				t.Fatalf("unknown command %s", d.Cmd)
+				return f.scenario(t, d)
 			}
 			return ""
 		})
--- /dev/null
+++ b/core/admission/takeover.go
@@ -0,0 +1,414 @@
+package admission
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/membership"
+)
+
+const (
+	// ContactLimit is how long an admitter grants after it sent the last call that
+	// an instance of another group answered with its support.
+	ContactLimit = 1500 * time.Millisecond
+	// pingAfter is the age of the last support from which an admitter asks for
+	// more. It is above SyncInterval, because the answers to syncs and exchanges
+	// carry support as well.
+	pingAfter = 1050 * time.Millisecond
+	// supportTime is the time in which an admitter without support gets some: ten
+	// calls.
+	supportTime = 10 * idlePing
+	// settleTime is the time after which a member has support: instances give none
+	// for HandoverWait after their start.
+	settleTime = HandoverWait + supportTime
+	// askAgain is the time between two calls to an instance without an answer.
+	askAgain = 200 * time.Millisecond
+	// idlePing is the time between two calls of an admitter without support.
+	idlePing = 250 * time.Millisecond
+	// roundTime is the age at which confirmations are asked for again. It is under
+	// DenyTime.
+	roundTime = 2 * time.Second
+	// DenyTime is how long an instance that confirmed a takeover does not support
+	// the instances that it held as dead, at whatever incarnation. It outlasts
+	// their support and their handover wait.
+	DenyTime = HandoverWait + 2*ContactLimit
+	// goneMemory is how long members that disappeared are remembered.
+	goneMemory = time.Minute
+	// pollAgain is the time between two load reports of an engine that only waits
+	// for a recent one.
+	pollAgain = 250 * time.Millisecond
+	// permitFlight is the longest time from a grant to the start of the request.
+	permitFlight = 100 * time.Millisecond
+	// minGroups is the least number of groups. With two, each would be all the
+	// support of the other, and the loss of one would stop the other.
+	minGroups = 3
+)
+
+// Query asks an instance for its support and, with servers, to confirm that the
+// sender is their primary admitter.
+type Query struct {
+	Holder fleet.InstanceID
+	// Round matches answers to the query; it is not sent.
+	Round   uint64
+	Digest  uint64 // of the members of the sender's groups
+	Servers []fleet.ServerID
+}
+
+// QueryAnswer is the answer to a Query.
+type QueryAnswer struct {
+	// Supports says that the sender is a live member to the answering instance
+	// and not denied.
+	Supports  bool
+	Confirmed bool
+	Held      map[fleet.ServerID][]HeldPermit // of the answering instance
+}
+
+type goneMember struct {
+	at time.Time
+	dc fleet.DataCentreID
+	// settled says that it was a member for settleTime and not denied for
+	// supportTime, so that its grants end with its support.
+	settled bool
+}
+
+// round collects the confirmations of one set of members and servers.
+type round struct {
+	number  uint64
+	started time.Time
+	servers map[fleet.ServerID]bool
+	asked   map[fleet.InstanceID]time.Time // without a confirmation; zero before the first query
+	done    bool
+}
+
+// Takeover ends the handover wait early when every live member of the region
+// and of its groups confirms that it sees the same members. The groups of a
+// region are its data centres, and one outside when it has two. An admitter
+// grants only while some instance of another group than its own supports it. The
+// recent deaths must be in one data centre: then an admitter there has no support
+// ContactLimit after all live members of the other groups denied theirs, whoever
+// of its own data centre is cut off with it.
+type Takeover struct {
+	ledger *Ledger
+
+	mu      sync.Mutex
+	rnd     *rand.Rand
+	table   *Table
+	self    membership.Member
+	groups  map[fleet.DataCentreID]bool
+	since   time.Time // when the view began to grow from this instance alone
+	resumed time.Time
+	seen    map[fleet.InstanceID]time.Time // first seen in an unbroken row of views
+	gone    map[fleet.InstanceID]goneMember
+	denied  map[fleet.InstanceID]time.Time // until then
+	pinged  time.Time
+	pollAt  time.Time // zero when no poll is due
+	round   round
+}
+
+// NewTakeover returns the takeovers of the instance that owns the ledger.
+func NewTakeover(l *Ledger, seed uint64) *Takeover {
+	return &Takeover{
+		ledger: l, rnd: rand.New(rand.NewPCG(seed, fleet.HashID(string(l.self)))),
+		seen: map[fleet.InstanceID]time.Time{}, gone: map[fleet.InstanceID]goneMember{}, denied: map[fleet.InstanceID]time.Time{},
+	}
+}
+
+// groupsOf returns the groups of a region.
+func groupsOf(x *manifest.Index, region fleet.RegionID) map[fleet.DataCentreID]bool {
+	out := map[fleet.DataCentreID]bool{}
+	var outside fleet.DataCentreID
+	best := uint64(0)
+	for i := range x.Manifest.DataCentres {
+		dc := &x.Manifest.DataCentres[i]
+		if dc.Region == region {
+			out[dc.Name] = true
+		} else if h := fleet.Mix(fleet.HashID(string(region)), fleet.HashID(string(dc.Name))); outside == "" || h > best {
+			outside, best = dc.Name, h
+		}
+	}
+	if len(out) == 2 && outside != "" {
+		out[outside] = true
+	}
+	return out
+}
+
+// digest is the same for two instances that see the same members of a region's
+// groups under the same configuration.
+func digest(t *Table, region fleet.RegionID) uint64 {
+	groups := groupsOf(t.Index, region)
+	sum := t.Index.Version
+	for i := range t.View.Members {
+		// A leaving instance, which does not count itself, has the same digest.
+		if m := &t.View.Members[i]; groups[m.DataCentre] && !m.Leaving {
+			sum += fleet.Mix(fleet.HashID(string(m.ID)), m.Incarnation)
+		}
+	}
+	return sum
+}
+
+// SetTable takes the members and the roles in force. Call it before the ledger's
+// SetRoles.
+func (k *Takeover) SetTable(now time.Time, t *Table) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	old := k.table
+	k.table = t
+	if m := t.View.Find(k.ledger.self); m != nil {
+		k.self = *m
+	}
+	k.groups = groupsOf(t.Index, k.self.Region)
+	k.round = round{number: k.round.number + 1}
+	if old == nil || len(old.View.Members) <= 1 || t.View.ResumedAt.After(k.resumed) {
+		k.since, k.resumed = now, t.View.ResumedAt
+	}
+	if old != nil {
+		for i := range old.View.Members {
+			if m := &old.View.Members[i]; m.ID != k.ledger.self && t.View.Find(m.ID) == nil {
+				k.gone[m.ID] = goneMember{now, m.DataCentre, now.Sub(k.seen[m.ID]) >= settleTime && now.Sub(k.denied[m.ID]) >= supportTime}
+				delete(k.seen, m.ID)
+			}
+		}
+	}
+	for i := range t.View.Members {
+		if id := t.View.Members[i].ID; k.seen[id].IsZero() {
+			k.seen[id] = now
+		}
+	}
+	defer k.setNeedsLease()
+	maps.DeleteFunc(k.gone, func(_ fleet.InstanceID, g goneMember) bool { return now.Sub(g.at) > goneMemory })
+	maps.DeleteFunc(k.denied, func(_ fleet.InstanceID, until time.Time) bool { return now.Sub(until) >= supportTime })
+}
+
+// setNeedsLease tells the ledger whether there are, or recently were, members of
+// other groups.
+func (k *Takeover) setNeedsLease() {
+	other := len(k.others()) > 0
+	for _, g := range k.gone {
+		other = other || k.isOther(g.dc)
+	}
+	k.ledger.needsLease.Store(other && len(k.groups) >= minGroups)
+}
+
+func (k *Takeover) isOther(dc fleet.DataCentreID) bool {
+	return dc != k.self.DataCentre && k.groups[dc]
+}
+
+// young says that the instance may not know all members yet.
+func (k *Takeover) young(now time.Time) bool { return now.Sub(k.since) < HandoverWait }
+
+// Supports reports whether this instance supports another one as an admitter.
+func (k *Takeover) Supports(now time.Time, id fleet.InstanceID) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.supports(now, id)
+}
+
+// Supported reports whether another group supports this instance.
+func (k *Takeover) Supported(now time.Time) bool {
+	return k.ledger.leaseEnd.Load() != nil && !k.ledger.lapsed(now)
+}
+
+func (k *Takeover) supports(now time.Time, id fleet.InstanceID) bool {
+	return k.table != nil && !k.young(now) && k.table.View.Find(id) != nil && !now.Before(k.denied[id])
+}
+
+// Answer answers a query of another instance. A confirmation denies support to
+// all instances that this one holds as dead.
+func (k *Takeover) Answer(now time.Time, q Query, holds *Holds) QueryAnswer {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	a := QueryAnswer{Supports: k.supports(now, q.Holder)}
+	if !a.Supports || len(q.Servers) == 0 {
+		return a
+	}
+	holder := k.table.View.Find(q.Holder)
+	if digest(k.table, holder.Region) != q.Digest || !k.oneDataCentreDied(now, groupsOf(k.table.Index, holder.Region)) {
+		return a
+	}
+	for _, s := range q.Servers {
+		if !k.table.Primary(s, q.Holder) {
+			return a
+		}
+	}
+	k.deny(now)
+	k.ledger.confirm(now, q.Servers)
+	a.Confirmed, a.Held = true, holds.held(q.Servers)
+	return a
+}
+
+// deny ends the support of all members that this instance holds as dead.
+func (k *Takeover) deny(now time.Time) {
+	for id := range k.gone {
+		if k.table.View.Find(id) == nil {
+			k.denied[id] = now.Add(DenyTime)
+		}
+	}
+}
+
+// Heard takes the support of an instance, from a call that was sent at a time.
+func (k *Takeover) Heard(now, sent time.Time, from fleet.InstanceID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.heard(now, sent, from)
+}
+
+func (k *Takeover) heard(now, sent time.Time, from fleet.InstanceID) {
+	if k.table == nil || len(k.groups) < minGroups || now.Sub(sent) > ContactLimit {
+		return
+	}
+	m := k.table.View.Find(from)
+	if m == nil || !k.isOther(m.DataCentre) {
+		return
+	}
+	if until := k.ledger.lease(); until.IsZero() || !now.After(until) {
+		k.ledger.setLease(sent.Add(ContactLimit))
+	}
+}
+
+// Step returns the query to send now and the instances to send it to. It must be
+// called several times within askAgain.
+func (k *Takeover) Step(now time.Time) (Query, []fleet.InstanceID) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.ledger.lapse(now) {
+		k.round = round{number: k.round.number + 1}
+	}
+	if k.table == nil || len(k.groups) < minGroups {
+		return Query{}, nil
+	}
+	q := Query{Holder: k.ledger.self, Round: k.round.number}
+	waiting := k.ledger.waiting(now)
+	if to := k.stepRound(now, waiting); len(to) > 0 {
+		q.Round, q.Digest = k.round.number, digest(k.table, k.self.Region)
+		q.Servers = slices.Sorted(maps.Keys(k.round.servers))
+		return q, to
+	}
+	gap := idlePing
+	if until := k.ledger.lease(); !until.IsZero() {
+		if until.Sub(now) > ContactLimit-pingAfter {
+			return q, nil
+		}
+		gap = askAgain / 2
+	}
+	others := k.others()
+	if len(others) == 0 || now.Sub(k.pinged) < gap {
+		return q, nil
+	}
+	k.pinged = now
+	n := k.rnd.IntN(len(others))
+	return q, others[n : n+1]
+}
+
+// others are the members of other groups.
+func (k *Takeover) others() (out []fleet.InstanceID) {
+	for i := range k.table.View.Members {
+		if m := &k.table.View.Members[i]; k.isOther(m.DataCentre) {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
+
+// stepRound starts a round for waiting engines that are in none, and returns the
+// instances to ask.
+func (k *Takeover) stepRound(now time.Time, waiting []fleet.ServerID) []fleet.InstanceID {
+	if len(waiting) == 0 || k.young(now) || !k.oneDataCentreDied(now, k.groups) {
+		return nil
+	}
+	// Engines whose first reports come soon after each other share a round.
+	age := now.Sub(k.round.started)
+	if age >= askAgain && (k.round.done || slices.ContainsFunc(waiting, func(s fleet.ServerID) bool { return !k.round.servers[s] })) || age >= roundTime {
+		k.startRound(now, waiting)
+	}
+	if k.round.done {
+		return nil
+	}
+	var to []fleet.InstanceID
+	for i := range k.table.View.Members { // in a fixed order
+		id := k.table.View.Members[i].ID
+		if at, ok := k.round.asked[id]; ok && now.Sub(at) >= askAgain {
+			k.round.asked[id] = now
+			to = append(to, id)
+		}
+	}
+	return to
+}
+
+func (k *Takeover) startRound(now time.Time, waiting []fleet.ServerID) {
+	k.deny(now)
+	k.round = round{number: k.round.number + 1, started: now, servers: map[fleet.ServerID]bool{}, asked: map[fleet.InstanceID]time.Time{}}
+	for _, s := range waiting {
+		k.round.servers[s] = true
+	}
+	for i := range k.table.View.Members {
+		m := &k.table.View.Members[i]
+		if m.ID != k.ledger.self && (k.groups[m.DataCentre] || m.Region == k.self.Region) {
+			k.round.asked[m.ID] = time.Time{}
+		}
+	}
+}
+
+// oneDataCentreDied reports whether the members that disappeared within
+// HandoverWait were all in one data centre and had support. Members of two data
+// centres could be cut off together and support each other, and a member that had
+// no support yet does not end its grants when it is cut off.
+func (k *Takeover) oneDataCentreDied(now time.Time, groups map[fleet.DataCentreID]bool) bool {
+	var dc fleet.DataCentreID
+	for id, g := range k.gone {
+		if now.Sub(g.at) > HandoverWait || !groups[g.dc] || k.table.View.Find(id) != nil {
+			continue
+		}
+		if !g.settled || dc != "" && dc != g.dc {
+			return false
+		}
+		dc = g.dc
+	}
+	return true
+}
+
+// Answered takes the answer to a query that was sent at a time. With the last
+// confirmation, the engines of the round may be granted from ContactLimit later
+// on, once a report from after that time shows what they carry.
+func (k *Takeover) Answered(now, sent time.Time, from fleet.InstanceID, q Query, a QueryAnswer) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if a.Supports {
+		k.heard(now, sent, from)
+	}
+	if _, open := k.round.asked[from]; !open || !a.Confirmed || q.Round != k.round.number {
+		return
+	}
+	delete(k.round.asked, from)
+	for s, held := range a.Held {
+		k.ledger.Sync(now, from, s, held)
+	}
+	// Without support, nothing would stop this instance when it is cut off.
+	if len(k.round.asked) > 0 || k.ledger.lease().IsZero() {
+		return
+	}
+	k.round.done = true
+	k.pollAt = now.Add(ContactLimit + permitFlight)
+	for s := range k.round.servers {
+		k.ledger.alone(s, now.Add(ContactLimit+permitFlight))
+	}
+}
+
+// PollDue reports that a report can end a wait now, each pollAgain until one did.
+func (k *Takeover) PollDue(now time.Time) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.pollAt.IsZero() || now.Before(k.pollAt) {
+		return false
+	}
+	if !k.ledger.awaitsReport(now) {
+		k.pollAt = time.Time{}
+		return false
+	}
+	k.pollAt = now.Add(pollAgain)
+	return true
+}
--- a/measure/policy/fleet.go
+++ b/measure/policy/fleet.go
@@ -39,6 +39,7 @@
 	holds  *admission.Holds
 	recent *routing.Recent
 	early  *admission.Refusals
+	take   *admission.Takeover
 	down   bool
 	cutOff bool  // in the region that is cut off
 	sent   int64 // bytes of control traffic, sent and received
@@ -71,6 +72,7 @@
 			id: id, ledger: admission.NewLedger(id, params), totals: admission.NewTotals(),
 			holds: admission.NewHolds(), recent: routing.NewRecent(epoch), early: admission.NewRefusals(),
 		}
+		in.take = admission.NewTakeover(in.ledger, params.Seed)
 		r.instances = append(r.instances, in)
 		r.byID[id] = in
 		dc := w.manifest.DataCentres[i%w.size.DataCentres]
@@ -125,6 +127,7 @@
 		}
 		n := r.net(in)
 		in.ledger.Configure(x)
+		in.take.SetTable(now, n.table)
 		for _, s := range in.ledger.SetRoles(now, n.table, first) {
 			r.byID[n.table.Of(s.Server)[0].ID].ledger.Import(now, s)
 		}
@@ -134,6 +137,9 @@
 			}
 		}
 		in.totals.Retain(func(s fleet.ServerID) bool { return n.view.MayReceive(r.parts[s].server) })
+		if !first {
+			r.poll(in)
+		}
 	}
 }
 
@@ -166,6 +172,7 @@
 		w.every(phase(r.table.ExchangeInterval()), r.table.ExchangeInterval(), func() { r.exchange(in) })
 		w.every(phase(admission.SyncInterval), admission.SyncInterval, func() { r.sync(in) })
 		w.every(phase(time.Second), time.Second, func() { r.poll(in) })
+		w.every(phase(takeoverStep), takeoverStep, func() { r.takeover(in) })
 	}
 }
 
@@ -188,6 +195,7 @@
 			continue
 		}
 		t := r.byID[to.ID].totals.Exchange(now, pool, loads)
+		r.support(in, r.byID[to.ID])
 		if to.ID != in.id {
 			if calls[to.ID] == nil {
 				calls[to.ID] = &permitpb.ExchangeRequest{}
@@ -218,7 +226,9 @@
 		lost := false
 		if to != in.id {
 			r.count(in, r.byID[to], syncSize(in.id, lists), 0)
-			lost = r.lost() || !r.reaches(in, r.byID[to])
+			if lost = r.lost() || !r.reaches(in, r.byID[to]); !lost {
+				r.support(in, r.byID[to])
+			}
 		}
 		for _, l := range lists {
 			if lost {
@@ -237,22 +247,21 @@
 	if in.down || r.k > 1 {
 		return // a report cannot be split over several admitters
 	}
-	for _, pool := range r.w.manifest.Pools {
-		for _, l := range r.sortedLoads(in, pool.Name) {
-			e := r.parts[l.Server]
-			if !e.up {
-				continue
-			}
-			lag := time.Duration(r.w.rnd.Int64N(int64(maxReportLag)))
-			rep := e.report(r.w.now, lag)
-			if rep.At.IsZero() {
-				continue // the engine was down
-			}
-			if in.ledger.Report(r.w.time(), l.Server, rep) {
-				in.recent.ForgetServer(l.Server)
-			}
-			in.sent += 400 // one GET with its answer
+	table := r.net(in).table
+	for _, e := range r.w.engines { // in a fixed order: each takes a random number
+		id := e.server.Name
+		if !e.up || !table.Primary(id, in.id) {
+			continue
+		}
+		lag := time.Duration(r.w.rnd.Int64N(int64(maxReportLag)))
+		rep := e.report(r.w.now, lag)
+		if rep.At.IsZero() {
+			continue // the engine was down
+		}
+		if in.ledger.Report(r.w.time(), id, rep) {
+			in.recent.ForgetServer(id)
 		}
+		in.sent += 400 // one GET with its answer
 	}
 }
 
--- a/measure/policy/network.go
+++ b/measure/policy/network.go
@@ -150,19 +150,7 @@
 func syncSize(holder fleet.InstanceID, lists []admission.List) int {
 	m := &permitpb.SyncRequest{Holder: string(holder)}
 	for _, l := range lists {
-		sl := &permitpb.ServerList{Server: string(l.Server), Ended: l.Ended, Full: l.Full}
-		for _, p := range l.Held {
-			sl.Held = append(sl.Held, &permitpb.Held{Id: p.ID, Account: string(p.Account), Weight: p.Weight, Tokens: p.Tokens})
-		}
-		m.Lists = append(m.Lists, sl)
+		m.Lists = append(m.Lists, serverList(l))
 	}
 	return proto.Size(m)
 }
-
-// sortedLoads returns the loads in the order of their engines. Each poll takes a
-// random number, and the ledger's own order is not fixed.
-func (r *routers) sortedLoads(in *instance, pool fleet.PoolID) []admission.EngineLoad {
-	loads := in.ledger.Loads(r.w.time(), pool, nil)
-	slices.SortFunc(loads, func(a, b admission.EngineLoad) int { return cmp.Compare(a.Server, b.Server) })
-	return loads
-}
--- /dev/null
+++ b/measure/policy/takeover.go
@@ -0,0 +1,74 @@
+package policy
+
+import (
+	"time"
+
+	"cyclamenhitch/adapters/peer/permitpb"
+	"cyclamenhitch/core/admission"
+
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// takeoverStep is the daemon's tick.
+	takeoverStep = 100 * time.Millisecond
+	// callTime is the time of a call between two instances with its reply.
+	callTime = 2 * time.Millisecond
+)
+
+// support passes the support that the answer to a call carries.
+func (r *routers) support(in, to *instance) {
+	if now := r.w.time(); in != to && to.take.Supports(now, in.id) {
+		in.take.Heard(now, now, to.id)
+	}
+}
+
+// takeover does what the daemon does each tick.
+func (r *routers) takeover(in *instance) {
+	if in.down {
+		return
+	}
+	now := r.w.time()
+	q, to := in.take.Step(now)
+	for _, id := range to {
+		r.confirm(in, r.byID[id], q)
+	}
+	if in.take.PollDue(now) {
+		r.poll(in)
+	}
+}
+
+func (r *routers) confirm(in, to *instance, q admission.Query) {
+	now := r.w.time()
+	req := &permitpb.ConfirmRequest{Holder: string(q.Holder), Digest: q.Digest}
+	for _, s := range q.Servers {
+		req.Servers = append(req.Servers, string(s))
+	}
+	if r.lost() || !r.reaches(in, to) {
+		in.sent += int64(proto.Size(req) + httpBytes)
+		return
+	}
+	a := to.take.Answer(now, q, to.holds)
+	r.count(in, to, proto.Size(req), answerSize(a))
+	if r.lost() {
+		return
+	}
+	r.w.after(callTime, func() { in.take.Answered(r.w.time(), now, to.id, q, a) })
+}
+
+// answerSize is the size of an answer, in bytes.
+func answerSize(a admission.QueryAnswer) int {
+	m := &permitpb.ConfirmReply{Supports: a.Supports, Confirmed: a.Confirmed}
+	for s, held := range a.Held {
+		m.Lists = append(m.Lists, serverList(admission.List{Server: s, Held: held}))
+	}
+	return proto.Size(m)
+}
+
+func serverList(l admission.List) *permitpb.ServerList {
+	out := &permitpb.ServerList{Server: string(l.Server), Ended: l.Ended, Full: l.Full}
+	for _, p := range l.Held {
+		out.Held = append(out.Held, &permitpb.Held{Id: p.ID, Account: string(p.Account), Weight: p.Weight, Tokens: p.Tokens})
+	}
+	return out
+}
