Ask one instance of each other group when a support call has no answer

Cause: after a data centre of a two-centre region died, half of an admitter's support calls went to dead instances. One of 30 instances at target size lost its support before the death was detected, so that its live roles waited again. Change: the second call in a row goes to one instance of each other group.

--- a/core/admission/takeover.go
+++ b/core/admission/takeover.go
@@ -295,13 +295,27 @@
 		}
 		gap = askAgain / 2
 	}
-	others := k.others()
-	if len(others) == 0 || now.Sub(k.pinged) < gap {
+	if now.Sub(k.pinged) < gap {
 		return q, nil
 	}
+	again := now.Sub(k.pinged) < 2*gap
 	k.pinged = now
-	n := k.rnd.IntN(len(others))
-	return q, others[n : n+1]
+	return q, k.pick(again)
+}
+
+// pick returns a random member of another group, or one of each: after a data
+// centre died, half of single calls could go there.
+func (k *Takeover) pick(each bool) (out []fleet.InstanceID) {
+	others := k.others()
+	k.rnd.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	seen := map[fleet.DataCentreID]bool{}
+	for _, id := range others {
+		if dc := k.table.View.Find(id).DataCentre; !seen[dc] && (each || len(out) == 0) {
+			seen[dc] = true
+			out = append(out, id)
+		}
+	}
+	return out
 }
 
 // others are the members of other groups.
