--- a/core/admission/params.go
+++ b/core/admission/params.go
@@ -86,6 +86,8 @@
 	Pool      fleet.PoolID
 	Weight    float64
 	LoadBound float64
+	// Reports says that the server reports its load.
+	Reports bool
 	// MaxLoad is the absolute cap in tokens; 0 means none.
 	MaxLoad int64
 	// CacheTokens is the size of the engine's prefix cache; 0 means unknown.
--- a/core/admission/scenario_test.go
+++ b/core/admission/scenario_test.go
@@ -35,11 +35,12 @@
 }
 
 // Guards against a change of admission decisions that the files under testdata
-// describe: load bound, cold start (also seen by first tokens), account shares and
-// handover.
+// describe: load bound, cold start (also seen by first tokens), account shares,
+// handover and takeover.
 func TestScenarios(t *testing.T) {
 	datadriven.Walk(t, "testdata", func(t *testing.T, path string) {
 		var m *loadModel
+		var f *takeoverModel
 		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 			switch d.Cmd {
 			case "pool":
@@ -78,8 +79,11 @@
 				return fmt.Sprintf("cold x%d\n", cold)
 			case "members":
 				m.members(t, d)
+			case "fleet":
+				f = newTakeoverModel(intArg(d, t, "instances", 6), intArg(d, t, "engines", 3))
+				f.lag = 200 * time.Millisecond
 			default:
-				t.Fatalf("unknown command %s", d.Cmd)
+				return f.scenario(t, d)
 			}
 			return ""
 		})
--- a/measure/policy/fleet.go
+++ b/measure/policy/fleet.go
@@ -36,6 +36,7 @@
 	copies *admission.Copies
 	early  *admission.Refusals
 	spared *admission.Spared
+	take   *admission.Takeover
 	down   bool
 	cutOff bool  // in the region that is cut off
 	sent   int64 // bytes of control traffic, sent and received
@@ -68,6 +69,7 @@
 			id: id, ledger: admission.NewLedger(id, params), totals: admission.NewTotals(),
 			holds: admission.NewHolds(), recent: routing.NewRecent(epoch), copies: admission.NewCopies(id), early: admission.NewRefusals(), spared: admission.NewSpared(uint64(i)),
 		}
+		in.take = admission.NewTakeover(in.ledger, params.Seed)
 		r.instances = append(r.instances, in)
 		r.byID[id] = in
 		dc := w.manifest.DataCentres[i%w.size.DataCentres]
@@ -123,6 +125,7 @@
 		}
 		n := r.net(in)
 		in.ledger.Configure(x)
+		in.take.SetTable(now, n.table)
 		ended := in.ledger.SetRoles(now, n.table, first)
 		copies := admission.CopiesOf(now, ended, in.recent)
 		for _, s := range ended {
@@ -142,6 +145,9 @@
 			in.totals.MembersLost(n.old, n.table)
 			r.settle(in)
 		}
+		if !first {
+			r.poll(in)
+		}
 	}
 }
 
@@ -177,6 +183,7 @@
 		w.every(phase(r.table.ExchangeInterval()), r.table.ExchangeInterval(), func() { r.exchange(in) })
 		w.every(phase(admission.SyncInterval), admission.SyncInterval, func() { r.sync(in) })
 		w.every(phase(time.Second), time.Second, func() { r.poll(in) })
+		w.every(phase(takeoverStep), takeoverStep, func() { r.takeover(in) })
 	}
 }
 
@@ -199,6 +206,7 @@
 			continue
 		}
 		t := r.byID[to.ID].totals.Exchange(now, pool, loads)
+		r.support(in, r.byID[to.ID])
 		if to.ID != in.id {
 			if calls[to.ID] == nil {
 				calls[to.ID] = &permitpb.ExchangeRequest{}
@@ -233,7 +241,9 @@
 		lost := false
 		if to != in.id {
 			r.count("Sync", in, r.byID[to], syncSize(in.id, lists, copies[to]), 0)
-			lost = r.lost() || !r.reaches(in, r.byID[to])
+			if lost = r.lost() || !r.reaches(in, r.byID[to]); !lost {
+				r.support(in, r.byID[to])
+			}
 		}
 		if !lost && len(copies[to]) > 0 {
 			for _, k := range copies[to] {
@@ -258,22 +268,21 @@
 	if in.down || r.k > 1 {
 		return // a report cannot be split over several admitters
 	}
-	for _, pool := range r.w.manifest.Pools {
-		for _, l := range r.sortedLoads(in, pool.Name) {
-			e := r.parts[l.Server]
-			if !e.up {
-				continue
-			}
-			lag := time.Duration(r.w.rnd.Int64N(int64(maxReportLag)))
-			rep := e.report(r.w.now, lag)
-			if rep.At.IsZero() {
-				continue // the engine was down
-			}
-			if in.ledger.Report(r.w.time(), l.Server, rep) {
-				in.recent.ForgetServer(l.Server)
-			}
-			in.sent += 400 // one GET with its answer
+	table := r.net(in).table
+	for _, e := range r.w.engines { // in a fixed order: each takes a random number
+		id := e.server.Name
+		if !e.up || !table.Primary(id, in.id) {
+			continue
+		}
+		lag := time.Duration(r.w.rnd.Int64N(int64(maxReportLag)))
+		rep := e.report(r.w.now, lag)
+		if rep.At.IsZero() {
+			continue // the engine was down
+		}
+		if in.ledger.Report(r.w.time(), id, rep) {
+			in.recent.ForgetServer(id)
 		}
+		in.sent += 400 // one GET with its answer
 	}
 }
 
