Let a fleet that starts hand ledgers over without support

Cause: instances give no support for 7 s after their start, and an imported ledger ended a wait only with support, so that roles which move while a fleet starts would have waited 7 s. Change: support is needed when some member of another group is known for 7 s or started 7 s earlier, also when it disappeared. The rounds have a file of their own. Conclusion: no other path ends a wait without support.

--- a/core/admission/takeover.go
+++ b/core/admission/takeover.go
@@ -74,6 +74,7 @@
 	// settled says that it was a member for settleTime and not denied for
 	// supportTime, so that its grants end with its support.
 	settled bool
+	old     bool // as in isOld
 }
 
 // round collects the confirmations of one set of members and servers.
@@ -169,7 +170,10 @@
 	if old != nil {
 		for i := range old.View.Members {
 			if m := &old.View.Members[i]; m.ID != k.ledger.self && t.View.Find(m.ID) == nil {
-				k.gone[m.ID] = goneMember{now, m.DataCentre, now.Sub(k.seen[m.ID]) >= settleTime && now.Sub(k.denied[m.ID]) >= supportTime}
+				k.gone[m.ID] = goneMember{
+					at: now, dc: m.DataCentre, old: k.isOld(now, m),
+					settled: now.Sub(k.seen[m.ID]) >= settleTime && now.Sub(k.denied[m.ID]) >= supportTime,
+				}
 				delete(k.seen, m.ID)
 			}
 		}
@@ -179,19 +183,31 @@
 			k.seen[id] = now
 		}
 	}
-	defer k.setNeedsLease()
+	defer k.setNeedsLease(now)
 	maps.DeleteFunc(k.gone, func(_ fleet.InstanceID, g goneMember) bool { return now.Sub(g.at) > goneMemory })
 	maps.DeleteFunc(k.denied, func(_ fleet.InstanceID, until time.Time) bool { return now.Sub(until) >= supportTime })
 }
 
-// setNeedsLease tells the ledger whether there are, or recently were, members of
-// other groups.
-func (k *Takeover) setNeedsLease() {
-	other := len(k.others()) > 0
+// isOld says that a member may confirm takeovers: this instance knows it for
+// HandoverWait, or it started so long before. Incarnations begin as start times in
+// ms.
+func (k *Takeover) isOld(now time.Time, m *membership.Member) bool {
+	return now.Sub(k.seen[m.ID]) >= HandoverWait || m.Incarnation+uint64(HandoverWait.Milliseconds()) <= k.self.Incarnation
+}
+
+// setNeedsLease tells the ledger whether members of other groups may confirm a
+// takeover, also those that disappeared. A fleet that starts has none and
+// hands its ledgers over without support.
+func (k *Takeover) setNeedsLease(now time.Time) {
+	need := false
+	for i := range k.table.View.Members {
+		m := &k.table.View.Members[i]
+		need = need || k.isOther(m.DataCentre) && k.isOld(now, m)
+	}
 	for _, g := range k.gone {
-		other = other || k.isOther(g.dc)
+		need = need || k.isOther(g.dc) && g.old
 	}
-	k.ledger.needsLease.Store(other && len(k.groups) >= minGroups)
+	k.ledger.needsLease.Store(need && len(k.groups) >= minGroups)
 }
 
 func (k *Takeover) isOther(dc fleet.DataCentreID) bool {
@@ -281,6 +297,7 @@
 	if k.table == nil || len(k.groups) < minGroups {
 		return Query{}, nil
 	}
+	k.setNeedsLease(now)
 	q := Query{Holder: k.ledger.self, Round: k.round.number}
 	waiting := k.ledger.waiting(now)
 	if to := k.stepRound(now, waiting); len(to) > 0 {
@@ -327,102 +344,3 @@
 	}
 	return out
 }
-
-// stepRound starts a round for waiting engines that are in none, and returns the
-// instances to ask.
-func (k *Takeover) stepRound(now time.Time, waiting []fleet.ServerID) []fleet.InstanceID {
-	if len(waiting) == 0 || k.young(now) || !k.oneDataCentreDied(now, k.groups) {
-		return nil
-	}
-	// Engines whose first reports come soon after each other share a round.
-	age := now.Sub(k.round.started)
-	if age >= askAgain && (k.round.done || slices.ContainsFunc(waiting, func(s fleet.ServerID) bool { return !k.round.servers[s] })) || age >= roundTime {
-		k.startRound(now, waiting)
-	}
-	if k.round.done {
-		return nil
-	}
-	var to []fleet.InstanceID
-	for i := range k.table.View.Members { // in a fixed order
-		id := k.table.View.Members[i].ID
-		if at, ok := k.round.asked[id]; ok && now.Sub(at) >= askAgain {
-			k.round.asked[id] = now
-			to = append(to, id)
-		}
-	}
-	return to
-}
-
-func (k *Takeover) startRound(now time.Time, waiting []fleet.ServerID) {
-	k.deny(now)
-	k.round = round{number: k.round.number + 1, started: now, servers: map[fleet.ServerID]bool{}, asked: map[fleet.InstanceID]time.Time{}}
-	for _, s := range waiting {
-		k.round.servers[s] = true
-	}
-	for i := range k.table.View.Members {
-		m := &k.table.View.Members[i]
-		if m.ID != k.ledger.self && (k.groups[m.DataCentre] || m.Region == k.self.Region) {
-			k.round.asked[m.ID] = time.Time{}
-		}
-	}
-}
-
-// oneDataCentreDied reports whether the members that disappeared within
-// HandoverWait were all in one data centre and had support. Members of two data
-// centres could be cut off together and support each other, and a member that had
-// no support yet does not end its grants when it is cut off.
-func (k *Takeover) oneDataCentreDied(now time.Time, groups map[fleet.DataCentreID]bool) bool {
-	var dc fleet.DataCentreID
-	for id, g := range k.gone {
-		if now.Sub(g.at) > HandoverWait || !groups[g.dc] || k.table.View.Find(id) != nil {
-			continue
-		}
-		if !g.settled || dc != "" && dc != g.dc {
-			return false
-		}
-		dc = g.dc
-	}
-	return true
-}
-
-// Answered takes the answer to a query that was sent at a time. With the last
-// confirmation, the engines of the round may be granted from ContactLimit later
-// on, once a report from after that time shows what they carry.
-func (k *Takeover) Answered(now, sent time.Time, from fleet.InstanceID, q Query, a QueryAnswer) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if a.Supports {
-		k.heard(now, sent, from)
-	}
-	if _, open := k.round.asked[from]; !open || !a.Confirmed || q.Round != k.round.number {
-		return
-	}
-	delete(k.round.asked, from)
-	for s, held := range a.Held {
-		k.ledger.Sync(now, from, s, held)
-	}
-	// Without support, nothing would stop this instance when it is cut off.
-	if len(k.round.asked) > 0 || k.ledger.lease().IsZero() {
-		return
-	}
-	k.round.done = true
-	k.pollAt = now.Add(ContactLimit + permitFlight)
-	for s := range k.round.servers {
-		k.ledger.alone(s, now.Add(ContactLimit+permitFlight))
-	}
-}
-
-// PollDue reports that a report can end a wait now, each pollAgain until one did.
-func (k *Takeover) PollDue(now time.Time) bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.pollAt.IsZero() || now.Before(k.pollAt) {
-		return false
-	}
-	if !k.ledger.awaitsReport(now) {
-		k.pollAt = time.Time{}
-		return false
-	}
-	k.pollAt = now.Add(pollAgain)
-	return true
-}
