--- a/adapters/peer/client.go
+++ b/adapters/peer/client.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"sync"
 	"time"
 
@@ -99,12 +98,13 @@
 	} else {
 		c.conns.release(cn)
 	}
+	var timeout interface{ Timeout() bool } // fasthttp's error is no net.Error
 	switch {
 	case err == nil:
 		return nil
 	case errors.Is(ctx.Err(), context.Canceled):
 		return ctx.Err()
-	case ctx.Err() != nil, errors.Is(err, os.ErrDeadlineExceeded): // the context's timer may fire later
+	case ctx.Err() != nil, errors.As(err, &timeout) && timeout.Timeout(): // the context's timer may fire later
 		err = context.DeadlineExceeded
 	}
 	c.conns.drop(addr)
