Sum the weights of a pool independently of their order

The aggregator summed float weights in the order of a map, and an admitter compares the weights of two totals: with cold engines they differed in the last bit, and a falling total was not projected. Copies and handed over ledgers came in the order of a map as well.

Change: weights are summed as integers of 2^-20; copies, and in the harness ledgers, are taken in the order of their engines.

--- a/core/admission/copies.go
+++ b/core/admission/copies.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -87,7 +88,7 @@
 	}
 	out := map[fleet.InstanceID][]Copy{}
 	records := recent.Prefixes(now, now, since)
-	for s := range since {
+	for _, s := range slices.Sorted(maps.Keys(since)) {
 		to := next[s].ID
 		c.sent[to] = now
 		k := Copy{Server: s, Prefixes: newest(records[s]), until: now, life: next[s].Incarnation}
--- a/core/admission/pool.go
+++ b/core/admission/pool.go
@@ -206,6 +206,10 @@
 	}
 }
 
+// weightUnit is the resolution of summed weights. A sum of floats depends on its
+// order, and set compares the weights of two totals.
+const weightUnit = 1 << 20
+
 // Exchange records the loads and returns the pool's totals with them.
 func (t *Totals) Exchange(now time.Time, pool fleet.PoolID, loads []EngineLoad) Total {
 	t.mu.Lock()
@@ -219,14 +223,16 @@
 		m[l.Server] = totalEntry{l.Load, l.Weight, now}
 	}
 	var sum Total
+	weight := int64(0)
 	for s, e := range m {
 		if now.Sub(e.at) > totalKeep {
 			delete(m, s)
 			continue
 		}
 		sum.Load += e.load
-		sum.Weight += e.weight
+		weight += int64(math.Round(e.weight * weightUnit))
 	}
+	sum.Weight = float64(weight) / weightUnit
 	return sum
 }
 
--- a/measure/policy/fleet.go
+++ b/measure/policy/fleet.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -127,6 +128,7 @@
 		n := r.net(in)
 		in.ledger.Configure(x)
 		ended := in.ledger.SetRoles(now, n.table, first)
+		slices.SortFunc(ended, func(a, b admission.Snapshot) int { return cmp.Compare(a.Server, b.Server) })
 		copies := admission.CopiesOf(now, ended, in.recent)
 		for _, s := range ended {
 			to := r.byID[n.table.Of(s.Server)[0].ID]
