--- a/core/admission/report.go
+++ b/core/admission/report.go
@@ -98,5 +98,6 @@
 	if e := sh.engines[server]; e != nil && e.coldSince.IsZero() {
 		e.coldSince = now
 		e.first.slow = 0
+		e.cache.clear()
 	}
 }
