--- a/core/admission/cache_test.go
+++ b/core/admission/cache_test.go
@@ -116,6 +116,7 @@
 // one fills the cache, and against a surging account that keeps more than its
 // share while the others need it.
 func TestCacheShares(t *testing.T) {
+	t.Parallel() // among the slowest tests
 	rapid.Check(t, func(t *rapid.T) {
 		const capacity, size = 10_000, 20_000
 		m := newLoadModel(1, capacity)
--- a/core/admission/copies_test.go
+++ b/core/admission/copies_test.go
@@ -18,6 +18,7 @@
 // of a cache that the engine lost, while copies are lost and instances and
 // engines restart.
 func TestSuccessorHasRecords(t *testing.T) {
+	t.Parallel() // among the slowest tests
 	rapid.Check(t, func(t *rapid.T) {
 		engines := rapid.IntRange(3, 9).Draw(t, "engines")
 		x, now := testIndex(engines, 0), start
--- a/core/admission/takeover_test.go
+++ b/core/admission/takeover_test.go
@@ -381,6 +381,7 @@
 // directions, pauses, crashes, restarts, and replies that are lost, late or
 // repeated, each for at most the disagreement bound.
 func TestTakeoverOneAdmitter(t *testing.T) {
+	t.Parallel() // among the slowest tests
 	early := 0
 	rapid.Check(t, func(t *rapid.T) {
 		m := newTakeoverModel(6, 3)
