Say in the refusal of a claim that the call itself was not sent

Cause: while the store is down a request that is not idempotent is refused with the outcome unknown, because an earlier call with its key may have run; a first call could not tell this from a request that may be running. Change: the message says that this call was not sent.

--- a/cmd/internal/daemon/claims.go
+++ b/cmd/internal/daemon/claims.go
@@ -168,7 +168,8 @@
 	refusal := refusedClaim("the claim could not be recorded in time")
 	if ans.verdict != claims.RefusedFree {
 		// An earlier call with the key may have run: nobody has read the log since.
-		refusal = refusal.WithOutcome(result.Unknown)
+		// A caller that used the key for the first time learns that nothing ran.
+		refusal = refusedClaim("this call was not sent; whether an earlier call with its key ran is not known").WithOutcome(result.Unknown)
 	}
 	return nil, nil, refusal
 }
