--- a/measure/cmd/capacity/main.go
+++ b/measure/cmd/capacity/main.go
@@ -113,7 +113,8 @@
 }
 
 func (m *model) line(bench, param, metric string, x float64) float64 {
-	return m.fits[series{bench, param, metric}].intercept + m.slope(bench, param, metric)*x
+	// A fit through noisy points may be below 0 at sizes near 0.
+	return max(m.fits[series{bench, param, metric}].intercept+m.slope(bench, param, metric)*x, 0)
 }
 
 // slopeTable lists each series that was measured at two or more sizes.
