--- /dev/null
+++ b/measure/policy/attempt.go
@@ -0,0 +1,137 @@
+package policy
+
+import (
+	"time"
+
+	"cyclamenhitch/core/admission"
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/manifest"
+)
+
+// attempt is one request on its way to an engine.
+type attempt struct {
+	r      *routers
+	in     *instance
+	req    *request
+	key    fleet.ChatKey
+	ranked []*manifest.Server
+	part   int
+	ask    admission.Ask
+	place  admission.Placement
+	waited time.Duration
+	then   func(*engineFake)
+}
+
+func (t *attempt) step() {
+	r := t.r
+	n := t.in.early.Search(r.w.time(), t.ask.Account, r.poolOf(t.req), len(t.ranked))
+	i, v, wait := t.place.Step(n, func(i int, relaxed bool) admission.Verdict {
+		t.ask.Server, t.ask.Relaxed = r.part(t.ranked[i].Name, t.part), relaxed
+		if !r.net(t.in).view.MayReceive(r.w.index.Server(t.ranked[i].Name)) {
+			return admission.Unavailable
+		}
+		return r.ask(t.in, &t.ask, t.place.Warm && i == 0)
+	})
+	if wait > 0 && !t.in.down {
+		t.waited += wait
+		r.w.after(wait, t.step)
+		return
+	}
+	t.in.early.Note(r.w.time(), t.ask.Account, r.poolOf(t.req), v)
+	r.verdicts[v]++
+	r.waited += t.waited
+	if i < 0 {
+		t.then(nil)
+		return
+	}
+	t.send(t.ranked[i].Name)
+}
+
+func (t *attempt) send(server fleet.ServerID) {
+	r, in, a, req := t.r, t.in, t.ask, t.req
+	e := r.parts[a.Server]
+	if !e.up || r.severed && in.cutOff != r.inCut(e.dc) {
+		r.failed(in, a)
+		t.then(nil)
+		return
+	}
+	req.holder = in
+	req.finish = func(ok bool) {
+		if in.down {
+			return
+		}
+		if !ok {
+			r.failed(in, a)
+			in.recent.Forget(t.key)
+			return
+		}
+		in.holds.End(a.Server, a.ID)
+		in.ledger.Release(r.w.time(), a.Server, in.id, a.ID)
+		in.recent.Note(t.key, server, req.prompt+req.output, r.w.time())
+	}
+	t.then(e)
+}
+
+// failed is what an instance does when the connection to an engine breaks.
+func (r *routers) failed(in *instance, a admission.Ask) {
+	in.holds.End(a.Server, a.ID)
+	in.ledger.Release(r.w.time(), a.Server, in.id, a.ID)
+	in.ledger.Failed(r.w.time(), a.Server)
+}
+
+// admit does what the daemon's admitHere does.
+func (r *routers) admit(in *instance, a *admission.Ask) admission.Verdict {
+	now := r.w.time()
+	cached, used := in.recent.LastUse(a.Chat, r.parts[a.Server].server.Name, now)
+	in.ledger.Estimate(a, cached, used)
+	v := in.ledger.Admit(now, a)
+	if v == admission.Granted {
+		in.recent.Note(a.Chat, r.parts[a.Server].server.Name, a.Prompt+a.Output, now)
+	}
+	return v
+}
+
+func (r *routers) ask(in *instance, a *admission.Ask, warm bool) admission.Verdict {
+	here := r.net(in).table.Primary(a.Server, in.id)
+	if !here {
+		if v, ok := in.spared.Skip(r.w.time(), a, warm); ok {
+			return v
+		}
+	}
+	v := r.askAdmitters(in, a)
+	if !here {
+		in.spared.Note(r.w.time(), a, warm, v)
+	}
+	return v
+}
+
+func (r *routers) askAdmitters(in *instance, a *admission.Ask) admission.Verdict {
+	v := admission.NotAdmitter
+	for i, m := range r.net(in).table.Of(a.Server) {
+		if i == 2 {
+			break
+		}
+		to := r.byID[m.ID]
+		if to == in {
+			v = r.admit(in, a)
+		} else {
+			r.asked++
+			r.count("Ask", in, to, 48+len(a.Server)+len(a.Account)+len(a.Holder), 5)
+			if r.lost() || !r.reaches(in, to) {
+				continue
+			}
+			v = r.admit(to, a)
+			if r.lost() {
+				v = admission.NotAdmitter
+				in.holds.End(a.Server, a.ID)
+			}
+		}
+		if v == admission.Granted {
+			in.holds.Add(a.Server, m.ID, admission.HeldPermit{Holder: in.id, ID: a.ID, Account: a.Account, Weight: a.Weight, Tokens: a.Tokens}, r.w.time())
+		}
+		if v != admission.NotAdmitter && v != admission.Waiting {
+			return v
+		}
+	}
+	return v
+}
