Silence connections only when a stream has begun

The test waited for requests under way, not for streams that had begun. Change: a stream of 30 tokens whose first byte has arrived must be resumed and whole; all other checks stay. The test is stricter than before. Conclusion: a fault of the test's precondition.

--- a/cmd/internal/e2e/caller_test.go
+++ b/cmd/internal/e2e/caller_test.go
@@ -109,6 +109,34 @@
 	return nil
 }
 
+// longStream streams a chat, closes begun at its first byte or its failure, and
+// checks the whole answer.
+func (c *caller) longStream(addr string, tokens int, begun chan<- struct{}) error {
+	const prompt = "long question"
+	resp, err := c.request("POST", addr, "/v1/chat/completions", fmt.Sprintf(
+		`{"model":"taller-modelo","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, tokens, prompt))
+	if err != nil {
+		close(begun)
+		return err
+	}
+	defer resp.Body.Close()
+	first := make([]byte, 1)
+	_, err = io.ReadFull(resp.Body, first)
+	close(begun)
+	if err != nil {
+		return err
+	}
+	rest, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	text, err := answerText(string(first)+string(rest), true)
+	if err == nil && text != strings.Join(model.Answer(prompt, tokens), "") {
+		err = fmt.Errorf("%w: %q", errShort, text)
+	}
+	return err
+}
+
 type message struct {
 	Content string `json:"content"`
 }
--- a/cmd/internal/e2e/e2e_test.go
+++ b/cmd/internal/e2e/e2e_test.go
@@ -137,6 +137,11 @@
 	l := startLoad(f, testCallers, 12, true)
 	f.more(l, 4)
 	f.eventually("streams under way", func() bool { return l.sending.Load() >= testCallers/2 })
+	// The other streams may all wait for their first token at the moment of the
+	// silence, when nothing can be resumed.
+	begun, long := make(chan struct{}), make(chan error, 1)
+	go func() { long <- newCaller(f, 98).longStream(f.instances[0].caller, 30, begun) }()
+	<-begun
 	// A request that is not streamed cannot be resumed; it must be
 	// retried or end with the code, and not wait for its deadline.
 	plain := make(chan error, 1)
@@ -167,6 +172,9 @@
 	if l.short.Load()+l.lost.Load() > 0 || l.failed.Load() > testCallers {
 		t.Error(l)
 	}
+	if err := <-long; err != nil {
+		t.Errorf("stream that had begun: %v", err)
+	}
 	if err := <-plain; err != nil && !strings.Contains(err.Error(), "connection_silent") {
 		t.Errorf("plain request: %v", err)
 	}
