Keep waiting while some server is only over the load bound

The wait was tied to one verdict instead of to what can end: a mean that lags. Change: a search waits up to ten times when any server refused for the load bound and none for capacity or share; for the ramp alone four times, as before.

--- a/core/admission/lag_test.go
+++ b/core/admission/lag_test.go
@@ -86,3 +86,34 @@
 	}
 	return i >= 0 || wait > 0
 }
+
+// Guards against a refusal while a server is only over the load bound, because
+// another one is in its ramp or the chat has waited for its own server before,
+// and against waits that no freed load can end.
+func TestWaitsOfASearch(t *testing.T) {
+	for _, c := range []struct {
+		warm     bool
+		verdicts []Verdict
+		want     int
+	}{
+		{false, []Verdict{OverBound, OverBound}, boundTries + lagTries},
+		{false, []Verdict{OverRamp, OverBound}, boundTries + lagTries},
+		{true, []Verdict{OverBound, OverRamp}, boundTries + lagTries},
+		{false, []Verdict{OverRamp, OverRamp}, boundTries},
+		{false, []Verdict{OverBound, OverLoad}, 0},
+		{true, []Verdict{OverBound, OverShare}, boundTries},
+	} {
+		p := Placement{Warm: c.warm, Priority: defaultPriority, Left: time.Minute}
+		waits := 0
+		for {
+			_, _, wait := p.Step(len(c.verdicts), func(i int, _ bool) Verdict { return c.verdicts[i] })
+			if wait == 0 {
+				break
+			}
+			waits++
+		}
+		if waits != c.want {
+			t.Errorf("warm %v, %v: %d waits, want %d", c.warm, c.verdicts, waits, c.want)
+		}
+	}
+}
--- a/core/admission/verdict.go
+++ b/core/admission/verdict.go
@@ -56,11 +56,11 @@
 const (
 	BoundWait  = 75 * time.Millisecond
 	boundTries = 4
-	// lagWait and lagTries follow when every server is over the load bound. Some
-	// engine of a pool is always at or below the mean, so that the refusal only
-	// comes from means that lag, and a caller would come back after RetryAfter.
-	// With the first four tries alone, a pool of two engines refused one of
-	// 14,000 requests of a light load.
+	// lagWait and lagTries follow when some server is over the load bound and none
+	// lacks capacity. Some engine of a pool is always at or below the mean, so that
+	// the refusal only comes from means that lag, and a caller would come back after
+	// RetryAfter. With the first four tries alone, a pool of two engines refused one
+	// of 14,000 requests of a light load, and more with one engine in its ramp.
 	lagWait  = 150 * time.Millisecond
 	lagTries = 6
 	// defaultPriority and above may wait for all tries, lower ones for half.
@@ -100,7 +100,8 @@
 		}
 		start = 1
 	}
-	open, over := 0, 0 // bit i: server i refused only for its soft bound
+	bound := last == OverBound // some server refused for the load bound
+	open, over := 0, 0         // bit i: server i refused only for its soft bound
 	for i := start; i < n && over < shareRefusals; i++ {
 		v := try(i, false)
 		switch v {
@@ -112,6 +113,7 @@
 			over++
 			last = v
 		default:
+			bound = bound || v == OverBound
 			last = max(last, v) // the highest verdict tells the caller most
 		}
 	}
@@ -123,9 +125,14 @@
 		if v == Granted {
 			return i, v, 0
 		}
+		bound = bound || v == OverBound
 		last = max(last, v)
 	}
-	if last == OverBound && p.mayWait(boundTries+lagTries) || last == OverRamp && p.mayWait(boundTries) {
+	tries := boundTries
+	if bound {
+		tries += lagTries
+	}
+	if (last == OverBound || last == OverRamp) && p.mayWait(tries) {
 		return -1, last, p.wait()
 	}
 	return -1, last, 0
