Remove the memory of mostly refused accounts

Cause: three mechanisms shortened the searches of a surging account: Refusals (one engine instead of six while most searches are refused), Spared (an engine that refused is not asked again for a while) and the end of a search after two refusals for the share. Change: Refusals and its wiring are gone (79 lines); the prefixes are the constants of the generated code; the model uses routing.WarmFor.

--- a/adapters/peer/wire.go
+++ b/adapters/peer/wire.go
@@ -3,6 +3,10 @@
 import (
 	"strconv"
 	"strings"
+
+	"cyclamenhitch/adapters/peer/claimpb"
+	"cyclamenhitch/adapters/peer/configpb"
+	"cyclamenhitch/adapters/peer/permitpb"
 )
 
 // host is the Host field of calls. HTTP/1.1 requires the field; instances
@@ -15,9 +19,9 @@
 // services replaces the path prefixes of twirp on a connection: they are up to
 // 40 bytes, a third of a permit call.
 var services = []struct{ twirp, wire string }{
-	{"/twirp/cyclamenhitch.permit.v1.Permits/", "/p/"},
-	{"/twirp/cyclamenhitch.claims.Claims/", "/c/"},
-	{"/twirp/cyclamenhitch.config.Config/", "/v/"},
+	{permitpb.PermitsPathPrefix, "/p/"},
+	{claimpb.ClaimsPathPrefix, "/c/"},
+	{configpb.ConfigPathPrefix, "/v/"},
 }
 
 // wirePath is the path of a call as it is sent and signed.
--- a/cmd/internal/daemon/admission.go
+++ b/cmd/internal/daemon/admission.go
@@ -45,9 +45,8 @@
 	recent  *routing.Recent
 	copies  *admission.Copies // used by runSync
 
-	refusals *admission.Refusals
-	spared   *admission.Spared
-	take     *admission.Takeover
+	spared *admission.Spared
+	take   *admission.Takeover
 
 	refreshMu sync.Mutex
 	state     atomic.Pointer[admissionState]
@@ -80,7 +79,7 @@
 		ledger: admission.NewLedger(self, admission.Params{Seed: seed}),
 		holds:  admission.NewHolds(), totals: admission.NewTotals(), copies: admission.NewCopies(self),
 		owner: admission.NewAccountOwner(self), slices: admission.NewSlices(),
-		budgets: retry.NewBudgets(), recent: routing.NewRecent(time.Now()), refusals: admission.NewRefusals(), spared: admission.NewSpared(seed),
+		budgets: retry.NewBudgets(), recent: routing.NewRecent(time.Now()), spared: admission.NewSpared(seed),
 		exchange: make(chan struct{}, 1), poll: make(chan struct{}, 1), sync: make(chan struct{}, 1),
 		failed: map[fleet.ServerID]bool{},
 	}
@@ -308,8 +307,7 @@
 		return v
 	}
 	place := admission.Placement{Warm: warm, Priority: req.Priority, Left: time.Until(req.Deadline)}
-	n := c.refusals.Search(time.Now(), req.Account.Name, req.Pool.Name, len(ranked))
-	i, v, wait := place.Step(n, try)
+	i, v, wait := place.Step(len(ranked), try)
 	if wait > 0 {
 		tokens := admission.Cost(req.PromptTokens, req.CachedTokens, req.OutputTokens)
 		c.ledger.Wait(req.Pool.Name, tokens)
@@ -321,9 +319,8 @@
 		if sleep(ctx, wait) != nil {
 			break
 		}
-		i, v, wait = place.Step(n, try)
+		i, v, wait = place.Step(len(ranked), try)
 	}
-	c.refusals.Note(time.Now(), req.Account.Name, req.Pool.Name, v)
 	if logged {
 		c.d.log.Info("routing decision", zap.String(logging.FieldRequest, req.ID), zap.String(logging.FieldPool, string(req.Pool.Name)),
 			zap.String(logging.FieldAccount, string(req.Account.Name)), zap.Any("candidates", trace),
--- a/core/admission/cache.go
+++ b/core/admission/cache.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/routing"
 )
 
 const (
@@ -11,9 +12,9 @@
 	// they take 640 KiB. An engine that caches 3,000,000 tokens holds about 1,200
 	// chats.
 	maxCached = 16384
-	// unknownKeep is how long a prefix counts as cached while no size is known. It
-	// is routing.WarmFor, after which the records end.
-	unknownKeep = 5 * time.Minute
+	// unknownKeep is how long a prefix counts as cached while no size is known. The
+	// records end then.
+	unknownKeep = routing.WarmFor
 	// learnEvery is the time between two corrections of a learned size: the
 	// prompts charged under the old size run for about 10 s.
 	learnEvery = 10 * time.Second
--- a/core/admission/cache_share.go
+++ b/core/admission/cache_share.go
@@ -27,6 +27,8 @@
 	surgeDemand = 1.5
 	cacheYield  = 0.6
 	loadYield   = 0.85
+	// refusalStep is the weight of the newest ask in the refused part.
+	refusalStep = 0.05
 	// maxRefused bounds the estimate of the demand to 20 times the use.
 	maxRefused = 0.95
 )
@@ -70,9 +72,8 @@
 	return s != nil && used > surgeDemand*(1-min(s.refused, maxRefused))
 }
 
-// keepPart returns which part of its prefixes an account may keep: what its share of the
-// cache, the yielded part taken off, over what it has. It is 1 for an account that
-// is within its share.
+// keepPart returns which part of its prefixes an account may keep, 1 when it is
+// within its share of the cache. A surging account has cacheYield of its share.
 func (c *cacheModel) keepPart(account fleet.ClientAccountID) float64 {
 	s := c.accounts[account]
 	if s == nil || s.tokens == 0 {
--- a/core/admission/ledger.go
+++ b/core/admission/ledger.go
@@ -213,7 +213,8 @@
 	return min(lagBase+lag+l.params.Noise/math.Sqrt(max(n, 1)), maxMargin)
 }
 
-// priorityStep lowers the lending threshold for each priority below the default, so that low priorities are refused first when capacity is short.
+// priorityStep lowers the lending threshold for each priority below the default,
+// so that low priorities are refused first when capacity is short.
 const priorityStep = 0.02
 
 // coldStep lowers the lending threshold for chats without a cached prefix. A
--- a/measure/policy/attempt.go
+++ b/measure/policy/attempt.go
@@ -24,8 +24,7 @@
 
 func (t *attempt) step() {
 	r := t.r
-	n := t.in.early.Search(r.w.time(), t.ask.Account, r.poolOf(t.req), len(t.ranked))
-	i, v, wait := t.place.Step(n, func(i int, relaxed bool) admission.Verdict {
+	i, v, wait := t.place.Step(len(t.ranked), func(i int, relaxed bool) admission.Verdict {
 		t.ask.Server, t.ask.Relaxed = r.part(t.ranked[i].Name, t.part), relaxed
 		if !r.net(t.in).view.MayReceive(r.w.index.Server(t.ranked[i].Name)) {
 			return admission.Unavailable
@@ -37,7 +36,6 @@
 		r.w.after(wait, t.step)
 		return
 	}
-	t.in.early.Note(r.w.time(), t.ask.Account, r.poolOf(t.req), v)
 	r.verdicts[v]++
 	r.waited += t.waited
 	if i < 0 {
--- a/measure/policy/fleet.go
+++ b/measure/policy/fleet.go
@@ -35,7 +35,6 @@
 	holds  *admission.Holds
 	recent *routing.Recent
 	copies *admission.Copies
-	early  *admission.Refusals
 	spared *admission.Spared
 	take   *admission.Takeover
 	down   bool
@@ -68,7 +67,7 @@
 		id := fleet.InstanceID(fmt.Sprintf("r%03d", i))
 		in := &instance{
 			id: id, ledger: admission.NewLedger(id, params), totals: admission.NewTotals(),
-			holds: admission.NewHolds(), recent: routing.NewRecent(epoch), copies: admission.NewCopies(id), early: admission.NewRefusals(), spared: admission.NewSpared(uint64(i)),
+			holds: admission.NewHolds(), recent: routing.NewRecent(epoch), copies: admission.NewCopies(id), spared: admission.NewSpared(uint64(i)),
 		}
 		in.take = admission.NewTakeover(in.ledger, params.Seed)
 		r.instances = append(r.instances, in)
