--- a/adapters/peer/permitpb/generate.go
+++ b/adapters/peer/permitpb/generate.go
@@ -2,4 +2,4 @@
 // between serving instances and admitters. It holds no state.
 package permitpb
 
-//go:generate /usr/bin/protoc --plugin=/root/go/bin/protoc-gen-go --plugin=/root/go/bin/protoc-gen-twirp --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. permit.proto
+//go:generate protoc --go_out=paths=source_relative:. --twirp_out=paths=source_relative:. permit.proto
--- a/cmd/internal/demo/demo.go
+++ b/cmd/internal/demo/demo.go
@@ -7,8 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -119,10 +117,10 @@
 	if !sleep(ctx, o.Duration/4) {
 		return nil
 	}
+	from := time.Now().Add(outGrace) // the version is accepted later than now
 	if err := f.setDataCentre(dc, "out"); err != nil {
 		return err
 	}
-	from := time.Now().Add(outGrace)
 	f.eachServer(dc, func(name string) { f.meter.SetOut(name, from) }, func(name string) { f.ledger.SetOut(name, from) })
 	fmt.Fprintf(o.Out, "data centre %s is out\n", dc)
 	if !sleep(ctx, o.Duration/2) {
@@ -162,12 +160,7 @@
 // setDataCentre changes the state with the operators' command.
 func (f *fleet) setDataCentre(dc, state string) error {
 	f.meter.SetTransition(time.Now().Add(transition))
-	f.states[dc] = state
-	if err := os.WriteFile(f.path("manifest.toml"), []byte(f.manifest()), 0o600); err != nil {
-		return err
-	}
-	f.version++
-	return f.operate("apply", f.path("manifest.toml"), "--base", strconv.Itoa(f.version-1))
+	return f.operate("datacentre", state, dc)
 }
 
 // operate runs the operators' command against the first instances.
--- a/cmd/internal/demo/fleet.go
+++ b/cmd/internal/demo/fleet.go
@@ -57,8 +57,6 @@
 	stopped  chan error
 
 	command func(args []string, out, errOut io.Writer) int
-	states  map[string]string // data centre to state
-	version int               // accepted configuration version
 }
 
 func engineName(i int) string { return fmt.Sprintf("engine-%d", i) }
@@ -85,7 +83,7 @@
 	f := &fleet{
 		dir: dir, meter: model.NewMeter(), ledger: service.NewLedger(),
 		operator: newKey(), stopped: make(chan error, instances),
-		command: command, states: map[string]string{}, version: 1,
+		command: command,
 	}
 	if f.platform, err = platform.Start("127.0.0.1:0"); err != nil {
 		return f, err
@@ -141,11 +139,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "format = 1\n\n[fleet]\nname = \"demo\"\nkeep_seconds = %d\n", keepSeconds)
 	for _, dc := range dataCentres {
-		state := f.states[dc]
-		if state == "" {
-			state = "in"
-		}
-		fmt.Fprintf(&b, "\n[[data_centre]]\nname = %q\nregion = %q\nstate = %q\n", dc, region, state)
+		fmt.Fprintf(&b, "\n[[data_centre]]\nname = %q\nregion = %q\n", dc, region)
 	}
 	fmt.Fprintf(&b, "\n[[pool]]\nname = %q\ncold_start_seconds = 1\n", chatPool)
 	fmt.Fprintf(&b, "\n[[pool]]\nname = %q\nkind = \"service\"\n", orderPool)
