--- a/core/admission/takeover.go
+++ b/core/admission/takeover.go
@@ -73,8 +73,8 @@
 	dc fleet.DataCentreID
 	// settled says that it was a member for settleTime and not denied for
 	// supportTime, so that its grants end with its support.
-	settled bool
-	old     bool // as in isOld
+	settled     bool
+	established bool // as in isEstablished
 }
 
 // round collects the confirmations of one set of members and servers.
@@ -171,7 +171,7 @@
 		for i := range old.View.Members {
 			if m := &old.View.Members[i]; m.ID != k.ledger.self && t.View.Find(m.ID) == nil {
 				k.gone[m.ID] = goneMember{
-					at: now, dc: m.DataCentre, old: k.isOld(now, m),
+					at: now, dc: m.DataCentre, established: k.isEstablished(now, m),
 					settled: now.Sub(k.seen[m.ID]) >= settleTime && now.Sub(k.denied[m.ID]) >= supportTime,
 				}
 				delete(k.seen, m.ID)
@@ -188,10 +188,10 @@
 	maps.DeleteFunc(k.denied, func(_ fleet.InstanceID, until time.Time) bool { return now.Sub(until) >= supportTime })
 }
 
-// isOld says that a member may confirm takeovers: this instance knows it for
+// isEstablished says that a member may confirm takeovers: this instance knows it for
 // HandoverWait, or it started so long before. Incarnations begin as start times in
 // ms.
-func (k *Takeover) isOld(now time.Time, m *membership.Member) bool {
+func (k *Takeover) isEstablished(now time.Time, m *membership.Member) bool {
 	return now.Sub(k.seen[m.ID]) >= HandoverWait || m.Incarnation+uint64(HandoverWait.Milliseconds()) <= k.self.Incarnation
 }
 
@@ -202,10 +202,10 @@
 	need := false
 	for i := range k.table.View.Members {
 		m := &k.table.View.Members[i]
-		need = need || k.isOther(m.DataCentre) && k.isOld(now, m)
+		need = need || k.isOther(m.DataCentre) && k.isEstablished(now, m)
 	}
 	for _, g := range k.gone {
-		need = need || k.isOther(g.dc) && g.old
+		need = need || k.isOther(g.dc) && g.established
 	}
 	k.ledger.needsLease.Store(need && len(k.groups) >= minGroups)
 }
@@ -214,8 +214,8 @@
 	return dc != k.self.DataCentre && k.groups[dc]
 }
 
-// young says that the instance may not know all members yet.
-func (k *Takeover) young(now time.Time) bool { return now.Sub(k.since) < HandoverWait }
+// recentlyStarted says that the instance may not know all members yet.
+func (k *Takeover) recentlyStarted(now time.Time) bool { return now.Sub(k.since) < HandoverWait }
 
 // Supports reports whether this instance supports another one as an admitter.
 func (k *Takeover) Supports(now time.Time, id fleet.InstanceID) bool {
@@ -230,7 +230,7 @@
 }
 
 func (k *Takeover) supports(now time.Time, id fleet.InstanceID) bool {
-	return k.table != nil && !k.young(now) && k.table.View.Find(id) != nil && !now.Before(k.denied[id])
+	return k.table != nil && !k.recentlyStarted(now) && k.table.View.Find(id) != nil && !now.Before(k.denied[id])
 }
 
 // Answer answers a query of another instance. A confirmation denies support to
--- a/core/admission/takeover_round.go
+++ b/core/admission/takeover_round.go
@@ -10,7 +10,7 @@
 // stepRound starts a round for waiting engines that are in none, and returns the
 // instances to ask.
 func (k *Takeover) stepRound(now time.Time, waiting []fleet.ServerID) []fleet.InstanceID {
-	if len(waiting) == 0 || k.young(now) || !k.oneDataCentreDied(now, k.groups) {
+	if len(waiting) == 0 || k.recentlyStarted(now) || !k.oneDataCentreDied(now, k.groups) {
 		return nil
 	}
 	// Engines whose first reports come soon after each other share a round.
