--- a/adapters/engine/answer.go
+++ b/adapters/engine/answer.go
@@ -50,8 +50,11 @@
 // Without an id the answer can only be to this request when the connection
 // carried no other request, and the connection is not used again.
 func (a *answer) verifyHead() error {
+	if a.x.client.dialect().Opaque {
+		return a.verifyOpaqueHead()
+	}
 	srv := a.x.srv.Name
-	id := a.resp.Header.Peek(headerRequestID)
+	id := a.resp.Header.Peek(chatDialect.RequestID)
 	a.echoed = len(id) > 0
 	switch {
 	case a.echoed && string(id) != a.x.attemptID:
@@ -85,6 +88,9 @@
 // Fields implements gateway.Answer. An answer to HEAD states the length of the
 // body that GET would have.
 func (a *answer) Fields() []gateway.Field {
+	if a.x.client.dialect().Opaque {
+		return a.allFields()
+	}
 	out := make([]gateway.Field, 0, 2)
 	names := returnedFields
 	if a.x.req.Route == nil {
@@ -205,6 +211,9 @@
 	}
 	a.closed = true
 	keep := a.stop() && a.ended && a.echoed && !a.resp.ConnectionClose() && a.conn.br.Buffered() == 0
+	if keep {
+		a.conn.idleLimit = a.idleLimit()
+	}
 	if a.resp != nil {
 		fasthttp.ReleaseResponse(a.resp)
 		a.resp, a.body = nil, nil
@@ -267,3 +276,13 @@
 	}
 	return gateway.NewStoredAnswer(a.status, a.Fields(), body), nil
 }
+
+// readOpaque reads the whole body without a look at its content.
+func (a *answer) readOpaque() (gateway.Answer, error) {
+	defer a.Close()
+	body, err := a.readWhole()
+	if err != nil {
+		return nil, err
+	}
+	return gateway.NewStoredAnswer(a.status, a.Fields(), body), nil
+}
--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -14,26 +14,23 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/liveness"
 	"cyclamenhitch/core/manifest"
 	"cyclamenhitch/core/result"
 )
 
-// Header fields exchanged with backend servers.
-const (
-	headerRequestID = "X-Request-Id"
-	headerDeadline  = "X-Request-Deadline-Ms"
-	headerIdemKey   = "Idempotency-Key"
-	headerLastEvent = "Last-Event-ID"
-)
-
 // Client sends requests to backend servers.
 type Client struct {
 	// ConnectTimeout bounds opening a connection. Default 1 s.
 	ConnectTimeout time.Duration
 	// MaxAnswerBytes bounds an answer that is not streamed.
 	MaxAnswerBytes int
+	// Dialect names the header fields; nil means that of the OpenAI chat API.
+	Dialect *Dialect
+	// OnLoad, unless nil, takes what servers tell of their load. It must not block.
+	OnLoad func(pool fleet.PoolID, server fleet.ServerID, l ServerLoad)
 	// Probes, Silent and Resumed count probes sent, connections found silent
 	// and streams resumed.
 	Probes, Silent, Resumed atomic.Int64
@@ -55,11 +52,19 @@
 // Open implements gateway.Upstream.
 func (c *Client) Open(ctx context.Context, srv *manifest.Server, req *gateway.Request, attemptID string) (gateway.Answer, error) {
 	x := &exchange{client: c, ctx: ctx, srv: srv, req: req, attemptID: attemptID}
-	a, err := x.send("", !req.Idempotent)
+	opaque := c.dialect().Opaque
+	if opaque {
+		x.attemptID = req.ID
+	}
+	a, err := x.send(req.LastEvent, !req.Idempotent && !opaque)
 	if err != nil {
 		return nil, err
 	}
 	switch {
+	case opaque && a.isEventStream():
+		return openStream(a)
+	case opaque:
+		return a.readOpaque()
 	case req.Route != nil:
 		return a, nil
 	case req.Stream && a.isEventStream():
@@ -85,6 +90,12 @@
 		}
 		return nil, result.Wrap(result.ConnectFailed, err, "server %s", x.srv.Name)
 	}
+	if x.req.Recheck != nil {
+		if e := x.req.Recheck(); e != nil {
+			_ = cn.Conn.Close()
+			return nil, e
+		}
+	}
 	cn.watch.Start(time.Now(), time.Duration(x.req.Pool.SilenceSeconds)*time.Second, x.req.Deadline)
 	a := &answer{x: x, conn: cn, limit: x.client.MaxAnswerBytes}
 	// A caller that leaves closes the connection, which cancels the request at
@@ -127,19 +138,28 @@
 	defer headers.Put(h)
 	h.Reset()
 	h.SetNoDefaultContentType(true)
+	d := x.client.dialect()
 	h.SetMethod(x.req.Method)
 	h.SetRequestURI(x.req.Path)
 	h.SetHost(x.srv.Address)
+	if x.req.Host != "" {
+		h.SetHost(x.req.Host)
+	}
 	for _, f := range x.req.Fields {
 		h.Set(f.Name, f.Value)
 	}
-	h.Set(headerRequestID, x.attemptID)
-	h.Set(headerDeadline, strconv.FormatInt(max(0, x.req.Deadline.Sub(now).Milliseconds()), 10))
-	if x.req.IdempotencyKey != "" {
-		h.Set(headerIdemKey, x.req.IdempotencyKey)
+	set := func(name, value string) {
+		if name != "" && value != "" {
+			h.Set(name, value)
+		}
 	}
-	if lastEvent != "" {
-		h.Set(headerLastEvent, lastEvent)
+	set(d.RequestID, x.attemptID)
+	set(d.Deadline, strconv.FormatInt(max(0, x.req.Deadline.Sub(now).Milliseconds()), 10))
+	set(d.IdempotencyKey, x.req.IdempotencyKey)
+	set(d.LastEvent, lastEvent)
+	set(d.Server, string(x.srv.Name))
+	if x.req.Account != nil {
+		set(d.Account, string(x.req.Account.Name))
 	}
 	if fresh {
 		h.SetConnectionClose()
--- a/adapters/engine/events.go
+++ b/adapters/engine/events.go
@@ -86,7 +86,7 @@
 		}
 		if s.err == io.EOF && !s.ended {
 			s.ended = true
-			if s.err = s.verifyEnd(); s.err == io.EOF {
+			if s.err = s.verifyEnd(); s.err == io.EOF && !s.opaque() {
 				return doneEvent, nil
 			}
 		}
@@ -95,6 +95,12 @@
 }
 
 func (s *eventStream) verifyEnd() error {
+	if s.opaque() && len(s.buf) == 0 {
+		return io.EOF
+	}
+	if s.opaque() {
+		return result.New(result.AnswerTruncated, "stream ended inside an event")
+	}
 	if !s.done || len(bytes.TrimSpace(s.buf)) > 0 {
 		return result.New(result.AnswerTruncated, "stream ended without [DONE]")
 	}
@@ -153,6 +159,9 @@
 
 // verify checks one event. It reports whether the event is the end mark.
 func (s *eventStream) verify(event []byte) (done bool, err error) {
+	if s.opaque() {
+		return false, s.verifyOpaque(event)
+	}
 	var data []byte
 	parts, before := 0, s.count
 	for len(event) > 0 {
@@ -242,17 +251,43 @@
 	}
 	e := result.As(err)
 	lost := e.Code == result.ConnectionSilent || e.Code == result.AnswerTruncated
-	if lost && s.numbered && s.resumes < maxResumes && s.resume() {
+	if lost && s.resumable() && s.resumes < maxResumes && s.resume(e) {
 		return nil
 	}
 	return e
 }
 
+func (s *eventStream) opaque() bool { return s.x.client.dialect().Opaque }
+
+func (s *eventStream) resumable() bool {
+	return s.numbered && (!s.opaque() || s.x.req.Resumable)
+}
+
+// verifyOpaque checks the number of an event whose content is not known.
+func (s *eventStream) verifyOpaque(event []byte) error {
+	for len(event) > 0 {
+		line, rest, _ := bytes.Cut(event, []byte("\n"))
+		event = rest
+		name, value, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(":"))
+		if string(name) == "id" {
+			return s.number(bytes.TrimPrefix(value, []byte(" ")))
+		}
+	}
+	return nil
+}
+
 // resume continues the stream after its last whole event.
-func (s *eventStream) resume() bool {
+func (s *eventStream) resume(cause error) bool {
 	s.answer.Close()
 	s.resumes++
-	a, err := s.x.send(strconv.Itoa(s.last), true)
+	if s.x.req.Elsewhere != nil {
+		srv, err := s.x.req.Elsewhere(cause)
+		if err != nil {
+			return false
+		}
+		s.x.srv = srv
+	}
+	a, err := s.x.send(strconv.Itoa(s.last), !s.opaque())
 	if err != nil {
 		return false
 	}
--- a/adapters/engine/pool.go
+++ b/adapters/engine/pool.go
@@ -50,6 +50,7 @@
 	// used says that the connection has carried an earlier exchange.
 	used      bool
 	idleSince time.Time
+	idleLimit time.Duration
 
 	// State of the running exchange.
 	watch   liveness.Watch
@@ -79,7 +80,7 @@
 		cn := h.idle[n-1]
 		h.idle[n-1], h.idle = nil, h.idle[:n-1]
 		h.mu.Unlock()
-		if cn.clean() {
+		if time.Since(cn.idleSince) < cn.idleLimit && cn.clean() {
 			return cn, nil
 		}
 		_ = cn.Conn.Close()
--- a/adapters/httpapi/relay.go
+++ b/adapters/httpapi/relay.go
@@ -55,6 +55,9 @@
 		if err == io.EOF {
 			return sent, nil
 		}
+		if err != nil {
+			return sent, err
+		}
 		n, err := w.Write(part)
 		sent += int64(n)
 		if err != nil {
@@ -82,6 +85,10 @@
 	case err == io.EOF:
 		r.end(nil)
 		return nil, io.EOF
+	case err != nil && r.srv.Frontend != nil:
+		// The connection is closed inside the body, so that nothing looks complete.
+		r.end(result.As(err))
+		return nil, err
 	case err != nil:
 		return r.fail(result.As(err)), nil
 	}
--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -44,6 +44,16 @@
 	Check() error
 }
 
+// Frontend maps between callers that speak another form than the product's own and
+// the requests, errors and header names of the fleet.
+type Frontend interface {
+	// Parse returns the request of a call, with its id, route and deadline.
+	Parse(ctx *fasthttp.RequestCtx) (*gateway.Request, *result.Error)
+	// WriteError answers a call. The status of an error with outcome not_run must
+	// tell so.
+	WriteError(ctx *fasthttp.RequestCtx, e *result.Error)
+}
+
 // Limits bounds what callers can make the instance hold.
 type Limits struct {
 	MaxBodyBytes, MaxHeaderBytes, MaxConnections, MaxConnectionsPerIP int
@@ -60,6 +70,8 @@
 	// Observe is called once at the end of each chat or service request.
 	Observe func(Observation)
 	Log     *zap.Logger
+	// Frontend, unless nil, takes the place of the product's own paths.
+	Frontend Frontend
 	// NewID returns a unique request id.
 	NewID func() string
 
@@ -180,10 +192,34 @@
 	case errors.As(err, &ne) && ne.Timeout():
 		e = result.New(result.BadRequest, "the request did not arrive in time")
 	}
-	writeError(ctx, e)
+	s.writeError(ctx, e)
 	ctx.SetConnectionClose()
 }
 
+// writeError answers a call in the form that its caller speaks.
+func (s *Server) writeError(ctx *fasthttp.RequestCtx, e *result.Error) {
+	if s.Frontend != nil {
+		s.Frontend.WriteError(ctx, e)
+		return
+	}
+	writeError(ctx, e)
+}
+
+// handleForeign serves a call in the form of the Frontend.
+func (s *Server) handleForeign(ctx *fasthttp.RequestCtx) {
+	if e := checkFraming(&ctx.Request.Header); e != nil {
+		s.writeError(ctx, e)
+		ctx.SetConnectionClose()
+		return
+	}
+	req, e := s.Frontend.Parse(ctx)
+	if e != nil {
+		s.writeError(ctx, e)
+		return
+	}
+	s.run(ctx, req)
+}
+
 const (
 	pathChat    = "/v1/chat/completions"
 	pathLookup  = "/v1/lookup"
@@ -195,7 +231,7 @@
 		if p := recover(); p != nil {
 			s.Log.Error("request handler panicked", zap.Any("panic", p), zap.Stack("stack"))
 			ctx.Response.Reset()
-			writeError(ctx, result.New(result.Internal, "an unexpected error inside the instance"))
+			s.writeError(ctx, result.New(result.Internal, "an unexpected error inside the instance"))
 			ctx.SetConnectionClose()
 		}
 	}()
@@ -203,7 +239,11 @@
 		ctx.SetConnectionClose()
 	}
 	if s.stopping.Load() {
-		writeError(ctx, unclaimed(ctx, result.New(result.Stopping, "the instance is stopping")))
+		s.writeError(ctx, unclaimed(ctx, result.New(result.Stopping, "the instance is stopping")))
+		return
+	}
+	if s.Frontend != nil {
+		s.handleForeign(ctx)
 		return
 	}
 	x := s.Config()
@@ -294,11 +334,14 @@
 // run opens the answer of req and passes it on.
 func (s *Server) run(ctx *fasthttp.RequestCtx, req *gateway.Request) {
 	start := time.Now()
-	obs := Observation{Account: req.Account.Name, Pool: req.Pool.Name}
+	obs := Observation{Pool: req.Pool.Name}
+	if req.Account != nil {
+		obs.Account = req.Account.Name
+	}
 	s.running.Add(1)
 	if err := s.Gate.Check(); err != nil {
 		e := result.As(err)
-		if !req.Idempotent { // the state of the key is not looked up
+		if !req.Idempotent && s.Frontend == nil { // the state of the key is not looked up
 			e = e.WithOutcome(result.Unknown)
 		}
 		s.finish(ctx, req, obs, start, e)
@@ -336,7 +379,9 @@
 		}
 		ctx.Response.Header.Set(f.Name, f.Value)
 	}
-	ctx.Response.Header.Set("X-Request-Id", req.ID)
+	if s.Frontend == nil {
+		ctx.Response.Header.Set("X-Request-Id", req.ID)
+	}
 	if stream {
 		ctx.SetBodyStream(&relay{srv: s, req: req, ans: ans, obs: obs, start: start, release: end}, -1)
 		return
@@ -365,8 +410,10 @@
 // finish records the end of the request and, for an error, writes the answer.
 func (s *Server) finish(ctx *fasthttp.RequestCtx, req *gateway.Request, obs Observation, start time.Time, e *result.Error) {
 	if e != nil && ctx != nil {
-		writeError(ctx, e)
-		ctx.Response.Header.Set("X-Request-Id", req.ID)
+		s.writeError(ctx, e)
+		if s.Frontend == nil {
+			ctx.Response.Header.Set("X-Request-Id", req.ID)
+		}
 	}
 	s.record(req, obs, start, e)
 }
@@ -381,7 +428,7 @@
 	if e != nil {
 		obs.Code, obs.Outcome = e.Code, e.Outcome
 		s.Log.Info("request failed", zap.String(logging.FieldRequest, req.ID),
-			zap.String(logging.FieldAccount, string(req.Account.Name)), zap.String(logging.FieldPool, string(req.Pool.Name)),
+			zap.String(logging.FieldAccount, string(obs.Account)), zap.String(logging.FieldPool, string(req.Pool.Name)),
 			zap.Int(logging.FieldCode, int(e.Code)), zap.String(logging.FieldOutcome, string(e.Outcome)), zap.Error(e))
 	}
 	if s.Observe != nil {
--- /dev/null
+++ b/adapters/settings/entry.go
@@ -0,0 +1,159 @@
+package settings
+
+import (
+	"bytes"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/pelletier/go-toml/v2"
+
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/result"
+	"cyclamenhitch/core/tomlpos"
+)
+
+// Entry configures an instance that finds its servers, its peers and its
+// configuration in a platform's store.
+type Entry struct {
+	// Instance is the unique name of the instance. Required.
+	Instance fleet.InstanceID `toml:"instance"`
+	// DataCentre is the data centre of the instance. Required.
+	DataCentre fleet.DataCentreID `toml:"data_centre"`
+	// Region is the region of the instance. Required.
+	Region fleet.RegionID `toml:"region"`
+	// Listen holds the addresses of the instance.
+	Listen EntryListen `toml:"listen"`
+	// Store is the host:port address of the platform's store. Required.
+	Store string `toml:"store"`
+	// Times holds durations.
+	Times EntryTimes `toml:"times"`
+	// Limits bounds what callers can make the instance hold.
+	Limits EntryLimits `toml:"limits"`
+	// Log configures logging.
+	Log Log `toml:"log"`
+}
+
+// EntryListen holds the addresses of the instance, each an IP address and a port.
+type EntryListen struct {
+	// Caller serves callers. Required.
+	Caller string `toml:"caller"`
+	// Ready answers readiness checks. Required.
+	Ready string `toml:"ready"`
+	// Directory answers callers that ask where to connect. Required.
+	Directory string `toml:"directory"`
+	// Peer exchanges reports (UDP) and configuration (TCP) with other instances. Required.
+	Peer string `toml:"peer"`
+	// Metrics serves counters. Default: none.
+	Metrics string `toml:"metrics"`
+}
+
+// EntryTimes holds durations, in ms.
+type EntryTimes struct {
+	// RevokeMillis bounds how long a key works after it was taken away. Default 5000.
+	RevokeMillis int `toml:"revoke_ms"`
+	// StopMillis bounds a planned stop. Default 8000.
+	StopMillis int `toml:"stop_ms"`
+	// KeepMillis is how long callers may keep an address. Default 1000.
+	KeepMillis int `toml:"keep_ms"`
+}
+
+// EntryLimits bounds what the instance holds.
+type EntryLimits struct {
+	// MemoryMegabytes is the memory of the instance, in MB. Default 256.
+	MemoryMegabytes int `toml:"memory_mb"`
+	// Descriptors is the number of open files and sockets. Default 4096.
+	Descriptors int `toml:"descriptors"`
+}
+
+// Millis returns a number of ms as a duration.
+func Millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// LoadEntry reads and checks the file. Unknown keys are errors. All errors carry
+// file, line and column.
+func LoadEntry(path string) (*Entry, error) {
+	src, err := os.ReadFile(path)
+	if err != nil {
+		return nil, result.Wrap(result.SettingsInvalid, err, "settings file %s cannot be read", path)
+	}
+	return ParseEntry(path, src)
+}
+
+// ParseEntry decodes settings; path is used in error messages only.
+func ParseEntry(path string, src []byte) (*Entry, error) {
+	var s Entry
+	dec := toml.NewDecoder(bytes.NewReader(src))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return nil, result.New(result.SettingsInvalid, "%s", describe(path, err))
+	}
+	s.applyDefaults()
+	problems := s.check()
+	if len(problems) == 0 {
+		return &s, nil
+	}
+	doc := tomlpos.Parse(src)
+	lines := make([]string, len(problems))
+	for i, p := range problems {
+		table, _, _ := strings.Cut(p.key, ".")
+		line, col := doc.Position(p.key, table)
+		lines[i] = fmt.Sprintf("%s:%d:%d: %s", path, line, col, p.text)
+	}
+	return nil, result.New(result.SettingsInvalid, "%s", strings.Join(lines, "\n"))
+}
+
+func (s *Entry) applyDefaults() {
+	setDefault(&s.Times.RevokeMillis, 5000)
+	setDefault(&s.Times.StopMillis, 8000)
+	setDefault(&s.Times.KeepMillis, 1000)
+	setDefault(&s.Limits.MemoryMegabytes, 256)
+	setDefault(&s.Limits.Descriptors, 4096)
+	setDefault(&s.Log.Level, "info")
+}
+
+func (s *Entry) check() []problem {
+	var ps []problem
+	add := func(key, format string, args ...any) {
+		ps = append(ps, problem{key, key + " " + fmt.Sprintf(format, args...)})
+	}
+	for _, r := range []struct{ key, v string }{
+		{"instance", string(s.Instance)}, {"data_centre", string(s.DataCentre)}, {"region", string(s.Region)},
+	} {
+		if r.v == "" {
+			add(r.key, "is required")
+		}
+	}
+	addresses := []struct{ key, v string }{
+		{"listen.caller", s.Listen.Caller},
+		{"listen.ready", s.Listen.Ready},
+		{"listen.directory", s.Listen.Directory},
+		{"listen.peer", s.Listen.Peer},
+		{"store", s.Store},
+	}
+	if s.Listen.Metrics != "" {
+		addresses = append(addresses, struct{ key, v string }{"listen.metrics", s.Listen.Metrics})
+	}
+	for _, a := range addresses {
+		if _, err := netip.ParseAddrPort(a.v); err != nil {
+			add(a.key, "is %q, want an IP address and port such as 10.0.0.1:8080", a.v)
+		}
+	}
+	for _, n := range []struct {
+		key      string
+		v        int
+		min, max int
+	}{
+		{"times.revoke_ms", s.Times.RevokeMillis, 500, 3600_000},
+		{"times.stop_ms", s.Times.StopMillis, 1000, 3600_000},
+		{"times.keep_ms", s.Times.KeepMillis, 100, 600_000},
+		{"limits.memory_mb", s.Limits.MemoryMegabytes, 32, 1 << 20},
+		{"limits.descriptors", s.Limits.Descriptors, 256, 1 << 20},
+	} {
+		if n.v < n.min || n.v > n.max {
+			add(n.key, "is %d, accepted range: %d to %d", n.v, n.min, n.max)
+		}
+	}
+	return ps
+}
--- a/cmd/cyclamenhitchd/main.go
+++ b/cmd/cyclamenhitchd/main.go
@@ -15,6 +15,7 @@
 	"cyclamenhitch/adapters/logging"
 	"cyclamenhitch/adapters/settings"
 	"cyclamenhitch/cmd/internal/daemon"
+	"cyclamenhitch/cmd/internal/edge"
 )
 
 // Exit codes.
@@ -26,10 +27,14 @@
 var cli struct {
 	Settings string `arg:"" type:"existingfile" help:"TOML settings file of this instance."`
 	Check    bool   `help:"Check the settings file and exit."`
+	Discover bool   `help:"Find configuration, servers and peers in a platform's store."`
 }
 
 func main() {
 	kong.Parse(&cli, kong.Name("cyclamenhitchd"), kong.Description("Router daemon of a cyclamenhitch fleet."))
+	if cli.Discover {
+		os.Exit(discover())
+	}
 	set, err := settings.Load(cli.Settings)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -54,3 +59,34 @@
 		os.Exit(exitFailed)
 	}
 }
+
+// discover runs an instance that finds everything in a platform's store.
+func discover() int {
+	set, err := settings.LoadEntry(cli.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitSettings
+	}
+	if cli.Check {
+		fmt.Println("settings are valid")
+		return 0
+	}
+	lines := logging.NewQueue(os.Stdout)
+	log := logging.New(lines, set.Log.Level,
+		zap.String(logging.FieldInstance, string(set.Instance)), zap.String(logging.FieldDataCentre, string(set.DataCentre)))
+	defer func() { _ = log.Sync() }()
+	e, err := edge.New(set, log)
+	if err != nil {
+		log.Error("start refused", zap.Error(err))
+		return exitSettings
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	if err := e.Run(ctx, reload); err != nil {
+		log.Error("instance failed", zap.Error(err))
+		return exitFailed
+	}
+	return 0
+}
--- /dev/null
+++ b/cmd/internal/edge/edge.go
@@ -0,0 +1,156 @@
+// Package edge wires an instance that finds its configuration, its backend servers
+// and its peers in a platform's store. It connects the decision logic of the core
+// module to the adapters and owns their start and stop order.
+package edge
+
+import (
+	"context"
+	"net"
+	"os"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"cyclamenhitch/adapters/clock"
+	"cyclamenhitch/adapters/engine"
+	"cyclamenhitch/adapters/gossip"
+	"cyclamenhitch/adapters/httpapi"
+	"cyclamenhitch/adapters/logging"
+	"cyclamenhitch/adapters/settings"
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/gateway"
+	"cyclamenhitch/core/placement"
+	"cyclamenhitch/core/result"
+	"cyclamenhitch/core/retry"
+	"cyclamenhitch/platform"
+)
+
+const (
+	// connectTime bounds opening a connection to a backend server. Servers are a
+	// few ms away; a lost packet costs a second connect instead of a wait of 1 s.
+	connectTime = 300 * time.Millisecond
+	// maxAnswerBytes bounds an answer that is not streamed.
+	maxAnswerBytes = 8 << 20
+	// readTime bounds reading one request, writeTime each write to a caller.
+	readTime  = 10 * time.Second
+	writeTime = 10 * time.Second
+	// callerIdle is longer than callers keep connections without a request.
+	callerIdle = 60 * time.Second
+)
+
+// Edge is one instance.
+type Edge struct {
+	set *settings.Entry
+	log *zap.Logger
+
+	store  *platform.Store
+	board  *placement.Board
+	view   *view
+	peers  *peers
+	caller *httpapi.Server
+	stop   *stopper
+	meters *meters
+}
+
+// New checks the settings and binds the peer socket. It starts no work.
+func New(set *settings.Entry, log *zap.Logger) (*Edge, error) {
+	e := &Edge{set: set, log: log, board: placement.NewBoard(), meters: newMeters()}
+	e.store = platform.NewStore(set.Store)
+	e.store.OnCall = e.meters.storeCall
+	e.view = newView(set, e.store, e.board, log)
+	socket, err := gossip.Listen(set.Listen.Peer)
+	if err != nil {
+		return nil, err
+	}
+	e.peers = newPeers(set, socket, e.view, e.board, log)
+	e.view.peers = e.peers
+	client := &engine.Client{
+		ConnectTimeout: connectTime, MaxAnswerBytes: maxAnswerBytes, Dialect: platform.Dialect(),
+	}
+	e.caller = &httpapi.Server{
+		Config: nil,
+		Opener: &gateway.Gateway{
+			Placer:   &placer{board: e.board, view: e.view, log: log, meters: e.meters},
+			Upstream: client, Budget: retry.NewBudgets(), Now: time.Now,
+		},
+		Gate: e.view, Log: log, Observe: e.meters.observe,
+		Frontend: &platform.Frontend{View: e.view.Current},
+	}
+	e.stop = &stopper{limit: settings.Millis(set.Times.StopMillis), keep: settings.Millis(set.Times.KeepMillis), caller: e.caller, peers: e.peers, log: log}
+	return e, nil
+}
+
+// Run serves until ctx ends, then stops without cutting requests. reload is told
+// of a changed settings file.
+func (e *Edge) Run(ctx context.Context, reload <-chan os.Signal) error {
+	work, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	errs := make(chan error, 4)
+	serve := func(addr string, fn func(net.Listener) error) error {
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			return result.Wrap(result.SettingsInvalid, err, "address %s cannot be used", addr)
+		}
+		go func() { errs <- fn(ln) }()
+		return nil
+	}
+	directory := &platform.Directory{Addresses: e.peers.addresses, Keep: settings.Millis(e.set.Times.KeepMillis), Log: e.log}
+	for _, l := range []struct {
+		addr string
+		fn   func(net.Listener) error
+	}{
+		{e.set.Listen.Caller, func(ln net.Listener) error { return e.caller.Serve(ln, e.limits()) }},
+		{e.set.Listen.Ready, small(platform.Ready(e.peers.ready))},
+		{e.set.Listen.Directory, small(directory.Handle)},
+		{e.set.Listen.Peer, small(e.peers.serveConfig)},
+		{e.set.Listen.Metrics, small(e.meters.handle)},
+	} {
+		if l.addr == "" {
+			continue
+		}
+		if err := serve(l.addr, l.fn); err != nil {
+			return err
+		}
+	}
+	go e.view.run(work)
+	go e.peers.run(work)
+	e.log.Info("instance started", zap.String("caller", e.set.Listen.Caller), zap.String("peer", e.set.Listen.Peer),
+		zap.Duration("since_boot", clock.SinceBoot()))
+	for {
+		select {
+		case err := <-errs:
+			return err
+		case <-reload:
+			e.log.Info("settings file changed", zap.String(logging.FieldReason, "no setting can change while the instance runs"))
+		case <-ctx.Done():
+			return e.stop.run(work)
+		}
+	}
+}
+
+// small serves a few short calls.
+func small(h fasthttp.RequestHandler) func(net.Listener) error {
+	srv := &fasthttp.Server{
+		Handler: h, NoDefaultServerHeader: true, ReadTimeout: readTime, WriteTimeout: writeTime,
+		IdleTimeout: callerIdle, ReduceMemoryUsage: true, CloseOnShutdown: true,
+	}
+	return srv.Serve
+}
+
+func (e *Edge) limits() httpapi.Limits {
+	return httpapi.Limits{
+		MaxBodyBytes: 4 << 20, MaxHeaderBytes: 16 << 10,
+		// Each request may hold a connection of the caller and one to a server.
+		MaxConnections: e.set.Limits.Descriptors * 2 / 5,
+		ReadTimeout:    readTime, WriteTimeout: writeTime, IdleTimeout: callerIdle,
+	}
+}
+
+// accountOf is the account of a request for log lines.
+func accountOf(req *gateway.Request) fleet.ClientAccountID {
+	if req.Account == nil {
+		return ""
+	}
+	return req.Account.Name
+}
--- /dev/null
+++ b/cmd/internal/edge/peers.go
@@ -0,0 +1,234 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"cyclamenhitch/adapters/clock"
+	"cyclamenhitch/adapters/gossip"
+	"cyclamenhitch/adapters/logging"
+	"cyclamenhitch/adapters/settings"
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/freshness"
+	"cyclamenhitch/core/placement"
+	"cyclamenhitch/core/roster"
+	"cyclamenhitch/platform"
+)
+
+const (
+	// reportInterval is the time between two reports to a peer in a small fleet.
+	reportInterval = 200 * time.Millisecond
+	// reportRate bounds the reports of an instance, in datagrams a second; larger
+	// fleets report less often.
+	reportRate = 160
+	// peerCallTime bounds reading the configuration from a peer.
+	peerCallTime = 500 * time.Millisecond
+	pathConfig   = "/config"
+)
+
+// peers exchanges reports with the other instances.
+type peers struct {
+	set    *settings.Entry
+	socket *gossip.Socket
+	view   *view
+	board  *placement.Board
+	log    *zap.Logger
+	roster *roster.Roster
+
+	incarnation uint64
+	leaving     atomic.Bool
+	asking      atomic.Bool
+
+	mu   sync.Mutex
+	echo map[fleet.InstanceID]freshness.Instant
+	live map[fleet.InstanceID]bool
+	was  bool // serving in the last report
+}
+
+func newPeers(set *settings.Entry, socket *gossip.Socket, v *view, b *placement.Board, log *zap.Logger) *peers {
+	return &peers{
+		set: set, socket: socket, view: v, board: b, log: log, roster: roster.New(set.Instance),
+		incarnation: uint64(time.Now().UnixNano()), echo: map[fleet.InstanceID]freshness.Instant{},
+		live: map[fleet.InstanceID]bool{},
+	}
+}
+
+func (p *peers) run(ctx context.Context) {
+	go p.socket.Receive(p.take)
+	for ctx.Err() == nil {
+		p.report()
+		n := len(p.roster.Targets(time.Now()))
+		gap := max(reportInterval, time.Duration(n)*time.Second/reportRate)
+		sleep(ctx, gap-gap/10+rand.N(gap/5))
+	}
+	_ = p.socket.Close()
+}
+
+// serving reports whether callers may be sent to this instance.
+func (p *peers) serving() bool { return !p.leaving.Load() && p.view.fresh() }
+
+// ready is the answer to the platform's readiness check.
+func (p *peers) ready() bool { return p.serving() }
+
+func (p *peers) report() {
+	now, boot := time.Now(), clock.SinceBoot()
+	r := gossip.Report{Sent: boot}
+	r.From = roster.Peer{
+		ID: p.set.Instance, Incarnation: p.incarnation, DataCentre: p.set.DataCentre, Caller: p.set.Listen.Caller,
+		Peer: p.set.Listen.Peer, Serving: p.serving(), Leaving: p.leaving.Load(),
+	}
+	if version, at, known := p.view.lease.State(); known {
+		r.From.Version, r.Confirmed, r.ConfirmedAge = version, true, boot-at
+	}
+	r.Loads, r.Placed = p.board.TakeReport()
+	p.noteChanges(now, r.From.Serving)
+	for id, addr := range p.roster.Targets(now) {
+		p.mu.Lock()
+		r.Echo = p.echo[id]
+		p.mu.Unlock()
+		if err := p.socket.Send(addr, &r); err != nil {
+			p.log.Debug("report not sent", zap.String("to", addr), zap.Error(err))
+		}
+	}
+}
+
+// noteChanges logs peers that came or went and shares cold servers among those
+// that live.
+func (p *peers) noteChanges(now time.Time, serving bool) {
+	live := p.roster.Live(now)
+	ids := []fleet.InstanceID{p.set.Instance}
+	seen := make(map[fleet.InstanceID]bool, len(live))
+	for _, peer := range live {
+		ids = append(ids, peer.ID)
+		seen[peer.ID] = true
+	}
+	p.board.SetInstances(p.set.Instance, ids)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id := range seen {
+		if !p.live[id] {
+			p.log.Info("peer heard", zap.String("peer", string(id)))
+		}
+	}
+	for id := range p.live {
+		if !seen[id] {
+			p.log.Warn("peer lost", zap.String("peer", string(id)))
+		}
+	}
+	if serving != p.was {
+		p.log.Info("serving changed", zap.Bool("serving", serving), zap.Bool("leaving", p.leaving.Load()))
+	}
+	p.live, p.was = seen, serving
+}
+
+// take takes the report of a peer.
+func (p *peers) take(r *gossip.Report) {
+	now, boot := time.Now(), clock.SinceBoot()
+	if !p.roster.Heard(now, r.From, r.Echo > 0) {
+		return
+	}
+	p.mu.Lock()
+	p.echo[r.From.ID] = r.Sent
+	p.mu.Unlock()
+	p.board.SetPeer(r.From.ID, now, r.Loads)
+	for _, placed := range r.Placed {
+		p.board.PeerPlaced(placed.Server, placed.Parts)
+	}
+	p.relay(r, boot)
+}
+
+// relay takes over what a peer knows of the configuration: it confirms the version
+// in force here, or shows that a newer one exists.
+func (p *peers) relay(r *gossip.Report, boot freshness.Instant) {
+	if !r.Confirmed || r.Echo == 0 || r.Echo > boot {
+		return
+	}
+	c := p.view.current.Load()
+	switch {
+	case c != nil && c.catalog.Version == r.From.Version:
+		p.view.lease.Confirm(r.From.Version, freshness.Relayed(r.Echo, r.ConfirmedAge))
+	case c == nil || c.catalog.Version < r.From.Version:
+		if p.asking.CompareAndSwap(false, true) {
+			go p.fetch(r.From)
+		}
+	}
+}
+
+// fetch reads the configuration of a peer.
+func (p *peers) fetch(from roster.Peer) {
+	defer p.asking.Store(false)
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+from.Peer+pathConfig, peerCallTime)
+	if err != nil || status != fasthttp.StatusOK {
+		p.log.Warn("configuration not read from a peer", zap.String("peer", string(from.ID)), zap.Int("status", status), zap.Error(err))
+		return
+	}
+	p.view.adopt(body, "peer "+string(from.ID))
+}
+
+// serveConfig answers peers that ask for the configuration.
+func (p *peers) serveConfig(ctx *fasthttp.RequestCtx) {
+	c := p.view.current.Load()
+	if string(ctx.Path()) != pathConfig || c == nil {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	ctx.SetBody(c.body)
+}
+
+// takeListed takes the rows of the fleet's instances.
+func (p *peers) takeListed(u update) {
+	if len(u.entries) == 0 && !u.whole {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	listed := map[fleet.InstanceID]string{}
+	if !u.whole {
+		for id, addr := range p.roster.Listed() {
+			listed[id] = addr
+		}
+	}
+	for _, e := range u.entries {
+		id := fleet.InstanceID(e.Key)
+		if e.Value == nil {
+			delete(listed, id)
+			continue
+		}
+		addr, err := platform.DecodeInstance(e.Value)
+		if err != nil {
+			p.log.Warn("entry names no instance", zap.String("key", e.Key), zap.Error(err))
+			continue
+		}
+		listed[id] = addr
+	}
+	p.roster.SetListed(listed)
+}
+
+// addresses returns the callers' addresses of the instances that serve.
+func (p *peers) addresses(fleet.DataCentreID) []string {
+	var out []string
+	if p.serving() {
+		out = append(out, p.set.Listen.Caller)
+	}
+	for _, peer := range p.roster.Live(time.Now()) {
+		if peer.Serving {
+			out = append(out, peer.Caller)
+		}
+	}
+	return out
+}
+
+// leave announces a planned stop at once.
+func (p *peers) leave(ctx context.Context) {
+	p.leaving.Store(true)
+	p.report()
+	if err := p.view.store.Remove(ctx, platform.InstanceTable, string(p.set.Instance)); err != nil {
+		p.log.Warn("own entry not removed", zap.String(logging.FieldInstance, string(p.set.Instance)), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/cmd/internal/edge/placer.go
@@ -0,0 +1,143 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cyclamenhitch/adapters/logging"
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/gateway"
+	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/placement"
+	"cyclamenhitch/core/result"
+)
+
+// placer puts requests on servers of the board.
+type placer struct {
+	board  *placement.Board
+	view   *view
+	log    *zap.Logger
+	meters *meters
+}
+
+var _ gateway.Placer = (*placer)(nil)
+
+// lookAgain bounds the wait of a request that waits for a server.
+const lookAgain = 25 * time.Millisecond
+
+// Place implements gateway.Placer.
+func (p *placer) Place(ctx context.Context, req *gateway.Request) (*manifest.Server, gateway.Permit, error) {
+	ask := &placement.Ask{Parts: req.Parts, Prompt: req.PromptTokens, Output: req.OutputTokens, Key: uint64(req.Chat)}
+	began := time.Now()
+	for {
+		if req.Recheck != nil {
+			if e := req.Recheck(); e != nil {
+				return nil, nil, e
+			}
+		}
+		now := time.Now()
+		if !now.Before(req.Deadline) {
+			return nil, nil, result.New(result.DeadlineTooShort, "deadline passed before the request was sent")
+		}
+		changed := p.board.Changed(req.Pool.Name)
+		ranked, verdict := p.board.Rank(now, req.Pool.Name, ask, tried(req))
+		for _, c := range ranked {
+			t := p.board.Begin(now, req.Pool.Name, c.ID, ask)
+			if t == nil {
+				continue
+			}
+			p.decided(req, c, len(ranked), now.Sub(began))
+			return &manifest.Server{Name: c.ID, Pool: req.Pool.Name, Address: c.Address}, &permit{t}, nil
+		}
+		if e := p.giveUp(req, verdict, now.Sub(began)); e != nil {
+			return nil, nil, e
+		}
+		wait(ctx, changed, lookAgain)
+		if ctx.Err() != nil {
+			return nil, nil, result.Wrap(result.CallerGone, ctx.Err(), "the caller left while the request waited").WithOutcome(result.NotRun)
+		}
+	}
+}
+
+const (
+	// holdShare is the part of a request's objective for which it may wait for a
+	// server, and holdLeast the shortest such wait.
+	holdShare = 0.5
+	holdLeast = 100 * time.Millisecond
+	// placeRetry is when a refused caller may ask again.
+	placeRetry = 300 * time.Millisecond
+)
+
+// giveUp returns the refusal of a request that found no server, or nil when it may
+// wait on.
+func (p *placer) giveUp(req *gateway.Request, v placement.Verdict, waited time.Duration) *result.Error {
+	hold := max(holdLeast, time.Duration(holdShare*float64(req.Objective)))
+	if waited < hold && v != placement.Empty {
+		return nil
+	}
+	switch v {
+	case placement.Empty:
+		return result.New(result.NoServer, "no server of pool %s may receive work", req.Pool.Name).WithRetryAfter(placeRetry)
+	case placement.Cold:
+		return result.New(result.PoolAtBound, "all servers of pool %s are cold", req.Pool.Name).WithRetryAfter(placeRetry)
+	}
+	return result.New(result.PoolAtBound, "all servers of pool %s are at the load bound", req.Pool.Name).WithRetryAfter(placeRetry)
+}
+
+func (p *placer) decided(req *gateway.Request, c placement.Candidate, n int, waited time.Duration) {
+	p.meters.placed(waited)
+	p.log.Debug("request placed", zap.String(logging.FieldRequest, req.ID), zap.String(logging.FieldPool, string(req.Pool.Name)),
+		zap.String(logging.FieldServer, string(c.ID)), zap.Float64("cost", c.Cost), zap.Int("cached", c.Cached),
+		zap.Duration("expected", c.Wait), zap.Int("candidates", n), zap.Duration("waited", waited), zap.Int("attempt", len(req.Tried)+1))
+}
+
+func tried(req *gateway.Request) func(fleet.ServerID) bool {
+	if len(req.Tried) == 0 {
+		return nil
+	}
+	return func(id fleet.ServerID) bool {
+		for _, t := range req.Tried {
+			if t == id {
+				return true
+			}
+		}
+		return false
+	}
+}
+
+func wait(ctx context.Context, changed <-chan struct{}, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-changed:
+	case <-t.C:
+	}
+}
+
+// permit is a place on the board.
+type permit struct{ t *placement.Ticket }
+
+// Opened implements gateway.Permit.
+func (p *permit) Opened(time.Duration) { p.t.Opened(time.Now()) }
+
+// Release implements gateway.Permit.
+func (p *permit) Release(err error) { p.t.Close(time.Now(), outcomeOf(err)) }
+
+// outcomeOf says what an error tells of the server.
+func outcomeOf(err error) placement.Outcome {
+	e := result.As(err)
+	if e == nil {
+		return placement.Ended
+	}
+	switch e.Code {
+	case result.ServerRefused:
+		return placement.Refused
+	case result.ConnectFailed, result.ConnectionLost, result.ConnectionSilent, result.AnswerTruncated, result.AnswerCrossed,
+		result.AnswerInvalid, result.ServerError:
+		return placement.Failed
+	}
+	return placement.Ended
+}
--- /dev/null
+++ b/cmd/internal/edge/view.go
@@ -0,0 +1,332 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cyclamenhitch/adapters/clock"
+	"cyclamenhitch/adapters/logging"
+	"cyclamenhitch/adapters/settings"
+	"cyclamenhitch/core/catalog"
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/freshness"
+	"cyclamenhitch/core/placement"
+	"cyclamenhitch/core/result"
+	"cyclamenhitch/core/store"
+	"cyclamenhitch/platform"
+)
+
+const (
+	// pollWait is how long a call waits for changes. Each call confirms the view
+	// when it ends, so that a view is about this old.
+	pollWait = time.Second
+	// instancesWait is longer, because new instances are also heard from directly.
+	instancesWait = 10 * time.Second
+	// storeRetry is the mean wait after a failed call to the store.
+	storeRetry = 200 * time.Millisecond
+	// revokeMargin is the part of the time to revoke a key that is kept for the way
+	// of a request from the last check to the server.
+	revokeMargin = 400 * time.Millisecond
+	// notReadyRetry is when a caller may ask again that met an instance without a
+	// fresh view; its next connection goes to another one.
+	notReadyRetry = 50 * time.Millisecond
+)
+
+// view is what the instance knows of the store.
+type view struct {
+	set   *settings.Entry
+	store *platform.Store
+	board *placement.Board
+	log   *zap.Logger
+	peers *peers
+
+	lease   *freshness.Lease
+	current atomic.Pointer[config]
+
+	mu      sync.Mutex
+	servers map[fleet.ServerID]*seen
+	loaded  bool // the servers have been read once
+	out     map[fleet.DataCentreID]bool
+}
+
+// config is a configuration with the bytes that it was read from, which peers
+// without a way to the store ask for.
+type config struct {
+	catalog *catalog.Catalog
+	body    []byte
+}
+
+// seen is a discovered server.
+type seen struct {
+	catalog.ServerEntry
+	coldUntil time.Time
+}
+
+func newView(set *settings.Entry, s *platform.Store, b *placement.Board, log *zap.Logger) *view {
+	return &view{
+		set: set, store: s, board: b, log: log,
+		lease:   freshness.NewLease(settings.Millis(set.Times.RevokeMillis) - revokeMargin),
+		servers: map[fleet.ServerID]*seen{}, out: map[fleet.DataCentreID]bool{},
+	}
+}
+
+// Current returns the configuration in force, or an error with outcome not_run when
+// it may be out of date.
+func (v *view) Current() (*catalog.Catalog, *result.Error) {
+	c := v.current.Load()
+	if c == nil {
+		return nil, result.New(result.NotReady, "the instance has no configuration yet").WithRetryAfter(notReadyRetry)
+	}
+	now := clock.SinceBoot()
+	if !v.lease.Valid(now) {
+		_, at, _ := v.lease.State()
+		return nil, result.New(result.Isolated, "the configuration was last confirmed %v ago", (now - at).Round(time.Millisecond)).WithRetryAfter(notReadyRetry)
+	}
+	return c.catalog, nil
+}
+
+// Check implements httpapi.Gate.
+func (v *view) Check() error { return nil }
+
+// fresh reports whether requests can be served.
+func (v *view) fresh() bool {
+	_, e := v.Current()
+	if e != nil {
+		return false
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.loaded
+}
+
+func (v *view) run(ctx context.Context) {
+	go v.follow(ctx, platform.OperatorTable, pollWait, v.takeOperator)
+	go v.follow(ctx, platform.ServerTable, pollWait, v.takeServers)
+	go v.register(ctx)
+	v.follow(ctx, platform.InstanceTable, instancesWait, v.peers.takeListed)
+}
+
+// update is what one call to the store showed.
+type update struct {
+	entries []store.Entry
+	// whole says that the entries are the whole table.
+	whole bool
+	// start is when the call began.
+	start freshness.Instant
+}
+
+// follow keeps up with a table until ctx ends.
+func (v *view) follow(ctx context.Context, table string, wait time.Duration, take func(update)) {
+	known, after, failing := false, uint64(0), false
+	for ctx.Err() == nil {
+		u := update{start: clock.SinceBoot(), whole: !known}
+		var err error
+		if known {
+			u.entries, after, err = v.store.Changes(ctx, table, after, wait)
+		} else {
+			u.entries, after, err = v.store.Snapshot(ctx, table)
+		}
+		if failing != (err != nil) && !errors.Is(err, store.ErrHistoryGone) {
+			failing = err != nil
+			v.logDependency(table, failing, err)
+		}
+		switch {
+		case err == nil:
+			known = true
+			take(u)
+		case errors.Is(err, store.ErrHistoryGone):
+			v.log.Warn("history of the table is gone, reading it whole", zap.String("table", table))
+			known = false
+		default:
+			sleep(ctx, storeRetry/2+rand.N(storeRetry))
+		}
+	}
+}
+
+func (v *view) logDependency(table string, lost bool, err error) {
+	if lost {
+		v.log.Warn("store lost", zap.String("table", table), zap.Error(err))
+		return
+	}
+	v.log.Info("store regained", zap.String("table", table))
+}
+
+// register writes this instance's address until it is known to be there.
+func (v *view) register(ctx context.Context) {
+	body, err := platform.EncodeInstance(v.set.Listen.Peer)
+	if err != nil {
+		v.log.Error("own entry not encoded", zap.Error(err))
+		return
+	}
+	for ctx.Err() == nil {
+		if err = v.store.Set(ctx, platform.InstanceTable, string(v.set.Instance), body); err == nil {
+			return
+		}
+		v.log.Warn("own entry not written", zap.Error(err))
+		sleep(ctx, storeRetry/2+rand.N(storeRetry))
+	}
+}
+
+// takeOperator takes rows of the operator's table.
+func (v *view) takeOperator(u update) {
+	out, changed := v.outOf(u)
+	for _, e := range u.entries {
+		if e.Key == platform.ConfigKey && e.Value != nil {
+			v.adopt(e.Value, "store")
+		}
+	}
+	if c := v.current.Load(); c != nil {
+		v.lease.Confirm(c.catalog.Version, u.start)
+	}
+	if changed {
+		v.log.Info("data centres out of service changed", zap.Any("out", out))
+		v.publish()
+	}
+}
+
+func (v *view) outOf(u update) (map[fleet.DataCentreID]bool, bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := map[fleet.DataCentreID]bool{}
+	if !u.whole {
+		maps.Copy(out, v.out)
+	}
+	for _, e := range u.entries {
+		if dc, ok := platform.OutOfService(e.Key); ok && e.Value != nil {
+			out[dc] = true
+		} else if ok {
+			delete(out, dc)
+		}
+	}
+	changed := !maps.Equal(out, v.out)
+	v.out = out
+	return out, changed
+}
+
+// adopt puts a configuration in force unless it is older than the present one.
+func (v *view) adopt(body []byte, source string) {
+	c, err := platform.DecodeConfig(body)
+	if err != nil {
+		v.log.Error("configuration refused, the last good one stays in force", zap.String("source", source), zap.Error(err))
+		return
+	}
+	next := &config{catalog: c, body: body}
+	for {
+		old := v.current.Load()
+		if old != nil && old.catalog.Version >= c.Version {
+			return
+		}
+		if v.current.CompareAndSwap(old, next) {
+			break
+		}
+	}
+	v.log.Info("configuration in force", zap.Uint64(logging.FieldVersion, c.Version), zap.String("source", source))
+	v.publish()
+}
+
+// takeServers takes entries of backend servers.
+func (v *view) takeServers(u update) {
+	now := time.Now()
+	v.mu.Lock()
+	old := v.servers
+	if u.whole {
+		v.servers = make(map[fleet.ServerID]*seen, len(u.entries))
+	}
+	first := !v.loaded
+	for _, e := range u.entries {
+		id := fleet.ServerID(e.Key)
+		if e.Value == nil {
+			delete(v.servers, id)
+			v.log.Info("server gone", zap.String(logging.FieldServer, e.Key))
+			continue
+		}
+		s, err := platform.DecodeServer(e.Key, e.Value)
+		if err != nil {
+			delete(v.servers, id)
+			v.log.Warn("entry names no server", zap.String("key", e.Key), zap.Error(err))
+			continue
+		}
+		v.servers[id] = v.note(now, old[id], s, first)
+	}
+	v.loaded = true
+	v.mu.Unlock()
+	if len(u.entries) > 0 || u.whole {
+		v.publish()
+	}
+}
+
+// note returns the state of a server whose entry was read. The caller holds mu.
+func (v *view) note(now time.Time, old *seen, s catalog.ServerEntry, first bool) *seen {
+	n := &seen{ServerEntry: s}
+	if s.ColdLeft > 0 {
+		n.coldUntil = now.Add(s.ColdLeft)
+	}
+	switch {
+	case old == nil && !first, old != nil && old.Born != s.Born:
+		// A server that started may not say so yet.
+		if c := v.current.Load(); c != nil {
+			if p := c.catalog.Pool(s.Pool); p != nil {
+				n.coldUntil = later(n.coldUntil, now.Add(p.ColdTime))
+			}
+		}
+	case old != nil:
+		n.coldUntil = later(n.coldUntil, old.coldUntil)
+	}
+	if old == nil || old.Leaving != s.Leaving || old.Born != s.Born || n.coldUntil.After(old.coldUntil) {
+		v.log.Info("server seen", zap.String(logging.FieldServer, string(s.ID)), zap.String(logging.FieldPool, string(s.Pool)),
+			zap.String(logging.FieldAddress, s.Address), zap.Bool("leaving", s.Leaving), zap.Duration("cold", max(0, n.coldUntil.Sub(now))))
+	}
+	return n
+}
+
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// publish gives the board the servers that may get work.
+func (v *view) publish() {
+	c := v.current.Load()
+	if c == nil {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	byPool := map[fleet.PoolID][]placement.Server{}
+	for _, s := range v.servers {
+		p := c.catalog.Pool(s.Pool)
+		if p == nil {
+			continue
+		}
+		slots := s.Slots
+		if p.Slots > 0 {
+			slots = p.Slots
+		}
+		byPool[s.Pool] = append(byPool[s.Pool], placement.Server{
+			ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, Slots: slots, Engine: p.Engine, CacheTokens: p.CacheTokens,
+			Out: s.Leaving || v.out[s.DataCentre], ColdUntil: s.coldUntil, ColdRate: p.ColdRate, Born: s.Born,
+		})
+	}
+	for _, p := range c.catalog.Pools() {
+		v.board.SetServers(p.Name, byPool[p.Name])
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -29,9 +29,13 @@
 	Router   Router
 	Admitter Admitter
 	Upstream Upstream
-	Claimer  Claimer
-	Budget   RetryBudget
-	Now      Clock
+	// Placer, unless nil, takes the place of Router and Admitter.
+	Placer Placer
+	// Claimer is nil where callers give each attempt an id of its own: a request
+	// that is not idempotent is then sent again only when it is known not to have run.
+	Claimer Claimer
+	Budget  RetryBudget
+	Now     Clock
 	// Sleep waits before a retry; nil means no wait. Int64N gives its jitter, a
 	// random number below n, and must be safe for concurrent use.
 	Sleep  func(ctx context.Context, d time.Duration) error
@@ -41,7 +45,7 @@
 // Open runs req until the first part of its answer is there. The caller of
 // Open must Close the answer.
 func (g *Gateway) Open(ctx context.Context, req *Request) (Answer, error) {
-	if req.Idempotent {
+	if req.Idempotent || g.Claimer == nil {
 		return g.open(ctx, req, nil)
 	}
 	return g.openClaimed(ctx, req)
@@ -138,22 +142,16 @@
 // an error from it ends the request.
 func (g *Gateway) open(ctx context.Context, req *Request, claim func() (Answer, error)) (Answer, error) {
 	var buf [maxCandidates + maxAttempts]*manifest.Server
-	ranked := g.Router.Rank(req, buf[:0])
-	if len(ranked) == 0 {
-		return nil, result.New(result.NoServer, "no server of pool %s may receive work", req.Pool.Name).WithRetryAfter(time.Second)
+	t := try{g: g, ctx: ctx, req: req}
+	if err := t.begin(buf[:0]); err != nil {
+		return nil, err
 	}
 	g.Budget.OnRequest(req.Pool.Name)
-	var unsettled *result.Error // of an attempt that may have run
-	var wait retry.Backoff
-	for attempt := 1; ; attempt++ {
-		i, permit, err := g.admit(ctx, req, ranked, attempt == 1)
+	for {
+		srv, permit, err := t.place()
 		if err != nil {
-			return nil, finalError(err, unsettled)
+			return nil, finalError(err, t.unsettled)
 		}
-		srv := ranked[i]
-		req.Server = srv
-		// Servers before the admitted one refused; they may have room by now.
-		ranked = append(ranked[:i], ranked[i+1:]...)
 		if claim != nil {
 			if ans, err := claim(); ans != nil || err != nil {
 				permit.Release(err)
@@ -161,25 +159,109 @@
 			}
 			claim = nil
 		}
+		held := &permitAnswer{permit: permit}
+		if req.Resumable {
+			req.Elsewhere = func(cause error) (*manifest.Server, error) { return t.elsewhere(held, cause) }
+		}
 		sent := g.Now()
-		ans, err := g.Upstream.Open(ctx, srv, req, req.ID+"-"+strconv.Itoa(attempt))
+		ans, err := g.Upstream.Open(ctx, srv, req, req.ID+"-"+strconv.Itoa(t.sends))
 		if err == nil {
-			permit.Opened(g.Now().Sub(sent))
-			return &permitAnswer{Answer: ans, permit: permit}, nil
+			held.Answer = ans
+			held.permit.Opened(g.Now().Sub(sent))
+			return held, nil
 		}
-		permit.Release(err)
-		e := result.As(err)
-		if e.Outcome != result.NotRun {
-			unsettled = e
+		held.permit.Release(err)
+		if !t.again(result.As(err)) {
+			return nil, finalError(err, t.unsettled)
 		}
-		if !retry.Eligible(req.Idempotent, e.Outcome) || attempt == maxAttempts || len(ranked) == 0 ||
-			ctx.Err() != nil || !g.Budget.TryRetry(req.Pool.Name) {
-			return nil, finalError(e, unsettled)
+		if perr := g.pause(ctx, &t.wait); perr != nil {
+			return nil, finalError(err, t.unsettled)
 		}
-		if err := g.pause(ctx, &wait); err != nil {
-			return nil, finalError(e, unsettled)
+	}
+}
+
+// try is the way of one request over one or more servers.
+type try struct {
+	g      *Gateway
+	ctx    context.Context
+	req    *Request
+	ranked []*manifest.Server // without a Placer
+	sends  int
+	// runs counts the sends that may have run.
+	runs      int
+	unsettled *result.Error // of an attempt that may have run
+	wait      retry.Backoff
+}
+
+func (t *try) begin(buf []*manifest.Server) error {
+	if t.g.Placer != nil {
+		return nil
+	}
+	t.ranked = t.g.Router.Rank(t.req, buf)
+	if len(t.ranked) == 0 {
+		return result.New(result.NoServer, "no server of pool %s may receive work", t.req.Pool.Name).WithRetryAfter(time.Second)
+	}
+	return nil
+}
+
+// place takes a place at the next server.
+func (t *try) place() (*manifest.Server, Permit, error) {
+	t.sends++
+	if t.g.Placer != nil {
+		srv, permit, err := t.g.Placer.Place(t.ctx, t.req)
+		if err == nil {
+			t.req.Server = srv
+			t.req.Tried = append(t.req.Tried, srv.Name)
 		}
+		return srv, permit, err
+	}
+	i, permit, err := t.g.admit(t.ctx, t.req, t.ranked, t.sends == 1)
+	if err != nil {
+		return nil, nil, err
+	}
+	srv := t.ranked[i]
+	t.req.Server = srv
+	// Servers before the admitted one refused; they may have room by now.
+	t.ranked = append(t.ranked[:i], t.ranked[i+1:]...)
+	return srv, permit, nil
+}
+
+// again reports whether the request may be sent once more after e.
+func (t *try) again(e *result.Error) bool {
+	if e.Outcome != result.NotRun {
+		t.unsettled = e
+		t.runs++
+	}
+	if !retry.Eligible(t.req.Idempotent, e.Outcome) || t.runs >= t.maxRuns() || t.sends >= maxAttempts || t.ctx.Err() != nil {
+		return false
+	}
+	if t.g.Placer == nil && len(t.ranked) == 0 {
+		return false
+	}
+	// A failed connect brought nothing to a server.
+	return t.g.Placer != nil && e.Code == result.ConnectFailed || t.g.Budget.TryRetry(t.req.Pool.Name)
+}
+
+func (t *try) maxRuns() int {
+	if t.req.MaxRuns > 0 {
+		return t.req.MaxRuns
+	}
+	return maxAttempts
+}
+
+// elsewhere gives up the place of a broken stream and takes one at another server.
+func (t *try) elsewhere(held *permitAnswer, cause error) (*manifest.Server, error) {
+	held.permit.Release(cause)
+	e := result.As(cause)
+	if !t.again(e) {
+		return nil, e
+	}
+	srv, permit, err := t.place()
+	if err != nil {
+		return nil, err
 	}
+	held.permit = permit
+	return srv, nil
 }
 
 // Bounds of the wait before a retry. The next server is another one, so that a
--- a/core/gateway/ports.go
+++ b/core/gateway/ports.go
@@ -10,6 +10,8 @@
 
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/placement"
+	"cyclamenhitch/core/result"
 )
 
 // Field is one header field that is passed on to a backend server.
@@ -46,6 +48,35 @@
 	Deadline     time.Time
 	// Server is the server of the last attempt, nil before the first.
 	Server *manifest.Server
+
+	// Host is the host name that the caller asked for; empty means that the backend
+	// server's address is sent instead.
+	Host string
+	// Parts is the chain of prompt parts that requests share.
+	Parts []placement.Part
+	// Objective is the time to the first part of the answer that counts as on time;
+	// 0 means none.
+	Objective time.Duration
+	// Arrived is when the request was read; zero means that it is not known.
+	Arrived time.Time
+	// Urgency orders waiting requests, 0 first.
+	Urgency int
+	// Resumable says that the stream may go on at another server.
+	Resumable bool
+	// Anonymous says that the route needs no account; Account is then empty.
+	Anonymous bool
+	// LastEvent is the event after which a stream begins; empty means at the start.
+	LastEvent string
+	// MaxRuns bounds how many servers may run the request; 0 means maxAttempts.
+	MaxRuns int
+	// Recheck, unless nil, is called right before each send. An error from it, with
+	// outcome not_run, ends the attempt: what allowed the request may be out of date.
+	Recheck func() *result.Error
+	// Tried are the servers of earlier attempts.
+	Tried []fleet.ServerID
+	// Elsewhere finds another server for a resumed stream, nil when it may not be
+	// resumed there. cause ended the run at the server before.
+	Elsewhere func(cause error) (*manifest.Server, error)
 }
 
 // Answer is an open answer of a backend server. It is used by one goroutine.
@@ -69,6 +100,14 @@
 	Rank(req *Request, dst []*manifest.Server) []*manifest.Server
 }
 
+// Placer chooses a server and takes a place there in one step, for pools whose
+// ranking follows the load of the moment. It waits while all servers are full.
+type Placer interface {
+	// Place returns a server that is not among req.Tried, or an error with outcome
+	// not_run.
+	Place(ctx context.Context, req *Request) (*manifest.Server, Permit, error)
+}
+
 // Permit is the right to put one request on one server.
 type Permit interface {
 	// Opened tells how long the server took to the first part of its answer,
--- /dev/null
+++ b/core/placement/board.go
@@ -0,0 +1,224 @@
+// Package placement decides which backend server runs a request, from what this
+// instance sent, what its peers report and what answers showed. A Board keeps the
+// state of all pools, each under its own lock. It performs no I/O.
+package placement
+
+import (
+	"sync"
+	"time"
+
+	"cyclamenhitch/core/fleet"
+)
+
+// Server is a backend server as discovered.
+type Server struct {
+	ID         fleet.ServerID
+	Address    string
+	DataCentre fleet.DataCentreID
+	// Slots is how many requests run at once; 0 means unknown.
+	Slots int
+	// Engine says that it is a model engine, with a cache of CacheTokens.
+	Engine      bool
+	CacheTokens int
+	// Out says that it may receive no new work.
+	Out bool
+	// ColdUntil is when it stops being cold; zero means that it is not.
+	ColdUntil time.Time
+	// ColdRate is how many requests a second it bears while cold, all instances
+	// together; 0 means no bound.
+	ColdRate float64
+	// Born tells lives of one id apart; a new one has an empty cache.
+	Born int64
+}
+
+// Ask is what a request needs.
+type Ask struct {
+	// Parts is the prompt's chain; empty for plain services.
+	Parts []Part
+	// Prompt and Output are in tokens.
+	Prompt, Output int
+	// Key ranks servers for requests without parts.
+	Key uint64
+}
+
+// Load is the work that one instance has at a server.
+type Load struct {
+	// Running is the number of requests that have not ended.
+	Running int
+	// Unread is the number of prompt tokens sent and not yet read, as far as known.
+	Unread int
+}
+
+// Board holds the state of all servers.
+type Board struct {
+	mu    sync.RWMutex
+	pools map[fleet.PoolID]*pool
+
+	fleetMu sync.Mutex
+	share   coldShare
+}
+
+type pool struct {
+	mu      sync.Mutex
+	servers map[fleet.ServerID]*state
+	list    []*state // in discovery order
+	freed   chan struct{}
+	// typical is the usual time of a plain service to its answer.
+	typical time.Duration
+}
+
+// state is what is known of one server; its pool's lock guards it.
+type state struct {
+	Server
+	hash     uint64
+	own      Load
+	peers    map[fleet.InstanceID]peerLoad
+	cache    *prefixCache
+	speed    speed
+	fault    fault
+	coldNext time.Time
+	placed   [][]Part // since the last TakeReport
+}
+
+type peerLoad struct {
+	Load
+	at time.Time
+}
+
+// peerLoadTime is how long the load reported by a peer counts without a newer
+// report. Peers that stop reporting for longer have left or lost their requests.
+const peerLoadTime = 3 * time.Second
+
+// NewBoard returns a board without servers.
+func NewBoard() *Board { return &Board{pools: map[fleet.PoolID]*pool{}} }
+
+func (b *Board) pool(id fleet.PoolID) *pool {
+	b.mu.RLock()
+	p := b.pools[id]
+	b.mu.RUnlock()
+	if p != nil {
+		return p
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p = b.pools[id]; p == nil {
+		p = &pool{servers: map[fleet.ServerID]*state{}, freed: make(chan struct{})}
+		b.pools[id] = p
+	}
+	return p
+}
+
+// SetServers replaces the discovered servers of a pool. State of servers that stay
+// is kept.
+func (b *Board) SetServers(id fleet.PoolID, servers []Server) {
+	p := b.pool(id)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	old := p.servers
+	p.servers = make(map[fleet.ServerID]*state, len(servers))
+	p.list = p.list[:0]
+	for _, s := range servers {
+		st := old[s.ID]
+		if st == nil || st.Address != s.Address || st.Born != s.Born {
+			st = &state{hash: fleet.HashID(string(s.ID)), peers: map[fleet.InstanceID]peerLoad{}, cache: newPrefixCache(cacheLimit(s.CacheTokens))}
+		}
+		st.Server = s
+		st.cache.limit = cacheLimit(s.CacheTokens)
+		p.servers[s.ID] = st
+		p.list = append(p.list, st)
+	}
+	p.wake()
+}
+
+// cacheShare is the part of an engine's memory that is assumed to hold prefixes;
+// running requests use the rest.
+const cacheShare = 0.75
+
+func cacheLimit(tokens int) int { return int(cacheShare * float64(tokens)) }
+
+// wake tells waiting requests that something changed. The caller holds the lock.
+func (p *pool) wake() {
+	close(p.freed)
+	p.freed = make(chan struct{})
+}
+
+// Changed returns a channel that is closed at the next change of the pool that
+// may let a waiting request go on.
+func (b *Board) Changed(id fleet.PoolID) <-chan struct{} {
+	p := b.pool(id)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.freed
+}
+
+// load is the work of all instances at a server.
+func (s *state) load(now time.Time) Load {
+	sum := s.own
+	for _, l := range s.peers {
+		if now.Sub(l.at) < peerLoadTime {
+			sum.Running += l.Running
+			sum.Unread += l.Unread
+		}
+	}
+	return sum
+}
+
+// SetPeer takes the loads that another instance reports. Servers that it does not
+// name have none of its work.
+func (b *Board) SetPeer(peer fleet.InstanceID, now time.Time, loads map[fleet.ServerID]Load) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, p := range b.pools {
+		p.mu.Lock()
+		for id, s := range p.servers {
+			if l, ok := loads[id]; ok {
+				s.peers[peer] = peerLoad{l, now}
+			} else {
+				delete(s.peers, peer)
+			}
+		}
+		p.mu.Unlock()
+	}
+}
+
+// PeerPlaced notes that another instance has sent prompts with the parts to a server.
+func (b *Board) PeerPlaced(server fleet.ServerID, parts []Part) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, p := range b.pools {
+		p.mu.Lock()
+		if s := p.servers[server]; s != nil {
+			s.cache.add(parts)
+		}
+		p.mu.Unlock()
+	}
+}
+
+// Placed is a prompt that was sent to a server.
+type Placed struct {
+	Server fleet.ServerID
+	Parts  []Part
+}
+
+// TakeReport returns the loads of this instance and the prompts sent since the
+// last call.
+func (b *Board) TakeReport() (map[fleet.ServerID]Load, []Placed) {
+	loads := map[fleet.ServerID]Load{}
+	var placed []Placed
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, p := range b.pools {
+		p.mu.Lock()
+		for _, s := range p.list {
+			if s.own.Running > 0 {
+				loads[s.ID] = s.own
+			}
+			for _, parts := range s.placed {
+				placed = append(placed, Placed{s.ID, parts})
+			}
+			s.placed = nil
+		}
+		p.mu.Unlock()
+	}
+	return loads, placed
+}
--- /dev/null
+++ b/core/placement/cold.go
@@ -0,0 +1,64 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"cyclamenhitch/core/fleet"
+)
+
+// coldShare is this instance's part of the requests to a cold server. Cold servers
+// crash above their rate, summed over all instances, so that each instance keeps
+// a distance between its own sends; no message is needed for it.
+type coldShare struct {
+	self      fleet.InstanceID
+	instances []fleet.InstanceID
+}
+
+// coldFloor is the least number of instances to share with. An instance that sees
+// only itself may be cut off from peers that send as well.
+const coldFloor = 3
+
+// SetInstances tells which instances send requests, this one included.
+func (b *Board) SetInstances(self fleet.InstanceID, all []fleet.InstanceID) {
+	b.fleetMu.Lock()
+	defer b.fleetMu.Unlock()
+	b.share = coldShare{self: self, instances: append([]fleet.InstanceID(nil), all...)}
+}
+
+func (b *Board) coldShare() coldShare {
+	b.fleetMu.Lock()
+	defer b.fleetMu.Unlock()
+	return b.share
+}
+
+// spacing is the distance between two sends of this instance to a cold server, and
+// false when the instance is not among those that may send to it. With more
+// instances than requests a second, one request of each within the same second
+// would already be too many, so that only some of them send.
+func (c coldShare) spacing(server uint64, rate float64) (time.Duration, bool) {
+	if rate <= 0 {
+		return 0, true
+	}
+	n := max(coldFloor, len(c.instances))
+	if senders := max(1, int(math.Floor(rate))); n > senders {
+		if !c.among(server, senders) {
+			return 0, false
+		}
+		n = senders
+	}
+	return time.Duration(float64(n) / rate * float64(time.Second)), true
+}
+
+// among reports whether this instance is one of the n that rank first for the server.
+func (c coldShare) among(server uint64, n int) bool {
+	self := fleet.Mix(server, fleet.HashID(string(c.self)))
+	for _, id := range c.instances {
+		if id != c.self && fleet.Mix(server, fleet.HashID(string(id))) > self {
+			n--
+		}
+	}
+	return n > 0
+}
+
+func (s *state) cold(now time.Time) bool { return now.Before(s.ColdUntil) }
--- /dev/null
+++ b/core/placement/health.go
@@ -0,0 +1,67 @@
+package placement
+
+import "time"
+
+// fault follows failures of a server that its requests showed.
+type fault struct {
+	inRow int
+	until time.Time
+}
+
+const (
+	// faultBase is how long a server is passed over after its first failure; it
+	// doubles with each further one in a row.
+	faultBase = 250 * time.Millisecond
+	faultMax  = 4 * time.Second
+)
+
+func (f *fault) failed(now time.Time) {
+	d := faultBase << min(f.inRow, 10)
+	f.inRow++
+	f.until = now.Add(min(d, faultMax))
+}
+
+func (f *fault) succeeded() { *f = fault{} }
+
+func (f *fault) suspect(now time.Time) bool { return now.Before(f.until) }
+
+// speed compares the times that a server takes with what was expected.
+type speed struct {
+	ratio float64 // of the measured and the expected time; 0 means not known
+	at    time.Time
+}
+
+const (
+	// speedWeight is the weight of a new sample.
+	speedWeight = 0.25
+	// speedMemory is after how long half of a deviation is forgotten, so that a
+	// server that was slow gets work again.
+	speedMemory = 3 * time.Second
+	speedMax    = 10
+)
+
+func (s *speed) observe(now time.Time, took, expected time.Duration) {
+	if expected <= 0 {
+		return
+	}
+	r := min(speedMax, float64(took)/float64(expected))
+	s.ratio = (1-speedWeight)*s.factor(now) + speedWeight*r
+	s.at = now
+}
+
+// factor is above 1 for a server that is slower than expected.
+func (s *speed) factor(now time.Time) float64 {
+	if s.ratio == 0 {
+		return 1
+	}
+	age := now.Sub(s.at)
+	if age >= 8*speedMemory {
+		return 1
+	}
+	keep := 1.0
+	for ; age >= speedMemory; age -= speedMemory {
+		keep /= 2
+	}
+	keep *= 1 - 0.5*float64(age)/float64(speedMemory)
+	return 1 + (s.ratio-1)*keep
+}
--- /dev/null
+++ b/core/placement/rank.go
@@ -0,0 +1,279 @@
+package placement
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"cyclamenhitch/core/fleet"
+)
+
+// Estimates of a model engine's work. Prompt tokens are the unit of cost, because
+// reading prompts is what requests wait for.
+const (
+	// readPerMilli is how many prompt tokens an engine reads in a ms.
+	readPerMilli = 30
+	// runningCost is the cost of a request that generates, in prompt tokens; each
+	// one makes every step of the engine a little longer.
+	runningCost = 40
+	// fullCost is the cost of a request that has to wait for a slot, in prompt tokens.
+	fullCost = 4000
+	// rankCost is the cost of each rank in the order of the prompt's own hash, up
+	// to maxRanks. It keeps a prompt on few engines while their loads differ little.
+	rankCost = 250
+	maxRanks = 4
+	// baseTime is the time to a first token that does not depend on the prompt.
+	baseTime = 20 * time.Millisecond
+)
+
+// typicalWeight is the inverse weight of a new sample in the usual time of a service.
+const typicalWeight = 16
+
+// Bounds of the load of one server against the mean of its pool.
+const (
+	// loadFactor and loadSlack stay below the users' bound of twice the mean and 3,
+	// because reports of peers are some 100 ms old.
+	loadFactor = 1.6
+	loadSlack  = 2
+)
+
+// Candidate is a server that may run a request.
+type Candidate struct {
+	ID      fleet.ServerID
+	Address string
+	// Cost is what running there would cost, in prompt tokens for engines.
+	Cost float64
+	// Cached is the part of the prompt that the server is expected to keep, in tokens.
+	Cached int
+	// Wait is the expected time to the first part of the answer.
+	Wait time.Duration
+	// Suspect says that the last requests to it failed.
+	Suspect bool
+	// Full says that a request would wait at the server for a slot.
+	Full bool
+}
+
+// Verdict says why Rank returned no candidate.
+type Verdict int
+
+// Verdicts.
+const (
+	// Found means that there is a candidate.
+	Found Verdict = iota
+	// Empty means that the pool has no server that may get work.
+	Empty
+	// Cold means that only cold servers are left, whose rate is used up.
+	Cold
+	// AtBound means that all servers are at the load bound.
+	AtBound
+)
+
+// Rank returns the servers that may run the request now, best first.
+func (b *Board) Rank(now time.Time, id fleet.PoolID, ask *Ask, exclude func(fleet.ServerID) bool) ([]Candidate, Verdict) {
+	p := b.pool(id)
+	share := b.coldShare()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	eligible := make([]*state, 0, len(p.list))
+	verdict := Empty
+	running := 0
+	for _, s := range p.list {
+		if s.Out {
+			continue
+		}
+		running += s.load(now).Running
+		if exclude != nil && exclude(s.ID) {
+			continue
+		}
+		if s.cold(now) {
+			if _, ok := share.spacing(s.hash, s.ColdRate); !ok || now.Before(s.coldNext) {
+				verdict = max(verdict, Cold)
+				continue
+			}
+		}
+		eligible = append(eligible, s)
+	}
+	if len(eligible) == 0 {
+		return nil, verdict
+	}
+	bound := boundOf(running, p.countIn())
+	out := make([]Candidate, 0, len(eligible))
+	order := hashOrder(eligible, ask)
+	for i, s := range eligible {
+		l := s.load(now)
+		if s.Engine && float64(l.Running+1) > bound {
+			continue
+		}
+		out = append(out, s.candidate(now, l, ask, order[i]))
+	}
+	if len(out) == 0 {
+		return nil, AtBound
+	}
+	slices.SortStableFunc(out, func(a, b Candidate) int {
+		if a.Suspect != b.Suspect {
+			if a.Suspect {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a.Cost, b.Cost)
+	})
+	return out, Found
+}
+
+// boundOf is the largest load of a server when n servers run that many requests.
+func boundOf(running, n int) float64 {
+	return loadFactor*float64(running+1)/float64(max(1, n)) + loadSlack
+}
+
+// countIn is the number of servers that may get work.
+func (p *pool) countIn() int {
+	n := 0
+	for _, s := range p.list {
+		if !s.Out {
+			n++
+		}
+	}
+	return n
+}
+
+// hashOrder gives each server its rank for the request's key: all instances agree
+// on it without a message.
+func hashOrder(servers []*state, ask *Ask) []int {
+	key := ask.Key
+	if n := len(ask.Parts); n > 1 {
+		key = ask.Parts[n-2].ID // the last part is the request's own
+	} else if n == 1 {
+		key = ask.Parts[0].ID
+	}
+	scores := make([]uint64, len(servers))
+	for i, s := range servers {
+		scores[i] = fleet.Mix(key, s.hash)
+	}
+	order := make([]int, len(servers))
+	for i := range servers {
+		for j := range servers {
+			if scores[j] > scores[i] {
+				order[i]++
+			}
+		}
+	}
+	return order
+}
+
+// candidate estimates the cost of the request at a server with the load.
+func (s *state) candidate(now time.Time, l Load, ask *Ask, rank int) Candidate {
+	c := Candidate{ID: s.ID, Address: s.Address, Suspect: s.fault.suspect(now), Full: s.Slots > 0 && l.Running >= s.Slots}
+	factor := s.speed.factor(now)
+	if !s.Engine {
+		// The expected time in units of one request's work.
+		slots := float64(max(1, s.Slots))
+		c.Cost = factor * (1 + float64(l.Running)/slots + 4*math.Max(0, float64(l.Running+1)-slots)/slots)
+		c.Cost += 0.01 * float64(min(rank, maxRanks))
+		return c
+	}
+	c.Cached = s.cache.cached(ask.Parts)
+	work := float64(l.Unread + max(0, ask.Prompt-c.Cached))
+	work += float64(runningCost * l.Running)
+	if c.Full {
+		work += fullCost * float64(1+l.Running-s.Slots)
+	}
+	c.Wait = baseTime + time.Duration(factor*work/readPerMilli*float64(time.Millisecond))
+	c.Cost = factor*work + rankCost*float64(min(rank, maxRanks))
+	return c
+}
+
+// Ticket is the place of one request at a server. It is used by one goroutine.
+type Ticket struct {
+	board    *Board
+	pool     *pool
+	s        *state
+	began    time.Time
+	expected time.Duration
+	unread   int
+	opened   bool
+	ended    bool
+}
+
+// Begin takes a place at a server. It returns nil when the server is gone or, while
+// it is cold, has just been given a request.
+func (b *Board) Begin(now time.Time, id fleet.PoolID, server fleet.ServerID, ask *Ask) *Ticket {
+	p := b.pool(id)
+	share := b.coldShare()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s := p.servers[server]
+	if s == nil || s.Out {
+		return nil
+	}
+	if s.cold(now) {
+		gap, ok := share.spacing(s.hash, s.ColdRate)
+		if !ok || now.Before(s.coldNext) {
+			return nil
+		}
+		s.coldNext = now.Add(gap)
+	}
+	t := &Ticket{board: b, pool: p, s: s, began: now}
+	if s.Engine {
+		t.unread = max(0, ask.Prompt-s.cache.cached(ask.Parts))
+		t.expected = s.candidate(now, s.load(now), ask, 0).Wait
+		s.cache.add(ask.Parts)
+		if n := len(ask.Parts); n > 1 {
+			s.placed = append(s.placed, ask.Parts[:n-1])
+		}
+	}
+	s.own.Running++
+	s.own.Unread += t.unread
+	return t
+}
+
+// Opened notes the first part of the answer.
+func (t *Ticket) Opened(now time.Time) {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	if t.opened || t.ended {
+		return
+	}
+	t.opened = true
+	t.s.own.Unread -= t.unread
+	t.s.fault.succeeded()
+	took := now.Sub(t.began)
+	if !t.s.Engine {
+		t.expected = t.pool.typical
+		t.pool.typical += (took - t.pool.typical) / typicalWeight
+	}
+	t.s.speed.observe(now, took, t.expected)
+	t.pool.wake()
+}
+
+// Outcome says how a request ended at a server.
+type Outcome int
+
+// Outcomes.
+const (
+	// Ended means that the answer ended well, or that the caller ended it.
+	Ended Outcome = iota
+	// Failed means that the server did not do its part.
+	Failed
+	// Refused means that the server is alive and did not run the request.
+	Refused
+)
+
+// Close gives the place back. Only the first call counts.
+func (t *Ticket) Close(now time.Time, o Outcome) {
+	t.pool.mu.Lock()
+	defer t.pool.mu.Unlock()
+	if t.ended {
+		return
+	}
+	t.ended = true
+	t.s.own.Running--
+	if !t.opened {
+		t.s.own.Unread -= t.unread
+	}
+	if o != Ended {
+		t.s.fault.failed(now)
+	}
+	t.pool.wake()
+}
--- /dev/null
+++ b/core/roster/roster.go
@@ -0,0 +1,129 @@
+// Package roster decides which instances of a small fleet are alive and may be
+// named to callers, from the reports that each sends to all others. A Roster
+// belongs to one instance and is safe for concurrent use. It performs no I/O.
+package roster
+
+import (
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"cyclamenhitch/core/fleet"
+)
+
+// Peer is another instance as it last described itself.
+type Peer struct {
+	ID          fleet.InstanceID
+	Incarnation uint64
+	DataCentre  fleet.DataCentreID
+	// Caller and Peer are host:port addresses for callers and for other instances.
+	Caller, Peer string
+	// Serving says that it takes requests: it has a fresh view and is not leaving.
+	Serving bool
+	// Leaving says that it is in a planned stop.
+	Leaving bool
+	// Version is the configuration version in force there.
+	Version uint64
+}
+
+type entry struct {
+	Peer
+	heard time.Time
+	// answered is when it last showed that it hears this instance.
+	answered time.Time
+}
+
+// Roster holds the peers of one instance.
+type Roster struct {
+	self fleet.InstanceID
+
+	mu     sync.Mutex
+	listed map[fleet.InstanceID]string // peer address by instance
+	peers  map[fleet.InstanceID]*entry
+}
+
+// SilentTime is after how long without a report an instance counts as gone. It is
+// six intervals of reports: single lost datagrams do not count.
+const SilentTime = 1200 * time.Millisecond
+
+// New returns the roster of an instance that knows no peers.
+func New(self fleet.InstanceID) *Roster {
+	return &Roster{self: self, listed: map[fleet.InstanceID]string{}, peers: map[fleet.InstanceID]*entry{}}
+}
+
+// SetListed takes the instances that the store lists, with their addresses. It
+// only names instances to report to; it does not say that they are alive.
+func (r *Roster) SetListed(listed map[fleet.InstanceID]string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.listed = listed
+}
+
+// Listed returns the instances of the last SetListed.
+func (r *Roster) Listed() map[fleet.InstanceID]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return maps.Clone(r.listed)
+}
+
+// Heard takes a report. It returns false for one of an earlier life.
+func (r *Roster) Heard(now time.Time, p Peer, answered bool) bool {
+	if p.ID == r.self {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e := r.peers[p.ID]
+	if e == nil {
+		e = &entry{}
+		r.peers[p.ID] = e
+	}
+	if p.Incarnation < e.Incarnation {
+		return false
+	}
+	e.Peer, e.heard = p, now
+	if answered {
+		e.answered = now
+	}
+	return true
+}
+
+// Targets returns the addresses to report to: those listed and those heard from.
+func (r *Roster) Targets(now time.Time) map[fleet.InstanceID]string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make(map[fleet.InstanceID]string, len(r.listed))
+	for id, addr := range r.listed {
+		if id != r.self {
+			out[id] = addr
+		}
+	}
+	for id, e := range r.peers {
+		if now.Sub(e.heard) < SilentTime {
+			out[id] = e.Peer.Peer
+		}
+	}
+	return out
+}
+
+// Live returns the peers that were heard from lately, ordered by id.
+func (r *Roster) Live(now time.Time) []Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]Peer, 0, len(r.peers))
+	for id, e := range r.peers {
+		if now.Sub(e.heard) < SilentTime {
+			out = append(out, e.Peer)
+		} else if now.Sub(e.heard) > 10*SilentTime {
+			delete(r.peers, id)
+		}
+	}
+	slices.SortFunc(out, func(a, b Peer) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
