Weigh waits against the objective when placing prompts

The cost took each ms of waiting as equal to a ms of reading, so that a prompt left the engine that keeps it for a wait far below its objective; the load bound of 1.6 times the mean did the rest. Change: the cost of a wait grows with the third power of its share of the objective; the bound is 1.85 times the mean and 2.5, below the users' 2 and 3.

--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -37,6 +37,9 @@
 	Parts []Part
 	// Prompt and Output are in tokens.
 	Prompt, Output int
+	// Objective is the time to the first token that counts as on time; 0 means that
+	// none is stated.
+	Objective time.Duration
 	// Key ranks servers for requests without parts.
 	Key uint64
 }
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -9,22 +9,29 @@
 	"cyclamenhitch/core/fleet"
 )
 
-// Estimates of a model engine's work. Prompt tokens are the unit of cost, because
-// reading prompts is what requests wait for.
+// Estimates of a model engine's work.
 const (
 	// readPerMilli is how many prompt tokens an engine reads in a ms.
 	readPerMilli = 30
-	// runningCost is the cost of a request that generates, in prompt tokens; each
-	// one makes every step of the engine a little longer.
+	// runningCost is how much longer a prompt waits for each request that generates,
+	// in prompt tokens; each one makes every step of the engine a little longer.
 	runningCost = 40
 	// fullCost is the cost of a request that has to wait for a slot, in prompt tokens.
 	fullCost = 4000
 	// rankCost is the cost of each rank in the order of the prompt's own hash, up
 	// to maxRanks. It keeps a prompt on few engines while their loads differ little.
-	rankCost = 250
+	rankCost = 4 * time.Millisecond
 	maxRanks = 4
 	// baseTime is the time to a first token that does not depend on the prompt.
 	baseTime = 20 * time.Millisecond
+	// defaultObjective applies to requests that state none.
+	defaultObjective = 500 * time.Millisecond
+)
+
+// Weights of a wait, see waitCost.
+const (
+	waitWeight = 0.2
+	lateWeight = 4
 )
 
 // typicalWeight is the inverse weight of a new sample in the usual time of a service.
@@ -34,15 +41,15 @@
 const (
 	// loadFactor and loadSlack stay below the users' bound of twice the mean and 3,
 	// because reports of peers are some 100 ms old.
-	loadFactor = 1.6
-	loadSlack  = 2
+	loadFactor = 1.85
+	loadSlack  = 2.5
 )
 
 // Candidate is a server that may run a request.
 type Candidate struct {
 	ID      fleet.ServerID
 	Address string
-	// Cost is what running there would cost, in prompt tokens for engines.
+	// Cost is what running there would cost, in ms for engines.
 	Cost float64
 	// Cached is the part of the prompt that the server is expected to keep, in tokens.
 	Cached int
@@ -180,10 +187,28 @@
 		work += fullCost * float64(1+l.Running-s.Slots)
 	}
 	c.Wait = baseTime + time.Duration(factor*work/readPerMilli*float64(time.Millisecond))
-	c.Cost = factor*work + rankCost*float64(min(rank, maxRanks))
+	cost := waitCost(c.Wait, ask.Objective) + readTime(ask.Prompt-c.Cached) + rankCost*time.Duration(min(rank, maxRanks))
+	c.Cost = float64(cost) / float64(time.Millisecond)
 	return c
 }
 
+// readTime is how long an engine reads prompt tokens. Reading what another engine
+// keeps takes this time from the requests that come after.
+func readTime(tokens int) time.Duration {
+	return time.Duration(float64(max(0, tokens)) / readPerMilli * float64(time.Millisecond))
+}
+
+// waitCost is the cost of a wait for the first token. A wait well below the
+// objective costs little, so that a prompt stays where its parts are cached; near
+// the objective it grows with the third power.
+func waitCost(wait, objective time.Duration) time.Duration {
+	if objective <= 0 {
+		objective = defaultObjective
+	}
+	r := float64(wait) / float64(objective)
+	return time.Duration(float64(wait) * (waitWeight + lateWeight*r*r))
+}
+
 // Ticket is the place of one request at a server. It is used by one goroutine.
 type Ticket struct {
 	board    *Board
