Fetch kept prompt parts from the engine that keeps them

Ruled out: lost reports (placements of all instances are in the log). Change: a candidate's cost takes the faster of reading and fetching from the engine that keeps most of the chain; the request names that engine.

--- a/adapters/engine/dialect.go
+++ b/adapters/engine/dialect.go
@@ -26,6 +26,8 @@
 	Server string
 	// Account is the caller's client account.
 	Account string
+	// FetchFrom is the address of a server that keeps the prompt.
+	FetchFrom string
 	// NotRun marks an answer that says that the request did not run.
 	NotRun string
 	// Load is running, waiting and slots of the server, separated by commas.
--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -157,6 +157,7 @@
 	set(d.Deadline, strconv.FormatInt(max(0, x.req.Deadline.Sub(now).Milliseconds()), 10))
 	set(d.IdempotencyKey, x.req.IdempotencyKey)
 	set(d.LastEvent, lastEvent)
+	set(d.FetchFrom, x.req.FetchFrom)
 	set(d.Server, string(x.srv.Name))
 	if x.req.Account != nil {
 		set(d.Account, string(x.req.Account.Name))
--- a/cmd/internal/edge/placer.go
+++ b/cmd/internal/edge/placer.go
@@ -44,10 +44,11 @@
 		changed := p.board.Changed(req.Pool.Name)
 		ranked, verdict := p.board.Rank(now, req.Pool.Name, ask, tried(req))
 		for _, c := range ranked {
-			t := p.board.Begin(now, req.Pool.Name, c.ID, ask)
+			t := p.board.Begin(now, req.Pool.Name, c, ask)
 			if t == nil {
 				continue
 			}
+			req.FetchFrom = c.Source
 			p.decided(req, c, len(ranked), now.Sub(began))
 			return &manifest.Server{Name: c.ID, Pool: req.Pool.Name, Address: c.Address}, &permit{t}, nil
 		}
@@ -88,8 +89,11 @@
 
 func (p *placer) decided(req *gateway.Request, c placement.Candidate, n int, waited time.Duration) {
 	p.meters.placed(waited)
+	if !p.log.Core().Enabled(zap.DebugLevel) {
+		return
+	}
 	p.log.Debug("request placed", zap.String(logging.FieldRequest, req.ID), zap.String(logging.FieldPool, string(req.Pool.Name)),
-		zap.String(logging.FieldServer, string(c.ID)), zap.Float64("cost", c.Cost), zap.Int("cached", c.Cached),
+		zap.String(logging.FieldServer, string(c.ID)), zap.Float64("cost", c.Cost), zap.Int("cached", c.Cached), zap.Int("fetched", c.Fetched), zap.Int("prompt", req.PromptTokens), zap.Any("parts", req.Parts),
 		zap.Duration("expected", c.Wait), zap.Int("candidates", n), zap.Duration("waited", waited), zap.Int("attempt", len(req.Tried)+1))
 }
 
--- a/cmd/internal/edge/view.go
+++ b/cmd/internal/edge/view.go
@@ -313,7 +313,7 @@
 		}
 		byPool[s.Pool] = append(byPool[s.Pool], placement.Server{
 			ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, Slots: slots, Engine: p.Engine, CacheTokens: p.CacheTokens,
-			Out: s.Leaving || v.out[s.DataCentre], ColdUntil: s.coldUntil, ColdRate: p.ColdRate, Born: s.Born,
+			Out: s.Leaving || v.out[s.DataCentre], ColdUntil: s.coldUntil, ColdRate: p.ColdRate, FetchPerMilli: p.FetchPerMilli, Born: s.Born,
 		})
 	}
 	for _, p := range c.catalog.Pools() {
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -63,6 +63,9 @@
 	Slots int
 	// CacheTokens is the memory of a model engine, in tokens.
 	CacheTokens int
+	// FetchPerMilli is how many prompt tokens a ms a model engine fetches from
+	// another one; 0 means that it cannot.
+	FetchPerMilli float64
 }
 
 // Limits bound what callers may send.
--- a/core/gateway/ports.go
+++ b/core/gateway/ports.go
@@ -69,6 +69,9 @@
 	LastEvent string
 	// MaxRuns bounds how many servers may run the request; 0 means maxAttempts.
 	MaxRuns int
+	// FetchFrom is the address of a server from which the chosen one may fetch what
+	// it does not keep of the prompt; empty means none. The Placer sets it.
+	FetchFrom string
 	// Recheck, unless nil, is called right before each send. An error from it, with
 	// outcome not_run, ends the attempt: what allowed the request may be out of date.
 	Recheck func() *result.Error
--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -27,6 +27,9 @@
 	// ColdRate is how many requests a second it bears while cold, all instances
 	// together; 0 means no bound.
 	ColdRate float64
+	// FetchPerMilli is how many prompt tokens a ms the server fetches from another
+	// one that keeps them; 0 means that it cannot.
+	FetchPerMilli float64
 	// Born tells lives of one id apart; a new one has an empty cache.
 	Born int64
 }
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -55,6 +55,10 @@
 	Cached int
 	// Wait is the expected time to the first part of the answer.
 	Wait time.Duration
+	// Source is the address of a server that keeps more of the prompt and from which
+	// Fetched tokens can be fetched; empty means none.
+	Source  string
+	Fetched int
 	// Suspect says that the last requests to it failed.
 	Suspect bool
 	// Full says that a request would wait at the server for a slot.
@@ -107,12 +111,13 @@
 	bound := boundOf(running, p.countIn())
 	out := make([]Candidate, 0, len(eligible))
 	order := hashOrder(eligible, ask)
+	from := p.donor(now, ask)
 	for i, s := range eligible {
 		l := s.load(now)
 		if s.Engine && float64(l.Running+1) > bound {
 			continue
 		}
-		out = append(out, s.candidate(now, l, ask, order[i]))
+		out = append(out, s.candidate(now, l, ask, order[i], from))
 	}
 	if len(out) == 0 {
 		return nil, AtBound
@@ -169,8 +174,46 @@
 	return order
 }
 
+// donor is the server from which a prompt can be fetched.
+type donor struct {
+	s      *state
+	cached int
+}
+
+// donor returns the server that keeps most of the prompt. Servers that may get no
+// new work can still be fetched from.
+func (p *pool) donor(now time.Time, ask *Ask) donor {
+	var best donor
+	for _, s := range p.list {
+		if !s.Engine || s.FetchPerMilli == 0 || s.fault.suspect(now) {
+			continue
+		}
+		if n := s.cache.cached(ask.Parts); n > best.cached {
+			best = donor{s, n}
+		}
+	}
+	return best
+}
+
+// minFetch is the least number of tokens that are worth a fetch.
+const minFetch = 256
+
+// fetch returns how many tokens s would fetch and how long that takes. Transfers
+// between data centres take twice as long.
+func (s *state) fetch(cached int, from donor) (int, time.Duration) {
+	n := from.cached - cached
+	if from.s == nil || from.s == s || n < minFetch || s.FetchPerMilli == 0 {
+		return 0, 0
+	}
+	took := time.Duration(float64(n) / s.FetchPerMilli * float64(time.Millisecond))
+	if from.s.DataCentre != s.DataCentre {
+		took *= 2
+	}
+	return n, took
+}
+
 // candidate estimates the cost of the request at a server with the load.
-func (s *state) candidate(now time.Time, l Load, ask *Ask, rank int) Candidate {
+func (s *state) candidate(now time.Time, l Load, ask *Ask, rank int, from donor) Candidate {
 	c := Candidate{ID: s.ID, Address: s.Address, Suspect: s.fault.suspect(now), Full: s.Slots > 0 && l.Running >= s.Slots}
 	factor := s.speed.factor(now)
 	if !s.Engine {
@@ -181,13 +224,18 @@
 		return c
 	}
 	c.Cached = s.cache.cached(ask.Parts)
-	work := float64(l.Unread + max(0, ask.Prompt-c.Cached))
+	n, fetchTime := s.fetch(c.Cached, from)
+	if n > 0 {
+		c.Source, c.Fetched = from.s.Address, n
+	}
+	unread := max(0, ask.Prompt-c.Cached-n)
+	work := float64(l.Unread + unread)
 	work += float64(runningCost * l.Running)
 	if c.Full {
 		work += fullCost * float64(1+l.Running-s.Slots)
 	}
-	c.Wait = baseTime + time.Duration(factor*work/readPerMilli*float64(time.Millisecond))
-	cost := waitCost(c.Wait, ask.Objective) + readTime(ask.Prompt-c.Cached) + rankCost*time.Duration(min(rank, maxRanks))
+	c.Wait = baseTime + fetchTime + time.Duration(factor*work/readPerMilli*float64(time.Millisecond))
+	cost := waitCost(c.Wait, ask.Objective) + fetchTime + readTime(unread) + rankCost*time.Duration(min(rank, maxRanks))
 	c.Cost = float64(cost) / float64(time.Millisecond)
 	return c
 }
@@ -223,12 +271,12 @@
 
 // Begin takes a place at a server. It returns nil when the server is gone or, while
 // it is cold, has just been given a request.
-func (b *Board) Begin(now time.Time, id fleet.PoolID, server fleet.ServerID, ask *Ask) *Ticket {
+func (b *Board) Begin(now time.Time, id fleet.PoolID, c Candidate, ask *Ask) *Ticket {
 	p := b.pool(id)
 	share := b.coldShare()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	s := p.servers[server]
+	s := p.servers[c.ID]
 	if s == nil || s.Out {
 		return nil
 	}
@@ -241,8 +289,8 @@
 	}
 	t := &Ticket{board: b, pool: p, s: s, began: now}
 	if s.Engine {
-		t.unread = max(0, ask.Prompt-s.cache.cached(ask.Parts))
-		t.expected = s.candidate(now, s.load(now), ask, 0).Wait
+		t.unread = max(0, ask.Prompt-s.cache.cached(ask.Parts)-c.Fetched)
+		t.expected = c.Wait
 		s.cache.add(ask.Parts)
 		if n := len(ask.Parts); n > 1 {
 			s.placed = append(s.placed, ask.Parts[:n-1])
