Let a few instances read the store for all

Ruled out: longer waits (the lease on the configuration counts from the start of a read, so that they cost freshness). Change: the first three data centres, by hash, have one reader each; the others follow it with calls of 0.5 s between instances. A reader hands its copy on only while its own reads succeed. The lease is confirmed by reports that echo what the receiver sent; an instance whose configuration is 2.8 s old reads for itself.

--- /dev/null
+++ b/adapters/feed/feed.go
@@ -0,0 +1,150 @@
+// Package feed hands followed tables on between instances, so that a few of them
+// read the store for all. It owns the connections to the peers.
+package feed
+
+import (
+	"context"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"google.golang.org/protobuf/proto"
+
+	"cyclamenhitch/adapters/feed/feedpb"
+	"cyclamenhitch/core/feedlog"
+	"cyclamenhitch/core/result"
+	"cyclamenhitch/core/store"
+)
+
+//go:generate protoc --go_out=feedpb --go_opt=paths=source_relative -I feedpb feed.proto
+
+const (
+	// Path is the path of the calls.
+	Path = "/feed"
+	// maxWait bounds the wait that a caller may ask for.
+	maxWait = 30 * time.Second
+	// callTime bounds a call without its wait.
+	callTime = 400 * time.Millisecond
+	idleConn = 10 * time.Second
+)
+
+// Server answers other instances from this one's copies.
+type Server struct {
+	// Log returns the copy of a table, or nil when this instance cannot vouch for it.
+	Log func(table string) *feedlog.Log
+}
+
+// Handle serves one call.
+func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
+	args := ctx.QueryArgs()
+	log := s.Log(string(args.Peek("table")))
+	if log == nil {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	if args.Has("whole") {
+		rows, version, known := log.Whole()
+		if !known {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			return
+		}
+		write(ctx, rows, version)
+		return
+	}
+	after, err := strconv.ParseUint(string(args.Peek("after")), 10, 64)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	wait := time.Duration(args.GetUintOrZero("wait_ms")) * time.Millisecond
+	timer := time.NewTimer(min(wait, maxWait))
+	defer timer.Stop()
+	for {
+		rows, version, changed, err := log.Since(after)
+		if err != nil {
+			ctx.SetStatusCode(fasthttp.StatusGone)
+			return
+		}
+		if len(rows) > 0 {
+			write(ctx, rows, version)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			write(ctx, nil, version)
+			return
+		}
+	}
+}
+
+func write(ctx *fasthttp.RequestCtx, rows []store.Entry, version uint64) {
+	m := &feedpb.Changes{Version: version}
+	for _, e := range rows {
+		m.Rows = append(m.Rows, &feedpb.Row{Key: e.Key, Value: e.Value, Removed: e.Value == nil, Version: e.Version})
+	}
+	b, err := proto.Marshal(m)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetBody(b)
+}
+
+// Client reads tables from one other instance.
+type Client struct {
+	Address string
+	http    *fasthttp.Client
+}
+
+// Pool makes clients that share their connections.
+type Pool struct{ http *fasthttp.Client }
+
+// NewPool returns a pool without connections.
+func NewPool() *Pool {
+	return &Pool{&fasthttp.Client{
+		MaxIdleConnDuration: idleConn, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
+		Dial: func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, callTime) },
+	}}
+}
+
+// At returns a client for an instance.
+func (p *Pool) At(address string) *Client { return &Client{address, p.http} }
+
+// Snapshot reads a whole table.
+func (c *Client) Snapshot(_ context.Context, table string) ([]store.Entry, uint64, error) {
+	return c.call("table="+table+"&whole=1", callTime)
+}
+
+// Changes reads the changes after a version and waits for one.
+func (c *Client) Changes(_ context.Context, table string, after uint64, wait time.Duration) ([]store.Entry, uint64, error) {
+	q := "table=" + table + "&after=" + strconv.FormatUint(after, 10) + "&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	return c.call(q, wait+callTime)
+}
+
+func (c *Client) call(query string, limit time.Duration) ([]store.Entry, uint64, error) {
+	status, body, err := c.http.GetTimeout(nil, "http://"+c.Address+Path+"?"+query, limit)
+	if err != nil {
+		return nil, 0, result.Wrap(result.StoreUnavailable, err, "peer %s", c.Address)
+	}
+	switch status {
+	case fasthttp.StatusOK:
+	case fasthttp.StatusGone:
+		return nil, 0, store.ErrHistoryGone
+	default:
+		return nil, 0, result.New(result.StoreUnavailable, "peer %s answered status %d", c.Address, status)
+	}
+	var m feedpb.Changes
+	if err := proto.Unmarshal(body, &m); err != nil {
+		return nil, 0, result.Wrap(result.StoreUnavailable, err, "peer %s", c.Address)
+	}
+	out := make([]store.Entry, len(m.Rows))
+	for i, r := range m.Rows {
+		out[i] = store.Entry{Key: r.Key, Version: r.Version}
+		if !r.Removed {
+			out[i].Value = append([]byte{}, r.Value...)
+		}
+	}
+	return out, m.Version, nil
+}
--- a/adapters/gossip/gossip.go
+++ b/adapters/gossip/gossip.go
@@ -103,7 +103,7 @@
 	m := &gossippb.Report{
 		Instance: string(r.From.ID), Incarnation: r.From.Incarnation, DataCentre: string(r.From.DataCentre),
 		CallerAddress: r.From.Caller, PeerAddress: r.From.Peer, Serving: r.From.Serving, Leaving: r.From.Leaving,
-		ConfigVersion: r.From.Version, Sent: int64(r.Sent), Echo: int64(r.Echo),
+		ConfigVersion: r.From.Version, ReadsStore: r.From.Reads, Sent: int64(r.Sent), Echo: int64(r.Echo),
 		Confirmed: r.Confirmed, ConfirmedAgeMs: uint32((r.ConfirmedAge + time.Millisecond - 1) / time.Millisecond),
 	}
 	for id, l := range r.Loads {
@@ -124,7 +124,7 @@
 	r := &Report{
 		From: roster.Peer{
 			ID: fleet.InstanceID(m.Instance), Incarnation: m.Incarnation, DataCentre: fleet.DataCentreID(m.DataCentre),
-			Caller: m.CallerAddress, Peer: m.PeerAddress, Serving: m.Serving, Leaving: m.Leaving, Version: m.ConfigVersion,
+			Caller: m.CallerAddress, Peer: m.PeerAddress, Serving: m.Serving, Leaving: m.Leaving, Version: m.ConfigVersion, Reads: m.ReadsStore,
 		},
 		Sent: time.Duration(m.Sent), Echo: time.Duration(m.Echo),
 		Confirmed: m.Confirmed, ConfirmedAge: time.Duration(m.ConfirmedAgeMs) * time.Millisecond,
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -14,6 +14,7 @@
 
 	"cyclamenhitch/adapters/clock"
 	"cyclamenhitch/adapters/engine"
+	"cyclamenhitch/adapters/feed"
 	"cyclamenhitch/adapters/gossip"
 	"cyclamenhitch/adapters/httpapi"
 	"cyclamenhitch/adapters/logging"
@@ -103,7 +104,7 @@
 		{e.set.Listen.Caller, func(ln net.Listener) error { return e.caller.Serve(ln, e.limits()) }},
 		{e.set.Listen.Ready, small(platform.Ready(e.peers.ready))},
 		{e.set.Listen.Directory, small(directory.Handle)},
-		{e.set.Listen.Peer, small(e.peers.serveConfig)},
+		{e.set.Listen.Peer, small((&feed.Server{Log: e.view.handOn}).Handle)},
 		{e.set.Listen.Metrics, small(e.meters.handle)},
 	} {
 		if l.addr == "" {
--- /dev/null
+++ b/cmd/internal/edge/follow.go
@@ -0,0 +1,186 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cyclamenhitch/adapters/clock"
+	"cyclamenhitch/core/feedlog"
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/freshness"
+	"cyclamenhitch/core/store"
+	"cyclamenhitch/platform"
+)
+
+const (
+	// peerWait is how long a call to a reading peer waits for changes. It is short,
+	// so that a peer that hangs is left within a second.
+	peerWait = 500 * time.Millisecond
+	// vouchSlack is how much longer than its wait a read of the store may take
+	// before an instance stops to hand its copy on.
+	vouchSlack = 600 * time.Millisecond
+	// avoidTime is how long a reading peer is not asked after a failure.
+	avoidTime = 2 * time.Second
+	// selfHelpAge is the age of the configuration at which an instance reads the
+	// store itself, whoever else does.
+	selfHelpAge = 2800 * time.Millisecond
+	// batchGap is the pause after changes, so that a series of them takes few calls.
+	batchGap = 100 * time.Millisecond
+	// spareRetry is the mean wait after a failed call to the store of an instance
+	// that would not read it for others.
+	spareRetry = 1500 * time.Millisecond
+)
+
+// table is a followed table.
+type table struct {
+	name string
+	wait time.Duration
+	take func(update)
+	log  *feedlog.Log
+	// read is when the last successful direct read ended, as time since boot; 0 for none.
+	read atomic.Int64
+}
+
+// vouched reports whether the copy is as fresh as this instance's own reads are.
+func (t *table) vouched(now freshness.Instant) bool {
+	read := freshness.Instant(t.read.Load())
+	return read > 0 && now-read < t.wait+vouchSlack
+}
+
+// source is where a table is read from.
+type source struct {
+	store.Reader
+	peer   fleet.InstanceID // empty for the store
+	direct bool
+}
+
+// source chooses the store or a peer that reads it for others.
+func (v *view) source(t *table) source {
+	now := clock.SinceBoot()
+	own := source{Reader: v.store, direct: true}
+	if t.name == platform.OperatorTable && v.current.Load() != nil {
+		if _, at, known := v.lease.State(); known && now-at > selfHelpAge {
+			return own
+		}
+	}
+	for _, r := range v.peers.readers() {
+		switch {
+		case r.ID == v.set.Instance:
+			return own
+		case !v.avoided.has(r.ID, now):
+			return source{Reader: v.feeds.At(r.Peer), peer: r.ID}
+		}
+	}
+	return own
+}
+
+// follow keeps up with a table until ctx ends.
+func (v *view) follow(ctx context.Context, t *table) {
+	known, after, failing := false, uint64(0), false
+	for ctx.Err() == nil {
+		src := v.source(t)
+		u, version, err := v.read(ctx, t, src, known, after)
+		if src.direct {
+			v.storeOK.Store(err == nil || errors.Is(err, store.ErrHistoryGone))
+			if lost := !v.storeOK.Load(); failing != lost {
+				failing = lost
+				v.logDependency(t.name, lost, err)
+			}
+		}
+		switch {
+		case err == nil:
+			known, after = true, version
+			if src.direct {
+				t.read.Store(int64(clock.SinceBoot()))
+			}
+			t.take(u)
+			if len(u.entries) > 0 && !u.whole {
+				sleep(ctx, batchGap)
+			}
+		case errors.Is(err, store.ErrHistoryGone):
+			v.log.Warn("changes of the table are missing, reading it whole", zap.String("table", t.name), zap.String("peer", string(src.peer)))
+			if !known {
+				v.avoided.add(src.peer, clock.SinceBoot())
+			}
+			known = false
+		case !src.direct:
+			v.log.Info("peer does not hand a table on", zap.String("table", t.name), zap.String("peer", string(src.peer)), zap.Error(err))
+			v.avoided.add(src.peer, clock.SinceBoot())
+		default:
+			v.pause(ctx)
+		}
+	}
+}
+
+// read reads changes, or the whole table when it is not known, into the copy.
+func (v *view) read(ctx context.Context, t *table, src source, known bool, after uint64) (update, uint64, error) {
+	u := update{start: clock.SinceBoot(), whole: !known, direct: src.direct}
+	var version uint64
+	var err error
+	if !known {
+		if u.entries, version, err = src.Snapshot(ctx, t.name); err == nil && !t.log.Reset(u.entries, version) {
+			err = store.ErrHistoryGone // the source is behind this instance
+		}
+		return u, version, err
+	}
+	wait := t.wait
+	if !src.direct {
+		wait = peerWait
+	}
+	if u.entries, version, err = src.Changes(ctx, t.name, after, wait); err == nil && !t.log.Apply(u.entries, after, version) {
+		err = store.ErrHistoryGone
+	}
+	return u, version, err
+}
+
+// pause waits after a failed call to the store, until a peer can be asked instead.
+func (v *view) pause(ctx context.Context) {
+	mean := storeRetry
+	if !v.peers.wouldRead() {
+		mean = spareRetry
+	}
+	end := time.Now().Add(mean/2 + rand.N(mean))
+	for ctx.Err() == nil && time.Now().Before(end) && len(v.peers.readers()) == 0 {
+		sleep(ctx, storeRetry/2)
+	}
+	sleep(ctx, storeRetry/4)
+}
+
+// handOn returns the copy of a table for other instances, or nil when this instance
+// does not read the store itself.
+func (v *view) handOn(name string) *feedlog.Log {
+	now := clock.SinceBoot()
+	for _, t := range v.tables {
+		if t.name == name && t.vouched(now) {
+			return t.log
+		}
+	}
+	return nil
+}
+
+// avoided are peers that failed to hand a table on.
+type avoided struct {
+	mu    sync.Mutex
+	until map[fleet.InstanceID]freshness.Instant
+}
+
+func (a *avoided) add(id fleet.InstanceID, now freshness.Instant) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.until == nil {
+		a.until = map[fleet.InstanceID]freshness.Instant{}
+	}
+	a.until[id] = now + avoidTime
+}
+
+func (a *avoided) has(id fleet.InstanceID, now freshness.Instant) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return now < a.until[id]
+}
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
 	"cyclamenhitch/adapters/clock"
@@ -27,9 +26,6 @@
 	// reportRate bounds the reports of an instance, in datagrams a second; larger
 	// fleets report less often.
 	reportRate = 160
-	// peerCallTime bounds reading the configuration from a peer.
-	peerCallTime = 500 * time.Millisecond
-	pathConfig   = "/config"
 )
 
 // peers exchanges reports with the other instances.
@@ -43,7 +39,6 @@
 
 	incarnation uint64
 	leaving     atomic.Bool
-	asking      atomic.Bool
 
 	mu   sync.Mutex
 	echo map[fleet.InstanceID]freshness.Instant
@@ -81,7 +76,7 @@
 	r := gossip.Report{Sent: boot}
 	r.From = roster.Peer{
 		ID: p.set.Instance, Incarnation: p.incarnation, DataCentre: p.set.DataCentre, Caller: p.set.Listen.Caller,
-		Peer: p.set.Listen.Peer, Serving: p.serving(), Leaving: p.leaving.Load(),
+		Peer: p.set.Listen.Peer, Serving: p.serving(), Leaving: p.leaving.Load(), Reads: p.view.storeOK.Load(),
 	}
 	if version, at, known := p.view.lease.State(); known {
 		r.From.Version, r.Confirmed, r.ConfirmedAge = version, true, boot-at
@@ -143,42 +138,33 @@
 	p.relay(r, boot)
 }
 
-// relay takes over what a peer knows of the configuration: it confirms the version
-// in force here, or shows that a newer one exists.
+// relay confirms the configuration in force here when a peer has confirmed the same
+// version.
 func (p *peers) relay(r *gossip.Report, boot freshness.Instant) {
 	if !r.Confirmed || r.Echo == 0 || r.Echo > boot {
 		return
 	}
-	c := p.view.current.Load()
-	switch {
-	case c != nil && c.catalog.Version == r.From.Version:
+	if c := p.view.current.Load(); c != nil && c.Version == r.From.Version {
 		p.view.lease.Confirm(r.From.Version, freshness.Relayed(r.Echo, r.ConfirmedAge))
-	case c == nil || c.catalog.Version < r.From.Version:
-		if p.asking.CompareAndSwap(false, true) {
-			go p.fetch(r.From)
-		}
 	}
 }
 
-// fetch reads the configuration of a peer.
-func (p *peers) fetch(from roster.Peer) {
-	defer p.asking.Store(false)
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+from.Peer+pathConfig, peerCallTime)
-	if err != nil || status != fasthttp.StatusOK {
-		p.log.Warn("configuration not read from a peer", zap.String("peer", string(from.ID)), zap.Int("status", status), zap.Error(err))
-		return
-	}
-	p.view.adopt(body, "peer "+string(from.ID))
+// readers returns the instances that read the store for all, this one's data centre
+// first.
+func (p *peers) readers() []roster.Peer {
+	self := roster.Peer{ID: p.set.Instance, DataCentre: p.set.DataCentre, Reads: p.view.storeOK.Load(), Leaving: p.leaving.Load()}
+	return p.roster.Readers(time.Now(), self)
 }
 
-// serveConfig answers peers that ask for the configuration.
-func (p *peers) serveConfig(ctx *fasthttp.RequestCtx) {
-	c := p.view.current.Load()
-	if string(ctx.Path()) != pathConfig || c == nil {
-		ctx.SetStatusCode(fasthttp.StatusNotFound)
-		return
+// wouldRead reports whether this instance is a reader once the store answers.
+func (p *peers) wouldRead() bool {
+	self := roster.Peer{ID: p.set.Instance, DataCentre: p.set.DataCentre, Reads: true}
+	for _, r := range p.roster.Readers(time.Now(), self) {
+		if r.ID == p.set.Instance {
+			return true
+		}
 	}
-	ctx.SetBody(c.body)
+	return false
 }
 
 // takeListed takes the rows of the fleet's instances.
--- a/cmd/internal/edge/view.go
+++ b/cmd/internal/edge/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"maps"
 	"math/rand/v2"
 	"sync"
@@ -12,9 +11,11 @@
 	"go.uber.org/zap"
 
 	"cyclamenhitch/adapters/clock"
+	"cyclamenhitch/adapters/feed"
 	"cyclamenhitch/adapters/logging"
 	"cyclamenhitch/adapters/settings"
 	"cyclamenhitch/core/catalog"
+	"cyclamenhitch/core/feedlog"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/freshness"
 	"cyclamenhitch/core/placement"
@@ -24,11 +25,12 @@
 )
 
 const (
-	// pollWait is how long a call waits for changes. Each call confirms the view
-	// when it ends, so that a view is about this old.
-	pollWait = time.Second
+	// operatorWait and serversWait are how long a call to the store waits for changes.
+	// Each call confirms the view when it ends, so that a view is about this old.
+	operatorWait = time.Second
+	serversWait  = 700 * time.Millisecond
 	// instancesWait is longer, because new instances are also heard from directly.
-	instancesWait = 10 * time.Second
+	instancesWait = 25 * time.Second
 	// storeRetry is the mean wait after a failed call to the store.
 	storeRetry = 200 * time.Millisecond
 	// revokeMargin is the part of the time to revoke a key that is kept for the way
@@ -48,7 +50,12 @@
 	peers *peers
 
 	lease   *freshness.Lease
-	current atomic.Pointer[config]
+	current atomic.Pointer[catalog.Catalog]
+	tables  []*table
+	feeds   *feed.Pool
+	avoided avoided
+	// storeOK says that the last direct read succeeded.
+	storeOK atomic.Bool
 
 	mu      sync.Mutex
 	servers map[fleet.ServerID]*seen
@@ -56,13 +63,6 @@
 	out     map[fleet.DataCentreID]bool
 }
 
-// config is a configuration with the bytes that it was read from, which peers
-// without a way to the store ask for.
-type config struct {
-	catalog *catalog.Catalog
-	body    []byte
-}
-
 // seen is a discovered server.
 type seen struct {
 	catalog.ServerEntry
@@ -70,11 +70,17 @@
 }
 
 func newView(set *settings.Entry, s *platform.Store, b *placement.Board, log *zap.Logger) *view {
-	return &view{
+	v := &view{
 		set: set, store: s, board: b, log: log,
 		lease:   freshness.NewLease(settings.Millis(set.Times.RevokeMillis) - revokeMargin),
-		servers: map[fleet.ServerID]*seen{}, out: map[fleet.DataCentreID]bool{},
+		servers: map[fleet.ServerID]*seen{}, out: map[fleet.DataCentreID]bool{}, feeds: feed.NewPool(),
+	}
+	v.tables = []*table{
+		{name: platform.OperatorTable, wait: operatorWait, take: v.takeOperator, log: feedlog.New()},
+		{name: platform.ServerTable, wait: serversWait, take: v.takeServers, log: feedlog.New()},
+		{name: platform.InstanceTable, wait: instancesWait, take: func(u update) { v.peers.takeListed(u) }, log: feedlog.New()},
 	}
+	return v
 }
 
 // Current returns the configuration in force, or an error with outcome not_run when
@@ -89,7 +95,7 @@
 		_, at, _ := v.lease.State()
 		return nil, result.New(result.Isolated, "the configuration was last confirmed %v ago", (now - at).Round(time.Millisecond)).WithRetryAfter(notReadyRetry)
 	}
-	return c.catalog, nil
+	return c, nil
 }
 
 // Check implements httpapi.Gate.
@@ -107,47 +113,21 @@
 }
 
 func (v *view) run(ctx context.Context) {
-	go v.follow(ctx, platform.OperatorTable, pollWait, v.takeOperator)
-	go v.follow(ctx, platform.ServerTable, pollWait, v.takeServers)
 	go v.register(ctx)
-	v.follow(ctx, platform.InstanceTable, instancesWait, v.peers.takeListed)
+	for _, t := range v.tables {
+		go v.follow(ctx, t)
+	}
+	<-ctx.Done()
 }
 
-// update is what one call to the store showed.
+// update is what one read showed.
 type update struct {
 	entries []store.Entry
 	// whole says that the entries are the whole table.
 	whole bool
-	// start is when the call began.
-	start freshness.Instant
-}
-
-// follow keeps up with a table until ctx ends.
-func (v *view) follow(ctx context.Context, table string, wait time.Duration, take func(update)) {
-	known, after, failing := false, uint64(0), false
-	for ctx.Err() == nil {
-		u := update{start: clock.SinceBoot(), whole: !known}
-		var err error
-		if known {
-			u.entries, after, err = v.store.Changes(ctx, table, after, wait)
-		} else {
-			u.entries, after, err = v.store.Snapshot(ctx, table)
-		}
-		if failing != (err != nil) && !errors.Is(err, store.ErrHistoryGone) {
-			failing = err != nil
-			v.logDependency(table, failing, err)
-		}
-		switch {
-		case err == nil:
-			known = true
-			take(u)
-		case errors.Is(err, store.ErrHistoryGone):
-			v.log.Warn("history of the table is gone, reading it whole", zap.String("table", table))
-			known = false
-		default:
-			sleep(ctx, storeRetry/2+rand.N(storeRetry))
-		}
-	}
+	// direct says that the store itself was read; start is when that read began.
+	direct bool
+	start  freshness.Instant
 }
 
 func (v *view) logDependency(table string, lost bool, err error) {
@@ -179,11 +159,11 @@
 	out, changed := v.outOf(u)
 	for _, e := range u.entries {
 		if e.Key == platform.ConfigKey && e.Value != nil {
-			v.adopt(e.Value, "store")
+			v.adopt(e.Value, u.direct)
 		}
 	}
-	if c := v.current.Load(); c != nil {
-		v.lease.Confirm(c.catalog.Version, u.start)
+	if c := v.current.Load(); c != nil && u.direct {
+		v.lease.Confirm(c.Version, u.start)
 	}
 	if changed {
 		v.log.Info("data centres out of service changed", zap.Any("out", out))
@@ -211,23 +191,22 @@
 }
 
 // adopt puts a configuration in force unless it is older than the present one.
-func (v *view) adopt(body []byte, source string) {
+func (v *view) adopt(body []byte, direct bool) {
 	c, err := platform.DecodeConfig(body)
 	if err != nil {
-		v.log.Error("configuration refused, the last good one stays in force", zap.String("source", source), zap.Error(err))
+		v.log.Error("configuration refused, the last good one stays in force", zap.Bool("direct", direct), zap.Error(err))
 		return
 	}
-	next := &config{catalog: c, body: body}
 	for {
 		old := v.current.Load()
-		if old != nil && old.catalog.Version >= c.Version {
+		if old != nil && old.Version >= c.Version {
 			return
 		}
-		if v.current.CompareAndSwap(old, next) {
+		if v.current.CompareAndSwap(old, c) {
 			break
 		}
 	}
-	v.log.Info("configuration in force", zap.Uint64(logging.FieldVersion, c.Version), zap.String("source", source))
+	v.log.Info("configuration in force", zap.Uint64(logging.FieldVersion, c.Version), zap.Bool("direct", direct))
 	v.publish()
 }
 
@@ -272,7 +251,7 @@
 	case old == nil && !first, old != nil && old.Born != s.Born:
 		// A server that started may not say so yet.
 		if c := v.current.Load(); c != nil {
-			if p := c.catalog.Pool(s.Pool); p != nil {
+			if p := c.Pool(s.Pool); p != nil {
 				n.coldUntil = later(n.coldUntil, now.Add(p.ColdTime))
 			}
 		}
@@ -303,7 +282,7 @@
 	defer v.mu.Unlock()
 	byPool := map[fleet.PoolID][]placement.Server{}
 	for _, s := range v.servers {
-		p := c.catalog.Pool(s.Pool)
+		p := c.Pool(s.Pool)
 		if p == nil {
 			continue
 		}
@@ -316,7 +295,7 @@
 			Out: s.Leaving || v.out[s.DataCentre], ColdUntil: s.coldUntil, ColdRate: p.ColdRate, FetchPerMilli: p.FetchPerMilli, Born: s.Born,
 		})
 	}
-	for _, p := range c.catalog.Pools() {
+	for _, p := range c.Pools() {
 		v.board.SetServers(p.Name, byPool[p.Name])
 	}
 }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -4,6 +4,7 @@
 package roster
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -23,6 +24,8 @@
 	Serving bool
 	// Leaving says that it is in a planned stop.
 	Leaving bool
+	// Reads says that its last read of the store succeeded.
+	Reads bool
 	// Version is the configuration version in force there.
 	Version uint64
 }
@@ -127,3 +130,38 @@
 	})
 	return out
 }
+
+// maxReaders bounds the instances that read the store for all. One may die and one
+// be cut off while the others still read.
+const maxReaders = 3
+
+// Readers returns the instances that read the store for all others, at most one of
+// each data centre, that of self's data centre first. All instances that see the
+// same peers choose the same ones. It is empty while nobody is known to reach the
+// store.
+func (r *Roster) Readers(now time.Time, self Peer) []Peer {
+	best := map[fleet.DataCentreID]Peer{}
+	for _, p := range append(r.Live(now), self) {
+		if !p.Reads || p.Leaving {
+			continue
+		}
+		if b, ok := best[p.DataCentre]; !ok || readerScore(p.ID) > readerScore(b.ID) {
+			best[p.DataCentre] = p
+		}
+	}
+	out := slices.Collect(maps.Values(best))
+	slices.SortFunc(out, func(a, b Peer) int { return cmp.Compare(readerScore(b.ID), readerScore(a.ID)) })
+	out = out[:min(len(out), maxReaders)]
+	slices.SortStableFunc(out, func(a, b Peer) int {
+		if (a.DataCentre == self.DataCentre) == (b.DataCentre == self.DataCentre) {
+			return 0
+		}
+		if a.DataCentre == self.DataCentre {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+func readerScore(id fleet.InstanceID) uint64 { return fleet.HashID("reader/" + string(id)) }
