--- a/core/placement/cold.go
+++ b/core/placement/cold.go
@@ -19,6 +19,13 @@
 // only itself may be cut off from peers that send as well.
 const coldFloor = 3
 
+// coldFactor and coldSlack are how far the requests of a single second may exceed
+// the rate of a cold server, as the users state it.
+const (
+	coldFactor = 1.5
+	coldSlack  = 5
+)
+
 // SetInstances tells which instances send requests, this one included.
 func (b *Board) SetInstances(self fleet.InstanceID, all []fleet.InstanceID) {
 	b.fleetMu.Lock()
@@ -47,7 +54,11 @@
 		}
 		n = senders
 	}
-	return time.Duration(float64(n) / rate * float64(time.Second)), true
+	// The distance must not let a second send into a second in which all others
+	// send as well.
+	each := math.Floor((coldFactor*rate + coldSlack) / float64(n))
+	gap := max(float64(n)/rate, 1/max(1, each))
+	return time.Duration(math.Ceil(gap * float64(time.Second))), true
 }
 
 // among reports whether this instance is one of the n that rank first for the server.
--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,240 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cyclamenhitch/core/fleet"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func engines(n int) []Server {
+	out := make([]Server, n)
+	for i := range out {
+		out[i] = Server{ID: fleet.ServerID(fmt.Sprint("e", i)), Address: fmt.Sprint("10.0.0.", i, ":1"), Slots: 64, Engine: true, CacheTokens: 300_000, FetchPerMilli: 100, DataCentre: "d"}
+	}
+	return out
+}
+
+func prompt(part uint64) *Ask {
+	return &Ask{Parts: []Part{{part, 8000}, {1 << 40, 500}}, Prompt: 8500, Objective: 800 * time.Millisecond}
+}
+
+// Guards against a prompt that moves between engines while they are equally busy,
+// which reads its parts again each time.
+func TestPromptStaysWhereItIsKept(t *testing.T) {
+	b := NewBoard()
+	b.SetServers("p", engines(9))
+	now := epoch
+	homes := map[uint64]fleet.ServerID{}
+	for i := range 400 {
+		part := uint64(i % 20)
+		now = now.Add(50 * time.Millisecond)
+		ranked, v := b.Rank(now, "p", prompt(part), nil)
+		if v != Found {
+			t.Fatalf("verdict %d", v)
+		}
+		if home := homes[part]; home != "" && ranked[0].ID != home {
+			t.Fatalf("request %d: part %d moved from %s to %s", i, part, home, ranked[0].ID)
+		}
+		homes[part] = ranked[0].ID
+		tk := b.Begin(now, "p", ranked[0], prompt(part))
+		tk.Opened(now.Add(30 * time.Millisecond))
+		tk.Close(now.Add(40*time.Millisecond), Ended)
+	}
+}
+
+// Guards against two instances that send a prompt which neither has sent before to
+// different engines.
+func TestInstancesAgreeOnFirstPlace(t *testing.T) {
+	a, b := NewBoard(), NewBoard()
+	list := engines(12)
+	a.SetServers("p", list)
+	for i, j := 0, len(list)-1; i < j; i, j = i+1, j-1 {
+		list[i], list[j] = list[j], list[i]
+	}
+	b.SetServers("p", list)
+	for part := range uint64(50) {
+		x, _ := a.Rank(epoch, "p", prompt(part), nil)
+		y, _ := b.Rank(epoch, "p", prompt(part), nil)
+		if x[0].ID != y[0].ID {
+			t.Fatalf("part %d: %s and %s", part, x[0].ID, y[0].ID)
+		}
+	}
+}
+
+// Guards against a wait past the objective at the engine that keeps the prompt while
+// others are idle, and against a spill for a short wait.
+func TestSpillNearTheObjective(t *testing.T) {
+	for _, row := range []struct {
+		unread int
+		stays  bool
+	}{{0, true}, {4000, true}, {40_000, false}} {
+		b := NewBoard()
+		list := engines(3)
+		for i := range list {
+			list[i].FetchPerMilli = 0
+		}
+		b.SetServers("p", list)
+		first, _ := b.Rank(epoch, "p", prompt(1), nil)
+		tk := b.Begin(epoch, "p", first[0], prompt(1))
+		tk.Close(epoch, Ended)
+		b.SetPeer("other", epoch, map[fleet.ServerID]Load{first[0].ID: {Running: 1, Unread: row.unread}})
+		next, _ := b.Rank(epoch, "p", prompt(1), nil)
+		if got := next[0].ID == first[0].ID; got != row.stays {
+			t.Errorf("%d unread tokens: stays %v, want %v", row.unread, got, row.stays)
+		}
+	}
+}
+
+// Guards against parts that are read again though an engine keeps them: a spilled
+// prompt names that engine, also one that is leaving.
+func TestSpillFetches(t *testing.T) {
+	b := NewBoard()
+	list := engines(3)
+	b.SetServers("p", list)
+	first, _ := b.Rank(epoch, "p", prompt(1), nil)
+	b.Begin(epoch, "p", first[0], prompt(1)).Close(epoch, Ended)
+	for i := range list {
+		list[i].Out = list[i].ID == first[0].ID
+	}
+	b.SetServers("p", list)
+	next, _ := b.Rank(epoch, "p", prompt(1), nil)
+	if next[0].ID == first[0].ID || next[0].Source != first[0].Address || next[0].Fetched != 8500 {
+		t.Fatalf("got %+v after %+v left", next[0], first[0])
+	}
+}
+
+// Guards against the collapse of a cold server: all instances together stay below
+// its rate times 1.5 and 5 in any second, however their views differ.
+func TestColdRateOverAllInstances(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 100).Draw(t, "instances")
+		rate := rapid.SampledFrom([]float64{4, 7.4, 20}).Draw(t, "rate")
+		all := make([]fleet.InstanceID, n)
+		for i := range all {
+			all[i] = fleet.InstanceID(fmt.Sprint("i", i))
+		}
+		boards := make([]*Board, n)
+		for i := range boards {
+			boards[i] = NewBoard()
+			boards[i].SetInstances(all[i], all)
+			s := engines(1)
+			s[0].ColdUntil, s[0].ColdRate = epoch.Add(time.Hour), rate
+			boards[i].SetServers("p", s)
+		}
+		var sends []time.Time
+		for now := epoch; now.Before(epoch.Add(4 * time.Second)); now = now.Add(20 * time.Millisecond) {
+			for _, b := range boards {
+				if ranked, v := b.Rank(now, "p", prompt(1), nil); v == Found && b.Begin(now, "p", ranked[0], prompt(1)) != nil {
+					sends = append(sends, now)
+				}
+			}
+		}
+		for i, from := range sends {
+			k := i
+			for k < len(sends) && sends[k].Sub(from) < time.Second {
+				k++
+			}
+			if float64(k-i) > rate*1.5+5 {
+				t.Fatalf("%d requests within a second, rate %v, %d instances", k-i, rate, n)
+			}
+		}
+		if len(sends) == 0 {
+			t.Fatal("a cold server got nothing at all")
+		}
+	})
+}
+
+// Guards against an engine over twice the mean load and 3 while requests keep coming
+// for one prompt.
+func TestLoadBoundUnderOneHotPrompt(t *testing.T) {
+	b := NewBoard()
+	b.SetServers("p", engines(9))
+	running := map[fleet.ServerID]int{}
+	total := 0
+	for range 400 {
+		ranked, v := b.Rank(epoch, "p", prompt(1), nil)
+		if v != Found {
+			t.Fatalf("verdict %d with %d requests running", v, total)
+		}
+		b.Begin(epoch, "p", ranked[0], prompt(1)).Opened(epoch)
+		running[ranked[0].ID]++
+		total++
+		if mean := float64(total) / 9; float64(running[ranked[0].ID]) > 2*mean+3 {
+			t.Fatalf("%d requests on one engine, the mean is %.1f", running[ranked[0].ID], mean)
+		}
+	}
+}
+
+// Guards against load that is counted twice or forgotten.
+func TestTicketsReturnTheirLoad(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := NewBoard()
+		b.SetServers("p", engines(3))
+		var open []*Ticket
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "begin") || len(open) == 0 {
+				ranked, _ := b.Rank(epoch, "p", prompt(uint64(len(open))), nil)
+				open = append(open, b.Begin(epoch, "p", ranked[0], prompt(uint64(len(open)))))
+				continue
+			}
+			i := rapid.IntRange(0, len(open)-1).Draw(t, "which")
+			if rapid.Bool().Draw(t, "opened") {
+				open[i].Opened(epoch)
+			}
+			open[i].Close(epoch, Outcome(rapid.IntRange(0, 2).Draw(t, "outcome")))
+			open[i].Close(epoch, Failed)
+			open = append(open[:i], open[i+1:]...)
+		}
+		for _, tk := range open {
+			tk.Close(epoch, Ended)
+		}
+		loads, _ := b.TakeReport()
+		if len(loads) != 0 {
+			t.Fatalf("loads %v are left", loads)
+		}
+		for _, s := range b.pool("p").list {
+			if s.own != (Load{}) {
+				t.Fatalf("%s keeps %+v", s.ID, s.own)
+			}
+		}
+	})
+}
+
+// Guards against requests that keep going to a server that fails them.
+func TestFailedServerComesLast(t *testing.T) {
+	b := NewBoard()
+	b.SetServers("p", engines(3))
+	first, _ := b.Rank(epoch, "p", prompt(1), nil)
+	b.Begin(epoch, "p", first[0], prompt(1)).Close(epoch, Failed)
+	next, _ := b.Rank(epoch, "p", prompt(1), nil)
+	if next[0].ID == first[0].ID || next[len(next)-1].ID != first[0].ID {
+		t.Fatalf("%s failed and is ranked %v", first[0].ID, next)
+	}
+	later, _ := b.Rank(epoch.Add(faultBase), "p", prompt(1), nil)
+	if later[len(later)-1].Suspect {
+		t.Fatal("the server is suspect for longer than the first failure allows")
+	}
+}
+
+// Guards against servers that are out, unknown or gone and still get work.
+func TestNoServer(t *testing.T) {
+	b := NewBoard()
+	if _, v := b.Rank(epoch, "none", prompt(1), nil); v != Empty {
+		t.Errorf("verdict %d for an unknown pool", v)
+	}
+	list := engines(1)
+	list[0].Out = true
+	b.SetServers("p", list)
+	if _, v := b.Rank(epoch, "p", prompt(1), nil); v != Empty {
+		t.Errorf("verdict %d for a pool whose server is out", v)
+	}
+	if b.Begin(epoch, "p", Candidate{ID: "e0"}, prompt(1)) != nil || b.Begin(epoch, "p", Candidate{ID: "gone"}, prompt(1)) != nil {
+		t.Error("a server that is out or gone got a request")
+	}
+}
--- /dev/null
+++ b/core/roster/roster_test.go
@@ -0,0 +1,73 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cyclamenhitch/core/fleet"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// Guards against addresses of instances that are gone, and against reports of an
+// earlier life that revive one.
+func TestSilentInstancesAreNotLive(t *testing.T) {
+	r := New("a")
+	r.Heard(epoch, Peer{ID: "b", Incarnation: 2}, true)
+	if r.Heard(epoch.Add(time.Second), Peer{ID: "b", Incarnation: 1}, true) {
+		t.Error("a report of an earlier life was taken")
+	}
+	if len(r.Live(epoch.Add(SilentTime-1))) != 1 || len(r.Live(epoch.Add(SilentTime))) != 0 {
+		t.Error("an instance is live for another time than SilentTime after its last report")
+	}
+	if r.Heard(epoch, Peer{ID: "a"}, true) {
+		t.Error("the instance heard itself")
+	}
+}
+
+// Guards against a fleet in which nobody, or everybody, reads the store: instances
+// that see the same peers agree on one to three readers that reach it.
+func TestReadersAgree(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 40).Draw(t, "instances")
+		peers := make([]Peer, n)
+		any := false
+		for i := range peers {
+			peers[i] = Peer{
+				ID: fleet.InstanceID(fmt.Sprint("i", i)), DataCentre: fleet.DataCentreID(fmt.Sprint("d", rapid.IntRange(0, 4).Draw(t, "dc"))),
+				Reads: rapid.Bool().Draw(t, "reads"), Leaving: rapid.IntRange(0, 4).Draw(t, "leaving") == 0,
+			}
+			any = any || peers[i].Reads && !peers[i].Leaving
+		}
+		var first map[fleet.InstanceID]bool
+		for i := range peers {
+			r := New(peers[i].ID)
+			for j := range peers {
+				r.Heard(epoch, peers[j], true)
+			}
+			got := map[fleet.InstanceID]bool{}
+			list := r.Readers(epoch, peers[i])
+			for k, p := range list {
+				if !p.Reads || p.Leaving {
+					t.Fatalf("%v does not read", p)
+				}
+				if k > 0 && p.DataCentre == peers[i].DataCentre {
+					t.Fatalf("the reader of the own data centre is at position %d", k)
+				}
+				got[p.ID] = true
+			}
+			if any != (len(got) > 0) || len(got) > maxReaders {
+				t.Fatalf("%d readers, some instance reads: %v", len(got), any)
+			}
+			if first == nil {
+				first = got
+			}
+			if fmt.Sprint(first) != fmt.Sprint(got) {
+				t.Fatalf("readers %v and %v", first, got)
+			}
+		}
+	})
+}
