Share the retry budget between the instances

Cause: each instance saved up 10% of the last 1,000 requests and three: nine of them could send some 900 retries within seconds, the users allow 20% of the requests and 58 (52) in ten. Change: settings state the fleet's ratio and burst; each instance keeps 0.7 of the ratio and its share of the burst.

--- a/adapters/settings/entry.go
+++ b/adapters/settings/entry.go
@@ -24,6 +24,9 @@
 	DataCentre fleet.DataCentreID `toml:"data_centre"`
 	// Region is the region of the instance. Required.
 	Region fleet.RegionID `toml:"region"`
+	// FirstStart says that the whole fleet starts for the first time, so that there is
+	// nothing to find out about the engines. Default false.
+	FirstStart bool `toml:"first_start"`
 	// Listen holds the addresses of the instance.
 	Listen EntryListen `toml:"listen"`
 	// Store is the host:port address of the platform's store. Required.
@@ -66,6 +69,12 @@
 	MemoryMegabytes int `toml:"memory_mb"`
 	// Descriptors is the number of open files and sockets. Default 4096.
 	Descriptors int `toml:"descriptors"`
+	// RetryRatio is the share of a pool's requests that the whole fleet may send once
+	// more. Default 0.1.
+	RetryRatio float64 `toml:"retry_ratio"`
+	// RetryBurst is how many requests more than that the whole fleet may send once
+	// more in a short time. Default 30.
+	RetryBurst float64 `toml:"retry_burst"`
 }
 
 // Millis returns a number of ms as a duration.
@@ -110,6 +119,8 @@
 	setDefault(&s.Times.KeepMillis, 1000)
 	setDefault(&s.Limits.MemoryMegabytes, 256)
 	setDefault(&s.Limits.Descriptors, 4096)
+	setDefault(&s.Limits.RetryRatio, 0.1)
+	setDefault(&s.Limits.RetryBurst, 30)
 	setDefault(&s.Log.Level, "info")
 }
 
@@ -155,5 +166,11 @@
 			add(n.key, "is %d, accepted range: %d to %d", n.v, n.min, n.max)
 		}
 	}
+	if r := s.Limits.RetryRatio; r < 0 || r > 1 {
+		add("limits.retry_ratio", "is %v, accepted range: 0 to 1", r)
+	}
+	if s.Limits.RetryBurst < 0 {
+		add("limits.retry_burst", "is %v, accepted range: 0 and more", s.Limits.RetryBurst)
+	}
 	return ps
 }
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -65,6 +65,10 @@
 		return nil, err
 	}
 	e.peers = newPeers(set, socket, e.view, e.board, log)
+	budgets := retry.NewBudgets()
+	e.peers.shared = func(instances int) {
+		budgets.Share(retryShare(set, instances))
+	}
 	e.view.peers = e.peers
 	client := &engine.Client{
 		ConnectTimeout: connectTime, MaxAnswerBytes: maxAnswerBytes, Dialect: platform.Dialect(),
@@ -73,7 +77,7 @@
 		Config: nil,
 		Opener: &gateway.Gateway{
 			Placer:   &placer{board: e.board, view: e.view, log: log, meters: e.meters},
-			Upstream: client, Budget: retry.NewBudgets(), Now: time.Now,
+			Upstream: client, Budget: budgets, Now: time.Now,
 		},
 		Gate: e.view, Log: log, Observe: e.meters.observe,
 		Frontend: &platform.Frontend{View: e.view.Current},
@@ -82,6 +86,16 @@
 	return e, nil
 }
 
+// retryMargin is the part of the fleet's retry budget that is used; instances see a
+// change of the fleet's size at different times.
+const retryMargin = 0.7
+
+// retryShare is one instance's share of the fleet's retry budget, in percent of its
+// requests and in retries.
+func retryShare(set *settings.Entry, instances int) (percent, burst int) {
+	return int(retryMargin * set.Limits.RetryRatio * 100), int(retryMargin * set.Limits.RetryBurst / float64(max(1, instances)))
+}
+
 // Run serves until ctx ends, then stops without cutting requests. reload is told
 // of a changed settings file.
 func (e *Edge) Run(ctx context.Context, reload <-chan os.Signal) error {
@@ -104,7 +118,7 @@
 		{e.set.Listen.Caller, func(ln net.Listener) error { return e.caller.Serve(ln, e.limits()) }},
 		{e.set.Listen.Ready, small(platform.Ready(e.peers.ready))},
 		{e.set.Listen.Directory, small(directory.Handle)},
-		{e.set.Listen.Peer, small((&feed.Server{Log: e.view.handOn}).Handle)},
+		{e.set.Listen.Peer, small(e.peers.servePeer((&feed.Server{Log: e.view.handOn}).Handle))},
 		{e.set.Listen.Metrics, small(e.meters.handle)},
 	} {
 		if l.addr == "" {
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -21,6 +21,9 @@
 )
 
 const (
+	// leastShare is the least number of instances that budgets are shared with: an
+	// instance that hears nobody may be cut off from peers that send as well.
+	leastShare = 3
 	// reportInterval is the time between two reports to a peer in a small fleet.
 	reportInterval = 200 * time.Millisecond
 	// reportRate bounds the reports of an instance, in datagrams a second; larger
@@ -37,6 +40,9 @@
 	log    *zap.Logger
 	roster *roster.Roster
 
+	// shared is told how many instances share the fleet's budgets.
+	shared func(instances int)
+
 	incarnation uint64
 	leaving     atomic.Bool
 
@@ -56,6 +62,7 @@
 
 func (p *peers) run(ctx context.Context) {
 	go p.socket.Receive(p.take)
+	go p.learn(ctx)
 	for ctx.Err() == nil {
 		p.report()
 		n := len(p.roster.Targets(time.Now()))
@@ -104,6 +111,7 @@
 		seen[peer.ID] = true
 	}
 	p.board.SetInstances(p.set.Instance, ids)
+	p.shared(max(leastShare, len(ids)))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for id := range seen {
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -30,6 +30,9 @@
 type Budgets struct {
 	mu    sync.RWMutex
 	pools map[fleet.PoolID]*budget
+	// percent and burst apply to pools that Configure has not named; burst 0 means
+	// the reserve and what a window of requests adds.
+	percent, burst int
 }
 
 // budget is a token bucket: each first attempt adds percent/100 tokens and each
@@ -37,11 +40,29 @@
 type budget struct {
 	mu      sync.Mutex
 	percent int
+	burst   int
 	tokens  int
 }
 
 // NewBudgets returns budgets of 10% for all pools.
-func NewBudgets() *Budgets { return &Budgets{pools: map[fleet.PoolID]*budget{}} }
+func NewBudgets() *Budgets {
+	return &Budgets{pools: map[fleet.PoolID]*budget{}, percent: defaultPercent}
+}
+
+// Share sets, for all pools, the percentage of requests that may be retried and how
+// many retries may be saved up, in retries. Where several instances keep to one
+// bound, each saves up its share of it, so that the sum holds without a message.
+func (b *Budgets) Share(percent, burst int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.percent, b.burst = percent, max(1, burst)
+	for _, p := range b.pools {
+		p.mu.Lock()
+		p.percent, p.burst = b.percent, b.burst
+		p.tokens = min(p.tokens, p.limit())
+		p.mu.Unlock()
+	}
+}
 
 // Configure sets the percentage of a pool. It keeps what is left of the budget.
 func (b *Budgets) Configure(pool fleet.PoolID, percent int) {
@@ -62,13 +83,19 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if p = b.pools[id]; p == nil {
-		p = &budget{percent: defaultPercent, tokens: reserve * 100}
+		p = &budget{percent: b.percent, burst: b.burst, tokens: reserve * 100}
+		p.tokens = min(p.tokens, p.limit())
 		b.pools[id] = p
 	}
 	return p
 }
 
-func (p *budget) limit() int { return reserve*100 + window*p.percent }
+func (p *budget) limit() int {
+	if p.burst > 0 {
+		return p.burst * 100
+	}
+	return reserve*100 + window*p.percent
+}
 
 // OnRequest counts a first attempt.
 func (b *Budgets) OnRequest(pool fleet.PoolID) {
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -72,3 +72,32 @@
 		t.Fatalf("only %d different waits", len(seen))
 	}
 }
+
+// Guards against a fleet that retries more than its bound because each instance
+// saved up retries in calm times: in any window, all together stay below the percent
+// of their requests and the shared burst.
+func TestSharedBurst(t *testing.T) {
+	const instances, percent, burst = 9, 15, 4
+	for i := range instances {
+		b := NewBudgets()
+		b.Share(percent, burst)
+		for range 10_000 {
+			b.OnRequest("p")
+		}
+		n := 0
+		for b.TryRetry("p") {
+			n++
+		}
+		if n > burst {
+			t.Fatalf("instance %d retried %d times at once, its share is %d", i, n, burst)
+		}
+		for range 100 {
+			b.OnRequest("p")
+		}
+		for n = 0; b.TryRetry("p"); n++ {
+		}
+		if n > percent {
+			t.Fatalf("%d retries after 100 requests, want at most %d", n, percent)
+		}
+	}
+}
