Learn after a restart what the engines keep

Ruled out: the hash home as a guess (853k tokens were kept elsewhere). Change: an instance asks a peer that ran before; without one, each engine is asked once by one instance and the answer goes into the reports. Not at the first start.

--- a/adapters/gossip/gossip.go
+++ b/adapters/gossip/gossip.go
@@ -99,6 +99,18 @@
 	}
 }
 
+// Marshal returns the bytes of a report, for a peer that asked for it.
+func Marshal(r *Report) ([]byte, error) { return proto.Marshal(encode(r)) }
+
+// Unmarshal reads the bytes of a report.
+func Unmarshal(b []byte) (*Report, error) {
+	var m gossippb.Report
+	if err := proto.Unmarshal(b, &m); err != nil {
+		return nil, err
+	}
+	return decode(&m), nil
+}
+
 func encode(r *Report) *gossippb.Report {
 	m := &gossippb.Report{
 		Instance: string(r.From.ID), Incarnation: r.From.Incarnation, DataCentre: string(r.From.DataCentre),
--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -228,3 +228,52 @@
 	}
 	return loads, placed
 }
+
+// Announce notes parts that a server was found to keep and puts them into the next
+// report, so that the other instances learn of them too.
+func (b *Board) Announce(server fleet.ServerID, parts []Part) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, p := range b.pools {
+		p.mu.Lock()
+		if s := p.servers[server]; s != nil {
+			s.cache.add(parts)
+			s.placed = append(s.placed, parts)
+		}
+		p.mu.Unlock()
+	}
+}
+
+// Engines returns the model engines, in no order.
+func (b *Board) Engines() []Server {
+	var out []Server
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, p := range b.pools {
+		p.mu.Lock()
+		for _, s := range p.list {
+			if s.Engine {
+				out = append(out, s.Server)
+			}
+		}
+		p.mu.Unlock()
+	}
+	return out
+}
+
+// Kept returns what the engines are believed to keep, at most most parts of each.
+func (b *Board) Kept(most int) []Placed {
+	var out []Placed
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, p := range b.pools {
+		p.mu.Lock()
+		for _, s := range p.list {
+			if parts := s.cache.kept(most); len(parts) > 0 {
+				out = append(out, Placed{s.ID, parts})
+			}
+		}
+		p.mu.Unlock()
+	}
+	return out
+}
--- a/core/placement/cache.go
+++ b/core/placement/cache.go
@@ -1,6 +1,9 @@
 package placement
 
-import "container/list"
+import (
+	"container/list"
+	"slices"
+)
 
 // Part is one part of a prompt. Prompts that begin with the same parts share them
 // in an engine's cache.
@@ -20,6 +23,16 @@
 	return &prefixCache{limit: limit, order: list.New(), parts: map[uint64]*list.Element{}}
 }
 
+// kept returns up to most parts, the most recently used last.
+func (c *prefixCache) kept(most int) []Part {
+	out := make([]Part, 0, min(most, c.order.Len()))
+	for e := c.order.Front(); e != nil && len(out) < most; e = e.Next() {
+		out = append(out, e.Value.(Part))
+	}
+	slices.Reverse(out)
+	return out
+}
+
 // cached is how many tokens of the prompt need not be read: a part counts only
 // with all parts before it.
 func (c *prefixCache) cached(parts []Part) int {
