--- a/cmd/internal/edge/follow.go
+++ b/cmd/internal/edge/follow.go
@@ -27,9 +27,9 @@
 	vouchSlack = 600 * time.Millisecond
 	// avoidTime is how long a reading peer is not asked after a failure.
 	avoidTime = 2 * time.Second
-	// selfHelpAge is the age of the configuration at which an instance reads the
-	// store itself, whoever else does.
-	selfHelpAge = 2800 * time.Millisecond
+	// selfHelpShare is the part of its lease after which an instance reads the
+	// configuration itself, whoever else does.
+	selfHelpShare = 0.6
 	// batchGap is the pause after changes, so that a series of them takes few calls.
 	batchGap = 100 * time.Millisecond
 	// spareRetry is the mean wait after a failed call to the store of an instance
@@ -65,7 +65,7 @@
 	now := clock.SinceBoot()
 	own := source{Reader: v.store, direct: true}
 	if t.name == platform.OperatorTable && v.current.Load() != nil {
-		if _, at, known := v.lease.State(); known && now-at > selfHelpAge {
+		if _, at, known := v.lease.State(); known && float64(now-at) > selfHelpShare*float64(v.lease.Term()) {
 			return own
 		}
 	}
--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -24,6 +24,9 @@
 // NewLease returns a lease that was never confirmed.
 func NewLease(term time.Duration) *Lease { return &Lease{term: term} }
 
+// Term is how long a confirmation counts.
+func (l *Lease) Term() time.Duration { return l.term }
+
 // Confirm notes that version was the newest at some moment after start, the begin
 // of the read that showed it. A version older than one seen before is ignored.
 func (l *Lease) Confirm(version uint64, start Instant) {
--- /dev/null
+++ b/standins/userstore/userstore.go
@@ -0,0 +1,243 @@
+// Package userstore is a small stand-in for the store of the users' platform: rows
+// with versions, transactions with preconditions, and a feed of changes. It keeps
+// everything in memory.
+package userstore
+
+import (
+	"encoding/json"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Row is a row on the wire.
+type Row struct {
+	Table     string  `json:"table"`
+	Part      string  `json:"part"`
+	Key       string  `json:"key"`
+	Value     []byte  `json:"value,omitempty"`
+	Ver       *uint64 `json:"ver,omitempty"`
+	Tombstone bool    `json:"tombstone,omitempty"`
+}
+
+type answer struct {
+	Rows    []Row  `json:"rows"`
+	HasMore bool   `json:"has_more"`
+	Ver     uint64 `json:"ver"`
+	NowMS   int64  `json:"now_ms"`
+}
+
+type transaction struct {
+	Precondition []Row `json:"precondition"`
+	SetKeys      []Row `json:"set_keys"`
+	Remove       []Row `json:"remove"`
+}
+
+type key struct{ table, part, key string }
+
+// Store is a running stand-in.
+type Store struct {
+	ln    net.Listener
+	start time.Time
+
+	mu      sync.Mutex
+	rows    map[key]Row // with tombstones
+	ver     uint64
+	oldest  uint64 // history before it is dropped
+	changed chan struct{}
+	down    bool
+	calls   int
+}
+
+// Start listens on loopback.
+func Start() (*Store, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{ln: ln, start: time.Now(), rows: map[key]Row{}, changed: make(chan struct{})}
+	go func() { _ = fasthttp.Serve(ln, s.handle) }()
+	return s, nil
+}
+
+// Address is the host:port address.
+func (s *Store) Address() string { return s.ln.Addr().String() }
+
+// Close stops listening.
+func (s *Store) Close() { _ = s.ln.Close() }
+
+// SetDown makes all calls fail with status 503, or ends that.
+func (s *Store) SetDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.wake()
+}
+
+// DropHistory forgets which rows changed.
+func (s *Store) DropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oldest = s.ver
+	s.wake()
+}
+
+// Calls is the number of calls answered.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Set writes a row of the empty part, as the operator or a server does.
+func (s *Store) Set(table, name string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(transaction{SetKeys: []Row{{Table: table, Key: name, Value: value}}})
+}
+
+// Remove removes a row of the empty part.
+func (s *Store) Remove(table, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.apply(transaction{Remove: []Row{{Table: table, Key: name}}})
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// apply carries a transaction out; the caller holds mu.
+func (s *Store) apply(tx transaction) {
+	s.ver++
+	ver := s.ver
+	for _, r := range tx.SetKeys {
+		r.Ver = &ver
+		s.rows[key{r.Table, r.Part, r.Key}] = r
+	}
+	for _, r := range tx.Remove {
+		r.Ver, r.Tombstone, r.Value = &ver, true, nil
+		s.rows[key{r.Table, r.Part, r.Key}] = r
+	}
+	s.wake()
+}
+
+func (s *Store) handle(ctx *fasthttp.RequestCtx) {
+	s.mu.Lock()
+	s.calls++
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	switch string(ctx.Path()) {
+	case "/rows-tx":
+		s.transact(ctx)
+	case "/rows-get":
+		s.get(ctx)
+	case "/rows-feed":
+		s.feed(ctx)
+	default:
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+	}
+}
+
+func (s *Store) transact(ctx *fasthttp.RequestCtx) {
+	var tx transaction
+	if err := json.Unmarshal(ctx.PostBody(), &tx); err != nil {
+		ctx.SetStatusCode(fasthttp.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, want := range tx.Precondition {
+		have, ok := s.rows[key{want.Table, want.Part, want.Key}]
+		exists := ok && !have.Tombstone
+		if want.Ver == nil || *want.Ver == 0 && exists || *want.Ver != 0 && (!exists || *have.Ver != *want.Ver) {
+			ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
+			return
+		}
+	}
+	s.apply(tx)
+	s.write(ctx, nil)
+}
+
+// selected returns the rows that match, in the order of less; the caller holds mu.
+func (s *Store) selected(match func(Row) bool, less func(a, b Row) int) []Row {
+	out := []Row{}
+	for _, r := range s.rows {
+		if match(r) {
+			out = append(out, r)
+		}
+	}
+	slices.SortFunc(out, less)
+	return out
+}
+
+func (s *Store) get(ctx *fasthttp.RequestCtx) {
+	a := ctx.QueryArgs()
+	table, part, from := string(a.Peek("table")), string(a.Peek("part")), string(a.Peek("from"))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(ctx, s.selected(func(r Row) bool {
+		return r.Table == table && r.Part == part && r.Key >= from && !r.Tombstone
+	}, func(a, b Row) int {
+		if a.Key < b.Key {
+			return -1
+		}
+		return 1
+	}))
+}
+
+func (s *Store) feed(ctx *fasthttp.RequestCtx) {
+	a := ctx.QueryArgs()
+	table := string(a.Peek("table"))
+	after, _ := strconv.ParseUint(string(a.Peek("after_rev")), 10, 64)
+	end := time.NewTimer(time.Duration(a.GetUintOrZero("wait_ms")) * time.Millisecond)
+	defer end.Stop()
+	for {
+		s.mu.Lock()
+		if s.down || after < s.oldest {
+			status := fasthttp.StatusGone
+			if s.down {
+				status = fasthttp.StatusServiceUnavailable
+			}
+			s.mu.Unlock()
+			ctx.SetStatusCode(status)
+			return
+		}
+		rows := s.selected(func(r Row) bool { return r.Table == table && *r.Ver > after }, func(a, b Row) int { return int(*a.Ver) - int(*b.Ver) })
+		if len(rows) > 0 {
+			s.write(ctx, rows)
+			s.mu.Unlock()
+			return
+		}
+		changed := s.changed
+		s.mu.Unlock()
+		select {
+		case <-changed:
+		case <-end.C:
+			s.mu.Lock()
+			s.write(ctx, nil)
+			s.mu.Unlock()
+			return
+		}
+	}
+}
+
+// write answers with rows; the caller holds mu.
+func (s *Store) write(ctx *fasthttp.RequestCtx, rows []Row) {
+	b, err := json.Marshal(answer{Rows: rows, Ver: s.ver, NowMS: time.Since(s.start).Milliseconds()})
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBody(b)
+}
