--- a/cmd/internal/edge/follow.go
+++ b/cmd/internal/edge/follow.go
@@ -33,8 +33,9 @@
 	// batchGap is the pause after changes, so that a series of them takes few calls.
 	batchGap = 100 * time.Millisecond
 	// spareRetry is the mean wait after a failed call to the store of an instance
-	// that would not read it for others.
-	spareRetry = 1500 * time.Millisecond
+	// that would not read it for others. It still tries, because the store may turn
+	// away just those that would.
+	spareRetry = 3 * time.Second
 )
 
 // table is a followed table.
@@ -85,6 +86,11 @@
 	known, after, failing := false, uint64(0), false
 	for ctx.Err() == nil {
 		src := v.source(t)
+		if src.direct && !v.storeOK.Load() && t.name != platform.OperatorTable {
+			// One table finds out whether the store is back.
+			sleep(ctx, storeRetry/4)
+			continue
+		}
 		u, version, err := v.read(ctx, t, src, known, after)
 		if src.direct {
 			v.storeOK.Store(err == nil || errors.Is(err, store.ErrHistoryGone))
@@ -147,9 +153,8 @@
 	}
 	end := time.Now().Add(mean/2 + rand.N(mean))
 	for ctx.Err() == nil && time.Now().Before(end) && len(v.peers.readers()) == 0 {
-		sleep(ctx, storeRetry/2)
+		sleep(ctx, storeRetry/4)
 	}
-	sleep(ctx, storeRetry/4)
 }
 
 // handOn returns the copy of a table for other instances, or nil when this instance
