Explain each failed request in one line; metrics of the platform's daemon

Cause: the line of a failed request named neither the servers that were chosen nor what decided it; there were no latency figures. Histograms and gauges on the metrics address.

--- a/adapters/httpapi/framing_test.go
+++ b/adapters/httpapi/framing_test.go
@@ -26,6 +26,8 @@
 	}, nil
 }
 
+func (foreign) RequestID(*fasthttp.RequestCtx) string { return "i" }
+
 func (foreign) WriteError(ctx *fasthttp.RequestCtx, e *result.Error) {
 	ctx.SetStatusCode(e.Code.Info().HTTPStatus)
 	ctx.SetBodyString(e.Message)
--- /dev/null
+++ b/adapters/httpapi/loglines.go
@@ -0,0 +1,79 @@
+package httpapi
+
+import (
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"cyclamenhitch/adapters/logging"
+	"cyclamenhitch/core/gateway"
+	"cyclamenhitch/core/result"
+)
+
+// logRefused writes the line of a call that was refused before it became a request.
+func (s *Server) logRefused(ctx *fasthttp.RequestCtx, e *result.Error) {
+	if s.Frontend == nil {
+		return
+	}
+	s.Log.Info("request refused", zap.String(logging.FieldRequest, s.Frontend.RequestID(ctx)),
+		zap.Int(logging.FieldCode, int(e.Code)), zap.String(logging.FieldOutcome, string(e.Outcome)), zap.Error(e))
+}
+
+// logEnd writes the line of a request that ended: of each that failed or whose first
+// part came after its objective, and of some others.
+func (s *Server) logEnd(req *gateway.Request, obs Observation, e *result.Error) {
+	msg := "request served"
+	switch {
+	case e != nil:
+		msg = "request failed"
+	case req.Objective > 0 && obs.FirstPart > req.Objective:
+		msg = "request late"
+	case s.SampleServed == 0 || s.served.Add(1)%s.SampleServed != 0:
+		return
+	}
+	fields := []zap.Field{
+		zap.String(logging.FieldRequest, req.ID), zap.String(logging.FieldAccount, string(obs.Account)),
+		zap.String(logging.FieldPool, string(req.Pool.Name)), zap.Duration("first_part", obs.FirstPart), zap.Duration("total", obs.Total),
+		zap.Int("parts", obs.Parts), zap.Duration("largest_gap", obs.LargestGap), zap.Duration("objective", req.Objective),
+	}
+	if len(req.Decisions) > 0 {
+		fields = append(fields, zap.Array("decisions", decisions(req.Decisions)))
+	}
+	if e != nil {
+		fields = append(fields, zap.Int(logging.FieldCode, int(e.Code)), zap.String(logging.FieldOutcome, string(e.Outcome)), zap.Error(e))
+	}
+	s.Log.Info(msg, fields...)
+}
+
+// decisions writes the choices of a request's servers.
+type decisions []gateway.Decision
+
+// MarshalLogArray implements zapcore.ArrayMarshaler.
+func (d decisions) MarshalLogArray(enc zapcore.ArrayEncoder) error {
+	for i := range d {
+		if err := enc.AppendObject(decision{&d[i]}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type decision struct{ *gateway.Decision }
+
+// MarshalLogObject implements zapcore.ObjectMarshaler.
+func (d decision) MarshalLogObject(enc zapcore.ObjectEncoder) error {
+	enc.AddString(logging.FieldServer, string(d.Server))
+	enc.AddDuration("at", d.At)
+	enc.AddDuration("waited", d.Waited)
+	enc.AddFloat64("cost", d.Cost)
+	enc.AddDuration("expected", d.Expected)
+	enc.AddInt("cached", d.Cached)
+	enc.AddInt("fetched", d.Fetched)
+	enc.AddInt("candidates", d.Candidates)
+	enc.AddUint64(logging.FieldVersion, d.Version)
+	enc.AddDuration("view_age", d.ViewAge)
+	if d.Ended != "" {
+		enc.AddString("ended", d.Ended)
+	}
+	return nil
+}
--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -19,7 +19,6 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
-	"cyclamenhitch/adapters/logging"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/manifest"
@@ -49,6 +48,8 @@
 type Frontend interface {
 	// Parse returns the request of a call, with its id, route and deadline.
 	Parse(ctx *fasthttp.RequestCtx) (*gateway.Request, *result.Error)
+	// RequestID is the id that a call states, for log lines.
+	RequestID(ctx *fasthttp.RequestCtx) string
 	// WriteError answers a call. The status of an error with outcome not_run must
 	// tell so.
 	WriteError(ctx *fasthttp.RequestCtx, e *result.Error)
@@ -72,12 +73,16 @@
 	Log     *zap.Logger
 	// Frontend, unless nil, takes the place of the product's own paths.
 	Frontend Frontend
+	// SampleServed logs one in this many requests that ended well; 0 means none.
+	// Requests that fail or are late are logged always.
+	SampleServed uint64
 	// NewID returns a unique request id.
 	NewID func() string
 
 	// srv is stored when Serve begins; Shutdown may run on another goroutine.
 	srv      atomic.Pointer[fasthttp.Server]
 	running  atomic.Int64
+	served   atomic.Uint64
 	baseOnce sync.Once
 	base     context.Context
 	abort    context.CancelCauseFunc
@@ -208,12 +213,14 @@
 // handleForeign serves a call in the form of the Frontend.
 func (s *Server) handleForeign(ctx *fasthttp.RequestCtx) {
 	if e := checkFraming(&ctx.Request.Header); e != nil {
+		s.logRefused(ctx, e)
 		s.writeError(ctx, e)
 		ctx.SetConnectionClose()
 		return
 	}
 	req, e := s.Frontend.Parse(ctx)
 	if e != nil {
+		s.logRefused(ctx, e)
 		s.writeError(ctx, e)
 		return
 	}
@@ -239,7 +246,9 @@
 		ctx.SetConnectionClose()
 	}
 	if s.stopping.Load() {
-		s.writeError(ctx, unclaimed(ctx, result.New(result.Stopping, "the instance is stopping")))
+		e := result.New(result.Stopping, "the instance is stopping")
+		s.logRefused(ctx, e)
+		s.writeError(ctx, unclaimed(ctx, e))
 		return
 	}
 	if s.Frontend != nil {
@@ -427,10 +436,8 @@
 	}
 	if e != nil {
 		obs.Code, obs.Outcome = e.Code, e.Outcome
-		s.Log.Info("request failed", zap.String(logging.FieldRequest, req.ID),
-			zap.String(logging.FieldAccount, string(obs.Account)), zap.String(logging.FieldPool, string(req.Pool.Name)),
-			zap.Int(logging.FieldCode, int(e.Code)), zap.String(logging.FieldOutcome, string(e.Outcome)), zap.Error(e))
 	}
+	s.logEnd(req, obs, e)
 	if s.Observe != nil {
 		s.Observe(obs)
 	}
--- a/adapters/settings/entry.go
+++ b/adapters/settings/entry.go
@@ -122,6 +122,10 @@
 	setDefault(&s.Limits.RetryRatio, 0.1)
 	setDefault(&s.Limits.RetryBurst, 30)
 	setDefault(&s.Log.Level, "info")
+	if s.Log.SampleDecisions == nil {
+		n := 200
+		s.Log.SampleDecisions = &n
+	}
 }
 
 func (s *Entry) check() []problem {
--- a/cmd/cyclamenhitchd/main.go
+++ b/cmd/cyclamenhitchd/main.go
@@ -72,9 +72,10 @@
 		return 0
 	}
 	lines := logging.NewQueue(os.Stdout)
-	log := logging.New(lines, set.Log.Level,
+	log := logging.NewSampled(lines, set.Log.Level, &lines.Dropped,
 		zap.String(logging.FieldInstance, string(set.Instance)), zap.String(logging.FieldDataCentre, string(set.DataCentre)))
 	defer func() { _ = log.Sync() }()
+	edge.PublishDroppedLines(&lines.Dropped)
 	e, err := edge.New(set, log)
 	if err != nil {
 		log.Error("start refused", zap.Error(err))
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -19,7 +19,6 @@
 	"cyclamenhitch/adapters/httpapi"
 	"cyclamenhitch/adapters/logging"
 	"cyclamenhitch/adapters/settings"
-	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/result"
@@ -73,19 +72,44 @@
 	client := &engine.Client{
 		ConnectTimeout: connectTime, MaxAnswerBytes: maxAnswerBytes, Dialect: platform.Dialect(),
 	}
+	e.stop = &stopper{limit: settings.Millis(set.Times.StopMillis), keep: settings.Millis(set.Times.KeepMillis), peers: e.peers, log: log}
 	e.caller = &httpapi.Server{
 		Config: nil,
 		Opener: &gateway.Gateway{
-			Placer:   &placer{board: e.board, view: e.view, log: log, meters: e.meters},
+			Placer:   &placer{board: e.board, view: e.view, meters: e.meters, stopping: e.stop.refusal},
 			Upstream: client, Budget: budgets, Now: time.Now,
 		},
-		Gate: e.view, Log: log, Observe: e.meters.observe,
+		Gate: e.view, Log: log, Observe: e.meters.observe, SampleServed: uint64(*set.Log.SampleDecisions),
 		Frontend: &platform.Frontend{View: e.view.Current},
 	}
-	e.stop = &stopper{limit: settings.Millis(set.Times.StopMillis), keep: settings.Millis(set.Times.KeepMillis), caller: e.caller, peers: e.peers, log: log}
+	e.stop.caller = e.caller
+	e.publishGauges()
 	return e, nil
 }
 
+// publishGauges publishes what the instance believes.
+func (e *Edge) publishGauges() {
+	e.meters.gauge("serving", func() any { return e.peers.serving() })
+	e.meters.gauge("running", func() any { return e.caller.Running() })
+	e.meters.gauge("config_version", func() any { v, _, _ := e.view.lease.State(); return v })
+	e.meters.gauge("config_age_ms", func() any {
+		_, at, known := e.view.lease.State()
+		if !known {
+			return nil
+		}
+		return (clock.SinceBoot() - at).Milliseconds()
+	})
+	e.meters.gauge("peers_live", func() any { return len(e.peers.roster.Live(time.Now())) })
+	e.meters.gauge("store_readers", func() any {
+		var ids []string
+		for _, r := range e.peers.readers() {
+			ids = append(ids, string(r.ID))
+		}
+		return ids
+	})
+	e.meters.gauge("servers", func() any { return e.board.Summary(time.Now()) })
+}
+
 // retryMargin is the part of the fleet's retry budget that is used; instances see a
 // change of the fleet's size at different times.
 const retryMargin = 0.7
@@ -161,11 +185,3 @@
 		ReadTimeout:    readTime, WriteTimeout: writeTime, IdleTimeout: callerIdle,
 	}
 }
-
-// accountOf is the account of a request for log lines.
-func accountOf(req *gateway.Request) fleet.ClientAccountID {
-	if req.Account == nil {
-		return ""
-	}
-	return req.Account.Name
-}
--- a/cmd/internal/edge/edge_test.go
+++ b/cmd/internal/edge/edge_test.go
@@ -92,6 +92,8 @@
 		Times:  settings.EntryTimes{RevokeMillis: 3000, StopMillis: 4000, KeepMillis: 200},
 		Limits: settings.EntryLimits{MemoryMegabytes: 256, Descriptors: 1000, RetryRatio: 1, RetryBurst: 1000},
 	}
+	sample := 1
+	set.Log.SampleDecisions = &sample
 	e, err := New(set, zap.NewNop())
 	if err != nil {
 		f.t.Fatal(err)
--- a/cmd/internal/edge/meters.go
+++ b/cmd/internal/edge/meters.go
@@ -2,51 +2,64 @@
 
 import (
 	"expvar"
+	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/expvarhandler"
 
 	"cyclamenhitch/adapters/httpapi"
-	"cyclamenhitch/core/result"
+)
+
+// Names of the published metrics.
+const (
+	metricsName      = "cyclamenhitch"
+	droppedLinesName = "cyclamenhitch_log_lines_dropped"
 )
 
 // meters counts what the instance does.
 type meters struct {
+	all                                         *expvar.Map
 	requests, failures, storeCalls, storeErrors *expvar.Map
-	waited                                      *expvar.Float
-	placements                                  *expvar.Int
+	firstPart, gaps, waits, storeTimes          *times
 }
 
 func newMeters() *meters {
-	all := new(expvar.Map)
 	m := &meters{
-		requests: new(expvar.Map), failures: new(expvar.Map), storeCalls: new(expvar.Map), storeErrors: new(expvar.Map),
-		waited: new(expvar.Float), placements: new(expvar.Int),
+		all: new(expvar.Map), requests: new(expvar.Map), failures: new(expvar.Map), storeCalls: new(expvar.Map), storeErrors: new(expvar.Map),
+		firstPart: newTimes(), gaps: newTimes(), waits: newTimes(), storeTimes: newTimes(),
 	}
-	all.Set("requests", m.requests)
-	all.Set("failures", m.failures)
-	all.Set("store_calls", m.storeCalls)
-	all.Set("store_errors", m.storeErrors)
-	all.Set("placements", m.placements)
-	all.Set("placement_wait_seconds", m.waited)
+	m.all.Set("requests", m.requests)
+	m.all.Set("failures", m.failures)
+	m.all.Set("store_calls", m.storeCalls)
+	m.all.Set("store_errors", m.storeErrors)
+	m.all.Set("first_part_ms", m.firstPart)
+	m.all.Set("largest_gap_ms", m.gaps)
+	m.all.Set("placement_wait_ms", m.waits)
+	m.all.Set("store_call_ms", m.storeTimes)
 	if expvar.Get(metricsName) == nil {
-		expvar.Publish(metricsName, all)
+		expvar.Publish(metricsName, m.all)
 	}
 	return m
 }
 
-const metricsName = "cyclamenhitch"
+// PublishDroppedLines publishes the number of log lines that were not written.
+func PublishDroppedLines(n *atomic.Int64) {
+	expvar.Publish(droppedLinesName, expvar.Func(func() any { return n.Load() }))
+}
+
+// gauge publishes a value that is read when it is asked for.
+func (m *meters) gauge(name string, fn func() any) { m.all.Set(name, expvar.Func(fn)) }
 
 func (m *meters) handle(ctx *fasthttp.RequestCtx) { expvarhandler.ExpvarHandler(ctx) }
 
-func (m *meters) placed(waited time.Duration) {
-	m.placements.Add(1)
-	m.waited.Add(waited.Seconds())
-}
+func (m *meters) placed(waited time.Duration) { m.waits.add(waited) }
 
-func (m *meters) storeCall(name string, _ time.Duration, err error) {
+func (m *meters) storeCall(name string, took time.Duration, err error) {
 	m.storeCalls.Add(name, 1)
+	m.storeTimes.add(took)
 	if err != nil {
 		m.storeErrors.Add(name, 1)
 	}
@@ -55,6 +68,44 @@
 func (m *meters) observe(o httpapi.Observation) {
 	m.requests.Add(string(o.Pool), 1)
 	if o.Code != 0 {
-		m.failures.Add(result.Code(o.Code).Info().Name, 1)
+		m.failures.Add(o.Code.Info().Name, 1)
+		return
+	}
+	m.firstPart.add(o.FirstPart)
+	if o.Parts > 1 {
+		m.gaps.add(o.LargestGap)
 	}
 }
+
+// Range and precision of the histograms: 1 ms to 60 s, within 10%.
+const (
+	lowestMillis  = 1
+	highestMillis = 60_000
+	digits        = 1
+)
+
+// times is a histogram of durations in ms.
+type times struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram
+}
+
+func newTimes() *times { return &times{h: hdrhistogram.New(lowestMillis, highestMillis, digits)} }
+
+func (t *times) add(d time.Duration) {
+	ms := min(max(d.Milliseconds(), lowestMillis), highestMillis)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_ = t.h.RecordValue(ms) // in range, so that it cannot fail
+}
+
+// String implements expvar.Var.
+func (t *times) String() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return expvar.Func(func() any {
+		return map[string]int64{
+			"count": t.h.TotalCount(), "p50": t.h.ValueAtQuantile(50), "p95": t.h.ValueAtQuantile(95), "p99": t.h.ValueAtQuantile(99), "max": t.h.Max(),
+		}
+	}).String()
+}
--- a/cmd/internal/edge/placer.go
+++ b/cmd/internal/edge/placer.go
@@ -4,9 +4,7 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
-	"cyclamenhitch/adapters/logging"
+	"cyclamenhitch/adapters/clock"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/manifest"
@@ -18,8 +16,9 @@
 type placer struct {
 	board  *placement.Board
 	view   *view
-	log    *zap.Logger
 	meters *meters
+	// stopping returns the refusal of a request that would outlast a planned stop.
+	stopping func(req *gateway.Request) *result.Error
 }
 
 var _ gateway.Placer = (*placer)(nil)
@@ -37,12 +36,20 @@
 				return nil, nil, e
 			}
 		}
+		if e := p.stopping(req); e != nil {
+			return nil, nil, e
+		}
 		now := time.Now()
 		if !now.Before(req.Deadline) {
 			return nil, nil, result.New(result.DeadlineTooShort, "deadline passed before the request was sent")
 		}
 		changed := p.board.Changed(req.Pool.Name)
+		left := req.Deadline.Sub(now)
 		ranked, verdict := p.board.Rank(now, req.Pool.Name, ask, tried(req))
+		if verdict == placement.Found && ranked[0].Hopeless(left) {
+			return nil, nil, result.New(result.PoolAtBound, "the first token is expected in %v, %v are left", ranked[0].Wait.Round(time.Millisecond), left.Round(time.Millisecond)).
+				WithRetryAfter(ranked[0].Wait - left)
+		}
 		for _, c := range ranked {
 			t := p.board.Begin(now, req.Pool.Name, c, ask)
 			if t == nil {
@@ -89,12 +96,11 @@
 
 func (p *placer) decided(req *gateway.Request, c placement.Candidate, n int, waited time.Duration) {
 	p.meters.placed(waited)
-	if !p.log.Core().Enabled(zap.DebugLevel) {
-		return
-	}
-	p.log.Debug("request placed", zap.String(logging.FieldRequest, req.ID), zap.String(logging.FieldPool, string(req.Pool.Name)),
-		zap.String(logging.FieldServer, string(c.ID)), zap.Float64("cost", c.Cost), zap.Int("cached", c.Cached), zap.Int("fetched", c.Fetched), zap.Int("prompt", req.PromptTokens), zap.Any("parts", req.Parts),
-		zap.Duration("expected", c.Wait), zap.Int("candidates", n), zap.Duration("waited", waited), zap.Int("attempt", len(req.Tried)+1))
+	version, at, _ := p.view.lease.State()
+	req.Decisions = append(req.Decisions, gateway.Decision{
+		Server: c.ID, At: time.Since(req.Arrived), Waited: waited, Cost: c.Cost, Expected: c.Wait, Cached: c.Cached, Fetched: c.Fetched,
+		Candidates: n, Version: version, ViewAge: clock.SinceBoot() - at,
+	})
 }
 
 func tried(req *gateway.Request) func(fleet.ServerID) bool {
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -41,10 +41,11 @@
 	r := &Route{Targets: []Target{{a, 90}, {b, 10}}}
 	n := 0
 	for h := range uint64(1000) {
-		if r.Pick(h) != r.Pick(h) {
+		first, again := r.Pick(h), r.Pick(h)
+		if first != again {
 			t.Fatal("one hash gave two pools")
 		}
-		if r.Pick(h) == b {
+		if first == b {
 			n++
 		}
 	}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -228,6 +228,9 @@
 
 // again reports whether the request may be sent once more after e.
 func (t *try) again(e *result.Error) bool {
+	if n := len(t.req.Decisions); n > 0 {
+		t.req.Decisions[n-1].Ended = e.Error()
+	}
 	if e.Outcome != result.NotRun {
 		t.unsettled = e
 		t.runs++
--- a/core/gateway/ports.go
+++ b/core/gateway/ports.go
@@ -75,6 +75,9 @@
 	// Recheck, unless nil, is called right before each send. An error from it, with
 	// outcome not_run, ends the attempt: what allowed the request may be out of date.
 	Recheck func() *result.Error
+	// Decisions are the places that were chosen for the request, in order, for the
+	// log line of its end. The Placer adds them.
+	Decisions []Decision
 	// Tried are the servers of earlier attempts.
 	Tried []fleet.ServerID
 	// Elsewhere finds another server for a resumed stream, nil when it may not be
@@ -82,6 +85,27 @@
 	Elsewhere func(cause error) (*manifest.Server, error)
 }
 
+// Decision is the choice of a server with the inputs that decided it.
+type Decision struct {
+	Server fleet.ServerID
+	// At is the time since the request arrived, Waited the part of it spent in the
+	// placement.
+	At, Waited time.Duration
+	// Cost and Expected are the server's estimates, Cached and Fetched the prompt
+	// tokens that it was believed to keep and to fetch from another one.
+	Cost            float64
+	Expected        time.Duration
+	Cached, Fetched int
+	// Candidates is how many servers could have been chosen.
+	Candidates int
+	// Version is the configuration that was in force and ViewAge the time since the
+	// read that confirmed it.
+	Version uint64
+	ViewAge time.Duration
+	// Ended is why the attempt did not lead to the answer; empty for the last one.
+	Ended string
+}
+
 // Answer is an open answer of a backend server. It is used by one goroutine.
 type Answer interface {
 	// Status is the HTTP status.
--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -277,3 +277,36 @@
 	}
 	return out
 }
+
+// PoolSummary counts the servers of a pool.
+type PoolSummary struct {
+	Servers, Out, Cold, Suspect int
+	// Running is the number of requests of all instances, as far as known.
+	Running int
+}
+
+// Summary returns the counts of all pools, for operators.
+func (b *Board) Summary(now time.Time) map[fleet.PoolID]PoolSummary {
+	out := map[fleet.PoolID]PoolSummary{}
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for id, p := range b.pools {
+		p.mu.Lock()
+		sum := PoolSummary{Servers: len(p.list)}
+		for _, s := range p.list {
+			sum.Running += s.load(now).Running
+			if s.Out {
+				sum.Out++
+			}
+			if s.cold(now) {
+				sum.Cold++
+			}
+			if s.fault.suspect(now) {
+				sum.Suspect++
+			}
+		}
+		p.mu.Unlock()
+		out[id] = sum
+	}
+	return out
+}
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -65,6 +65,10 @@
 	Full bool
 }
 
+// Hopeless reports whether a request that has to wait for a slot there would not get
+// its first token in time.
+func (c *Candidate) Hopeless(left time.Duration) bool { return c.Full && c.Wait > left }
+
 // Verdict says why Rank returned no candidate.
 type Verdict int
 
