--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -204,18 +204,38 @@
 	p.roster.SetListed(listed)
 }
 
-// addresses returns the callers' addresses of the instances that serve.
-func (p *peers) addresses(fleet.DataCentreID) []string {
-	var out []string
-	if p.serving() {
-		out = append(out, p.set.Listen.Caller)
-	}
+// anyServes reports whether another instance is known to serve.
+func (p *peers) anyServes() bool {
 	for _, peer := range p.roster.Live(time.Now()) {
 		if peer.Serving {
-			out = append(out, peer.Caller)
+			return true
+		}
+	}
+	return false
+}
+
+// addresses returns the callers' addresses of the instances that serve. While none
+// does, it names the live ones, which still serve routes without keys, unless this
+// instance hears nobody: then it may be the one that is cut off.
+func (p *peers) addresses(fleet.DataCentreID) []string {
+	var serving, live []string
+	add := func(addr string, serves, leaves bool) {
+		if serves {
+			serving = append(serving, addr)
 		}
+		if !leaves {
+			live = append(live, addr)
+		}
+	}
+	others := p.roster.Live(time.Now())
+	add(p.set.Listen.Caller, p.serving(), p.leaving.Load())
+	for _, peer := range others {
+		add(peer.Caller, peer.Serving, peer.Leaving)
+	}
+	if len(serving) == 0 && len(others) > 0 && p.view.current.Load() != nil {
+		return live
 	}
-	return out
+	return serving
 }
 
 // leave announces a planned stop at once.
