Leave silent servers sooner, tell the others, pace reads behind the store

Causes: (1) after the loss of a data centre requests to its servers waited up to 4.5 s (p99), because nothing noticed a machine that acknowledges no packet, and each instance learned it by itself. TestReadsBehindArePaced read 79,485 calls in 2 s, 126 allowed. Change: keep-alive of 0.5 s and a bound on unacknowledged bytes towards servers; a server found silent is passed over for 1.5 s by all instances; an idempotent request leaves a server after four times the expected time; repeated gaps in the history wait 200 ms.

--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"context"
+	"net"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -27,6 +28,11 @@
 	ConnectTimeout time.Duration
 	// MaxAnswerBytes bounds an answer that is not streamed.
 	MaxAnswerBytes int
+	// KeepAlive, unless nil, sets how connections notice a peer that is gone.
+	KeepAlive *net.KeepAliveConfig
+	// Unacked ends a connection whose bytes are not acknowledged for so long; 0 leaves
+	// it to the system.
+	Unacked time.Duration
 	// Dialect names the header fields; nil means that of the OpenAI chat API.
 	Dialect *Dialect
 	// OnLoad, unless nil, takes what servers tell of their load. It must not block.
--- a/adapters/engine/pool.go
+++ b/adapters/engine/pool.go
@@ -90,6 +90,12 @@
 		timeout = time.Second
 	}
 	d := net.Dialer{Timeout: timeout, KeepAliveConfig: keepAlive}
+	if c.KeepAlive != nil {
+		d.KeepAliveConfig = *c.KeepAlive
+	}
+	if c.Unacked > 0 {
+		d.Control = func(_, _ string, raw syscall.RawConn) error { return setUnacked(raw, c.Unacked) }
+	}
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
--- a/adapters/gossip/gossip.go
+++ b/adapters/gossip/gossip.go
@@ -35,6 +35,7 @@
 	ConfirmedAge time.Duration
 	Loads        map[fleet.ServerID]placement.Load
 	Placed       []placement.Placed
+	Suspicions   []placement.Suspicion
 }
 
 // Socket sends and receives reports.
@@ -121,6 +122,9 @@
 	for id, l := range r.Loads {
 		m.Loads = append(m.Loads, &gossippb.ServerLoad{Server: string(id), Running: uint32(max(0, l.Running)), Unread: uint32(max(0, l.Unread))})
 	}
+	for _, x := range r.Suspicions {
+		m.Suspicions = append(m.Suspicions, &gossippb.Suspicion{Server: string(x.Server), RestMs: uint32(x.Rest.Milliseconds())})
+	}
 	for _, p := range r.Placed {
 		w := &gossippb.Placed{Server: string(p.Server)}
 		for _, part := range p.Parts {
@@ -145,6 +149,9 @@
 	for _, l := range m.Loads {
 		r.Loads[fleet.ServerID(l.Server)] = placement.Load{Running: int(l.Running), Unread: int(l.Unread)}
 	}
+	for _, x := range m.Suspicions {
+		r.Suspicions = append(r.Suspicions, placement.Suspicion{Server: fleet.ServerID(x.Server), Rest: time.Duration(x.RestMs) * time.Millisecond})
+	}
 	for _, p := range m.Placed {
 		if len(p.Part) != len(p.Tokens) {
 			continue
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -30,6 +30,9 @@
 	// connectTime bounds opening a connection to a backend server. Servers are a
 	// few ms away; a lost packet costs a second connect instead of a wait of 1 s.
 	connectTime = 300 * time.Millisecond
+	// unackedTime ends a connection to a server whose machine acknowledges nothing. A
+	// packet may be lost three times before.
+	unackedTime = 1500 * time.Millisecond
 	// maxAnswerBytes bounds an answer that is not streamed.
 	maxAnswerBytes = 8 << 20
 	// readTime bounds reading one request, writeTime each write to a caller.
@@ -71,6 +74,8 @@
 	e.view.peers = e.peers
 	client := &engine.Client{
 		ConnectTimeout: connectTime, MaxAnswerBytes: maxAnswerBytes, Dialect: platform.Dialect(),
+		KeepAlive: &net.KeepAliveConfig{Enable: true, Idle: 500 * time.Millisecond, Interval: 300 * time.Millisecond, Count: 3},
+		Unacked:   unackedTime,
 	}
 	e.stop = &stopper{limit: settings.Millis(set.Times.StopMillis), keep: settings.Millis(set.Times.KeepMillis), peers: e.peers, log: log}
 	e.caller = &httpapi.Server{
@@ -78,6 +83,7 @@
 		Opener: &gateway.Gateway{
 			Placer:   &placer{board: e.board, view: e.view, meters: e.meters, stopping: e.stop.refusal},
 			Upstream: client, Budget: budgets, Now: time.Now,
+			After: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
 		},
 		Gate: e.view, Log: log, Observe: e.meters.observe, SampleServed: uint64(*set.Log.SampleDecisions),
 		Frontend: &platform.Frontend{View: e.view.Current},
--- a/cmd/internal/edge/edge_test.go
+++ b/cmd/internal/edge/edge_test.go
@@ -312,6 +312,29 @@
 	})
 }
 
+// Guards against a storm of calls while the store has dropped its history and its
+// whole reads are behind: each table waits between two reads.
+func TestReadsBehindArePaced(t *testing.T) {
+	f := startFleet(t, 1, &runner.Runner{ID: "a"})
+	const took = 2 * time.Second
+	for range 5 {
+		f.store.Set("op", "other", []byte("{}"))
+	}
+	time.Sleep(operatorWait / 2) // the instance has seen the changes
+	f.store.SetBehind(3)
+	f.store.DropHistory()
+	f.store.Set("op", "other", []byte("{}"))
+	before := f.store.Calls()
+	time.Sleep(took)
+	calls := f.store.Calls() - before
+	// Three tables, a pause of a quarter of storeRetry at least, and what began before.
+	if most := 3 * (int(took/(storeRetry/4)) + 2); calls > most {
+		t.Errorf("%d calls within %v, want at most %d", calls, took, most)
+	}
+	f.store.SetBehind(0)
+	f.eventually("the instance serves", func() bool { s, _, _ := f.call(0, "/order/1", "k1"); return s == 200 })
+}
+
 // Guards against a planned stop that cuts a stream, or after which the instance is
 // still named.
 func TestPlannedStop(t *testing.T) {
--- a/cmd/internal/edge/follow.go
+++ b/cmd/internal/edge/follow.go
@@ -32,6 +32,9 @@
 	selfHelpShare = 0.6
 	// batchGap is the pause after changes, so that a series of them takes few calls.
 	batchGap = 100 * time.Millisecond
+	// goneMemory is how long after missing changes further ones are met with a pause
+	// instead of an immediate read.
+	goneMemory = 3 * time.Second
 	// spareRetry is the mean wait after a failed call to the store of an instance
 	// that would not read it for others. It still tries, because the store may turn
 	// away just those that would.
@@ -84,6 +87,7 @@
 // follow keeps up with a table until ctx ends.
 func (v *view) follow(ctx context.Context, t *table) {
 	known, after, failing := false, uint64(0), false
+	var gone time.Time // when changes were last missing
 	for ctx.Err() == nil {
 		src := v.source(t)
 		if src.direct && !v.storeOK.Load() && t.name != platform.OperatorTable {
@@ -112,9 +116,14 @@
 		case errors.Is(err, store.ErrHistoryGone):
 			v.log.Warn("changes of the table are missing, reading it whole", zap.String("table", t.name), zap.String("peer", string(src.peer)))
 			if !known {
+				// The whole read was behind this instance's copy.
 				v.avoided.add(src.peer, clock.SinceBoot())
 			}
-			known = false
+			// Right after a whole read, the source is behind its own history.
+			if time.Since(gone) < goneMemory {
+				sleep(ctx, storeRetry)
+			}
+			known, gone = false, time.Now()
 		case !src.direct:
 			v.log.Info("peer does not hand a table on", zap.String("table", t.name), zap.String("peer", string(src.peer)), zap.Error(err))
 			v.avoided.add(src.peer, clock.SinceBoot())
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -89,6 +89,7 @@
 		r.From.Version, r.Confirmed, r.ConfirmedAge = version, true, boot-at
 	}
 	r.Loads, r.Placed = p.board.TakeReport()
+	r.Suspicions = p.board.Suspects(now)
 	p.noteChanges(now, r.From.Serving)
 	for id, addr := range p.roster.Targets(now) {
 		p.mu.Lock()
@@ -140,6 +141,7 @@
 	p.echo[r.From.ID] = r.Sent
 	p.mu.Unlock()
 	p.board.SetPeer(r.From.ID, now, r.Loads)
+	p.board.PeerSuspects(now, r.Suspicions)
 	for _, placed := range r.Placed {
 		p.board.PeerPlaced(placed.Server, placed.Parts)
 	}
--- a/cmd/internal/edge/placer.go
+++ b/cmd/internal/edge/placer.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"net"
+	"syscall"
 	"time"
 
 	"cyclamenhitch/adapters/clock"
@@ -56,6 +59,7 @@
 				continue
 			}
 			req.FetchFrom = c.Source
+			req.Patience = patienceFor(c.Wait)
 			p.decided(req, c, len(ranked), now.Sub(began))
 			return &manifest.Server{Name: c.ID, Pool: req.Pool.Name, Address: c.Address}, &permit{t}, nil
 		}
@@ -103,6 +107,18 @@
 	})
 }
 
+// Bounds of the time after which a request that may run at another server is sent
+// there, because the first one has not answered: several times what was expected,
+// so that slow answers are not asked for twice.
+const (
+	patienceFactor = 4
+	patienceLeast  = 500 * time.Millisecond
+)
+
+func patienceFor(expected time.Duration) time.Duration {
+	return max(patienceLeast, patienceFactor*expected)
+}
+
 func tried(req *gateway.Request) func(fleet.ServerID) bool {
 	if len(req.Tried) == 0 {
 		return nil
@@ -142,6 +158,11 @@
 	if e == nil {
 		return placement.Ended
 	}
+	var ne net.Error
+	switch {
+	case errors.Is(err, syscall.ETIMEDOUT), e.Code == result.ConnectFailed && errors.As(err, &ne) && ne.Timeout():
+		return placement.Silent
+	}
 	switch e.Code {
 	case result.ServerRefused:
 		return placement.Refused
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -36,6 +36,9 @@
 	Claimer Claimer
 	Budget  RetryBudget
 	Now     Clock
+	// After calls a function after a time unless stopped before; nil means that a
+	// silent server is waited for to the deadline.
+	After func(d time.Duration, f func()) (stop func() bool)
 	// Sleep waits before a retry; nil means no wait. Int64N gives its jitter, a
 	// random number below n, and must be safe for concurrent use.
 	Sleep  func(ctx context.Context, d time.Duration) error
@@ -133,6 +136,9 @@
 	if p, ok := ans.(*permitAnswer); ok {
 		ans = p.Answer
 	}
+	if c, ok := ans.(*cancelAnswer); ok {
+		ans = c.Answer
+	}
 	_, ok := ans.(*storedAnswer)
 	return ok
 }
@@ -164,7 +170,7 @@
 			req.Elsewhere = func(cause error) (*manifest.Server, error) { return t.elsewhere(held, cause) }
 		}
 		sent := g.Now()
-		ans, err := g.Upstream.Open(ctx, srv, req, req.ID+"-"+strconv.Itoa(t.sends))
+		ans, err := t.openFirst(srv)
 		if err == nil {
 			held.Answer = ans
 			held.permit.Opened(g.Now().Sub(sent))
@@ -180,6 +186,36 @@
 	}
 }
 
+// openFirst opens the answer at a server. Where another server may run the request
+// too, a server that keeps silent is left after the request's patience.
+func (t *try) openFirst(srv *manifest.Server) (Answer, error) {
+	ctx, id := t.ctx, t.req.ID+"-"+strconv.Itoa(t.sends)
+	if t.g.After == nil || t.req.Patience <= 0 || !t.req.Idempotent || t.runs+1 >= t.maxRuns() || t.sends >= maxAttempts {
+		return t.g.Upstream.Open(ctx, srv, t.req, id)
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := t.g.After(t.req.Patience, func() {
+		cancel(result.New(result.ConnectionSilent, "no answer from server %s within %v, another one is tried", srv.Name, t.req.Patience))
+	})
+	ans, err := t.g.Upstream.Open(ctx, srv, t.req, id)
+	if stop(); err != nil {
+		cancel(err)
+		return nil, err
+	}
+	return &cancelAnswer{ans, cancel}, nil
+}
+
+// cancelAnswer ends the context of an answer with it.
+type cancelAnswer struct {
+	Answer
+	cancel context.CancelCauseFunc
+}
+
+func (a *cancelAnswer) Close() {
+	a.Answer.Close()
+	a.cancel(nil)
+}
+
 // try is the way of one request over one or more servers.
 type try struct {
 	g      *Gateway
--- a/core/gateway/ports.go
+++ b/core/gateway/ports.go
@@ -72,6 +72,10 @@
 	// FetchFrom is the address of a server from which the chosen one may fetch what
 	// it does not keep of the prompt; empty means none. The Placer sets it.
 	FetchFrom string
+	// Patience is how long a request that may be repeated waits for the first part of
+	// an answer while another server may still be tried; 0 means to the deadline. The
+	// Placer sets it.
+	Patience time.Duration
 	// Recheck, unless nil, is called right before each send. An error from it, with
 	// outcome not_run, ends the attempt: what allowed the request may be out of date.
 	Recheck func() *result.Error
--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -76,12 +76,14 @@
 // state is what is known of one server; its pool's lock guards it.
 type state struct {
 	Server
-	hash     uint64
-	own      Load
-	peers    map[fleet.InstanceID]peerLoad
-	cache    *prefixCache
-	speed    speed
-	fault    fault
+	hash  uint64
+	own   Load
+	peers map[fleet.InstanceID]peerLoad
+	cache *prefixCache
+	speed speed
+	fault fault
+	// ownFault is the end of the suspicion that this instance's own requests gave.
+	ownFault time.Time
 	coldNext time.Time
 	placed   [][]Part // since the last TakeReport
 }
@@ -200,6 +202,47 @@
 	}
 }
 
+// Suspicion is how much longer a server is to be passed over.
+type Suspicion struct {
+	Server fleet.ServerID
+	Rest   time.Duration
+}
+
+// Suspects returns what this instance's own requests showed of failing servers.
+func (b *Board) Suspects(now time.Time) []Suspicion {
+	var out []Suspicion
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, p := range b.pools {
+		p.mu.Lock()
+		for _, s := range p.list {
+			if rest := s.ownFault.Sub(now); rest >= sharedLeast && s.fault.suspect(now) {
+				out = append(out, Suspicion{s.ID, rest})
+			}
+		}
+		p.mu.Unlock()
+	}
+	return out
+}
+
+// PeerSuspects takes what another instance's requests showed.
+func (b *Board) PeerSuspects(now time.Time, list []Suspicion) {
+	if len(list) == 0 {
+		return
+	}
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, p := range b.pools {
+		p.mu.Lock()
+		for _, x := range list {
+			if s := p.servers[x.Server]; s != nil {
+				s.fault.told(now, x.Rest)
+			}
+		}
+		p.mu.Unlock()
+	}
+}
+
 // Placed is a prompt that was sent to a server.
 type Placed struct {
 	Server fleet.ServerID
--- a/core/placement/health.go
+++ b/core/placement/health.go
@@ -6,22 +6,41 @@
 type fault struct {
 	inRow int
 	until time.Time
+	// okAt is when the server last answered this instance.
+	okAt time.Time
 }
 
 const (
 	// faultBase is how long a server is passed over after its first failure; it
 	// doubles with each further one in a row.
 	faultBase = 250 * time.Millisecond
-	faultMax  = 4 * time.Second
+	// silentBase is the same for a server that does not even acknowledge packets.
+	silentBase = 1500 * time.Millisecond
+	faultMax   = 4 * time.Second
+	// sharedLeast is the least rest of a suspicion that is told to other instances:
+	// a single failure is none of their business.
+	sharedLeast = 500 * time.Millisecond
+	// ownOpinion is how long an answer to this instance outweighs what others say.
+	ownOpinion = time.Second
 )
 
-func (f *fault) failed(now time.Time) {
-	d := faultBase << min(f.inRow, 10)
+func (f *fault) failed(now time.Time, base time.Duration) {
+	d := base << min(f.inRow, 10)
 	f.inRow++
 	f.until = now.Add(min(d, faultMax))
 }
 
-func (f *fault) succeeded() { *f = fault{} }
+func (f *fault) succeeded(now time.Time) { *f = fault{okAt: now} }
+
+// told takes the suspicion of another instance, which ends after rest.
+func (f *fault) told(now time.Time, rest time.Duration) {
+	if now.Sub(f.okAt) < ownOpinion {
+		return
+	}
+	if until := now.Add(min(rest, faultMax)); until.After(f.until) {
+		f.until = until
+	}
+}
 
 func (f *fault) suspect(now time.Time) bool { return now.Before(f.until) }
 
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -314,7 +314,7 @@
 	}
 	t.opened = true
 	t.s.own.Unread -= t.unread
-	t.s.fault.succeeded()
+	t.s.fault.succeeded(now)
 	took := now.Sub(t.began)
 	if !t.s.Engine {
 		t.expected = t.pool.typical
@@ -335,6 +335,8 @@
 	Failed
 	// Refused means that the server is alive and did not run the request.
 	Refused
+	// Silent means that nothing came back from the server's machine.
+	Silent
 )
 
 // Close gives the place back. Only the first call counts.
@@ -349,8 +351,13 @@
 	if !t.opened {
 		t.s.own.Unread -= t.unread
 	}
-	if o != Ended {
-		t.s.fault.failed(now)
+	switch o {
+	case Failed, Refused:
+		t.s.fault.failed(now, faultBase)
+		t.s.ownFault = t.s.fault.until
+	case Silent:
+		t.s.fault.failed(now, silentBase)
+		t.s.ownFault = t.s.fault.until
 	}
 	t.pool.wake()
 }
--- a/standins/userstore/userstore.go
+++ b/standins/userstore/userstore.go
@@ -50,6 +50,7 @@
 	oldest  uint64 // history before it is dropped
 	changed chan struct{}
 	down    bool
+	behind  uint64
 	calls   int
 }
 
@@ -86,6 +87,13 @@
 	s.wake()
 }
 
+// SetBehind makes whole reads answer with a version that is older by n.
+func (s *Store) SetBehind(n uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.behind = n
+}
+
 // Calls is the number of calls answered.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -185,6 +193,8 @@
 	table, part, from := string(a.Peek("table")), string(a.Peek("part")), string(a.Peek("from"))
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer func(ver uint64) { s.ver = ver }(s.ver)
+	s.ver -= min(s.ver, s.behind)
 	s.write(ctx, s.selected(func(r Row) bool {
 		return r.Table == table && r.Part == part && r.Key >= from && !r.Tombstone
 	}, func(a, b Row) int {
