--- a/core/gateway/placer_test.go
+++ b/core/gateway/placer_test.go
@@ -136,3 +136,55 @@
 }
 
 var _ RetryBudget = (*retry.Budgets)(nil)
+
+// patientFakes is an Upstream that keeps silent until its context ends.
+type patientFakes struct {
+	placerFakes
+	silent int // sends that get no answer
+	fire   []func()
+}
+
+func (f *patientFakes) Open(ctx context.Context, _ *manifest.Server, _ *Request, _ string) (Answer, error) {
+	f.sends++
+	if f.sends > f.silent {
+		return NewStoredAnswer(200, nil, nil), nil
+	}
+	if len(f.fire) > 0 {
+		f.fire[len(f.fire)-1]()
+	}
+	if ctx.Err() != nil {
+		return nil, context.Cause(ctx)
+	}
+	return nil, result.New(result.DeadlineExceeded, "scripted")
+}
+
+// Guards against an idempotent request that waits to its deadline at a silent server
+// while another one could answer, and against one that is not idempotent and is taken
+// away from a server that may run it.
+func TestPatience(t *testing.T) {
+	for _, row := range []struct {
+		idempotent  bool
+		runs, sends int
+		ok          bool
+	}{{true, 2, 2, true}, {true, 1, 1, false}, {false, 2, 1, false}} {
+		f := &patientFakes{silent: 1, placerFakes: placerFakes{budget: 9}}
+		g := &Gateway{
+			Placer: f, Upstream: f, Budget: f, Now: func() time.Time { return time.Unix(1, 0) },
+			After: func(_ time.Duration, fn func()) func() bool {
+				f.fire = append(f.fire, fn)
+				return func() bool { return true }
+			},
+		}
+		req := &Request{Pool: &manifest.Pool{Name: "p"}, Idempotent: row.idempotent, MaxRuns: row.runs, Patience: time.Second, Deadline: time.Unix(9, 0)}
+		ans, err := g.Open(context.Background(), req)
+		if f.sends != row.sends || (err == nil) != row.ok {
+			t.Errorf("%+v: %d sends, %v", row, f.sends, err)
+		}
+		if err == nil {
+			ans.Close()
+		}
+		if f.held != 0 {
+			t.Errorf("%+v: %d places are held", row, f.held)
+		}
+	}
+}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -238,3 +238,43 @@
 		t.Error("a server that is out or gone got a request")
 	}
 }
+
+// Guards against instances that each have to find a dead server by themselves, and
+// against one whose own path is broken taking a server away from all others.
+func TestSuspicionsAreShared(t *testing.T) {
+	a, b := NewBoard(), NewBoard()
+	a.SetServers("p", engines(3))
+	b.SetServers("p", engines(3))
+	first, _ := a.Rank(epoch, "p", prompt(1), nil)
+	dead := first[0].ID
+	a.Begin(epoch, "p", first[0], prompt(1)).Close(epoch, Failed)
+	if s := a.Suspects(epoch); len(s) != 0 {
+		t.Fatalf("a single failure is told: %v", s)
+	}
+	a.Begin(epoch, "p", first[0], prompt(1)).Close(epoch, Silent)
+	told := a.Suspects(epoch)
+	if len(told) != 1 || told[0].Server != dead {
+		t.Fatalf("told %v, want %s", told, dead)
+	}
+	b.PeerSuspects(epoch, told)
+	ranked, _ := b.Rank(epoch, "p", prompt(1), nil)
+	if ranked[0].ID == dead || !ranked[2].Suspect {
+		t.Fatalf("ranked %+v", ranked)
+	}
+	if s := b.Suspects(epoch); len(s) != 0 {
+		t.Fatalf("hearsay is told on: %v", s)
+	}
+	later := epoch.Add(faultMax)
+	ranked, _ = b.Rank(later, "p", prompt(1), nil)
+	if ranked[2].Suspect {
+		t.Fatal("the suspicion does not end")
+	}
+	tk := b.Begin(later, "p", ranked[0], prompt(1))
+	tk.Opened(later)
+	tk.Close(later, Ended)
+	b.PeerSuspects(later, []Suspicion{{ranked[0].ID, time.Second}})
+	again, _ := b.Rank(later, "p", prompt(1), nil)
+	if again[0].Suspect {
+		t.Fatal("a server that has just answered is suspect because another instance says so")
+	}
+}
