Keep servers whose entries lapsed in an outage of the store; notice its return at once

Change: a server that vanishes around an outage is kept until 2 s after the return; leaving ones go at once. A request waits while the servers have not been read yet. The first read after a failure does not wait.

--- a/cmd/internal/edge/edge_test.go
+++ b/cmd/internal/edge/edge_test.go
@@ -15,6 +15,7 @@
 
 	"cyclamenhitch/adapters/settings"
 	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/lapse"
 	"cyclamenhitch/standins/runner"
 	"cyclamenhitch/standins/userstore"
 )
@@ -312,6 +313,32 @@
 	})
 }
 
+// Guards against refusals while servers' entries, which ran out in an outage of the
+// store, are on their way back, and against servers that stay without an entry.
+func TestLapsedEntries(t *testing.T) {
+	a, b := &runner.Runner{ID: "a"}, &runner.Runner{ID: "b"}
+	f := startFleet(t, 1, a, b)
+	f.store.SetDown(true)
+	time.Sleep(serversWait)
+	f.store.Remove("servers", "a")
+	f.store.Remove("servers", "b")
+	f.store.SetDown(false)
+	for end := time.Now().Add(lapse.Return / 2); time.Now().Before(end); time.Sleep(look) {
+		if s, _, body := f.call(0, "/order/1", "k1"); s != 200 {
+			t.Fatalf("%d %q while the entries are on their way back", s, body)
+		}
+	}
+	f.store.Set("servers", "a", a.Entry("s", "z", "ready"))
+	f.eventually("only server a is left", func() bool {
+		for range 20 {
+			if s, _, body := f.call(0, "/order/1", "k1"); s != 200 || body != "answer of a" {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // Guards against a storm of calls while the store has dropped its history and its
 // whole reads are behind: each table waits between two reads.
 func TestReadsBehindArePaced(t *testing.T) {
--- a/cmd/internal/edge/follow.go
+++ b/cmd/internal/edge/follow.go
@@ -103,6 +103,9 @@
 				v.logDependency(t.name, lost, err)
 			}
 		}
+		if err != nil && !errors.Is(err, store.ErrHistoryGone) && t.name == platform.ServerTable {
+			v.serversLost()
+		}
 		switch {
 		case err == nil:
 			known, after = true, version
@@ -145,8 +148,11 @@
 		return u, version, err
 	}
 	wait := t.wait
-	if !src.direct {
+	switch {
+	case !src.direct:
 		wait = peerWait
+	case !v.storeOK.Load():
+		wait = 0 // the answer tells at once that the store is back
 	}
 	if u.entries, version, err = src.Changes(ctx, t.name, after, wait); err == nil && !t.log.Apply(u.entries, after, version) {
 		err = store.ErrHistoryGone
--- a/cmd/internal/edge/placer.go
+++ b/cmd/internal/edge/placer.go
@@ -86,7 +86,7 @@
 // wait on.
 func (p *placer) giveUp(req *gateway.Request, v placement.Verdict, waited time.Duration) *result.Error {
 	hold := max(holdLeast, time.Duration(holdShare*float64(req.Objective)))
-	if waited < hold && v != placement.Empty {
+	if waited < hold && (v != placement.Empty || !p.view.knowsServers()) {
 		return nil
 	}
 	switch v {
--- a/cmd/internal/edge/view.go
+++ b/cmd/internal/edge/view.go
@@ -18,6 +18,7 @@
 	"cyclamenhitch/core/feedlog"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/freshness"
+	"cyclamenhitch/core/lapse"
 	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/result"
 	"cyclamenhitch/core/store"
@@ -62,6 +63,7 @@
 	mu      sync.Mutex
 	servers map[fleet.ServerID]*seen
 	loaded  bool // the servers have been read once
+	grace   lapse.Grace
 	out     map[fleet.DataCentreID]bool
 }
 
@@ -69,6 +71,8 @@
 type seen struct {
 	catalog.ServerEntry
 	coldUntil time.Time
+	// lapsed is until when it is kept without an entry; zero means that it has one.
+	lapsed time.Time
 }
 
 func newView(set *settings.Entry, s *platform.Store, b *placement.Board, log *zap.Logger) *view {
@@ -224,16 +228,19 @@
 func (v *view) takeServers(u update) {
 	now := time.Now()
 	v.mu.Lock()
+	v.grace.Read(now)
 	old := v.servers
 	if u.whole {
 		v.servers = make(map[fleet.ServerID]*seen, len(u.entries))
+		for id, s := range old {
+			v.vanish(now, id, s)
+		}
 	}
 	first := !v.loaded
 	for _, e := range u.entries {
 		id := fleet.ServerID(e.Key)
 		if e.Value == nil {
-			delete(v.servers, id)
-			v.log.Info("server gone", zap.String(logging.FieldServer, e.Key))
+			v.vanish(now, id, old[id])
 			continue
 		}
 		s, err := platform.DecodeServer(e.Key, e.Value)
@@ -251,6 +258,65 @@
 	}
 }
 
+// vanish takes a server out whose entry is missing, at once or when its entry does
+// not come back after an outage of the store. The caller holds mu.
+func (v *view) vanish(now time.Time, id fleet.ServerID, s *seen) {
+	until := v.grace.Keep(now)
+	if s == nil || s.Leaving || !until.After(now) {
+		if s != nil {
+			v.log.Info("server gone", zap.String(logging.FieldServer, string(id)))
+		}
+		delete(v.servers, id)
+		return
+	}
+	kept := *s
+	if kept.lapsed.IsZero() {
+		kept.lapsed = until
+		v.log.Info("server's entry lapsed", zap.String(logging.FieldServer, string(id)), zap.Duration("kept", until.Sub(now)))
+		time.AfterFunc(until.Sub(now), v.dropLapsed)
+	}
+	v.servers[id] = &kept
+}
+
+// dropLapsed takes out the servers whose entries did not come back. While the store
+// is away again they are kept.
+func (v *view) dropLapsed() {
+	now := time.Now()
+	v.mu.Lock()
+	dropped := false
+	for id, s := range v.servers {
+		if s.lapsed.IsZero() || now.Before(s.lapsed) {
+			continue
+		}
+		if until := v.grace.Keep(now); until.After(now) {
+			s.lapsed = until
+			time.AfterFunc(until.Sub(now), v.dropLapsed)
+			continue
+		}
+		delete(v.servers, id)
+		dropped = true
+		v.log.Info("server gone", zap.String(logging.FieldServer, string(id)), zap.String(logging.FieldReason, "its entry did not come back"))
+	}
+	v.mu.Unlock()
+	if dropped {
+		v.publish()
+	}
+}
+
+// serversLost notes that the servers' entries cannot be read.
+func (v *view) serversLost() {
+	v.mu.Lock()
+	v.grace.Lost()
+	v.mu.Unlock()
+}
+
+// knowsServers reports whether the servers have been read.
+func (v *view) knowsServers() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.loaded
+}
+
 // note returns the state of a server whose entry was read. The caller holds mu.
 func (v *view) note(now time.Time, old *seen, s catalog.ServerEntry, first bool) *seen {
 	n := &seen{ServerEntry: s}
