--- a/adapters/httpapi/loglines.go
+++ b/adapters/httpapi/loglines.go
@@ -19,13 +19,16 @@
 		zap.Int(logging.FieldCode, int(e.Code)), zap.String(logging.FieldOutcome, string(e.Outcome)), zap.Error(e))
 }
 
-// logEnd writes the line of a request that ended: of each that failed or whose first
-// part came after its objective, and of some others.
+// logEnd writes the line of a request that ended: of each that failed, that the server
+// answered with an error or whose first part came after its objective, and of some
+// others.
 func (s *Server) logEnd(req *gateway.Request, obs Observation, e *result.Error) {
 	msg := "request served"
 	switch {
 	case e != nil:
 		msg = "request failed"
+	case obs.Status >= fasthttp.StatusInternalServerError:
+		msg = "server answered an error"
 	case req.Objective > 0 && obs.FirstPart > req.Objective:
 		msg = "request late"
 	case s.SampleServed == 0 || s.served.Add(1)%s.SampleServed != 0:
@@ -34,7 +37,7 @@
 	fields := []zap.Field{
 		zap.String(logging.FieldRequest, req.ID), zap.String(logging.FieldAccount, string(obs.Account)),
 		zap.String(logging.FieldPool, string(req.Pool.Name)), zap.Duration("first_part", obs.FirstPart), zap.Duration("total", obs.Total),
-		zap.Int("parts", obs.Parts), zap.Duration("largest_gap", obs.LargestGap), zap.Duration("objective", req.Objective),
+		zap.Int("status", obs.Status), zap.Int("parts", obs.Parts), zap.Duration("largest_gap", obs.LargestGap), zap.Duration("objective", req.Objective),
 	}
 	if len(req.Decisions) > 0 {
 		fields = append(fields, zap.Array("decisions", decisions(req.Decisions)))
--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -99,6 +99,8 @@
 	// Code is 0 for a complete answer.
 	Code    result.Code
 	Outcome result.Outcome
+	// Status is that of the server's answer; 0 without one.
+	Status int
 	// FirstPart is the time to the first part of the answer; 0 without one.
 	FirstPart time.Duration
 	// Total is the time to the end.
@@ -375,7 +377,8 @@
 		return
 	}
 	stream := false
-	ctx.SetStatusCode(ans.Status())
+	obs.Status = ans.Status()
+	ctx.SetStatusCode(obs.Status)
 	for _, f := range ans.Fields() {
 		switch f.Name {
 		case "Content-Length": // of an answer to HEAD
--- a/cmd/internal/edge/meters.go
+++ b/cmd/internal/edge/meters.go
@@ -23,16 +23,19 @@
 type meters struct {
 	all                                         *expvar.Map
 	requests, failures, storeCalls, storeErrors *expvar.Map
+	serverErrors                                *expvar.Map
 	firstPart, gaps, waits, storeTimes          *times
 }
 
 func newMeters() *meters {
 	m := &meters{
 		all: new(expvar.Map), requests: new(expvar.Map), failures: new(expvar.Map), storeCalls: new(expvar.Map), storeErrors: new(expvar.Map),
-		firstPart: newTimes(), gaps: newTimes(), waits: newTimes(), storeTimes: newTimes(),
+		serverErrors: new(expvar.Map),
+		firstPart:    newTimes(), gaps: newTimes(), waits: newTimes(), storeTimes: newTimes(),
 	}
 	m.all.Set("requests", m.requests)
 	m.all.Set("failures", m.failures)
+	m.all.Set("server_errors", m.serverErrors)
 	m.all.Set("store_calls", m.storeCalls)
 	m.all.Set("store_errors", m.storeErrors)
 	m.all.Set("first_part_ms", m.firstPart)
@@ -71,6 +74,9 @@
 		m.failures.Add(o.Code.Info().Name, 1)
 		return
 	}
+	if o.Status >= fasthttp.StatusInternalServerError {
+		m.serverErrors.Add(string(o.Pool), 1)
+	}
 	m.firstPart.add(o.FirstPart)
 	if o.Parts > 1 {
 		m.gaps.add(o.LargestGap)
