Prefer servers whose answers are not errors above the usual

Change: each server's share of errors, forgotten by half in 3 s, costs it placement as far as it exceeds the mean of its pool; 0.1 above it makes it suspect. Errors that all servers answer are the requests' own and change nothing.

--- a/cmd/internal/edge/placer.go
+++ b/cmd/internal/edge/placer.go
@@ -167,8 +167,10 @@
 	case result.ServerRefused:
 		return placement.Refused
 	case result.ConnectFailed, result.ConnectionLost, result.ConnectionSilent, result.AnswerTruncated, result.AnswerCrossed,
-		result.AnswerInvalid, result.ServerError:
+		result.AnswerInvalid:
 		return placement.Failed
+	case result.ServerError:
+		return placement.Errored
 	}
 	return placement.Ended
 }
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -352,14 +352,23 @@
 func (a *permitAnswer) Next() ([]byte, error) {
 	part, err := a.Answer.Next()
 	if err != nil {
-		a.permit.Release(err)
+		a.permit.Release(a.ended(err))
 	}
 	return part, err
 }
 
 func (a *permitAnswer) Close() {
 	a.Answer.Close()
-	a.permit.Release(nil)
+	a.permit.Release(a.ended(nil))
+}
+
+// ended is how the attempt ended for the server: an answer with an error of its own
+// is passed on, but is no success.
+func (a *permitAnswer) ended(err error) error {
+	if (err == nil || err == io.EOF) && a.Status() >= 500 {
+		return result.New(result.ServerError, "status %d", a.Status())
+	}
+	return err
 }
 
 // storedAnswer is an answer that is already complete.
--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -76,12 +76,13 @@
 // state is what is known of one server; its pool's lock guards it.
 type state struct {
 	Server
-	hash  uint64
-	own   Load
-	peers map[fleet.InstanceID]peerLoad
-	cache *prefixCache
-	speed speed
-	fault fault
+	hash   uint64
+	own    Load
+	peers  map[fleet.InstanceID]peerLoad
+	cache  *prefixCache
+	speed  speed
+	fault  fault
+	errors errorRate
 	// ownFault is the end of the suspicion that this instance's own requests gave.
 	ownFault time.Time
 	coldNext time.Time
--- a/core/placement/health.go
+++ b/core/placement/health.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // fault follows failures of a server that its requests showed.
 type fault struct {
@@ -84,3 +87,32 @@
 	keep *= 1 - 0.5*float64(age)/float64(speedMemory)
 	return 1 + (s.ratio-1)*keep
 }
+
+// errorRate follows the share of a server's answers that are errors of its own.
+type errorRate struct {
+	rate float64
+	at   time.Time
+}
+
+const (
+	// errorWeight is the weight of a new answer.
+	errorWeight = 0.15
+	// errorMemory is after how long half of a rate is forgotten, so that a server that
+	// failed gets work again.
+	errorMemory = 3 * time.Second
+)
+
+func (e *errorRate) observe(now time.Time, failed bool) {
+	r := e.now(now) * (1 - errorWeight)
+	if failed {
+		r += errorWeight
+	}
+	e.rate, e.at = r, now
+}
+
+func (e *errorRate) now(now time.Time) float64 {
+	if e.rate == 0 {
+		return 0
+	}
+	return e.rate * math.Exp2(-float64(now.Sub(e.at))/float64(errorMemory))
+}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -278,3 +278,38 @@
 		t.Fatal("a server that has just answered is suspect because another instance says so")
 	}
 }
+
+// Guards against requests that keep going to a server which answers errors while
+// others do not, and against errors of the requests themselves, which every server
+// answers, that move prompts around.
+func TestErrorsAboveTheUsual(t *testing.T) {
+	for _, all := range []bool{false, true} {
+		b := NewBoard()
+		b.SetServers("p", engines(4))
+		first, _ := b.Rank(epoch, "p", prompt(1), nil)
+		home := first[0].ID
+		now := epoch
+		for range 40 {
+			now = now.Add(100 * time.Millisecond)
+			for i := range 4 {
+				c := Candidate{ID: fleet.ServerID(fmt.Sprint("e", i))}
+				tk := b.Begin(now, "p", c, prompt(uint64(100+i)))
+				tk.Opened(now.Add(10 * time.Millisecond))
+				if all || c.ID == home {
+					tk.Close(now.Add(10*time.Millisecond), Errored)
+				} else {
+					tk.Close(now.Add(10*time.Millisecond), Ended)
+				}
+			}
+		}
+		now = now.Add(faultMax)
+		ranked, _ := b.Rank(now, "p", prompt(1), nil)
+		if stays := ranked[0].ID == home; stays != all {
+			t.Errorf("errors everywhere %v: the prompt stays %v", all, stays)
+		}
+		ranked, _ = b.Rank(now.Add(10*errorMemory), "p", prompt(1), nil)
+		if ranked[0].ID != home {
+			t.Errorf("errors everywhere %v: the prompt does not return", all)
+		}
+	}
+}
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -116,12 +116,15 @@
 	out := make([]Candidate, 0, len(eligible))
 	order := hashOrder(eligible, ask)
 	from := p.donor(now, ask)
+	usual := usualErrors(now, eligible)
 	for i, s := range eligible {
 		l := s.load(now)
 		if s.Engine && float64(l.Running+1) > bound {
 			continue
 		}
-		out = append(out, s.candidate(now, l, ask, order[i], from))
+		c := s.candidate(now, l, ask, order[i], from)
+		c.addErrors(s, max(0, s.errors.now(now)-usual), ask)
+		out = append(out, c)
 	}
 	if len(out) == 0 {
 		return nil, AtBound
@@ -138,6 +141,37 @@
 	return out, Found
 }
 
+// usualErrors is the mean share of errors of the servers: errors that all of them
+// answer are the requests' own.
+func usualErrors(now time.Time, servers []*state) float64 {
+	sum := 0.0
+	for _, s := range servers {
+		sum += s.errors.now(now)
+	}
+	return sum / float64(len(servers))
+}
+
+// suspectErrors is the excess of errors above the usual at which a server is passed
+// over for a while.
+const suspectErrors = 0.1
+
+// errorCost is the cost of an error, in objectives for engines and in requests' times
+// for services.
+const errorCost = 4
+
+// addErrors adds the cost of the errors that the server answers above the usual.
+func (c *Candidate) addErrors(s *state, excess float64, ask *Ask) {
+	if !s.Engine {
+		c.Cost += errorCost * excess
+		return
+	}
+	objective := ask.Objective
+	if objective <= 0 {
+		objective = defaultObjective
+	}
+	c.Cost += errorCost * excess * float64(objective) / float64(time.Millisecond)
+}
+
 // boundOf is the largest load of a server when n servers run that many requests.
 func boundOf(running, n int) float64 {
 	return loadFactor*float64(running+1)/float64(max(1, n)) + loadSlack
@@ -335,6 +369,8 @@
 	Failed
 	// Refused means that the server is alive and did not run the request.
 	Refused
+	// Errored means that the server answered with an error of its own.
+	Errored
 	// Silent means that nothing came back from the server's machine.
 	Silent
 )
@@ -355,6 +391,16 @@
 	case Failed, Refused:
 		t.s.fault.failed(now, faultBase)
 		t.s.ownFault = t.s.fault.until
+	case Ended:
+		if t.opened {
+			t.s.errors.observe(now, false)
+		}
+	case Errored:
+		t.s.errors.observe(now, true)
+		if t.s.errors.now(now)-usualErrors(now, t.pool.list) > suspectErrors {
+			t.s.fault.failed(now, faultBase)
+			t.s.ownFault = t.s.fault.until
+		}
 	case Silent:
 		t.s.fault.failed(now, silentBase)
 		t.s.ownFault = t.s.fault.until
