Choose a server in linear time

Cause: the new benchmark of the placement took 76 us at 13 servers and 6.4 ms at 600 (busy machine): the hash order compared all pairs, loads of peers were summed three times for each server, and all candidates were sorted. Change: the order keeps the first four hashes, peers' loads are kept as a sum, Rank returns the best eight. Figures (same busy machine): 13 servers 76 -> 16 us, 95 servers 449 -> 48 us, 600 servers 6.44 ms -> 0.29 ms; 72.8 -> 11.3 KB.

--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -88,6 +88,7 @@
 	if version, at, known := p.view.lease.State(); known {
 		r.From.Version, r.Confirmed, r.ConfirmedAge = version, true, boot-at
 	}
+	p.board.DropSilentPeers(now)
 	r.Loads, r.Placed = p.board.TakeReport()
 	r.Suspicions = p.board.Suspects(now)
 	p.noteChanges(now, r.From.Serving)
--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -62,6 +62,7 @@
 
 	fleetMu sync.Mutex
 	share   coldShare
+	heard   map[fleet.InstanceID]time.Time // the last report of each instance
 }
 
 type pool struct {
@@ -76,9 +77,11 @@
 // state is what is known of one server; its pool's lock guards it.
 type state struct {
 	Server
-	hash   uint64
-	own    Load
-	peers  map[fleet.InstanceID]peerLoad
+	hash uint64
+	own  Load
+	// peers are the loads that other instances report, others is their sum.
+	peers  map[fleet.InstanceID]Load
+	others Load
 	cache  *prefixCache
 	speed  speed
 	fault  fault
@@ -89,17 +92,13 @@
 	placed   [][]Part // since the last TakeReport
 }
 
-type peerLoad struct {
-	Load
-	at time.Time
-}
-
-// peerLoadTime is how long the load reported by a peer counts without a newer
-// report. Peers that stop reporting for longer have left or lost their requests.
+// peerLoadTime is how long the load reported by a peer counts without a newer report.
 const peerLoadTime = 3 * time.Second
 
 // NewBoard returns a board without servers.
-func NewBoard() *Board { return &Board{pools: map[fleet.PoolID]*pool{}} }
+func NewBoard() *Board {
+	return &Board{pools: map[fleet.PoolID]*pool{}, heard: map[fleet.InstanceID]time.Time{}}
+}
 
 func (b *Board) pool(id fleet.PoolID) *pool {
 	b.mu.RLock()
@@ -129,7 +128,7 @@
 	for _, s := range servers {
 		st := old[s.ID]
 		if st == nil || st.Address != s.Address || st.Born != s.Born {
-			st = &state{hash: fleet.HashID(string(s.ID)), peers: map[fleet.InstanceID]peerLoad{}, cache: newPrefixCache(cacheLimit(s.CacheTokens))}
+			st = &state{hash: fleet.HashID(string(s.ID)), peers: map[fleet.InstanceID]Load{}, cache: newPrefixCache(cacheLimit(s.CacheTokens))}
 		}
 		st.Server = s
 		st.cache.limit = cacheLimit(s.CacheTokens)
@@ -161,35 +160,60 @@
 }
 
 // load is the work of all instances at a server.
-func (s *state) load(now time.Time) Load {
-	sum := s.own
-	for _, l := range s.peers {
-		if now.Sub(l.at) < peerLoadTime {
-			sum.Running += l.Running
-			sum.Unread += l.Unread
-		}
+func (s *state) load() Load {
+	return Load{s.own.Running + s.others.Running, s.own.Unread + s.others.Unread}
+}
+
+// setPeer replaces the load of another instance.
+func (s *state) setPeer(peer fleet.InstanceID, l Load) {
+	old := s.peers[peer]
+	s.others.Running += l.Running - old.Running
+	s.others.Unread += l.Unread - old.Unread
+	if l == (Load{}) {
+		delete(s.peers, peer)
+		return
 	}
-	return sum
+	s.peers[peer] = l
 }
 
 // SetPeer takes the loads that another instance reports. Servers that it does not
 // name have none of its work.
 func (b *Board) SetPeer(peer fleet.InstanceID, now time.Time, loads map[fleet.ServerID]Load) {
+	b.fleetMu.Lock()
+	b.heard[peer] = now
+	b.fleetMu.Unlock()
+	b.setPeer(peer, loads)
+}
+
+func (b *Board) setPeer(peer fleet.InstanceID, loads map[fleet.ServerID]Load) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	for _, p := range b.pools {
 		p.mu.Lock()
 		for id, s := range p.servers {
-			if l, ok := loads[id]; ok {
-				s.peers[peer] = peerLoad{l, now}
-			} else {
-				delete(s.peers, peer)
-			}
+			s.setPeer(peer, loads[id])
 		}
 		p.mu.Unlock()
 	}
 }
 
+// DropSilentPeers forgets the loads of instances that have not reported for
+// peerLoadTime: they have left or lost their requests.
+func (b *Board) DropSilentPeers(now time.Time) {
+	b.fleetMu.Lock()
+	var silent []fleet.InstanceID
+	for peer, at := range b.heard {
+		if now.Sub(at) >= peerLoadTime {
+			silent = append(silent, peer)
+			delete(b.heard, peer)
+		}
+	}
+	b.fleetMu.Unlock()
+	for _, peer := range silent {
+		b.setPeer(peer, nil)
+	}
+}
+
 // PeerPlaced notes that another instance has sent prompts with the parts to a server.
 func (b *Board) PeerPlaced(server fleet.ServerID, parts []Part) {
 	b.mu.RLock()
@@ -338,7 +362,7 @@
 		p.mu.Lock()
 		sum := PoolSummary{Servers: len(p.list)}
 		for _, s := range p.list {
-			sum.Running += s.load(now).Running
+			sum.Running += s.load().Running
 			if s.Out {
 				sum.Out++
 			}
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -1,9 +1,7 @@
 package placement
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"cyclamenhitch/core/fleet"
@@ -97,7 +95,7 @@
 		if s.Out {
 			continue
 		}
-		running += s.load(now).Running
+		running += s.load().Running
 		if exclude != nil && exclude(s.ID) {
 			continue
 		}
@@ -113,34 +111,54 @@
 		return nil, verdict
 	}
 	bound := boundOf(running, p.countIn())
-	out := make([]Candidate, 0, len(eligible))
+	out := make([]Candidate, 0, min(len(eligible), maxCandidates))
 	order := hashOrder(eligible, ask)
 	from := p.donor(now, ask)
 	usual := usualErrors(now, eligible)
 	for i, s := range eligible {
-		l := s.load(now)
+		l := s.load()
 		if s.Engine && float64(l.Running+1) > bound {
 			continue
 		}
 		c := s.candidate(now, l, ask, order[i], from)
 		c.addErrors(s, max(0, s.errors.now(now)-usual), ask)
-		out = append(out, c)
+		out = insert(out, &c)
 	}
 	if len(out) == 0 {
 		return nil, AtBound
 	}
-	slices.SortStableFunc(out, func(a, b Candidate) int {
-		if a.Suspect != b.Suspect {
-			if a.Suspect {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(a.Cost, b.Cost)
-	})
 	return out, Found
 }
 
+// maxCandidates bounds the servers that Rank returns; a place at the first ones is
+// refused only when they turned cold or left in between.
+const maxCandidates = 8
+
+// insert puts c into the sorted list, which keeps the best maxCandidates.
+func insert(list []Candidate, c *Candidate) []Candidate {
+	pos := len(list)
+	for pos > 0 && c.before(&list[pos-1]) {
+		pos--
+	}
+	if pos == maxCandidates {
+		return list
+	}
+	if len(list) < maxCandidates {
+		list = append(list, Candidate{})
+	}
+	copy(list[pos+1:], list[pos:])
+	list[pos] = *c
+	return list
+}
+
+// before orders candidates: those that fail come last.
+func (c *Candidate) before(o *Candidate) bool {
+	if c.Suspect != o.Suspect {
+		return o.Suspect
+	}
+	return c.Cost < o.Cost
+}
+
 // usualErrors is the mean share of errors of the servers: errors that all of them
 // answer are the requests' own.
 func usualErrors(now time.Time, servers []*state) float64 {
@@ -188,8 +206,8 @@
 	return n
 }
 
-// hashOrder gives each server its rank for the request's key: all instances agree
-// on it without a message.
+// hashOrder gives each server its rank for the request's key, maxRanks for all that
+// are not among the first: all instances agree on it without a message.
 func hashOrder(servers []*state, ask *Ask) []int {
 	key := ask.Key
 	if n := len(ask.Parts); n > 1 {
@@ -197,17 +215,27 @@
 	} else if n == 1 {
 		key = ask.Parts[0].ID
 	}
-	scores := make([]uint64, len(servers))
-	for i, s := range servers {
-		scores[i] = fleet.Mix(key, s.hash)
-	}
 	order := make([]int, len(servers))
-	for i := range servers {
-		for j := range servers {
-			if scores[j] > scores[i] {
-				order[i]++
-			}
+	var best [maxRanks]uint64
+	var at [maxRanks]int
+	found := 0
+	for i, s := range servers {
+		order[i] = maxRanks
+		score := fleet.Mix(key, s.hash)
+		pos := found
+		for pos > 0 && best[pos-1] < score {
+			pos--
+		}
+		if pos == maxRanks {
+			continue
 		}
+		found = min(found+1, maxRanks)
+		copy(best[pos+1:found], best[pos:found-1])
+		copy(at[pos+1:found], at[pos:found-1])
+		best[pos], at[pos] = score, i
+	}
+	for r := range found {
+		order[at[r]] = r
 	}
 	return order
 }
@@ -258,7 +286,7 @@
 		// The expected time in units of one request's work.
 		slots := float64(max(1, s.Slots))
 		c.Cost = factor * (1 + float64(l.Running)/slots + 4*math.Max(0, float64(l.Running+1)-slots)/slots)
-		c.Cost += 0.01 * float64(min(rank, maxRanks))
+		c.Cost += 0.01 * float64(rank)
 		return c
 	}
 	c.Cached = s.cache.cached(ask.Parts)
@@ -273,7 +301,7 @@
 		work += fullCost * float64(1+l.Running-s.Slots)
 	}
 	c.Wait = baseTime + fetchTime + time.Duration(factor*work/readPerMilli*float64(time.Millisecond))
-	cost := waitCost(c.Wait, ask.Objective) + fetchTime + readTime(unread) + rankCost*time.Duration(min(rank, maxRanks))
+	cost := waitCost(c.Wait, ask.Objective) + fetchTime + readTime(unread) + rankCost*time.Duration(rank)
 	c.Cost = float64(cost) / float64(time.Millisecond)
 	return c
 }
