Confirm the configuration through the feed; let silence follow the report interval

A non-reader's configuration was confirmed only by reports, each 0.5 s at that size and older by an echo, so that its age passed 2.8 s again and again and it read for itself. 3,507 lines of lost peers show that 1.2 s of silence is two lost reports at that size. Ruled out: the outage itself (only 43 lines of a lost store). Change: the answer of a reading peer states how old its read is; silence is three intervals of reports, 1.2 s at least. An instance reads for itself at 0.7 of its lease.

--- a/adapters/feed/feed.go
+++ b/adapters/feed/feed.go
@@ -33,6 +33,9 @@
 type Server struct {
 	// Log returns the copy of a table, or nil when this instance cannot vouch for it.
 	Log func(table string) *feedlog.Log
+	// Age returns the time since this instance began the read of the store that its
+	// copy reflects.
+	Age func(table string) time.Duration
 }
 
 // Handle serves one call.
@@ -49,7 +52,7 @@
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 			return
 		}
-		write(ctx, rows, version)
+		s.write(ctx, rows, version)
 		return
 	}
 	after, err := strconv.ParseUint(string(args.Peek("after")), 10, 64)
@@ -67,20 +70,21 @@
 			return
 		}
 		if len(rows) > 0 {
-			write(ctx, rows, version)
+			s.write(ctx, rows, version)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			write(ctx, nil, version)
+			s.write(ctx, nil, version)
 			return
 		}
 	}
 }
 
-func write(ctx *fasthttp.RequestCtx, rows []store.Entry, version uint64) {
-	m := &feedpb.Changes{Version: version}
+func (s *Server) write(ctx *fasthttp.RequestCtx, rows []store.Entry, version uint64) {
+	age := s.Age(string(ctx.QueryArgs().Peek("table")))
+	m := &feedpb.Changes{Version: version, AgeMs: uint32((age + time.Millisecond - 1) / time.Millisecond)}
 	for _, e := range rows {
 		m.Rows = append(m.Rows, &feedpb.Row{Key: e.Key, Value: e.Value, Removed: e.Value == nil, Version: e.Version})
 	}
@@ -92,10 +96,13 @@
 	ctx.SetBody(b)
 }
 
-// Client reads tables from one other instance.
+// Client reads tables from one other instance. It is used by one goroutine.
 type Client struct {
 	Address string
-	http    *fasthttp.Client
+	// Age is, after a call that succeeded, the time between the begin of the peer's
+	// read of the store and its answer.
+	Age  time.Duration
+	http *fasthttp.Client
 }
 
 // Pool makes clients that share their connections.
@@ -110,7 +117,7 @@
 }
 
 // At returns a client for an instance.
-func (p *Pool) At(address string) *Client { return &Client{address, p.http} }
+func (p *Pool) At(address string) *Client { return &Client{Address: address, http: p.http} }
 
 // Snapshot reads a whole table.
 func (c *Client) Snapshot(_ context.Context, table string) ([]store.Entry, uint64, error) {
@@ -139,6 +146,7 @@
 	if err := proto.Unmarshal(body, &m); err != nil {
 		return nil, 0, result.Wrap(result.StoreUnavailable, err, "peer %s", c.Address)
 	}
+	c.Age = time.Duration(m.AgeMs) * time.Millisecond
 	out := make([]store.Entry, len(m.Rows))
 	for i, r := range m.Rows {
 		out[i] = store.Entry{Key: r.Key, Version: r.Version}
--- a/cmd/internal/edge/follow.go
+++ b/cmd/internal/edge/follow.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"cyclamenhitch/adapters/clock"
+	"cyclamenhitch/adapters/feed"
 	"cyclamenhitch/core/feedlog"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/freshness"
@@ -29,7 +30,7 @@
 	avoidTime = 2 * time.Second
 	// selfHelpShare is the part of its lease after which an instance reads the
 	// configuration itself, whoever else does.
-	selfHelpShare = 0.6
+	selfHelpShare = 0.7
 	// batchGap is the pause after changes, so that a series of them takes few calls.
 	batchGap = 100 * time.Millisecond
 	// goneMemory is how long after missing changes further ones are met with a pause
@@ -47,8 +48,9 @@
 	wait time.Duration
 	take func(update)
 	log  *feedlog.Log
-	// read is when the last successful direct read ended, as time since boot; 0 for none.
-	read atomic.Int64
+	// began and read are when the last successful direct read began and ended, as time
+	// since boot; 0 for none.
+	began, read atomic.Int64
 }
 
 // vouched reports whether the copy is as fresh as this instance's own reads are.
@@ -61,6 +63,7 @@
 type source struct {
 	store.Reader
 	peer   fleet.InstanceID // empty for the store
+	client *feed.Client     // nil for the store
 	direct bool
 }
 
@@ -78,7 +81,8 @@
 		case r.ID == v.set.Instance:
 			return own
 		case !v.avoided.has(r.ID, now):
-			return source{Reader: v.feeds.At(r.Peer), peer: r.ID}
+			c := v.feeds.At(r.Peer)
+			return source{Reader: c, peer: r.ID, client: c}
 		}
 	}
 	return own
@@ -106,10 +110,15 @@
 		if err != nil && !errors.Is(err, store.ErrHistoryGone) && t.name == platform.ServerTable {
 			v.serversLost()
 		}
+		if err == nil && !src.direct {
+			// The peer answered after the call began.
+			u.start = freshness.Relayed(u.start, src.client.Age)
+		}
 		switch {
 		case err == nil:
 			known, after = true, version
 			if src.direct {
+				t.began.Store(int64(u.start))
 				t.read.Store(int64(clock.SinceBoot()))
 			}
 			t.take(u)
@@ -184,6 +193,16 @@
 	return nil
 }
 
+// age is how long ago the read of the store began that the copy of a table reflects.
+func (v *view) age(name string) time.Duration {
+	for _, t := range v.tables {
+		if t.name == name {
+			return clock.SinceBoot() - freshness.Instant(t.began.Load())
+		}
+	}
+	return 0
+}
+
 // avoided are peers that failed to hand a table on.
 type avoided struct {
 	mu    sync.Mutex
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -24,11 +24,6 @@
 	// leastShare is the least number of instances that budgets are shared with: an
 	// instance that hears nobody may be cut off from peers that send as well.
 	leastShare = 3
-	// reportInterval is the time between two reports to a peer in a small fleet.
-	reportInterval = 200 * time.Millisecond
-	// reportRate bounds the reports of an instance, in datagrams a second; larger
-	// fleets report less often.
-	reportRate = 160
 )
 
 // peers exchanges reports with the other instances.
@@ -66,7 +61,7 @@
 	for ctx.Err() == nil {
 		p.report()
 		n := len(p.roster.Targets(time.Now()))
-		gap := max(reportInterval, time.Duration(n)*time.Second/reportRate)
+		gap := roster.Interval(n)
 		sleep(ctx, gap-gap/10+rand.N(gap/5))
 	}
 	_ = p.socket.Close()
--- a/cmd/internal/edge/view.go
+++ b/cmd/internal/edge/view.go
@@ -139,9 +139,10 @@
 	entries []store.Entry
 	// whole says that the entries are the whole table.
 	whole bool
-	// direct says that the store itself was read; start is when that read began.
+	// direct says that the store itself was read, not a peer's copy.
 	direct bool
-	start  freshness.Instant
+	// start is when the read of the store began that it reflects, at the latest.
+	start freshness.Instant
 }
 
 func (v *view) logDependency(table string, lost bool, err error) {
@@ -176,7 +177,7 @@
 			v.adopt(e.Value, u.direct)
 		}
 	}
-	if c := v.current.Load(); c != nil && u.direct {
+	if c := v.current.Load(); c != nil {
 		v.lease.Confirm(c.Version, u.start)
 	}
 	if changed {
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -46,9 +46,28 @@
 	peers  map[fleet.InstanceID]*entry
 }
 
-// SilentTime is after how long without a report an instance counts as gone. It is
-// six intervals of reports: single lost datagrams do not count.
-const SilentTime = 1200 * time.Millisecond
+const (
+	// LeastInterval is the time between two reports to a peer in a small fleet.
+	LeastInterval = 200 * time.Millisecond
+	// reportRate bounds the reports that an instance sends, in datagrams a second;
+	// larger fleets report less often.
+	reportRate = 160
+	// SilentTime is after how long without a report an instance of a small fleet counts
+	// as gone. It is six intervals: single lost datagrams do not count.
+	SilentTime = 1200 * time.Millisecond
+	// silentIntervals is the same for larger fleets, in intervals.
+	silentIntervals = 3
+)
+
+// Interval is the time between two reports to each of n peers.
+func Interval(n int) time.Duration {
+	return max(LeastInterval, time.Duration(n)*time.Second/reportRate)
+}
+
+// silent is after how long without a report an instance counts as gone.
+func (r *Roster) silent() time.Duration {
+	return max(SilentTime, silentIntervals*Interval(max(len(r.listed), len(r.peers))))
+}
 
 // New returns the roster of an instance that knows no peers.
 func New(self fleet.InstanceID) *Roster {
@@ -102,8 +121,9 @@
 			out[id] = addr
 		}
 	}
+	silent := r.silent()
 	for id, e := range r.peers {
-		if now.Sub(e.heard) < SilentTime {
+		if now.Sub(e.heard) < silent {
 			out[id] = e.Peer.Peer
 		}
 	}
@@ -115,10 +135,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := make([]Peer, 0, len(r.peers))
+	silent := r.silent()
 	for id, e := range r.peers {
-		if now.Sub(e.heard) < SilentTime {
+		if now.Sub(e.heard) < silent {
 			out = append(out, e.Peer)
-		} else if now.Sub(e.heard) > 10*SilentTime {
+		} else if now.Sub(e.heard) > 10*silent {
 			delete(r.peers, id)
 		}
 	}
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -71,3 +71,23 @@
 		}
 	})
 }
+
+// Guards against instances of a larger fleet that flap because their reports are
+// further apart, and against dead ones that are named for 7 s and more.
+func TestSilenceFollowsTheInterval(t *testing.T) {
+	for _, n := range []int{9, 80, 300} {
+		r := New("a")
+		listed := map[fleet.InstanceID]string{}
+		for i := range n {
+			listed[fleet.InstanceID(fmt.Sprint("i", i))] = ""
+		}
+		r.SetListed(listed)
+		r.Heard(epoch, Peer{ID: "i1"}, true)
+		if len(r.Live(epoch.Add(2*Interval(n)+Interval(n)/2))) != 1 {
+			t.Errorf("%d instances: gone after two lost reports", n)
+		}
+		if len(r.Live(epoch.Add(6500*time.Millisecond))) != 0 {
+			t.Errorf("%d instances: live after 6.5 s of silence", n)
+		}
+	}
+}
