--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -33,6 +33,9 @@
 	// Unacked ends a connection whose bytes are not acknowledged for so long; 0 leaves
 	// it to the system.
 	Unacked time.Duration
+	// MaxIdle bounds the idle connections to one server; 0 means maxIdle. It may change
+	// at any time.
+	MaxIdle atomic.Int64
 	// Dialect names the header fields; nil means that of the OpenAI chat API.
 	Dialect *Dialect
 	// OnLoad, unless nil, takes what servers tell of their load. It must not block.
--- a/adapters/engine/pool.go
+++ b/adapters/engine/pool.go
@@ -137,6 +137,13 @@
 	return true
 }
 
+func (c *Client) maxIdle() int {
+	if n := int(c.MaxIdle.Load()); n > 0 {
+		return n
+	}
+	return maxIdle
+}
+
 // release keeps the connection for a later exchange.
 func (c *conn) release() {
 	c.used, c.wrote, c.verdict = true, false, liveness.Wait
@@ -144,7 +151,7 @@
 	h := c.host
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if c.epoch != h.epoch || len(h.idle) >= maxIdle {
+	if c.epoch != h.epoch || len(h.idle) >= c.client.maxIdle() {
 		_ = c.Conn.Close()
 		return
 	}
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -42,6 +42,9 @@
 	callerIdle = 60 * time.Second
 )
 
+// serverKeepAlive notices a server whose machine is gone while it owes an answer.
+var serverKeepAlive = net.KeepAliveConfig{Enable: true, Idle: 500 * time.Millisecond, Interval: 300 * time.Millisecond, Count: 3}
+
 // Edge is one instance.
 type Edge struct {
 	set *settings.Entry
@@ -68,18 +71,18 @@
 	}
 	e.peers = newPeers(set, socket, e.view, e.board, log)
 	budgets := retry.NewBudgets()
-	e.peers.shared = func(instances int) {
-		budgets.Share(retryShare(set, instances))
-	}
 	e.view.peers = e.peers
 	client := &engine.Client{
 		ConnectTimeout: connectTime, MaxAnswerBytes: maxAnswerBytes, Dialect: platform.Dialect(),
-		KeepAlive: &net.KeepAliveConfig{Enable: true, Idle: 500 * time.Millisecond, Interval: 300 * time.Millisecond, Count: 3},
+		KeepAlive: &serverKeepAlive,
 		Unacked:   unackedTime,
 	}
+	e.peers.shared = func(instances int) {
+		budgets.Share(retryShare(set, instances))
+		client.MaxIdle.Store(int64(e.view.idleShare(instances)))
+	}
 	e.stop = &stopper{limit: settings.Millis(set.Times.StopMillis), keep: settings.Millis(set.Times.KeepMillis), peers: e.peers, log: log}
 	e.caller = &httpapi.Server{
-		Config: nil,
 		Opener: &gateway.Gateway{
 			Placer:   &placer{board: e.board, view: e.view, meters: e.meters, stopping: e.stop.refusal},
 			Upstream: client, Budget: budgets, Now: time.Now,
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -215,7 +215,7 @@
 // addresses returns the callers' addresses of the instances that serve. While none
 // does, it names the live ones, which still serve routes without keys, unless this
 // instance hears nobody: then it may be the one that is cut off.
-func (p *peers) addresses(fleet.DataCentreID) []string {
+func (p *peers) addresses() []string {
 	var serving, live []string
 	add := func(addr string, serves, leaves bool) {
 		if serves {
--- a/cmd/internal/edge/placer.go
+++ b/cmd/internal/edge/placer.go
@@ -31,7 +31,7 @@
 
 // Place implements gateway.Placer.
 func (p *placer) Place(ctx context.Context, req *gateway.Request) (*manifest.Server, gateway.Permit, error) {
-	ask := &placement.Ask{Parts: req.Parts, Prompt: req.PromptTokens, Output: req.OutputTokens, Objective: req.Objective, Key: uint64(req.Chat)}
+	ask := &placement.Ask{Parts: req.Parts, Prompt: req.PromptTokens, Objective: req.Objective, Key: uint64(req.Chat)}
 	began := time.Now()
 	for {
 		if req.Recheck != nil {
--- a/cmd/internal/edge/view.go
+++ b/cmd/internal/edge/view.go
@@ -377,6 +377,23 @@
 	}
 }
 
+// idleMargin is the part of the connections that a server accepts which all instances
+// together keep idle.
+const idleMargin = 0.5
+
+// idleShare is how many idle connections this instance may keep to a server.
+func (v *view) idleShare(instances int) int {
+	least := 0
+	if c := v.current.Load(); c != nil {
+		for _, p := range c.Pools() {
+			if p.MaxConnections > 0 && (least == 0 || p.MaxConnections < least) {
+				least = p.MaxConnections
+			}
+		}
+	}
+	return max(1, int(idleMargin*float64(least))/max(1, instances))
+}
+
 // sleep waits for d or until ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -49,8 +49,6 @@
 // Pool is a declared pool with what the placement has to know of its servers.
 type Pool struct {
 	manifest.Pool
-	// HealthPath is the path of the servers' health check.
-	HealthPath string
 	// MaxConnections bounds the connections to one server, all callers together.
 	MaxConnections int
 	// ColdTime is how long a server stays cold after its start.
@@ -68,24 +66,18 @@
 	FetchPerMilli float64
 }
 
-// Limits bound what callers may send.
-type Limits struct {
-	MaxHeaderBytes, MaxBodyBytes int
-}
-
 // Catalog is one version of the configuration.
 type Catalog struct {
 	Version  uint64
-	Limits   Limits
 	routes   map[string][]*Route
 	accounts map[string]*manifest.Account
 	pools    map[fleet.PoolID]*Pool
 }
 
 // New returns the catalog of a version. accounts maps keys to their accounts.
-func New(version uint64, l Limits, routes []*Route, pools []*Pool, accounts map[string]*manifest.Account) *Catalog {
+func New(version uint64, routes []*Route, pools []*Pool, accounts map[string]*manifest.Account) *Catalog {
 	c := &Catalog{
-		Version: version, Limits: l, accounts: accounts,
+		Version: version, accounts: accounts,
 		routes: map[string][]*Route{}, pools: make(map[fleet.PoolID]*Pool, len(pools)),
 	}
 	for _, p := range pools {
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -14,7 +14,7 @@
 	a, b := pool("a"), pool("b")
 	short := &Route{Name: "short", Host: "x.example", Prefix: "/p/", Targets: []Target{{a, 1}}}
 	long := &Route{Name: "long", Host: "x.example", Prefix: "/p/q/", Targets: []Target{{b, 1}}}
-	c := New(1, Limits{}, []*Route{short, long}, []*Pool{a, b}, nil)
+	c := New(1, []*Route{short, long}, []*Pool{a, b}, nil)
 	for _, row := range []struct {
 		host, path string
 		want       *Route
@@ -61,7 +61,7 @@
 // Guards against a request without a key that matches an account.
 func TestAccountNeedsKey(t *testing.T) {
 	acc := &manifest.Account{Name: "t"}
-	c := New(1, Limits{}, nil, nil, map[string]*manifest.Account{"k": acc, "": acc})
+	c := New(1, nil, nil, map[string]*manifest.Account{"k": acc, "": acc})
 	if c.Account([]byte("k")) != acc || c.Account([]byte("x")) != nil || c.Account(nil) != nil {
 		t.Fatal("accounts do not match keys")
 	}
--- a/core/gateway/ports.go
+++ b/core/gateway/ports.go
@@ -63,8 +63,6 @@
 	Urgency int
 	// Resumable says that the stream may go on at another server.
 	Resumable bool
-	// Anonymous says that the route needs no account; Account is then empty.
-	Anonymous bool
 	// LastEvent is the event after which a stream begins; empty means at the start.
 	LastEvent string
 	// MaxRuns bounds how many servers may run the request; 0 means maxAttempts.
--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -38,8 +38,8 @@
 type Ask struct {
 	// Parts is the prompt's chain; empty for plain services.
 	Parts []Part
-	// Prompt and Output are in tokens.
-	Prompt, Output int
+	// Prompt is the size of the prompt, in tokens.
+	Prompt int
 	// Objective is the time to the first token that counts as on time; 0 means that
 	// none is stated.
 	Objective time.Duration
