--- a/cmd/internal/operator/operator.go
+++ b/cmd/internal/operator/operator.go
@@ -63,6 +63,7 @@
 		Return serverReturnCmd `cmd:"" help:"Let a backend server receive work again."`
 	} `cmd:"" help:"Change the state of a backend server."`
 	Explain explainCmd `cmd:"" help:"Show which servers a chat goes to, with scores and the deciding rule."`
+	Trace   traceCmd   `cmd:"" help:"Explain a request from log files of instances; needs no instance."`
 	Report  struct {
 		Burn burnCmd `cmd:"" help:"Show objectives, burn rates, alerts and the error budget of each pool and client account."`
 	} `cmd:"" help:"Reports over the fleet."`
