--- a/cmd/internal/operator/trace.go
+++ b/cmd/internal/operator/trace.go
@@ -18,7 +18,7 @@
 type traceCmd struct {
 	Request string        `arg:"" help:"Id of the request."`
 	Logs    []string      `arg:"" type:"existingfile" help:"Log files of the instances, JSON lines."`
-	Around  time.Duration `default:"2s" help:"How much of what its instance believed to show, before and after."`
+	Around  time.Duration `default:"5s" help:"How much of what its instance believed to show, before and after."`
 }
 
 // maxLogLine bounds one log line, in bytes.
