State the age of handed-on rows from before they are taken

Cause: found by reading: a reading peer took the rows first and the time of its last read afterwards. A read that ended in between lent its time to rows from before it, so that a follower could act on a key for up to a second longer than its lease allows. Ruled out: the same in reports, which take version and age under one lock. Change: the begin of the read is taken first, and again after a wait.

--- a/adapters/feed/feed.go
+++ b/adapters/feed/feed.go
@@ -13,6 +13,7 @@
 
 	"cyclamenhitch/adapters/feed/feedpb"
 	"cyclamenhitch/core/feedlog"
+	"cyclamenhitch/core/freshness"
 	"cyclamenhitch/core/result"
 	"cyclamenhitch/core/store"
 )
@@ -33,26 +34,30 @@
 type Server struct {
 	// Log returns the copy of a table, or nil when this instance cannot vouch for it.
 	Log func(table string) *feedlog.Log
-	// Age returns the time since this instance began the read of the store that its
-	// copy reflects.
-	Age func(table string) time.Duration
+	// Began returns when this instance began the read of the store that its copy
+	// reflects, on the clock of Now.
+	Began func(table string) freshness.Instant
+	Now   func() freshness.Instant
 }
 
 // Handle serves one call.
 func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
 	args := ctx.QueryArgs()
-	log := s.Log(string(args.Peek("table")))
+	table := string(args.Peek("table"))
+	log := s.Log(table)
 	if log == nil {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
+	// What began is read before the rows: they may only be newer than it says.
+	began := s.Began(table)
 	if args.Has("whole") {
 		rows, version, known := log.Whole()
 		if !known {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 			return
 		}
-		s.write(ctx, rows, version)
+		s.write(ctx, rows, version, began)
 		return
 	}
 	after, err := strconv.ParseUint(string(args.Peek("after")), 10, 64)
@@ -63,28 +68,27 @@
 	wait := time.Duration(args.GetUintOrZero("wait_ms")) * time.Millisecond
 	timer := time.NewTimer(min(wait, maxWait))
 	defer timer.Stop()
-	for {
+	for last := false; ; {
+		began = s.Began(table)
 		rows, version, changed, err := log.Since(after)
 		if err != nil {
 			ctx.SetStatusCode(fasthttp.StatusGone)
 			return
 		}
-		if len(rows) > 0 {
-			s.write(ctx, rows, version)
+		if len(rows) > 0 || last {
+			s.write(ctx, rows, version, began)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			s.write(ctx, nil, version)
-			return
+			last = true
 		}
 	}
 }
 
-func (s *Server) write(ctx *fasthttp.RequestCtx, rows []store.Entry, version uint64) {
-	age := s.Age(string(ctx.QueryArgs().Peek("table")))
-	m := &feedpb.Changes{Version: version, AgeMs: uint32((age + time.Millisecond - 1) / time.Millisecond)}
+func (s *Server) write(ctx *fasthttp.RequestCtx, rows []store.Entry, version uint64, began freshness.Instant) {
+	m := &feedpb.Changes{Version: version, AgeMs: uint32((s.Now() - began + time.Millisecond - 1) / time.Millisecond)}
 	for _, e := range rows {
 		m.Rows = append(m.Rows, &feedpb.Row{Key: e.Key, Value: e.Value, Removed: e.Value == nil, Version: e.Version})
 	}
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -151,7 +151,7 @@
 		{e.set.Listen.Caller, func(ln net.Listener) error { return e.caller.Serve(ln, e.limits()) }},
 		{e.set.Listen.Ready, small(platform.Ready(e.peers.ready))},
 		{e.set.Listen.Directory, small(directory.Handle)},
-		{e.set.Listen.Peer, small(e.peers.servePeer((&feed.Server{Log: e.view.handOn, Age: e.view.age}).Handle))},
+		{e.set.Listen.Peer, small(e.peers.servePeer((&feed.Server{Log: e.view.handOn, Began: e.view.readBegan, Now: clock.SinceBoot}).Handle))},
 		{e.set.Listen.Metrics, small(e.meters.handle)},
 	} {
 		if l.addr == "" {
--- a/cmd/internal/edge/follow.go
+++ b/cmd/internal/edge/follow.go
@@ -193,11 +193,11 @@
 	return nil
 }
 
-// age is how long ago the read of the store began that the copy of a table reflects.
-func (v *view) age(name string) time.Duration {
+// readBegan is when the read of the store began that the copy of a table reflects.
+func (v *view) readBegan(name string) freshness.Instant {
 	for _, t := range v.tables {
 		if t.name == name {
-			return clock.SinceBoot() - freshness.Instant(t.began.Load())
+			return freshness.Instant(t.began.Load())
 		}
 	}
 	return 0
