Pause between calls to a store that refuses them

Calls above the store's rate are refused, so that healthy readers fell behind as well. Change: a pause lasts 50 ms at least and ends early only for a reader that can be asked; who would read is decided as if everybody reached the store; a copy that is not known to be fresh is confirmed without a wait.

--- a/cmd/internal/edge/follow.go
+++ b/cmd/internal/edge/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"cyclamenhitch/core/feedlog"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/freshness"
+	"cyclamenhitch/core/roster"
 	"cyclamenhitch/core/store"
 	"cyclamenhitch/platform"
 )
@@ -160,8 +162,8 @@
 	switch {
 	case !src.direct:
 		wait = peerWait
-	case !v.storeOK.Load():
-		wait = 0 // the answer tells at once that the store is back
+	case !t.vouched(u.start):
+		wait = 0 // followers wait for a copy that is known to be fresh
 	}
 	if u.entries, version, err = src.Changes(ctx, t.name, after, wait); err == nil && !t.log.Apply(u.entries, after, version) {
 		err = store.ErrHistoryGone
@@ -176,11 +178,22 @@
 		mean = spareRetry
 	}
 	end := time.Now().Add(mean/2 + rand.N(mean))
-	for ctx.Err() == nil && time.Now().Before(end) && len(v.peers.readers()) == 0 {
+	for ctx.Err() == nil && time.Now().Before(end) {
 		sleep(ctx, storeRetry/4)
+		if v.hasReader() {
+			return
+		}
 	}
 }
 
+// hasReader reports whether a peer can be asked instead of the store.
+func (v *view) hasReader() bool {
+	now := clock.SinceBoot()
+	return slices.ContainsFunc(v.peers.readers(), func(r roster.Peer) bool {
+		return r.ID != v.set.Instance && !v.avoided.has(r.ID, now)
+	})
+}
+
 // handOn returns the copy of a table for other instances, or nil when this instance
 // does not read the store itself.
 func (v *view) handOn(name string) *feedlog.Log {
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -164,13 +164,7 @@
 
 // wouldRead reports whether this instance is a reader once the store answers.
 func (p *peers) wouldRead() bool {
-	self := roster.Peer{ID: p.set.Instance, DataCentre: p.set.DataCentre, Reads: true}
-	for _, r := range p.roster.Readers(time.Now(), self) {
-		if r.ID == p.set.Instance {
-			return true
-		}
-	}
-	return false
+	return p.roster.WouldRead(time.Now(), roster.Peer{ID: p.set.Instance, DataCentre: p.set.DataCentre})
 }
 
 // takeListed takes the rows of the fleet's instances.
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -161,9 +161,18 @@
 // same peers choose the same ones. It is empty while nobody is known to reach the
 // store.
 func (r *Roster) Readers(now time.Time, self Peer) []Peer {
+	return r.readers(now, self, func(p Peer) bool { return p.Reads })
+}
+
+// WouldRead reports whether self would be a reader if everybody reached the store.
+func (r *Roster) WouldRead(now time.Time, self Peer) bool {
+	return slices.ContainsFunc(r.readers(now, self, func(Peer) bool { return true }), func(p Peer) bool { return p.ID == self.ID })
+}
+
+func (r *Roster) readers(now time.Time, self Peer, reads func(Peer) bool) []Peer {
 	best := map[fleet.DataCentreID]Peer{}
 	for _, p := range append(r.Live(now), self) {
-		if !p.Reads || p.Leaving {
+		if !reads(p) || p.Leaving {
 			continue
 		}
 		if b, ok := best[p.DataCentre]; !ok || readerScore(p.ID) > readerScore(b.ID) {
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -91,3 +91,29 @@
 		}
 	}
 }
+
+// Guards against a fleet of which every instance tries the store often while nobody
+// reaches it.
+func TestFewWouldRead(t *testing.T) {
+	const n = 80
+	peers := make([]Peer, n)
+	for i := range peers {
+		peers[i] = Peer{ID: fleet.InstanceID(fmt.Sprint("i", i)), DataCentre: fleet.DataCentreID(fmt.Sprint("d", i%4))}
+	}
+	would := 0
+	for i := range peers {
+		r := New(peers[i].ID)
+		for j := range peers {
+			r.Heard(epoch, peers[j], true)
+		}
+		if len(r.Readers(epoch, peers[i])) != 0 {
+			t.Fatal("a reader that does not reach the store")
+		}
+		if r.WouldRead(epoch, peers[i]) {
+			would++
+		}
+	}
+	if would != maxReaders {
+		t.Errorf("%d of %d instances would read, want %d", would, n, maxReaders)
+	}
+}
