Let entries lapse only after an outage of the store itself; a reader in each data centre

The peers timed out because the followers of two data centres without a reader all used the same one, which was lost and heard again several times between 25 and 30 s. Ruled out: the store (instances in touch read it at once when they tried). Change: only a failed direct read begins the grace; up to five data centres have a reader of their own.

--- a/cmd/internal/edge/follow.go
+++ b/cmd/internal/edge/follow.go
@@ -109,9 +109,7 @@
 				v.logDependency(t.name, lost, err)
 			}
 		}
-		if err != nil && !errors.Is(err, store.ErrHistoryGone) && t.name == platform.ServerTable {
-			v.serversLost()
-		}
+		v.noteFailure(src, err)
 		if err == nil && !src.direct {
 			// The peer answered after the call began.
 			u.start = freshness.Relayed(u.start, src.client.Age)
@@ -147,6 +145,15 @@
 	}
 }
 
+// noteFailure notes that entries of servers may lapse: only when the store itself could
+// not be read. A peer that fails says nothing of the store, and servers that leave in
+// that time must get no more work.
+func (v *view) noteFailure(src source, err error) {
+	if src.direct && err != nil && !errors.Is(err, store.ErrHistoryGone) {
+		v.serversLost()
+	}
+}
+
 // read reads changes, or the whole table when it is not known, into the copy.
 func (v *view) read(ctx context.Context, t *table, src source, known bool, after uint64) (update, uint64, error) {
 	u := update{start: clock.SinceBoot(), whole: !known, direct: src.direct}
--- a/cmd/internal/edge/follow_test.go
+++ b/cmd/internal/edge/follow_test.go
@@ -10,7 +10,9 @@
 	"cyclamenhitch/adapters/clock"
 	"cyclamenhitch/adapters/settings"
 	"cyclamenhitch/core/placement"
+	"cyclamenhitch/core/result"
 	"cyclamenhitch/core/roster"
+	"cyclamenhitch/core/store"
 	"cyclamenhitch/platform"
 )
 
@@ -36,3 +38,23 @@
 		t.Errorf("the pause after a failed call took %v, want %v at least", took, storeRetry/4)
 	}
 }
+
+// Guards against work for a server that has left, because a peer that hands its entry
+// on failed meanwhile: only an outage of the store itself lets entries lapse.
+func TestPeerFailureKeepsNoServer(t *testing.T) {
+	for _, direct := range []bool{false, true} {
+		set := &settings.Entry{Instance: "a", DataCentre: "x", Times: settings.EntryTimes{RevokeMillis: 5000}}
+		v := newView(set, platform.NewStore("127.0.0.1:1"), placement.NewBoard(), zap.NewNop())
+		v.peers = newPeers(set, nil, v, v.board, zap.NewNop())
+		entry := []byte(`{"service":"s","address":"10.0.0.9:8080","zone":"z","slots":6,"state":"ready","cold_left_ms":0}`)
+		v.takeServers(update{whole: true, entries: []store.Entry{{Key: "i", Value: entry, Version: 1}}})
+		v.noteFailure(source{direct: direct}, result.New(result.StoreUnavailable, "test"))
+		v.takeServers(update{entries: []store.Entry{{Key: "i", Version: 2}}})
+		v.mu.Lock()
+		kept := len(v.servers) == 1
+		v.mu.Unlock()
+		if kept != direct {
+			t.Errorf("direct read failed %v: the server is kept %v", direct, kept)
+		}
+	}
+}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -152,9 +152,10 @@
 	return out
 }
 
-// maxReaders bounds the instances that read the store for all. One may die and one
-// be cut off while the others still read.
-const maxReaders = 3
+// maxReaders bounds the instances that read the store for all. Up to that many data
+// centres have a reader of their own, so that followers are spread; with three, those
+// of two data centres overloaded the reader of another one.
+const maxReaders = 5
 
 // Readers returns the instances that read the store for all others, at most one of
 // each data centre, that of self's data centre first. All instances that see the
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -29,7 +29,7 @@
 }
 
 // Guards against a fleet in which nobody, or everybody, reads the store: instances
-// that see the same peers agree on one to three readers that reach it.
+// that see the same peers agree on one to maxReaders readers that reach it.
 func TestReadersAgree(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 40).Draw(t, "instances")
@@ -98,7 +98,7 @@
 	const n = 80
 	peers := make([]Peer, n)
 	for i := range peers {
-		peers[i] = Peer{ID: fleet.InstanceID(fmt.Sprint("i", i)), DataCentre: fleet.DataCentreID(fmt.Sprint("d", i%4))}
+		peers[i] = Peer{ID: fleet.InstanceID(fmt.Sprint("i", i)), DataCentre: fleet.DataCentreID(fmt.Sprint("d", i%8))}
 	}
 	would := 0
 	for i := range peers {
