Hand large rows on compressed between instances

In the trace 616 of 734 failed feeds are timeouts of dials and calls to five readers.

Rows of 2 KB and more are compressed with zstd once a version, for all followers.

The test fails without the compression (the whole 124 KB go out).

--- a/adapters/feed/feed.go
+++ b/adapters/feed/feed.go
@@ -1,5 +1,6 @@
 // Package feed hands followed tables on between instances, so that a few of them
-// read the store for all. It owns the connections to the peers.
+// read the store for all. It owns the connections to the peers and the compressed
+// forms of large rows.
 package feed
 
 import (
@@ -38,6 +39,8 @@
 	// reflects, on the clock of Now.
 	Began func(table string) freshness.Instant
 	Now   func() freshness.Instant
+
+	packer packer
 }
 
 // Handle serves one call.
@@ -57,7 +60,7 @@
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 			return
 		}
-		s.write(ctx, rows, version, began)
+		s.write(ctx, table, rows, version, began)
 		return
 	}
 	after, err := strconv.ParseUint(string(args.Peek("after")), 10, 64)
@@ -76,7 +79,7 @@
 			return
 		}
 		if len(rows) > 0 || last {
-			s.write(ctx, rows, version, began)
+			s.write(ctx, table, rows, version, began)
 			return
 		}
 		select {
@@ -87,10 +90,14 @@
 	}
 }
 
-func (s *Server) write(ctx *fasthttp.RequestCtx, rows []store.Entry, version uint64, began freshness.Instant) {
+func (s *Server) write(ctx *fasthttp.RequestCtx, table string, rows []store.Entry, version uint64, began freshness.Instant) {
 	m := &feedpb.Changes{Version: version, AgeMs: uint32((s.Now() - began + time.Millisecond - 1) / time.Millisecond)}
 	for _, e := range rows {
-		m.Rows = append(m.Rows, &feedpb.Row{Key: e.Key, Value: e.Value, Removed: e.Value == nil, Version: e.Version})
+		r := &feedpb.Row{Key: e.Key, Removed: e.Value == nil, Version: e.Version}
+		if r.Packed = s.packer.pack(table, e); r.Packed == nil {
+			r.Value = e.Value
+		}
+		m.Rows = append(m.Rows, r)
 	}
 	b, err := proto.Marshal(m)
 	if err != nil {
@@ -154,8 +161,11 @@
 	out := make([]store.Entry, len(m.Rows))
 	for i, r := range m.Rows {
 		out[i] = store.Entry{Key: r.Key, Version: r.Version}
-		if !r.Removed {
-			out[i].Value = append([]byte{}, r.Value...)
+		if r.Removed {
+			continue
+		}
+		if out[i].Value, err = valueOf(r); err != nil {
+			return nil, 0, result.Wrap(result.StoreUnavailable, err, "peer %s, row %q", c.Address, r.Key)
 		}
 	}
 	return out, m.Version, nil
--- a/adapters/feed/feed_test.go
+++ b/adapters/feed/feed_test.go
@@ -1,14 +1,19 @@
 package feed
 
 import (
+	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
+	"cyclamenhitch/adapters/feed/feedpb"
 	"cyclamenhitch/core/feedlog"
 	"cyclamenhitch/core/freshness"
 	"cyclamenhitch/core/result"
@@ -107,3 +112,55 @@
 		t.Errorf("a copy that nobody vouches for: %v", err)
 	}
 }
+
+// Guards against readers whose link is full of whole configurations: a large row goes
+// compressed, once for all followers, and arrives as it was.
+func TestLargeRowsGoCompressed(t *testing.T) {
+	var config strings.Builder
+	for i := range 1300 {
+		fmt.Fprintf(&config, `{"name":"r-%x","host":"h.example","path_prefix":"/%x/","kind":"idempotent","timeout_ms":1500},`, i*7919, i*104729)
+	}
+	want := []byte(config.String())
+	log := feedlog.New()
+	log.Reset([]store.Entry{{Key: "config", Value: want, Version: 1}, {Key: "small", Value: []byte("v"), Version: 1}}, 1)
+	s := &Server{
+		Log: func(string) *feedlog.Log { return log }, Now: func() freshness.Instant { return 0 },
+		Began: func(string) freshness.Instant { return 0 },
+	}
+	var sent atomic.Int64
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		_ = fasthttp.Serve(ln, func(ctx *fasthttp.RequestCtx) {
+			s.Handle(ctx)
+			sent.Add(int64(len(ctx.Response.Body())))
+		})
+	}()
+	c := NewPool().At(ln.Addr().String())
+	for version := uint64(1); version < 4; version++ {
+		rows, _, err := c.Snapshot(context.Background(), "t")
+		if err != nil || len(rows) != 2 {
+			t.Fatalf("%d rows, %v", len(rows), err)
+		}
+		for _, r := range rows {
+			if r.Key == "config" && !bytes.Equal(r.Value, want) || r.Key == "small" && string(r.Value) != "v" {
+				t.Fatalf("row %q of version %d arrived as %d other bytes", r.Key, version, len(r.Value))
+			}
+		}
+		if n := sent.Swap(0); n > int64(len(want))/5 {
+			t.Errorf("version %d: %d bytes for a configuration of %d", version, n, len(want))
+		}
+		want = append(want, '0'+byte(version))
+		log.Apply([]store.Entry{{Key: "config", Value: want, Version: version + 1}}, version, version+1)
+	}
+}
+
+// Guards against a peer whose rubbish ends the process or becomes a configuration.
+func TestRubbishIsNoRow(t *testing.T) {
+	if v, err := valueOf(&feedpb.Row{Packed: []byte("no compressed value")}); err == nil {
+		t.Errorf("rubbish became %q", v)
+	}
+}
