Prefer instances with much bandwidth as readers of the store

The settings have limits.link_mbps now, reports carry it, and the reader of a data centre is the first by bandwidth, then by hash. Instances that do not know it count as 0.

No effect where all links are equal. TestReadersHaveBandwidth fails without the order.

--- a/adapters/gossip/gossip.go
+++ b/adapters/gossip/gossip.go
@@ -116,7 +116,7 @@
 	m := &gossippb.Report{
 		Instance: string(r.From.ID), Incarnation: r.From.Incarnation, DataCentre: string(r.From.DataCentre),
 		CallerAddress: r.From.Caller, PeerAddress: r.From.Peer, Serving: r.From.Serving, Leaving: r.From.Leaving,
-		ConfigVersion: r.From.Version, ReadsStore: r.From.Reads, Sent: int64(r.Sent), Echo: int64(r.Echo),
+		ConfigVersion: r.From.Version, ReadsStore: r.From.Reads, LinkMbps: uint32(max(0, r.From.LinkMbps)), Sent: int64(r.Sent), Echo: int64(r.Echo),
 		Confirmed: r.Confirmed, ConfirmedAgeMs: uint32((r.ConfirmedAge + time.Millisecond - 1) / time.Millisecond),
 	}
 	for id, l := range r.Loads {
@@ -141,6 +141,7 @@
 		From: roster.Peer{
 			ID: fleet.InstanceID(m.Instance), Incarnation: m.Incarnation, DataCentre: fleet.DataCentreID(m.DataCentre),
 			Caller: m.CallerAddress, Peer: m.PeerAddress, Serving: m.Serving, Leaving: m.Leaving, Version: m.ConfigVersion, Reads: m.ReadsStore,
+			LinkMbps: int(m.LinkMbps),
 		},
 		Sent: time.Duration(m.Sent), Echo: time.Duration(m.Echo),
 		Confirmed: m.Confirmed, ConfirmedAge: time.Duration(m.ConfirmedAgeMs) * time.Millisecond,
--- a/adapters/settings/entry.go
+++ b/adapters/settings/entry.go
@@ -69,6 +69,9 @@
 	MemoryMegabytes int `toml:"memory_mb"`
 	// Descriptors is the number of open files and sockets. Default 4096.
 	Descriptors int `toml:"descriptors"`
+	// LinkMbps is the bandwidth of the instance's network link, in Mbit/s. Instances
+	// with more of it are preferred where one serves others. Default 0, not known.
+	LinkMbps float64 `toml:"link_mbps"`
 	// RetryRatio is the share of a pool's requests that the whole fleet may send once
 	// more. Default 0.1.
 	RetryRatio float64 `toml:"retry_ratio"`
@@ -173,8 +176,13 @@
 	if r := s.Limits.RetryRatio; r < 0 || r > 1 {
 		add("limits.retry_ratio", "is %v, accepted range: 0 to 1", r)
 	}
-	if s.Limits.RetryBurst < 0 {
-		add("limits.retry_burst", "is %v, accepted range: 0 and more", s.Limits.RetryBurst)
+	for _, n := range []struct {
+		key string
+		v   float64
+	}{{"limits.retry_burst", s.Limits.RetryBurst}, {"limits.link_mbps", s.Limits.LinkMbps}} {
+		if n.v < 0 {
+			add(n.key, "is %v, accepted range: 0 and more", n.v)
+		}
 	}
 	return ps
 }
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -75,11 +75,8 @@
 
 func (p *peers) report() {
 	now, boot := time.Now(), clock.SinceBoot()
-	r := gossip.Report{Sent: boot}
-	r.From = roster.Peer{
-		ID: p.set.Instance, Incarnation: p.incarnation, DataCentre: p.set.DataCentre, Caller: p.set.Listen.Caller,
-		Peer: p.set.Listen.Peer, Serving: p.serving(), Leaving: p.leaving.Load(), Reads: p.view.storeOK.Load(),
-	}
+	r := gossip.Report{From: p.self(), Sent: boot}
+	r.From.Serving = p.serving()
 	if version, at, known := p.view.lease.State(); known {
 		r.From.Version, r.Confirmed, r.ConfirmedAge = version, true, boot-at
 	}
@@ -97,6 +94,14 @@
 	}
 }
 
+// self describes this instance, all but whether it serves and its version.
+func (p *peers) self() roster.Peer {
+	return roster.Peer{
+		ID: p.set.Instance, Incarnation: p.incarnation, DataCentre: p.set.DataCentre, Caller: p.set.Listen.Caller,
+		Peer: p.set.Listen.Peer, Leaving: p.leaving.Load(), Reads: p.view.storeOK.Load(), LinkMbps: int(p.set.Limits.LinkMbps),
+	}
+}
+
 // noteChanges logs peers that came or went and shares cold servers among those
 // that live.
 func (p *peers) noteChanges(now time.Time, serving bool) {
@@ -158,13 +163,14 @@
 // readers returns the instances that read the store for all, this one's data centre
 // first.
 func (p *peers) readers() []roster.Peer {
-	self := roster.Peer{ID: p.set.Instance, DataCentre: p.set.DataCentre, Reads: p.view.storeOK.Load(), Leaving: p.leaving.Load()}
-	return p.roster.Readers(time.Now(), self)
+	return p.roster.Readers(time.Now(), p.self())
 }
 
 // wouldRead reports whether this instance is a reader once the store answers.
 func (p *peers) wouldRead() bool {
-	return p.roster.WouldRead(time.Now(), roster.Peer{ID: p.set.Instance, DataCentre: p.set.DataCentre})
+	self := p.self()
+	self.Leaving = false
+	return p.roster.WouldRead(time.Now(), self)
 }
 
 // takeListed takes the rows of the fleet's instances.
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -28,6 +28,8 @@
 	Reads bool
 	// Version is the configuration version in force there.
 	Version uint64
+	// LinkMbps is the bandwidth of its network link, in Mbit/s; 0 means unknown.
+	LinkMbps int
 }
 
 type entry struct {
@@ -158,7 +160,8 @@
 const maxReaders = 5
 
 // Readers returns the instances that read the store for all others, at most one of
-// each data centre, that of self's data centre first. All instances that see the
+// each data centre, that of self's data centre first. Instances with more bandwidth
+// are preferred, because a reader hands each change on to all its followers. All instances that see the
 // same peers choose the same ones. It is empty while nobody is known to reach the
 // store.
 func (r *Roster) Readers(now time.Time, self Peer) []Peer {
@@ -176,12 +179,12 @@
 		if !reads(p) || p.Leaving {
 			continue
 		}
-		if b, ok := best[p.DataCentre]; !ok || readerScore(p.ID) > readerScore(b.ID) {
+		if b, ok := best[p.DataCentre]; !ok || byReaderRank(p, b) < 0 {
 			best[p.DataCentre] = p
 		}
 	}
 	out := slices.Collect(maps.Values(best))
-	slices.SortFunc(out, func(a, b Peer) int { return cmp.Compare(readerScore(b.ID), readerScore(a.ID)) })
+	slices.SortFunc(out, byReaderRank)
 	out = out[:min(len(out), maxReaders)]
 	slices.SortStableFunc(out, func(a, b Peer) int {
 		if (a.DataCentre == self.DataCentre) == (b.DataCentre == self.DataCentre) {
@@ -195,4 +198,9 @@
 	return out
 }
 
+// byReaderRank orders instances by how well they suit as readers, the best first.
+func byReaderRank(a, b Peer) int {
+	return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(readerScore(b.ID), readerScore(a.ID)))
+}
+
 func readerScore(id fleet.InstanceID) uint64 { return fleet.HashID("reader/" + string(id)) }
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -38,7 +38,8 @@
 		for i := range peers {
 			peers[i] = Peer{
 				ID: fleet.InstanceID(fmt.Sprint("i", i)), DataCentre: fleet.DataCentreID(fmt.Sprint("d", rapid.IntRange(0, 4).Draw(t, "dc"))),
-				Reads: rapid.Bool().Draw(t, "reads"), Leaving: rapid.IntRange(0, 4).Draw(t, "leaving") == 0,
+				LinkMbps: rapid.SampledFrom([]int{0, 10, 200}).Draw(t, "link"),
+				Reads:    rapid.Bool().Draw(t, "reads"), Leaving: rapid.IntRange(0, 4).Draw(t, "leaving") == 0,
 			}
 			any = any || peers[i].Reads && !peers[i].Leaving
 		}
@@ -117,3 +118,29 @@
 		t.Errorf("%d of %d instances would read, want %d", would, n, maxReaders)
 	}
 }
+
+// Guards against readers on narrow links, which lost reports and calls while they
+// handed a configuration on to their followers: a data centre's reader has as much
+// bandwidth as any instance there.
+func TestReadersHaveBandwidth(t *testing.T) {
+	r := New("a0")
+	widest := map[fleet.DataCentreID]int{}
+	self := Peer{ID: "a0", DataCentre: "d0", Reads: true, LinkMbps: 10}
+	for i := 1; i < 40; i++ {
+		p := Peer{ID: fleet.InstanceID(fmt.Sprint("a", i)), DataCentre: fleet.DataCentreID(fmt.Sprint("d", i%4)), Reads: true, LinkMbps: 10}
+		if i >= 28 {
+			p.LinkMbps = 200
+		}
+		widest[p.DataCentre] = max(widest[p.DataCentre], p.LinkMbps)
+		r.Heard(epoch, p, true)
+	}
+	readers := r.Readers(epoch, self)
+	if len(readers) != 4 {
+		t.Fatalf("%d readers in 4 data centres", len(readers))
+	}
+	for _, p := range readers {
+		if p.LinkMbps != widest[p.DataCentre] {
+			t.Errorf("%s reads with %d Mbit/s, another one of %s has %d", p.ID, p.LinkMbps, p.DataCentre, widest[p.DataCentre])
+		}
+	}
+}
