Report through relays in fleets above 40 instances

Weighed: longer intervals, random gossip, the product's SWIM beside relays (docs/platform.md).

Two relays in each data centre, chosen by every instance for itself by bandwidth and hash, collect the reports and answer with digests: changes of the member list, the load of all others, placements and suspicions. Small fleets report to all as before.

--- /dev/null
+++ b/adapters/gossip/codec.go
@@ -0,0 +1,137 @@
+package gossip
+
+import (
+	"time"
+
+	"cyclamenhitch/adapters/gossip/gossippb"
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/placement"
+	"cyclamenhitch/core/roster"
+)
+
+func encode(r *Report) *gossippb.Report {
+	m := &gossippb.Report{
+		Instance: string(r.From.ID), Incarnation: r.From.Incarnation, DataCentre: string(r.From.DataCentre),
+		CallerAddress: r.From.Caller, PeerAddress: r.From.Peer, Serving: r.From.Serving, Leaving: r.From.Leaving,
+		ConfigVersion: r.From.Version, ReadsStore: r.From.Reads, LinkMbps: uint32(max(0, r.From.LinkMbps)), Sent: int64(r.Sent), Echo: int64(r.Echo),
+		Confirmed: r.Confirmed, ConfirmedAgeMs: uint32((r.ConfirmedAge + time.Millisecond - 1) / time.Millisecond),
+		Loads: encodeLoads(r.Loads), Suspicions: encodeSuspicions(r.Suspicions), Placed: encodePlaced(r.Placed),
+		WantsDigest: r.Wants, HoldsIncarnation: r.Holds.Incarnation, HoldsVersion: r.Holds.Version,
+	}
+	if r.Digest != nil {
+		m.Digest = encodeDigest(r.Digest)
+	}
+	return m
+}
+
+func encodeDigest(d *Digest) *gossippb.Digest {
+	m := &gossippb.Digest{
+		Base: d.Members.Base, Version: d.Members.Version,
+		Loads: encodeLoads(d.Loads), Suspicions: encodeSuspicions(d.Suspicions), Placed: encodePlaced(d.Placed),
+	}
+	for _, p := range d.Members.Members {
+		m.Members = append(m.Members, &gossippb.Member{
+			Instance: string(p.ID), Incarnation: p.Incarnation, DataCentre: string(p.DataCentre), CallerAddress: p.Caller,
+			PeerAddress: p.Peer, Serving: p.Serving, Leaving: p.Leaving, ReadsStore: p.Reads, LinkMbps: uint32(max(0, p.LinkMbps)),
+		})
+	}
+	for _, id := range d.Members.Gone {
+		m.Gone = append(m.Gone, string(id))
+	}
+	return m
+}
+
+func encodeLoads(loads map[fleet.ServerID]placement.Load) []*gossippb.ServerLoad {
+	out := make([]*gossippb.ServerLoad, 0, len(loads))
+	for id, l := range loads {
+		out = append(out, &gossippb.ServerLoad{Server: string(id), Running: uint32(max(0, l.Running)), Unread: uint32(max(0, l.Unread))})
+	}
+	return out
+}
+
+func encodeSuspicions(list []placement.Suspicion) []*gossippb.Suspicion {
+	out := make([]*gossippb.Suspicion, 0, len(list))
+	for _, x := range list {
+		out = append(out, &gossippb.Suspicion{Server: string(x.Server), RestMs: uint32(x.Rest.Milliseconds())})
+	}
+	return out
+}
+
+func encodePlaced(list []placement.Placed) []*gossippb.Placed {
+	out := make([]*gossippb.Placed, 0, len(list))
+	for _, p := range list {
+		w := &gossippb.Placed{Server: string(p.Server)}
+		for _, part := range p.Parts {
+			w.Part = append(w.Part, part.ID)
+			w.Tokens = append(w.Tokens, uint32(part.Tokens))
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+func decode(m *gossippb.Report) *Report {
+	r := &Report{
+		From: roster.Peer{
+			ID: fleet.InstanceID(m.Instance), Incarnation: m.Incarnation, DataCentre: fleet.DataCentreID(m.DataCentre),
+			Caller: m.CallerAddress, Peer: m.PeerAddress, Serving: m.Serving, Leaving: m.Leaving, Version: m.ConfigVersion, Reads: m.ReadsStore,
+			LinkMbps: int(m.LinkMbps),
+		},
+		Sent: time.Duration(m.Sent), Echo: time.Duration(m.Echo),
+		Confirmed: m.Confirmed, ConfirmedAge: time.Duration(m.ConfirmedAgeMs) * time.Millisecond,
+		Loads: decodeLoads(m.Loads), Suspicions: decodeSuspicions(m.Suspicions), Placed: decodePlaced(m.Placed),
+		Wants: m.WantsDigest, Holds: roster.Holding{Incarnation: m.HoldsIncarnation, Version: m.HoldsVersion},
+	}
+	if m.Digest != nil {
+		r.Digest = decodeDigest(m.Digest)
+	}
+	return r
+}
+
+func decodeDigest(m *gossippb.Digest) *Digest {
+	d := &Digest{
+		Members: roster.Digest{Base: m.Base, Version: m.Version},
+		Loads:   decodeLoads(m.Loads), Suspicions: decodeSuspicions(m.Suspicions), Placed: decodePlaced(m.Placed),
+	}
+	for _, p := range m.Members {
+		d.Members.Members = append(d.Members.Members, roster.Peer{
+			ID: fleet.InstanceID(p.Instance), Incarnation: p.Incarnation, DataCentre: fleet.DataCentreID(p.DataCentre), Caller: p.CallerAddress,
+			Peer: p.PeerAddress, Serving: p.Serving, Leaving: p.Leaving, Reads: p.ReadsStore, LinkMbps: int(p.LinkMbps),
+		})
+	}
+	for _, id := range m.Gone {
+		d.Members.Gone = append(d.Members.Gone, fleet.InstanceID(id))
+	}
+	return d
+}
+
+func decodeLoads(list []*gossippb.ServerLoad) map[fleet.ServerID]placement.Load {
+	out := make(map[fleet.ServerID]placement.Load, len(list))
+	for _, l := range list {
+		out[fleet.ServerID(l.Server)] = placement.Load{Running: int(l.Running), Unread: int(l.Unread)}
+	}
+	return out
+}
+
+func decodeSuspicions(list []*gossippb.Suspicion) []placement.Suspicion {
+	out := make([]placement.Suspicion, 0, len(list))
+	for _, x := range list {
+		out = append(out, placement.Suspicion{Server: fleet.ServerID(x.Server), Rest: time.Duration(x.RestMs) * time.Millisecond})
+	}
+	return out
+}
+
+func decodePlaced(list []*gossippb.Placed) []placement.Placed {
+	out := make([]placement.Placed, 0, len(list))
+	for _, p := range list {
+		if len(p.Part) != len(p.Tokens) {
+			continue
+		}
+		placed := placement.Placed{Server: fleet.ServerID(p.Server)}
+		for i := range p.Part {
+			placed.Parts = append(placed.Parts, placement.Part{ID: p.Part[i], Tokens: int(p.Tokens[i])})
+		}
+		out = append(out, placed)
+	}
+	return out
+}
--- a/adapters/gossip/gossip.go
+++ b/adapters/gossip/gossip.go
@@ -1,5 +1,5 @@
-// Package gossip carries the reports that the instances of a small fleet send each
-// other, one UDP datagram each. It owns the socket.
+// Package gossip carries the reports that the instances of a fleet send each other, one
+// UDP datagram each. It owns the socket.
 package gossip
 
 import (
@@ -36,6 +36,24 @@
 	Loads        map[fleet.ServerID]placement.Load
 	Placed       []placement.Placed
 	Suspicions   []placement.Suspicion
+	// Wants says that the sender takes the receiver as its relay; Holds is which
+	// member list of the receiver it holds.
+	Wants bool
+	Holds roster.Holding
+	// Digest is what the sender tells as a relay; nil when it is none.
+	Digest *Digest
+}
+
+// Digest is what a relay tells of other instances: of the whole fleet to those of its
+// own data centre, of its data centre to other relays.
+type Digest struct {
+	Members roster.Digest
+	// Loads is the work of all instances meant but the receiver.
+	Loads map[fleet.ServerID]placement.Load
+	// Placed and Suspicions are what instances other than the sender told since the
+	// last digest.
+	Placed     []placement.Placed
+	Suspicions []placement.Suspicion
 }
 
 // Socket sends and receives reports.
@@ -111,57 +129,3 @@
 	}
 	return decode(&m), nil
 }
-
-func encode(r *Report) *gossippb.Report {
-	m := &gossippb.Report{
-		Instance: string(r.From.ID), Incarnation: r.From.Incarnation, DataCentre: string(r.From.DataCentre),
-		CallerAddress: r.From.Caller, PeerAddress: r.From.Peer, Serving: r.From.Serving, Leaving: r.From.Leaving,
-		ConfigVersion: r.From.Version, ReadsStore: r.From.Reads, LinkMbps: uint32(max(0, r.From.LinkMbps)), Sent: int64(r.Sent), Echo: int64(r.Echo),
-		Confirmed: r.Confirmed, ConfirmedAgeMs: uint32((r.ConfirmedAge + time.Millisecond - 1) / time.Millisecond),
-	}
-	for id, l := range r.Loads {
-		m.Loads = append(m.Loads, &gossippb.ServerLoad{Server: string(id), Running: uint32(max(0, l.Running)), Unread: uint32(max(0, l.Unread))})
-	}
-	for _, x := range r.Suspicions {
-		m.Suspicions = append(m.Suspicions, &gossippb.Suspicion{Server: string(x.Server), RestMs: uint32(x.Rest.Milliseconds())})
-	}
-	for _, p := range r.Placed {
-		w := &gossippb.Placed{Server: string(p.Server)}
-		for _, part := range p.Parts {
-			w.Part = append(w.Part, part.ID)
-			w.Tokens = append(w.Tokens, uint32(part.Tokens))
-		}
-		m.Placed = append(m.Placed, w)
-	}
-	return m
-}
-
-func decode(m *gossippb.Report) *Report {
-	r := &Report{
-		From: roster.Peer{
-			ID: fleet.InstanceID(m.Instance), Incarnation: m.Incarnation, DataCentre: fleet.DataCentreID(m.DataCentre),
-			Caller: m.CallerAddress, Peer: m.PeerAddress, Serving: m.Serving, Leaving: m.Leaving, Version: m.ConfigVersion, Reads: m.ReadsStore,
-			LinkMbps: int(m.LinkMbps),
-		},
-		Sent: time.Duration(m.Sent), Echo: time.Duration(m.Echo),
-		Confirmed: m.Confirmed, ConfirmedAge: time.Duration(m.ConfirmedAgeMs) * time.Millisecond,
-		Loads: make(map[fleet.ServerID]placement.Load, len(m.Loads)),
-	}
-	for _, l := range m.Loads {
-		r.Loads[fleet.ServerID(l.Server)] = placement.Load{Running: int(l.Running), Unread: int(l.Unread)}
-	}
-	for _, x := range m.Suspicions {
-		r.Suspicions = append(r.Suspicions, placement.Suspicion{Server: fleet.ServerID(x.Server), Rest: time.Duration(x.RestMs) * time.Millisecond})
-	}
-	for _, p := range m.Placed {
-		if len(p.Part) != len(p.Tokens) {
-			continue
-		}
-		placed := placement.Placed{Server: fleet.ServerID(p.Server)}
-		for i := range p.Part {
-			placed.Parts = append(placed.Parts, placement.Part{ID: p.Part[i], Tokens: int(p.Tokens[i])})
-		}
-		r.Placed = append(r.Placed, placed)
-	}
-	return r
-}
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -109,6 +109,7 @@
 		return (clock.SinceBoot() - at).Milliseconds()
 	})
 	e.meters.gauge("peers_live", func() any { return len(e.peers.roster.Live(time.Now())) })
+	e.meters.gauge("relaying", func() any { return e.peers.relaying.Load() })
 	e.meters.gauge("store_readers", func() any {
 		var ids []string
 		for _, r := range e.peers.readers() {
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -34,12 +34,14 @@
 	board  *placement.Board
 	log    *zap.Logger
 	roster *roster.Roster
+	relay  *relay
 
 	// shared is told how many instances share the fleet's budgets.
 	shared func(instances int)
 
 	incarnation uint64
 	leaving     atomic.Bool
+	relaying    atomic.Bool
 
 	mu   sync.Mutex
 	echo map[fleet.InstanceID]freshness.Instant
@@ -48,20 +50,20 @@
 }
 
 func newPeers(set *settings.Entry, socket *gossip.Socket, v *view, b *placement.Board, log *zap.Logger) *peers {
-	return &peers{
+	p := &peers{
 		set: set, socket: socket, view: v, board: b, log: log, roster: roster.New(set.Instance),
 		incarnation: uint64(time.Now().UnixNano()), echo: map[fleet.InstanceID]freshness.Instant{},
 		live: map[fleet.InstanceID]bool{},
 	}
+	p.relay = newRelay(p.roster, b, set.DataCentre, p.incarnation)
+	return p
 }
 
 func (p *peers) run(ctx context.Context) {
 	go p.socket.Receive(p.take)
 	go p.learn(ctx)
 	for ctx.Err() == nil {
-		p.report()
-		n := len(p.roster.Targets(time.Now()))
-		gap := roster.Interval(n)
+		gap := p.report()
 		sleep(ctx, gap-gap/10+rand.N(gap/5))
 	}
 	_ = p.socket.Close()
@@ -73,24 +75,30 @@
 // ready is the answer to the platform's readiness check.
 func (p *peers) ready() bool { return p.serving() }
 
-func (p *peers) report() {
+// report sends the reports of one round and returns the time to the next one.
+func (p *peers) report() time.Duration {
 	now, boot := time.Now(), clock.SinceBoot()
-	r := gossip.Report{From: p.self(), Sent: boot}
-	r.From.Serving = p.serving()
+	own := gossip.Report{From: p.self(), Sent: boot}
+	own.From.Serving = p.serving()
 	if version, at, known := p.view.lease.State(); known {
-		r.From.Version, r.Confirmed, r.ConfirmedAge = version, true, boot-at
+		own.From.Version, own.Confirmed, own.ConfirmedAge = version, true, boot-at
 	}
 	p.board.DropSilentPeers(now)
-	r.Loads, r.Placed = p.board.TakeReport()
-	r.Suspicions = p.board.Suspects(now)
-	p.noteChanges(now, r.From.Serving)
-	for id, addr := range p.roster.Targets(now) {
-		p.mu.Lock()
-		r.Echo = p.echo[id]
-		p.mu.Unlock()
-		if err := p.socket.Send(addr, &r); err != nil {
-			p.log.Debug("report not sent", zap.String("to", addr), zap.Error(err))
-		}
+	own.Loads, own.Placed = p.board.TakeReport()
+	own.Suspicions = p.board.Suspects(now)
+	p.noteChanges(now, own.From.Serving)
+	plan := p.roster.Plan(now, own.From)
+	p.noteRole(&plan)
+	p.relay.round(now, &plan, own, p.send)
+	return roster.Interval(plan.Recipients())
+}
+
+func (p *peers) send(t roster.Target, r gossip.Report) {
+	p.mu.Lock()
+	r.Echo = p.echo[t.ID]
+	p.mu.Unlock()
+	if err := p.socket.Send(t.Address, &r); err != nil {
+		p.log.Debug("report not sent", zap.String("to", t.Address), zap.Error(err))
 	}
 }
 
@@ -102,6 +110,23 @@
 	}
 }
 
+// noteRole logs when this instance begins or ends to report for others.
+func (p *peers) noteRole(plan *roster.Plan) {
+	if p.relaying.Swap(plan.Relaying) == plan.Relaying {
+		return
+	}
+	p.log.Info("relaying changed", zap.Bool("relaying", plan.Relaying), zap.Any("relays", targetIDs(plan.Relays)),
+		zap.Int("members", len(plan.Members)), zap.Any("remote", targetIDs(plan.Remote)))
+}
+
+func targetIDs(targets []roster.Target) []string {
+	out := make([]string, len(targets))
+	for i, t := range targets {
+		out[i] = string(t.ID)
+	}
+	return out
+}
+
 // noteChanges logs peers that came or went and shares cold servers among those
 // that live.
 func (p *peers) noteChanges(now time.Time, serving bool) {
@@ -141,17 +166,14 @@
 	p.mu.Lock()
 	p.echo[r.From.ID] = r.Sent
 	p.mu.Unlock()
-	p.board.SetPeer(r.From.ID, now, r.Loads)
-	p.board.PeerSuspects(now, r.Suspicions)
-	for _, placed := range r.Placed {
-		p.board.PeerPlaced(placed.Server, placed.Parts)
-	}
-	p.relay(r, boot)
+	p.roster.Asked(now, r.From.ID, r.Holds, r.Wants)
+	p.relay.take(now, r)
+	p.confirm(r, boot)
 }
 
-// relay confirms the configuration in force here when a peer has confirmed the same
+// confirm confirms the configuration in force here when a peer has confirmed the same
 // version.
-func (p *peers) relay(r *gossip.Report, boot freshness.Instant) {
+func (p *peers) confirm(r *gossip.Report, boot freshness.Instant) {
 	if !r.Confirmed || r.Echo == 0 || r.Echo > boot {
 		return
 	}
@@ -180,11 +202,9 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	listed := map[fleet.InstanceID]string{}
+	listed := map[fleet.InstanceID]roster.Listing{}
 	if !u.whole {
-		for id, addr := range p.roster.Listed() {
-			listed[id] = addr
-		}
+		listed = p.roster.Listed()
 	}
 	for _, e := range u.entries {
 		id := fleet.InstanceID(e.Key)
@@ -192,12 +212,12 @@
 			delete(listed, id)
 			continue
 		}
-		addr, err := platform.DecodeInstance(e.Value)
+		l, err := platform.DecodeInstance(e.Value)
 		if err != nil {
 			p.log.Warn("entry names no instance", zap.String("key", e.Key), zap.Error(err))
 			continue
 		}
-		listed[id] = addr
+		listed[id] = l
 	}
 	p.roster.SetListed(listed)
 }
--- a/cmd/internal/edge/prompts.go
+++ b/cmd/internal/edge/prompts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,8 @@
 	// learnDelay is how long after its start an instance looks for peers that know
 	// what the engines keep. All peers have reported by then.
 	learnDelay = 400 * time.Millisecond
+	// learnLater is how much longer it takes until relays have told of all peers.
+	learnLater = 800 * time.Millisecond
 	// olderBy is how much earlier a peer must have started to know more.
 	olderBy = 3 * time.Second
 	// keptParts bounds the parts that are handed on for one engine.
@@ -33,9 +36,13 @@
 // before, or from the engines, each of which one instance asks.
 func (p *peers) learn(ctx context.Context) {
 	sleep(ctx, learnDelay)
-	for ctx.Err() == nil && !p.view.fresh() {
+	// Without the list of instances a large fleet looks like a small one.
+	for ctx.Err() == nil && (!p.view.fresh() || !p.roster.IsListed()) {
 		sleep(ctx, learnDelay/4)
 	}
+	if p.roster.IsLarge() {
+		sleep(ctx, learnLater)
+	}
 	live := p.roster.Live(time.Now())
 	for _, peer := range live {
 		if peer.Incarnation+uint64(olderBy) > p.incarnation {
@@ -48,9 +55,21 @@
 	if p.set.FirstStart {
 		return
 	}
+	ids := []fleet.InstanceID{p.set.Instance}
+	for _, peer := range live {
+		ids = append(ids, peer.ID)
+	}
+	if p.roster.IsLarge() {
+		// Relays know of each other first, and tell the others.
+		relays := p.relay.others()
+		if relays == nil {
+			return
+		}
+		ids = append(slices.DeleteFunc(ids[1:], func(id fleet.InstanceID) bool { return !slices.Contains(relays, id) }), p.set.Instance)
+	}
 	var wg sync.WaitGroup
 	for _, e := range p.board.Engines() {
-		if !p.asks(e.ID, live) {
+		if !asks(e.ID, p.set.Instance, ids) {
 			continue
 		}
 		wg.Add(1)
@@ -62,12 +81,12 @@
 	wg.Wait()
 }
 
-// asks reports whether this instance is the one of the live ones to ask an engine.
-func (p *peers) asks(engine fleet.ServerID, live []roster.Peer) bool {
+// asks reports whether self is the one of several instances to ask an engine.
+func asks(engine fleet.ServerID, self fleet.InstanceID, all []fleet.InstanceID) bool {
 	key := fleet.HashID(string(engine))
-	own := fleet.Mix(key, fleet.HashID(string(p.set.Instance)))
-	for _, peer := range live {
-		if fleet.Mix(key, fleet.HashID(string(peer.ID))) > own {
+	own := fleet.Mix(key, fleet.HashID(string(self)))
+	for _, id := range all {
+		if fleet.Mix(key, fleet.HashID(string(id))) > own {
 			return false
 		}
 	}
--- /dev/null
+++ b/cmd/internal/edge/relay_test.go
@@ -0,0 +1,188 @@
+package edge
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cyclamenhitch/adapters/gossip"
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/placement"
+	"cyclamenhitch/core/roster"
+)
+
+// relayFleet is a large fleet whose reports arrive at once, in virtual time.
+type relayFleet struct {
+	now    time.Time
+	relays map[fleet.InstanceID]*relay
+	selves []roster.Peer
+	dead   map[fleet.InstanceID]bool
+}
+
+const testServers = 7
+
+func newRelayFleet(instances, dataCentres int) *relayFleet {
+	f := &relayFleet{now: time.Unix(1_000_000, 0), relays: map[fleet.InstanceID]*relay{}, dead: map[fleet.InstanceID]bool{}}
+	listed := map[fleet.InstanceID]roster.Listing{}
+	for i := range instances {
+		p := roster.Peer{
+			ID: fleet.InstanceID(fmt.Sprint("i", i)), Incarnation: 1, DataCentre: fleet.DataCentreID(fmt.Sprint("d", i%dataCentres)), Peer: fmt.Sprint("i", i),
+		}
+		f.selves = append(f.selves, p)
+		listed[p.ID] = roster.Listing{Peer: p.Peer, DataCentre: p.DataCentre}
+	}
+	for _, p := range f.selves {
+		r := roster.New(p.ID)
+		r.SetListed(listed)
+		b := placement.NewBoard()
+		var servers []placement.Server
+		for s := range testServers {
+			servers = append(servers, placement.Server{ID: fleet.ServerID(fmt.Sprint("s", s)), Engine: true, CacheTokens: 1 << 20})
+		}
+		b.SetServers("pool", servers)
+		f.relays[p.ID] = newRelay(r, b, p.DataCentre, p.Incarnation)
+	}
+	return f
+}
+
+// run plays rounds of 200 ms.
+func (f *relayFleet) run(rounds int) {
+	for range rounds {
+		f.now = f.now.Add(roster.LeastInterval)
+		for _, p := range f.selves {
+			if f.dead[p.ID] {
+				continue
+			}
+			y := f.relays[p.ID]
+			y.board.DropSilentPeers(f.now)
+			own := gossip.Report{From: p}
+			own.Loads, own.Placed = y.board.TakeReport()
+			own.Suspicions = y.board.Suspects(f.now)
+			plan := y.roster.Plan(f.now, p)
+			y.round(f.now, &plan, own, f.deliver)
+		}
+	}
+}
+
+func (f *relayFleet) deliver(t roster.Target, r gossip.Report) {
+	if f.dead[t.ID] {
+		return
+	}
+	y := f.relays[t.ID]
+	if y.roster.Heard(f.now, r.From, true) {
+		y.roster.Asked(f.now, r.From.ID, r.Holds, r.Wants)
+		y.take(f.now, &r)
+	}
+}
+
+// begin sends a request with one shared part from an instance.
+func (f *relayFleet) begin(id fleet.InstanceID, server int, part uint64) *placement.Ticket {
+	ask := &placement.Ask{Prompt: 100, Parts: []placement.Part{{ID: part, Tokens: 90}, {ID: part + 1<<32, Tokens: 10}}}
+	return f.relays[id].board.Begin(f.now, "pool", placement.Candidate{ID: fleet.ServerID(fmt.Sprint("s", server))}, ask)
+}
+
+// Guards against load that is counted twice or not at all in a fleet whose reports go
+// through relays, before and after the best relays die: each instance knows the load of
+// the whole fleet within seconds, and where its prompts are cached.
+func TestRelayedLoads(t *testing.T) {
+	f := newRelayFleet(48, 4)
+	f.run(20)
+	var tickets []*placement.Ticket
+	want := map[fleet.ServerID]int{}
+	for i, p := range f.selves {
+		server := i % testServers
+		tickets = append(tickets, f.begin(p.ID, server, uint64(i+1)))
+		want[fleet.ServerID(fmt.Sprint("s", server))]++
+	}
+	check := func(when string) {
+		t.Helper()
+		for _, p := range f.selves {
+			if f.dead[p.ID] {
+				continue
+			}
+			total := f.relays[p.ID].board.Totals()
+			for s, n := range want {
+				if total[s].Running != n {
+					t.Fatalf("%s: %s counts %d requests at %s, they are %d", when, p.ID, total[s].Running, s, n)
+				}
+			}
+		}
+	}
+	f.run(10)
+	check("calm")
+	for _, p := range f.selves {
+		if kept := f.relays[p.ID].board.Kept(1000); len(kept) != testServers {
+			t.Errorf("%s knows what %d engines keep, want %d", p.ID, len(kept), testServers)
+		} else {
+			parts := 0
+			for _, k := range kept {
+				parts += len(k.Parts)
+			}
+			if parts < len(f.selves) {
+				t.Errorf("%s knows %d shared parts of %d", p.ID, parts, len(f.selves))
+			}
+		}
+	}
+	killed := 0
+	for i, p := range f.selves {
+		y := f.relays[p.ID]
+		if plan := y.roster.Plan(f.now, p); plan.Relaying {
+			f.dead[p.ID] = true
+			want[fleet.ServerID(fmt.Sprint("s", i%testServers))]--
+			killed++
+		}
+	}
+	if killed != 8 {
+		t.Fatalf("%d relays in 4 data centres", killed)
+	}
+	f.run(60)
+	check("12 s after all relays died")
+	for _, ticket := range tickets {
+		ticket.Close(f.now, placement.Ended)
+	}
+	clear(want)
+	for s := range testServers {
+		want[fleet.ServerID(fmt.Sprint("s", s))] = 0
+	}
+	f.run(10)
+	check("after the requests ended")
+}
+
+// Guards against a server that crashes unnoticed by the instances of other data
+// centres: a suspicion that lasts reaches them through the relays.
+func TestRelayedSuspicions(t *testing.T) {
+	f := newRelayFleet(48, 4)
+	f.run(20)
+	for range 4 {
+		f.begin("i9", 3, 1).Close(f.now, placement.Failed)
+	}
+	f.run(3)
+	for _, p := range f.selves {
+		ranked, _ := f.relays[p.ID].board.Rank(f.now, "pool", &placement.Ask{Prompt: 100}, nil)
+		for _, c := range ranked {
+			if c.Suspect != (c.ID == "s3") {
+				t.Fatalf("%s: server %s is suspect: %v", p.ID, c.ID, c.Suspect)
+			}
+		}
+	}
+}
+
+// Guards against engines that many instances ask after a restart: with relays each
+// engine is asked by one of them.
+func TestOneRelayAsksEachEngine(t *testing.T) {
+	f := newRelayFleet(48, 4)
+	f.run(4)
+	for e := range 90 {
+		engine := fleet.ServerID(fmt.Sprint("e", e))
+		n := 0
+		for _, p := range f.selves {
+			relays := f.relays[p.ID].others()
+			if relays != nil && asks(engine, p.ID, append(relays, p.ID)) {
+				n++
+			}
+		}
+		if n != 1 {
+			t.Errorf("engine %s is asked by %d instances", engine, n)
+		}
+	}
+}
--- a/cmd/internal/edge/view.go
+++ b/cmd/internal/edge/view.go
@@ -21,6 +21,7 @@
 	"cyclamenhitch/core/lapse"
 	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/result"
+	"cyclamenhitch/core/roster"
 	"cyclamenhitch/core/store"
 	"cyclamenhitch/platform"
 )
@@ -155,7 +156,7 @@
 
 // register writes this instance's address until it is known to be there.
 func (v *view) register(ctx context.Context) {
-	body, err := platform.EncodeInstance(v.set.Listen.Peer)
+	body, err := platform.EncodeInstance(roster.Listing{Peer: v.set.Listen.Peer, DataCentre: v.set.DataCentre, LinkMbps: int(v.set.Limits.LinkMbps)})
 	if err != nil {
 		v.log.Error("own entry not encoded", zap.Error(err))
 		return
--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -297,6 +297,46 @@
 	return loads, placed
 }
 
+// Totals returns the work of all instances at the servers, as far as known.
+func (b *Board) Totals() map[fleet.ServerID]Load {
+	return b.loads(func(s *state) Load { return s.load() })
+}
+
+// PeerLoads returns the work that another instance reported.
+func (b *Board) PeerLoads(peer fleet.InstanceID) map[fleet.ServerID]Load {
+	return b.loads(func(s *state) Load { return s.peers[peer] })
+}
+
+// PeerLoadsOf returns the work that the chosen instances reported.
+func (b *Board) PeerLoadsOf(chosen func(fleet.InstanceID) bool) map[fleet.ServerID]Load {
+	return b.loads(func(s *state) Load {
+		var sum Load
+		for id, l := range s.peers {
+			if chosen(id) {
+				sum.Running += l.Running
+				sum.Unread += l.Unread
+			}
+		}
+		return sum
+	})
+}
+
+func (b *Board) loads(of func(*state) Load) map[fleet.ServerID]Load {
+	out := map[fleet.ServerID]Load{}
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, p := range b.pools {
+		p.mu.Lock()
+		for _, s := range p.list {
+			if l := of(s); l != (Load{}) {
+				out[s.ID] = l
+			}
+		}
+		p.mu.Unlock()
+	}
+	return out
+}
+
 // Announce notes parts that a server was found to keep and puts them into the next
 // report, so that the other instances learn of them too.
 func (b *Board) Announce(server fleet.ServerID, parts []Part) {
--- /dev/null
+++ b/core/roster/readers.go
@@ -0,0 +1,61 @@
+package roster
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"cyclamenhitch/core/fleet"
+)
+
+// maxReaders bounds the instances that read the store for all. Up to that many data
+// centres have a reader of their own, so that followers are spread; with three, those
+// of two data centres overloaded the reader of another one.
+const maxReaders = 5
+
+// Readers returns the instances that read the store for all others, at most one of
+// each data centre, that of self's data centre first. Instances with more bandwidth
+// are preferred, because a reader hands each change on to all its followers. All instances that see the
+// same peers choose the same ones. It is empty while nobody is known to reach the
+// store.
+func (r *Roster) Readers(now time.Time, self Peer) []Peer {
+	return r.readers(now, self, func(p Peer) bool { return p.Reads })
+}
+
+// WouldRead reports whether self would be a reader if everybody reached the store.
+func (r *Roster) WouldRead(now time.Time, self Peer) bool {
+	return slices.ContainsFunc(r.readers(now, self, func(Peer) bool { return true }), func(p Peer) bool { return p.ID == self.ID })
+}
+
+func (r *Roster) readers(now time.Time, self Peer, reads func(Peer) bool) []Peer {
+	best := map[fleet.DataCentreID]Peer{}
+	for _, p := range append(r.Live(now), self) {
+		if !reads(p) || p.Leaving {
+			continue
+		}
+		if b, ok := best[p.DataCentre]; !ok || byReaderRank(p, b) < 0 {
+			best[p.DataCentre] = p
+		}
+	}
+	out := slices.Collect(maps.Values(best))
+	slices.SortFunc(out, byReaderRank)
+	out = out[:min(len(out), maxReaders)]
+	slices.SortStableFunc(out, func(a, b Peer) int {
+		if (a.DataCentre == self.DataCentre) == (b.DataCentre == self.DataCentre) {
+			return 0
+		}
+		if a.DataCentre == self.DataCentre {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// byReaderRank orders instances by how well they suit as readers, the best first.
+func byReaderRank(a, b Peer) int {
+	return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(readerScore(b.ID), readerScore(a.ID)))
+}
+
+func readerScore(id fleet.InstanceID) uint64 { return fleet.HashID("reader/" + string(id)) }
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -1,12 +1,13 @@
-// Package roster decides which instances of a small fleet are alive and may be
-// named to callers, from the reports that each sends to all others. A Roster
-// belongs to one instance and is safe for concurrent use. It performs no I/O.
+// Package roster decides which instances of a fleet are alive, from the reports that
+// they send each other: to all in small fleets, to a few relays of their data centre
+// in larger ones. A Roster belongs to one instance and is safe for concurrent use. It
+// performs no I/O.
 package roster
 
 import (
-	"cmp"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,11 +33,31 @@
 	LinkMbps int
 }
 
+// Listing is what the store says of an instance.
+type Listing struct {
+	// Peer is its host:port address for other instances.
+	Peer       string
+	DataCentre fleet.DataCentreID
+	// LinkMbps is the bandwidth of its network link, in Mbit/s; 0 means unknown.
+	LinkMbps int
+}
+
 type entry struct {
 	Peer
 	heard time.Time
 	// answered is when it last showed that it hears this instance.
 	answered time.Time
+	// told is when a relay last listed it, toldThere when one of its own data centre
+	// did, which hears it directly.
+	told, toldThere time.Time
+	// wants is when it last asked for digests; holds is what it held then.
+	wants time.Time
+	holds Holding
+	// handed says that the member list names it; changed is the version of the list
+	// at which that or the description last changed.
+	handed  bool
+	changed uint64
+	dirty   bool
 }
 
 // Roster holds the peers of one instance.
@@ -44,8 +65,18 @@
 	self fleet.InstanceID
 
 	mu     sync.Mutex
-	listed map[fleet.InstanceID]string // peer address by instance
+	direct int // directFleet, but for tests
+	listed map[fleet.InstanceID]Listing
+	known  bool // the listed ones
 	peers  map[fleet.InstanceID]*entry
+	// span is the largest number of digests in a round of a relay.
+	span int
+	// tried are the instances that are reported to without being heard.
+	tried map[fleet.InstanceID]attempt
+	lists map[fleet.InstanceID]*list // of the relays
+	// version counts the changes of the member list. Members that left it before
+	// floor are forgotten.
+	version, floor uint64
 }
 
 const (
@@ -68,24 +99,66 @@
 
 // silent is after how long without a report an instance counts as gone.
 func (r *Roster) silent() time.Duration {
-	return max(SilentTime, silentIntervals*Interval(max(len(r.listed), len(r.peers))))
+	n := r.size()
+	if n > r.direct {
+		n = r.span
+	}
+	return max(SilentTime, silentIntervals*Interval(n))
 }
 
 // New returns the roster of an instance that knows no peers.
 func New(self fleet.InstanceID) *Roster {
-	return &Roster{self: self, listed: map[fleet.InstanceID]string{}, peers: map[fleet.InstanceID]*entry{}}
+	return &Roster{
+		self: self, direct: directFleet, listed: map[fleet.InstanceID]Listing{}, peers: map[fleet.InstanceID]*entry{},
+		tried: map[fleet.InstanceID]attempt{}, lists: map[fleet.InstanceID]*list{},
+	}
 }
 
-// SetListed takes the instances that the store lists, with their addresses. It
-// only names instances to report to; it does not say that they are alive.
-func (r *Roster) SetListed(listed map[fleet.InstanceID]string) {
+// SetListed takes the instances that the store lists. It only names instances to
+// report to; it does not say that they are alive.
+func (r *Roster) SetListed(listed map[fleet.InstanceID]Listing) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.listed = listed
+	r.listed, r.known = listed, true
+	r.measure()
+}
+
+// IsListed reports whether the store has been asked for the instances.
+func (r *Roster) IsListed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.known
+}
+
+// IsLarge reports whether the fleet has too many instances for each to report to all.
+func (r *Roster) IsLarge() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.size() > r.direct
+}
+
+// size is the number of instances as far as known.
+func (r *Roster) size() int { return max(len(r.listed), len(r.peers)) }
+
+// measure finds out how many digests a relay of the largest data centre sends.
+func (r *Roster) measure() {
+	count := map[fleet.DataCentreID]int{}
+	for _, l := range r.listed {
+		count[l.DataCentre]++
+	}
+	for id, e := range r.peers {
+		if _, ok := r.listed[id]; !ok {
+			count[e.DataCentre]++
+		}
+	}
+	r.span = 0
+	for _, n := range count {
+		r.span = max(r.span, n+relaysEach*(len(count)-1))
+	}
 }
 
 // Listed returns the instances of the last SetListed.
-func (r *Roster) Listed() map[fleet.InstanceID]string {
+func (r *Roster) Listed() map[fleet.InstanceID]Listing {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return maps.Clone(r.listed)
@@ -98,109 +171,54 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	e := r.peers[p.ID]
+	e := r.describe(p)
 	if e == nil {
-		e = &entry{}
-		r.peers[p.ID] = e
-	}
-	if p.Incarnation < e.Incarnation {
 		return false
 	}
-	e.Peer, e.heard = p, now
+	e.heard = now
 	if answered {
 		e.answered = now
 	}
+	delete(r.tried, p.ID)
 	return true
 }
 
-// Targets returns the addresses to report to: those listed and those heard from.
-func (r *Roster) Targets(now time.Time) map[fleet.InstanceID]string {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	out := make(map[fleet.InstanceID]string, len(r.listed))
-	for id, addr := range r.listed {
-		if id != r.self {
-			out[id] = addr
-		}
-	}
-	silent := r.silent()
-	for id, e := range r.peers {
-		if now.Sub(e.heard) < silent {
-			out[id] = e.Peer.Peer
-		}
+// describe takes a description of an instance. It returns nil for one of an earlier
+// life.
+func (r *Roster) describe(p Peer) *entry {
+	e := r.peers[p.ID]
+	switch {
+	case e == nil:
+		e = &entry{}
+		r.peers[p.ID] = e
+	case p.Incarnation < e.Incarnation:
+		return nil
 	}
-	return out
+	// Followers have no use for the version.
+	was := e.Peer
+	was.Version = p.Version
+	e.dirty = e.dirty || was != p
+	e.Peer = p
+	return e
+}
+
+// isLive reports whether the instance was heard or told of lately. While the relay that
+// told of it is silent, it counts as live until another relay has been found.
+func (e *entry) isLive(now time.Time, silent time.Duration) bool {
+	return now.Sub(e.heard) < silent || now.Sub(e.told) < silent+relayGrace
 }
 
-// Live returns the peers that were heard from lately, ordered by id.
+// Live returns the peers that are alive as far as known, ordered by id.
 func (r *Roster) Live(now time.Time) []Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	out := make([]Peer, 0, len(r.peers))
 	silent := r.silent()
-	for id, e := range r.peers {
-		if now.Sub(e.heard) < silent {
+	for _, e := range r.peers {
+		if e.isLive(now, silent) {
 			out = append(out, e.Peer)
-		} else if now.Sub(e.heard) > 10*silent {
-			delete(r.peers, id)
-		}
-	}
-	slices.SortFunc(out, func(a, b Peer) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-	return out
-}
-
-// maxReaders bounds the instances that read the store for all. Up to that many data
-// centres have a reader of their own, so that followers are spread; with three, those
-// of two data centres overloaded the reader of another one.
-const maxReaders = 5
-
-// Readers returns the instances that read the store for all others, at most one of
-// each data centre, that of self's data centre first. Instances with more bandwidth
-// are preferred, because a reader hands each change on to all its followers. All instances that see the
-// same peers choose the same ones. It is empty while nobody is known to reach the
-// store.
-func (r *Roster) Readers(now time.Time, self Peer) []Peer {
-	return r.readers(now, self, func(p Peer) bool { return p.Reads })
-}
-
-// WouldRead reports whether self would be a reader if everybody reached the store.
-func (r *Roster) WouldRead(now time.Time, self Peer) bool {
-	return slices.ContainsFunc(r.readers(now, self, func(Peer) bool { return true }), func(p Peer) bool { return p.ID == self.ID })
-}
-
-func (r *Roster) readers(now time.Time, self Peer, reads func(Peer) bool) []Peer {
-	best := map[fleet.DataCentreID]Peer{}
-	for _, p := range append(r.Live(now), self) {
-		if !reads(p) || p.Leaving {
-			continue
-		}
-		if b, ok := best[p.DataCentre]; !ok || byReaderRank(p, b) < 0 {
-			best[p.DataCentre] = p
 		}
 	}
-	out := slices.Collect(maps.Values(best))
-	slices.SortFunc(out, byReaderRank)
-	out = out[:min(len(out), maxReaders)]
-	slices.SortStableFunc(out, func(a, b Peer) int {
-		if (a.DataCentre == self.DataCentre) == (b.DataCentre == self.DataCentre) {
-			return 0
-		}
-		if a.DataCentre == self.DataCentre {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(out, func(a, b Peer) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return out
 }
-
-// byReaderRank orders instances by how well they suit as readers, the best first.
-func byReaderRank(a, b Peer) int {
-	return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(readerScore(b.ID), readerScore(a.ID)))
-}
-
-func readerScore(id fleet.InstanceID) uint64 { return fleet.HashID("reader/" + string(id)) }
