Name a subset of a large fleet by data centre and bandwidth

Cause: callers take 64 addresses from an answer, and every answer named the first 64 by name: of 80 instances 16 and of 300 instances 236 got no callers, the first 64 all of them. The directory now names the instances with most bandwidth and fills up by rendezvous hashing with the callers' data centre, so that two instances that see the same fleet name the same ones to a caller, and callers of other data centres get others.

--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -232,28 +232,32 @@
 	return false
 }
 
-// addresses returns the callers' addresses of the instances that serve. While none
-// does, it names the live ones, which still serve routes without keys, unless this
-// instance hears nobody: then it may be the one that is cut off.
-func (p *peers) addresses() []string {
-	var serving, live []string
-	add := func(addr string, serves, leaves bool) {
-		if serves {
-			serving = append(serving, addr)
+// addresses returns up to most addresses of the instances that serve, for the callers of
+// a data centre. While none serves, it names the live ones, which still serve routes
+// without keys, unless this instance hears nobody: then it may be the one that is cut off.
+func (p *peers) addresses(dc fleet.DataCentreID, most int) []string {
+	var serving, live []roster.Peer
+	others := p.roster.Live(time.Now())
+	self := p.self()
+	self.Serving = p.serving()
+	for _, peer := range append(others, self) {
+		if peer.Serving {
+			serving = append(serving, peer)
 		}
-		if !leaves {
-			live = append(live, addr)
+		if !peer.Leaving {
+			live = append(live, peer)
 		}
 	}
-	others := p.roster.Live(time.Now())
-	add(p.set.Listen.Caller, p.serving(), p.leaving.Load())
-	for _, peer := range others {
-		add(peer.Caller, peer.Serving, peer.Leaving)
-	}
+	named := serving
 	if len(serving) == 0 && len(others) > 0 && p.view.current.Load() != nil {
-		return live
+		named = live
+	}
+	named = roster.Subset(named, string(dc), most)
+	out := make([]string, len(named))
+	for i, peer := range named {
+		out[i] = peer.Caller
 	}
-	return serving
+	return out
 }
 
 // leave announces a planned stop at once.
