Let relays read the store first after a start and compress what they hand on

Cause: after a start every instance read all tables whole from the store. Small tables were handed on whole and uncompressed.

The small list of instances is read first; in a large fleet only the relays then read the other tables, the others take them from a reader, or read for themselves after 1.2 s. Readers and relays have one order, so that members hear their reader directly. Answers between instances are compressed as a whole (before: single rows) and shared by all followers that lack the same changes.

--- a/adapters/feed/feed.go
+++ b/adapters/feed/feed.go
@@ -1,6 +1,6 @@
 // Package feed hands followed tables on between instances, so that a few of them
 // read the store for all. It owns the connections to the peers and the compressed
-// forms of large rows.
+// forms of large answers.
 package feed
 
 import (
@@ -60,7 +60,7 @@
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 			return
 		}
-		s.write(ctx, table, rows, version, began)
+		s.write(ctx, packKey{table: table, whole: true}, rows, version, began)
 		return
 	}
 	after, err := strconv.ParseUint(string(args.Peek("after")), 10, 64)
@@ -79,7 +79,7 @@
 			return
 		}
 		if len(rows) > 0 || last {
-			s.write(ctx, table, rows, version, began)
+			s.write(ctx, packKey{table: table, after: after}, rows, version, began)
 			return
 		}
 		select {
@@ -90,15 +90,24 @@
 	}
 }
 
-func (s *Server) write(ctx *fasthttp.RequestCtx, table string, rows []store.Entry, version uint64, began freshness.Instant) {
-	m := &feedpb.Changes{Version: version, AgeMs: uint32((s.Now() - began + time.Millisecond - 1) / time.Millisecond)}
-	for _, e := range rows {
-		r := &feedpb.Row{Key: e.Key, Removed: e.Value == nil, Version: e.Version}
-		if r.Packed = s.packer.pack(table, e); r.Packed == nil {
-			r.Value = e.Value
+func (s *Server) write(ctx *fasthttp.RequestCtx, key packKey, rows []store.Entry, version uint64, began freshness.Instant) {
+	key.version = version
+	m := &feedpb.Changes{}
+	if m.Packed = s.packer.get(key); m.Packed == nil {
+		m.Version = version
+		for _, e := range rows {
+			m.Rows = append(m.Rows, &feedpb.Row{Key: e.Key, Value: e.Value, Removed: e.Value == nil, Version: e.Version})
+		}
+		if proto.Size(m) >= packLeast {
+			b, err := proto.Marshal(m)
+			if err != nil {
+				ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+				return
+			}
+			m = &feedpb.Changes{Packed: s.packer.pack(key, b)}
 		}
-		m.Rows = append(m.Rows, r)
 	}
+	m.AgeMs = uint32((s.Now() - began + time.Millisecond - 1) / time.Millisecond)
 	b, err := proto.Marshal(m)
 	if err != nil {
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
@@ -158,14 +167,16 @@
 		return nil, 0, result.Wrap(result.StoreUnavailable, err, "peer %s", c.Address)
 	}
 	c.Age = time.Duration(m.AgeMs) * time.Millisecond
+	if len(m.Packed) > 0 {
+		if err := unpack(m.Packed, &m); err != nil {
+			return nil, 0, result.Wrap(result.StoreUnavailable, err, "peer %s", c.Address)
+		}
+	}
 	out := make([]store.Entry, len(m.Rows))
 	for i, r := range m.Rows {
 		out[i] = store.Entry{Key: r.Key, Version: r.Version}
-		if r.Removed {
-			continue
-		}
-		if out[i].Value, err = valueOf(r); err != nil {
-			return nil, 0, result.Wrap(result.StoreUnavailable, err, "peer %s, row %q", c.Address, r.Key)
+		if !r.Removed {
+			out[i].Value = append([]byte{}, r.Value...)
 		}
 	}
 	return out, m.Version, nil
--- a/adapters/feed/feed_test.go
+++ b/adapters/feed/feed_test.go
@@ -113,16 +113,25 @@
 	}
 }
 
-// Guards against readers whose link is full of whole configurations: a large row goes
-// compressed, once for all followers, and arrives as it was.
-func TestLargeRowsGoCompressed(t *testing.T) {
+// Guards against readers whose link is full of whole configurations and tables: large
+// answers go compressed, once for all followers, and arrive as they were.
+func TestLargeAnswersGoCompressed(t *testing.T) {
 	var config strings.Builder
 	for i := range 1300 {
 		fmt.Fprintf(&config, `{"name":"r-%x","host":"h.example","path_prefix":"/%x/","kind":"idempotent","timeout_ms":1500},`, i*7919, i*104729)
 	}
-	want := []byte(config.String())
+	want := map[string][]byte{"config": []byte(config.String())}
+	for i := range 1000 {
+		want[fmt.Sprint("server", i)] = fmt.Appendf(nil, `{"service":"s","address":"10.0.%d.%d:8080","zone":"z","slots":64,"state":"ready"}`, i/256, i%256)
+	}
 	log := feedlog.New()
-	log.Reset([]store.Entry{{Key: "config", Value: want, Version: 1}, {Key: "small", Value: []byte("v"), Version: 1}}, 1)
+	var rows []store.Entry
+	size := 0
+	for k, v := range want {
+		rows = append(rows, store.Entry{Key: k, Value: v, Version: 1})
+		size += len(v)
+	}
+	log.Reset(rows, 1)
 	s := &Server{
 		Log: func(string) *feedlog.Log { return log }, Now: func() freshness.Instant { return 0 },
 		Began: func(string) freshness.Instant { return 0 },
@@ -140,27 +149,46 @@
 		})
 	}()
 	c := NewPool().At(ln.Addr().String())
-	for version := uint64(1); version < 4; version++ {
-		rows, _, err := c.Snapshot(context.Background(), "t")
-		if err != nil || len(rows) != 2 {
-			t.Fatalf("%d rows, %v", len(rows), err)
+	verify := func(rows []store.Entry, keys, size int) {
+		t.Helper()
+		if len(rows) != keys {
+			t.Fatalf("%d rows, want %d", len(rows), keys)
 		}
 		for _, r := range rows {
-			if r.Key == "config" && !bytes.Equal(r.Value, want) || r.Key == "small" && string(r.Value) != "v" {
-				t.Fatalf("row %q of version %d arrived as %d other bytes", r.Key, version, len(r.Value))
+			if !bytes.Equal(r.Value, want[r.Key]) {
+				t.Fatalf("row %q arrived as %d other bytes", r.Key, len(r.Value))
 			}
 		}
-		if n := sent.Swap(0); n > int64(len(want))/5 {
-			t.Errorf("version %d: %d bytes for a configuration of %d", version, n, len(want))
+		if n := sent.Swap(0); n > int64(size)/5 {
+			t.Errorf("%d bytes for rows of %d", n, size)
+		}
+	}
+	for version := uint64(1); version < 2*packsKept; version++ {
+		got, _, err := c.Snapshot(context.Background(), "t")
+		if err != nil {
+			t.Fatal(err)
+		}
+		verify(got, len(want), size)
+		want["config"] = append(want["config"], '0'+byte(version))
+		size++
+		log.Apply([]store.Entry{{Key: "config", Value: want["config"], Version: version + 1}}, version, version+1)
+		for range 3 {
+			got, v, err := c.Changes(context.Background(), "t", version, 0)
+			if err != nil || v != version+1 {
+				t.Fatalf("version %d after %d, %v", v, version, err)
+			}
+			verify(got, 1, len(want["config"]))
 		}
-		want = append(want, '0'+byte(version))
-		log.Apply([]store.Entry{{Key: "config", Value: want, Version: version + 1}}, version, version+1)
+	}
+	if n := len(s.packer.packs); n > packsKept {
+		t.Errorf("%d compressed answers are kept", n)
 	}
 }
 
 // Guards against a peer whose rubbish ends the process or becomes a configuration.
 func TestRubbishIsNoRow(t *testing.T) {
-	if v, err := valueOf(&feedpb.Row{Packed: []byte("no compressed value")}); err == nil {
-		t.Errorf("rubbish became %q", v)
+	var m feedpb.Changes
+	if err := unpack([]byte("no compressed rows"), &m); err == nil {
+		t.Errorf("rubbish became %v", &m)
 	}
 }
--- a/adapters/feed/pack.go
+++ b/adapters/feed/pack.go
@@ -4,70 +4,88 @@
 	"sync"
 
 	"github.com/klauspost/compress/zstd"
+	"google.golang.org/protobuf/proto"
 
 	"cyclamenhitch/adapters/feed/feedpb"
-	"cyclamenhitch/core/store"
 )
 
 const (
-	// packLeast is the least size of a value that is compressed, in bytes. Smaller rows
-	// fit into a packet or two.
+	// packLeast is the least size of rows that are compressed, in bytes. Less fits into
+	// a packet or two.
 	packLeast = 2 << 10
-	// maxValue bounds a decompressed value, in bytes.
-	maxValue = 32 << 20
+	// maxUnpacked bounds decompressed rows, in bytes.
+	maxUnpacked = 64 << 20
+	// packsKept is how many compressed answers are kept, so that followers that lack
+	// the same changes share one.
+	packsKept = 8
 )
 
-// packer compresses large values once for all followers. A configuration of 1,300
-// routes takes 320 KB; some 14 followers of one reader got 4.5 MB for each change.
+// packer compresses large answers once for all followers that ask for the same. A
+// configuration of 1,300 routes takes 320 KB; some 14 followers of one reader got 4.5 MB
+// for each change.
 type packer struct {
-	mu   sync.Mutex
-	enc  *zstd.Encoder
-	rows map[packKey]packed
+	mu    sync.Mutex
+	packs []pack // the newest last
 }
 
-type packKey struct{ table, key string }
+// packKey tells answers apart.
+type packKey struct {
+	table          string
+	whole          bool
+	after, version uint64
+}
 
-type packed struct {
-	version uint64
-	value   []byte
+type pack struct {
+	key   packKey
+	bytes []byte
 }
 
-// pack returns the compressed value of a row, or nil when it goes as it is.
-func (p *packer) pack(table string, e store.Entry) []byte {
-	if len(e.Value) < packLeast {
-		return nil
-	}
+// get returns the compressed answer, or nil when it is not kept.
+func (p *packer) get(key packKey) []byte {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	key := packKey{table, e.Key}
-	if old, ok := p.rows[key]; ok && old.version == e.Version {
-		return old.value
-	}
-	if p.enc == nil {
-		enc, err := zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true))
-		if err != nil {
-			return nil // only invalid options fail; the value goes as it is
+	for _, k := range p.packs {
+		if k.key == key {
+			return k.bytes
 		}
-		p.enc, p.rows = enc, map[packKey]packed{}
 	}
-	value := p.enc.EncodeAll(e.Value, nil)
-	p.rows[key] = packed{e.Version, value}
-	return value
+	return nil
 }
 
-// decoder is shared by all clients; DecodeAll may be called concurrently.
-var decoder = sync.OnceValues(func() (*zstd.Decoder, error) {
-	return zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxValue))
-})
+// pack compresses an answer and keeps it.
+func (p *packer) pack(key packKey, b []byte) []byte {
+	out := encoder().EncodeAll(b, nil)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.packs) == packsKept {
+		p.packs = append(p.packs[:0], p.packs[1:]...)
+	}
+	p.packs = append(p.packs, pack{key, out})
+	return out
+}
 
-// valueOf returns a copy of the value of a row that was not removed.
-func valueOf(r *feedpb.Row) ([]byte, error) {
-	if len(r.Packed) == 0 {
-		return append([]byte{}, r.Value...), nil
+// unpack reads compressed changes into m.
+func unpack(b []byte, m *feedpb.Changes) error {
+	raw, err := decoder().DecodeAll(b, nil)
+	if err != nil {
+		return err
 	}
-	dec, err := decoder()
+	return proto.Unmarshal(raw, m)
+}
+
+// The codecs may be used concurrently. They fail only for invalid options.
+var (
+	encoder = sync.OnceValue(func() *zstd.Encoder {
+		return must(zstd.NewWriter(nil, zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithEncoderConcurrency(1), zstd.WithLowerEncoderMem(true)))
+	})
+	decoder = sync.OnceValue(func() *zstd.Decoder {
+		return must(zstd.NewReader(nil, zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(maxUnpacked)))
+	})
+)
+
+func must[T any](v T, err error) T {
 	if err != nil {
-		return nil, err
+		panic("zstd: " + err.Error())
 	}
-	return dec.DecodeAll(r.Packed, nil)
+	return v
 }
--- a/cmd/internal/edge/follow.go
+++ b/cmd/internal/edge/follow.go
@@ -38,6 +38,15 @@
 	// goneMemory is how long after missing changes further ones are met with a pause
 	// instead of an immediate read.
 	goneMemory = 3 * time.Second
+	// listTime is how long after the start the first read of the instances may take
+	// before the other tables are read without it.
+	listTime = 150 * time.Millisecond
+	// firstReadTime is how long after its start an instance of a large fleet leaves the
+	// first read of the store to the relays. With all at once, 300 instances and 3,000
+	// servers take more calls than the store answers in a second.
+	firstReadTime = 1200 * time.Millisecond
+	// startPoll is the time between two looks for a source after the start.
+	startPoll = 10 * time.Millisecond
 	// spareRetry is the mean wait after a failed call to the store of an instance
 	// that would not read it for others. It still tries, because the store may turn
 	// away just those that would.
@@ -96,7 +105,11 @@
 	var gone time.Time // when changes were last missing
 	for ctx.Err() == nil {
 		src := v.source(t)
-		if src.direct && !v.storeOK.Load() && t.name != platform.OperatorTable {
+		if src.direct && !known && !v.mayBegin(t) {
+			sleep(ctx, startPoll)
+			continue
+		}
+		if src.direct && !v.storeOK.Load() && t.name != v.probe() {
 			// One table finds out whether the store is back.
 			sleep(ctx, storeRetry/4)
 			continue
@@ -145,6 +158,28 @@
 	}
 }
 
+// probe is the table whose reads find out whether the store answers: at the start the
+// small one that says how large the fleet is.
+func (v *view) probe() string {
+	if !v.peers.roster.IsListed() && clock.SinceBoot()-v.began < listTime {
+		return platform.InstanceTable
+	}
+	return platform.OperatorTable
+}
+
+// mayBegin reports whether a table that is not known yet may be read from the store. In
+// a large fleet the relays read it and hand it on.
+func (v *view) mayBegin(t *table) bool {
+	age := clock.SinceBoot() - v.began
+	switch {
+	case t.name == platform.InstanceTable, age >= firstReadTime:
+		return true
+	case !v.peers.roster.IsListed():
+		return age >= listTime
+	}
+	return !v.peers.roster.IsLarge() || v.peers.roster.WouldRelay(time.Now(), v.peers.self())
+}
+
 // noteFailure notes that entries of servers may lapse: only when the store itself could
 // not be read. A peer that fails says nothing of the store, and servers that leave in
 // that time must get no more work.
--- a/cmd/internal/edge/view.go
+++ b/cmd/internal/edge/view.go
@@ -61,6 +61,9 @@
 	// storeOK says that the last direct read succeeded.
 	storeOK atomic.Bool
 
+	// began is when the instance started.
+	began freshness.Instant
+
 	mu      sync.Mutex
 	servers map[fleet.ServerID]*seen
 	loaded  bool // the servers have been read once
@@ -78,7 +81,8 @@
 
 func newView(set *settings.Entry, s *platform.Store, b *placement.Board, log *zap.Logger) *view {
 	v := &view{
-		set: set, store: s, board: b, log: log,
+		began: clock.SinceBoot(),
+		set:   set, store: s, board: b, log: log,
 		lease:   freshness.NewLease(settings.Millis(set.Times.RevokeMillis) - revokeMargin),
 		servers: map[fleet.ServerID]*seen{}, out: map[fleet.DataCentreID]bool{}, feeds: feed.NewPool(),
 	}
--- a/core/roster/readers.go
+++ b/core/roster/readers.go
@@ -1,7 +1,6 @@
 package roster
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -34,12 +33,12 @@
 		if !reads(p) || p.Leaving {
 			continue
 		}
-		if b, ok := best[p.DataCentre]; !ok || byReaderRank(p, b) < 0 {
+		if b, ok := best[p.DataCentre]; !ok || byRank(p, b) < 0 {
 			best[p.DataCentre] = p
 		}
 	}
 	out := slices.Collect(maps.Values(best))
-	slices.SortFunc(out, byReaderRank)
+	slices.SortFunc(out, byRank)
 	out = out[:min(len(out), maxReaders)]
 	slices.SortStableFunc(out, func(a, b Peer) int {
 		if (a.DataCentre == self.DataCentre) == (b.DataCentre == self.DataCentre) {
@@ -52,10 +51,3 @@
 	})
 	return out
 }
-
-// byReaderRank orders instances by how well they suit as readers, the best first.
-func byReaderRank(a, b Peer) int {
-	return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(readerScore(b.ID), readerScore(a.ID)))
-}
-
-func readerScore(id fleet.InstanceID) uint64 { return fleet.HashID("reader/" + string(id)) }
--- a/core/roster/relay.go
+++ b/core/roster/relay.go
@@ -89,6 +89,15 @@
 	return list
 }
 
+// WouldRelay reports whether this instance is a relay of its data centre as far as the
+// listed and the live instances tell.
+func (r *Roster) WouldRelay(now time.Time, self Peer) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	near := r.candidates(now, r.silent(), self, func(dc fleet.DataCentreID) bool { return dc == self.DataCentre })
+	return slices.ContainsFunc(choose(near[self.DataCentre], r.self), func(c candidate) bool { return c.ID == r.self })
+}
+
 // report notes that the instances are reported to from now on.
 func (r *Roster) report(now time.Time, to []candidate) []Target {
 	out := make([]Target, len(to))
@@ -195,7 +204,7 @@
 // are heard, and a few before them that may answer. Repeated attempts neither take the
 // place of a relay that is heard nor of this instance.
 func choose(group []candidate, self fleet.InstanceID) []candidate {
-	slices.SortFunc(group, func(a, b candidate) int { return byRelayRank(a.Peer, b.Peer) })
+	slices.SortFunc(group, func(a, b candidate) int { return byRank(a.Peer, b.Peer) })
 	var out, again []candidate
 	heard, ahead := 0, 0
 	for _, c := range group {
@@ -231,11 +240,15 @@
 	return 1
 }
 
-// byRelayRank orders instances by how well they suit as relays, the best first.
-func byRelayRank(a, b Peer) int {
-	return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(fleet.HashID("relay/"+string(b.ID)), fleet.HashID("relay/"+string(a.ID))))
+// byRank orders instances by how well they suit to relay reports and to read the store
+// for others, the best first. With one order the reader of a data centre is one of its
+// relays, whose reports its members hear directly.
+func byRank(a, b Peer) int {
+	return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(rankHash(b.ID), rankHash(a.ID)))
 }
 
+func rankHash(id fleet.InstanceID) uint64 { return fleet.HashID("relay/" + string(id)) }
+
 // Source returns the relay whose digests count for a data centre: the best ranked one
 // that was heard lately and has sent a digest. Counting several would count work twice.
 func (r *Roster) Source(now time.Time, dc fleet.DataCentreID) (fleet.InstanceID, bool) {
@@ -248,7 +261,7 @@
 		if e == nil || e.DataCentre != dc || now.Sub(l.at) >= silent || now.Sub(e.heard) >= silent {
 			continue
 		}
-		if best == nil || byRelayRank(e.Peer, best.Peer) < 0 {
+		if best == nil || byRank(e.Peer, best.Peer) < 0 {
 			best = e
 		}
 	}
