--- a/cmd/internal/edge/follow_test.go
+++ b/cmd/internal/edge/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,7 @@
 
 	"cyclamenhitch/adapters/clock"
 	"cyclamenhitch/adapters/settings"
+	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/result"
 	"cyclamenhitch/core/roster"
@@ -58,3 +60,35 @@
 		}
 	}
 }
+
+// Guards against a restart after which all instances of a large fleet read the store
+// whole, and against instances that wait for relays that never come.
+func TestRelaysReadFirst(t *testing.T) {
+	begins := func(instances int, age time.Duration) int {
+		n := 0
+		listed := map[fleet.InstanceID]roster.Listing{}
+		for i := range instances {
+			listed[fleet.InstanceID(fmt.Sprint("i", i))] = roster.Listing{DataCentre: "x"}
+		}
+		for id := range listed {
+			set := &settings.Entry{Instance: id, DataCentre: "x", Times: settings.EntryTimes{RevokeMillis: 5000}}
+			v := newView(set, platform.NewStore("127.0.0.1:1"), placement.NewBoard(), zap.NewNop())
+			v.peers = newPeers(set, nil, v, v.board, zap.NewNop())
+			v.peers.roster.SetListed(listed)
+			v.began = clock.SinceBoot() - age
+			if v.mayBegin(v.tables[0]) {
+				n++
+			}
+		}
+		return n
+	}
+	for _, c := range []struct {
+		instances int
+		age       time.Duration
+		want      int
+	}{{9, 0, 9}, {80, 0, 2}, {80, firstReadTime, 80}} {
+		if got := begins(c.instances, c.age); got != c.want {
+			t.Errorf("%v after the start %d of %d instances read the store, want %d", c.age, got, c.instances, c.want)
+		}
+	}
+}
--- a/core/roster/relay_test.go
+++ b/core/roster/relay_test.go
@@ -282,3 +282,23 @@
 		}
 	}
 }
+
+// Guards against a fleet of which every instance reads all tables from the store at the
+// same moment: after a common start two of each data centre begin, whom the list names.
+func TestFewBeginAtTheStore(t *testing.T) {
+	f := newFabric(5, 80, 4)
+	begin := map[fleet.DataCentreID]int{}
+	for _, n := range f.nodes {
+		if n.r.WouldRelay(f.now, n.Peer) {
+			begin[n.DataCentre]++
+		}
+	}
+	for dc, n := range begin {
+		if n != relaysEach {
+			t.Errorf("%d instances of %s begin, want %d", n, dc, relaysEach)
+		}
+	}
+	if len(begin) != 4 {
+		t.Errorf("instances of %d data centres begin, want 4", len(begin))
+	}
+}
