--- a/adapters/engine/dialect.go
+++ b/adapters/engine/dialect.go
@@ -26,6 +26,8 @@
 	Server string
 	// Account is the caller's client account.
 	Account string
+	// Urgency orders requests that wait at a model engine, 0 first.
+	Urgency string
 	// FetchFrom is the address of a server that keeps the prompt.
 	FetchFrom string
 	// NotRun marks an answer that says that the request did not run.
@@ -37,6 +39,9 @@
 	Opaque bool
 }
 
+// maxUrgency is the number of the least urgent requests.
+const maxUrgency = 9
+
 // chatDialect is spoken by servers of the OpenAI chat API.
 var chatDialect = Dialect{
 	RequestID: "X-Request-Id", Deadline: "X-Request-Deadline-Ms",
--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -168,6 +168,9 @@
 	set(d.LastEvent, lastEvent)
 	set(d.FetchFrom, x.req.FetchFrom)
 	set(d.Server, string(x.srv.Name))
+	if x.req.Pool.Kind == manifest.KindModel {
+		set(d.Urgency, strconv.Itoa(min(x.req.Urgency, maxUrgency)))
+	}
 	if x.req.Account != nil {
 		set(d.Account, string(x.req.Account.Name))
 	}
