--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -98,6 +98,8 @@
 
 // publishGauges publishes what the instance believes.
 func (e *Edge) publishGauges() {
+	e.meters.gauge("instance", func() any { return e.set.Instance })
+	e.meters.gauge("data_centre", func() any { return e.set.DataCentre })
 	e.meters.gauge("serving", func() any { return e.peers.serving() })
 	e.meters.gauge("running", func() any { return e.caller.Running() })
 	e.meters.gauge("config_version", func() any { v, _, _ := e.view.lease.State(); return v })
--- a/cmd/internal/edge/edge_test.go
+++ b/cmd/internal/edge/edge_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -401,3 +402,29 @@
 	cancel()
 	f.eventually("the server's connection is closed", func() bool { return r.Gone() == 1 })
 }
+
+// Guards against gauges that the operators' command shows and an instance does not have.
+func TestGaugesOfStatus(t *testing.T) {
+	f := startFleet(t, 1)
+	set := *f.edges[0].set
+	set.Listen.Peer = freeAddress(t)
+	e, err := New(&set, zap.NewNop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer e.peers.socket.Close()
+	var got map[string]any
+	if err := json.Unmarshal([]byte(e.meters.all.String()), &got); err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{
+		"instance", "data_centre", "config_version", "config_age_ms", "serving", "relaying", "running", "peers_live", "store_readers", "servers",
+	} {
+		if _, ok := got[name]; !ok {
+			t.Errorf("there is no gauge %q", name)
+		}
+	}
+	if got["instance"] != string(set.Instance) || got["config_age_ms"] != nil {
+		t.Errorf("instance %v, config_age_ms %v before the first read", got["instance"], got["config_age_ms"])
+	}
+}
--- a/cmd/internal/operator/status.go
+++ b/cmd/internal/operator/status.go
@@ -43,7 +43,9 @@
 	return out, err
 }
 
-type statusCmd struct{}
+type statusCmd struct {
+	Metrics []string `help:"Metrics address (host:port) of an instance on a platform with service discovery; repeat or separate with commas. Takes the place of --instance." placeholder:"HOST:PORT"`
+}
 
 // statusAnswer is the JSON answer of status.
 type statusAnswer struct {
@@ -56,6 +58,9 @@
 
 // Run implements the command.
 func (c *statusCmd) Run(e *env) error {
+	if len(c.Metrics) > 0 {
+		return c.runMetrics(e)
+	}
 	stop := e.progress(func() string { return "asking the instances" })
 	list, err := e.statuses()
 	stop()
@@ -74,15 +79,20 @@
 	if err := e.print(a, func() { e.printStatus(a) }); err != nil {
 		return err
 	}
-	if a.Reached < a.Given {
-		code := ExitIncomplete
-		if a.Reached == 0 {
-			code = ExitFailed
-		}
-		return &incomplete{code: code, text: fmt.Sprintf("%d of %d instances were not reached: %s. Check the addresses, or whether these instances run.",
-			a.Given-a.Reached, a.Given, strings.Join(a.NotReached, ", "))}
+	return notAllReached(a.Given, a.Reached, a.NotReached)
+}
+
+// notAllReached is the error of a command that could not ask every given instance.
+func notAllReached(given, reached int, missing []string) error {
+	if reached == given {
+		return nil
 	}
-	return nil
+	code := ExitIncomplete
+	if reached == 0 {
+		code = ExitFailed
+	}
+	return &incomplete{code: code, text: fmt.Sprintf("%d of %d instances were not reached: %s. Check the addresses, or whether these instances run.",
+		given-reached, given, strings.Join(missing, ", "))}
 }
 
 func (e *env) printStatus(a statusAnswer) {
