Take loads from one relay of a data centre only

Cause: both relays of a data centre sent each instance the loads, placements and suspicions of the whole fleet, and it used those of the better one (counting both would count work twice). A report now tells the other relay that they are not needed; when the better one falls silent the next report asks for them. The lists of members still come from both.

--- a/adapters/gossip/codec.go
+++ b/adapters/gossip/codec.go
@@ -16,7 +16,7 @@
 		ConfigVersion: r.From.Version, ReadsStore: r.From.Reads, LinkMbps: uint32(max(0, r.From.LinkMbps)), Sent: int64(r.Sent), Echo: int64(r.Echo),
 		Confirmed: r.Confirmed, ConfirmedAgeMs: uint32((r.ConfirmedAge + time.Millisecond - 1) / time.Millisecond),
 		Loads: encodeLoads(r.Loads), Suspicions: encodeSuspicions(r.Suspicions), Placed: encodePlaced(r.Placed),
-		WantsDigest: r.Wants, HoldsIncarnation: r.Holds.Incarnation, HoldsVersion: r.Holds.Version,
+		WantsDigest: r.Wants, HoldsIncarnation: r.Holds.Incarnation, HoldsVersion: r.Holds.Version, Spare: r.Spare,
 	}
 	if r.Digest != nil {
 		m.Digest = encodeDigest(r.Digest)
@@ -80,7 +80,7 @@
 		Sent: time.Duration(m.Sent), Echo: time.Duration(m.Echo),
 		Confirmed: m.Confirmed, ConfirmedAge: time.Duration(m.ConfirmedAgeMs) * time.Millisecond,
 		Loads: decodeLoads(m.Loads), Suspicions: decodeSuspicions(m.Suspicions), Placed: decodePlaced(m.Placed),
-		Wants: m.WantsDigest, Holds: roster.Holding{Incarnation: m.HoldsIncarnation, Version: m.HoldsVersion},
+		Wants: m.WantsDigest, Holds: roster.Holding{Incarnation: m.HoldsIncarnation, Version: m.HoldsVersion}, Spare: m.Spare,
 	}
 	if m.Digest != nil {
 		r.Digest = decodeDigest(m.Digest)
--- a/adapters/gossip/gossip.go
+++ b/adapters/gossip/gossip.go
@@ -40,6 +40,9 @@
 	// member list of the receiver it holds.
 	Wants bool
 	Holds roster.Holding
+	// Spare says that the sender takes loads, placements and suspicions from another
+	// relay of the receiver's data centre, so that the receiver need not send them.
+	Spare bool
 	// Digest is what the sender tells as a relay; nil when it is none.
 	Digest *Digest
 }
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -166,7 +166,7 @@
 	p.mu.Lock()
 	p.echo[r.From.ID] = r.Sent
 	p.mu.Unlock()
-	p.roster.Asked(now, r.From.ID, r.Holds, r.Wants)
+	p.roster.Asked(now, r.From.ID, r.Holds, r.Wants, r.Spare)
 	p.relay.take(now, r)
 	p.confirm(r, boot)
 }
--- a/cmd/internal/edge/relay.go
+++ b/cmd/internal/edge/relay.go
@@ -68,7 +68,7 @@
 func (y *relay) round(now time.Time, plan *roster.Plan, own gossip.Report, send func(roster.Target, gossip.Report)) {
 	d := y.begin(now, plan)
 	to := func(t roster.Target, r gossip.Report) {
-		r.Holds = y.roster.Holds(t.ID)
+		r.Holds, r.Spare = y.roster.Holds(t.ID), y.roster.IsSpare(now, t.ID)
 		send(t, r)
 	}
 	for _, t := range plan.All {
@@ -84,12 +84,12 @@
 		if plan.IsRelay(t.ID) {
 			r.Placed, r.Suspicions = nil, nil // sent above
 		}
-		r.Digest = d.whole(t.ID)
+		r.Digest = d.whole(t)
 		to(t, r)
 	}
 	for _, t := range plan.Remote {
 		r := own
-		r.Digest = d.local(t.ID)
+		r.Digest = d.local(t)
 		to(t, r)
 	}
 }
@@ -117,22 +117,29 @@
 }
 
 // whole returns the digest of the whole fleet for an instance of this data centre.
-func (d *digests) whole(to fleet.InstanceID) *gossip.Digest {
+func (d *digests) whole(to roster.Target) *gossip.Digest {
 	y := d.relay
-	out := &gossip.Digest{Members: y.roster.Digest(to, y.incarnation, ""), Loads: minus(d.totals, y.board.PeerLoads(to))}
-	d.near.appendTo(out, to)
-	d.far.appendTo(out, to)
+	out := &gossip.Digest{Members: y.roster.Digest(to.ID, y.incarnation, "")}
+	if !to.Spare {
+		out.Loads = minus(d.totals, y.board.PeerLoads(to.ID))
+		d.near.appendTo(out, to.ID)
+		d.far.appendTo(out, to.ID)
+	}
 	return out
 }
 
 // local returns the digest of this data centre for a relay of another one.
-func (d *digests) local(to fleet.InstanceID) *gossip.Digest {
+func (d *digests) local(to roster.Target) *gossip.Digest {
 	y := d.relay
+	out := &gossip.Digest{Members: y.roster.Digest(to.ID, y.incarnation, y.dc)}
+	if to.Spare {
+		return out
+	}
 	if d.locals == nil {
 		d.locals = minus(d.totals, y.board.PeerLoadsOf(isElsewhere))
 	}
-	out := &gossip.Digest{Members: y.roster.Digest(to, y.incarnation, y.dc), Loads: d.locals}
-	d.near.appendTo(out, to)
+	out.Loads = d.locals
+	d.near.appendTo(out, to.ID)
 	return out
 }
 
--- a/cmd/internal/edge/relay_test.go
+++ b/cmd/internal/edge/relay_test.go
@@ -70,7 +70,7 @@
 	}
 	y := f.relays[t.ID]
 	if y.roster.Heard(f.now, r.From, true) {
-		y.roster.Asked(f.now, r.From.ID, r.Holds, r.Wants)
+		y.roster.Asked(f.now, r.From.ID, r.Holds, r.Wants, r.Spare)
 		y.take(f.now, &r)
 	}
 }
--- a/core/roster/digest.go
+++ b/core/roster/digest.go
@@ -38,16 +38,17 @@
 // one goes on where it ended.
 const maxDigest = 400
 
-// Asked notes what a peer, which has just been heard, holds of this instance's list and
-// whether it wants digests of the whole fleet.
-func (r *Roster) Asked(now time.Time, id fleet.InstanceID, holds Holding, wants bool) {
+// Asked notes what a peer, which has just been heard, holds of this instance's list,
+// whether it wants digests of the whole fleet and whether it takes loads from another
+// relay.
+func (r *Roster) Asked(now time.Time, id fleet.InstanceID, holds Holding, wants, spare bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	e := r.peers[id]
 	if e == nil {
 		return
 	}
-	e.holds = holds
+	e.holds, e.spare = holds, spare
 	if wants {
 		e.wants = now
 	}
--- a/core/roster/relay.go
+++ b/core/roster/relay.go
@@ -29,6 +29,8 @@
 type Target struct {
 	ID      fleet.InstanceID
 	Address string
+	// Spare says that it takes loads from another relay.
+	Spare bool
 }
 
 // Plan says to whom an instance reports in one round.
@@ -76,7 +78,7 @@
 	}
 	for id, e := range r.peers {
 		if now.Sub(e.wants) < silent {
-			p.Members = append(p.Members, Target{id, e.Peer.Peer})
+			p.Members = append(p.Members, Target{id, e.Peer.Peer, e.spare})
 		}
 	}
 	byID(p.Members)
@@ -102,7 +104,10 @@
 func (r *Roster) report(now time.Time, to []candidate) []Target {
 	out := make([]Target, len(to))
 	for i, c := range to {
-		out[i] = Target{c.ID, c.address}
+		out[i] = Target{ID: c.ID, Address: c.address}
+		if e := r.peers[c.ID]; e != nil {
+			out[i].Spare = e.spare
+		}
 		if !c.heard && !c.trying {
 			r.tried[c.ID] = attempt{now, c.again}
 		}
@@ -115,12 +120,12 @@
 	out := make([]Target, 0, len(r.listed))
 	for id, l := range r.listed {
 		if id != r.self {
-			out = append(out, Target{id, l.Peer})
+			out = append(out, Target{ID: id, Address: l.Peer})
 		}
 	}
 	for id, e := range r.peers {
 		if _, ok := r.listed[id]; !ok && now.Sub(e.heard) < silent {
-			out = append(out, Target{id, e.Peer.Peer})
+			out = append(out, Target{ID: id, Address: e.Peer.Peer})
 		}
 	}
 	return out
@@ -270,3 +275,16 @@
 	}
 	return best.ID, true
 }
+
+// IsSpare reports whether loads are taken from another relay of the data centre of a
+// relay, so that it need not send them.
+func (r *Roster) IsSpare(now time.Time, relay fleet.InstanceID) bool {
+	r.mu.Lock()
+	e := r.peers[relay]
+	r.mu.Unlock()
+	if e == nil {
+		return false
+	}
+	source, ok := r.Source(now, e.DataCentre)
+	return ok && source != relay
+}
--- a/core/roster/relay_test.go
+++ b/core/roster/relay_test.go
@@ -134,7 +134,7 @@
 	if !r.Heard(f.now, m.from, true) {
 		return
 	}
-	r.Asked(f.now, m.from.ID, m.holds, m.wants)
+	r.Asked(f.now, m.from.ID, m.holds, m.wants, false)
 	if m.digest != nil {
 		r.Told(f.now, m.from.ID, m.to.DataCentre, *m.digest)
 	}
--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -53,6 +53,8 @@
 	// wants is when it last asked for digests; holds is what it held then.
 	wants time.Time
 	holds Holding
+	// spare says that it takes loads from another relay.
+	spare bool
 	// handed says that the member list names it; changed is the version of the list
 	// at which that or the description last changed.
 	handed  bool
