Spread fetches over the engines that keep a prompt and expect their queue

An engine transfers one prompt after another, and all instances fetched a shared part from the first engine of the list that keeps it; neither its queue nor that of the receiver was expected. Ruled out: prompts that engines were wrongly believed to keep (on time in calm seconds).

Among engines that keep equally much the one is taken whose link is free first as far as this instance knows, else one by the request's hash; the transfers that an instance began are part of the expected wait.

--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -89,6 +89,9 @@
 	// ownFault is the end of the suspicion that this instance's own requests gave.
 	ownFault time.Time
 	coldNext time.Time
+	// linkFree is when the fetches that this instance began on the server's link, to it
+	// and from it, are expected to have ended: an engine transfers one after another.
+	linkFree time.Time
 	placed   [][]Part // since the last TakeReport
 }
 
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -57,6 +57,9 @@
 	// Fetched tokens can be fetched; empty means none.
 	Source  string
 	Fetched int
+	// donor is the server of Source, and transfer the time on its link.
+	donor    *state
+	transfer time.Duration
 	// Suspect says that the last requests to it failed.
 	Suspect bool
 	// Full says that a request would wait at the server for a slot.
@@ -246,17 +249,27 @@
 	cached int
 }
 
-// donor returns the server that keeps most of the prompt. Servers that may get no
-// new work can still be fetched from.
+// donor returns the server that keeps most of the prompt. Of several it is the one whose
+// link is free first, and else one by the request's hash: with a fixed order all fetches
+// of a shared part queue at one engine. Servers that may get no new work can still be
+// fetched from.
 func (p *pool) donor(now time.Time, ask *Ask) donor {
 	var best donor
+	var free time.Duration
+	var hash uint64
 	for _, s := range p.list {
 		if !s.Engine || s.FetchPerMilli == 0 || s.fault.suspect(now) {
 			continue
 		}
-		if n := s.cache.cached(ask.Parts); n > best.cached {
-			best = donor{s, n}
+		n := s.cache.cached(ask.Parts)
+		if n == 0 || n < best.cached {
+			continue
+		}
+		f, h := max(0, s.linkFree.Sub(now)), fleet.Mix(ask.Key, s.hash)
+		if n == best.cached && (f > free || f == free && h < hash) {
+			continue
 		}
+		best, free, hash = donor{s, n}, f, h
 	}
 	return best
 }
@@ -264,18 +277,19 @@
 // minFetch is the least number of tokens that are worth a fetch.
 const minFetch = 256
 
-// fetch returns how many tokens s would fetch and how long that takes. Transfers
-// between data centres take twice as long.
-func (s *state) fetch(cached int, from donor) (int, time.Duration) {
+// fetch returns how many tokens s would fetch, how long the transfer takes and after
+// which time it ends. Transfers between data centres take twice as long.
+func (s *state) fetch(now time.Time, cached int, from donor) (tokens int, transfer, total time.Duration) {
 	n := from.cached - cached
 	if from.s == nil || from.s == s || n < minFetch || s.FetchPerMilli == 0 {
-		return 0, 0
+		return 0, 0, 0
 	}
 	took := time.Duration(float64(n) / s.FetchPerMilli * float64(time.Millisecond))
 	if from.s.DataCentre != s.DataCentre {
 		took *= 2
 	}
-	return n, took
+	queue := max(0, from.s.linkFree.Sub(now), s.linkFree.Sub(now))
+	return n, took, queue + took
 }
 
 // candidate estimates the cost of the request at a server with the load.
@@ -290,9 +304,9 @@
 		return c
 	}
 	c.Cached = s.cache.cached(ask.Parts)
-	n, fetchTime := s.fetch(c.Cached, from)
+	n, transfer, fetchTime := s.fetch(now, c.Cached, from)
 	if n > 0 {
-		c.Source, c.Fetched = from.s.Address, n
+		c.Source, c.Fetched, c.donor, c.transfer = from.s.Address, n, from.s, transfer
 	}
 	unread := max(0, ask.Prompt-c.Cached-n)
 	work := float64(l.Unread + unread)
--- a/core/placement/ticket.go
+++ b/core/placement/ticket.go
@@ -40,6 +40,7 @@
 	if s.Engine {
 		t.unread = max(0, ask.Prompt-s.cache.cached(ask.Parts)-c.Fetched)
 		t.expected = c.Wait
+		s.fetching(now, c)
 		s.cache.add(ask.Parts)
 		if n := len(ask.Parts); n > 1 {
 			s.placed = append(s.placed, ask.Parts[:n-1])
@@ -50,6 +51,15 @@
 	return t
 }
 
+// fetching notes the transfer of a request on the links of both servers.
+func (s *state) fetching(now time.Time, c Candidate) {
+	if c.donor == nil {
+		return
+	}
+	end := now.Add(max(0, c.donor.linkFree.Sub(now), s.linkFree.Sub(now)) + c.transfer)
+	c.donor.linkFree, s.linkFree = end, end
+}
+
 // Opened notes the first part of the answer.
 func (t *Ticket) Opened(now time.Time) {
 	t.pool.mu.Lock()
