Touch only the servers that a report names

Loads of a report are kept as they came, and only servers of the last and of this report are touched; what an instance reported is handed on without a copy. The part of the board for other instances is a file of its own.

--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -63,6 +63,11 @@
 	fleetMu sync.Mutex
 	share   coldShare
 	heard   map[fleet.InstanceID]time.Time // the last report of each instance
+	// reported are the loads of each instance in its last report. The maps are not
+	// changed.
+	reported map[fleet.InstanceID]map[fleet.ServerID]Load
+	// reportMu is held while a report is taken, so that one of them ends before the next.
+	reportMu sync.Mutex
 }
 
 type pool struct {
@@ -95,12 +100,12 @@
 	placed   [][]Part // since the last TakeReport
 }
 
-// peerLoadTime is how long the load reported by a peer counts without a newer report.
-const peerLoadTime = 3 * time.Second
-
 // NewBoard returns a board without servers.
 func NewBoard() *Board {
-	return &Board{pools: map[fleet.PoolID]*pool{}, heard: map[fleet.InstanceID]time.Time{}}
+	return &Board{
+		pools: map[fleet.PoolID]*pool{}, heard: map[fleet.InstanceID]time.Time{},
+		reported: map[fleet.InstanceID]map[fleet.ServerID]Load{},
+	}
 }
 
 func (b *Board) pool(id fleet.PoolID) *pool {
@@ -167,56 +172,6 @@
 	return Load{s.own.Running + s.others.Running, s.own.Unread + s.others.Unread}
 }
 
-// setPeer replaces the load of another instance.
-func (s *state) setPeer(peer fleet.InstanceID, l Load) {
-	old := s.peers[peer]
-	s.others.Running += l.Running - old.Running
-	s.others.Unread += l.Unread - old.Unread
-	if l == (Load{}) {
-		delete(s.peers, peer)
-		return
-	}
-	s.peers[peer] = l
-}
-
-// SetPeer takes the loads that another instance reports. Servers that it does not
-// name have none of its work.
-func (b *Board) SetPeer(peer fleet.InstanceID, now time.Time, loads map[fleet.ServerID]Load) {
-	b.fleetMu.Lock()
-	b.heard[peer] = now
-	b.fleetMu.Unlock()
-	b.setPeer(peer, loads)
-}
-
-func (b *Board) setPeer(peer fleet.InstanceID, loads map[fleet.ServerID]Load) {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
-	for _, p := range b.pools {
-		p.mu.Lock()
-		for id, s := range p.servers {
-			s.setPeer(peer, loads[id])
-		}
-		p.mu.Unlock()
-	}
-}
-
-// DropSilentPeers forgets the loads of instances that have not reported for
-// peerLoadTime: they have left or lost their requests.
-func (b *Board) DropSilentPeers(now time.Time) {
-	b.fleetMu.Lock()
-	var silent []fleet.InstanceID
-	for peer, at := range b.heard {
-		if now.Sub(at) >= peerLoadTime {
-			silent = append(silent, peer)
-			delete(b.heard, peer)
-		}
-	}
-	b.fleetMu.Unlock()
-	for _, peer := range silent {
-		b.setPeer(peer, nil)
-	}
-}
-
 // PeerPlaced notes that another instance has sent prompts with the parts to a server.
 func (b *Board) PeerPlaced(server fleet.ServerID, parts []Part) {
 	b.mu.RLock()
@@ -300,46 +255,6 @@
 	return loads, placed
 }
 
-// Totals returns the work of all instances at the servers, as far as known.
-func (b *Board) Totals() map[fleet.ServerID]Load {
-	return b.loads(func(s *state) Load { return s.load() })
-}
-
-// PeerLoads returns the work that another instance reported.
-func (b *Board) PeerLoads(peer fleet.InstanceID) map[fleet.ServerID]Load {
-	return b.loads(func(s *state) Load { return s.peers[peer] })
-}
-
-// PeerLoadsOf returns the work that the chosen instances reported.
-func (b *Board) PeerLoadsOf(chosen func(fleet.InstanceID) bool) map[fleet.ServerID]Load {
-	return b.loads(func(s *state) Load {
-		var sum Load
-		for id, l := range s.peers {
-			if chosen(id) {
-				sum.Running += l.Running
-				sum.Unread += l.Unread
-			}
-		}
-		return sum
-	})
-}
-
-func (b *Board) loads(of func(*state) Load) map[fleet.ServerID]Load {
-	out := map[fleet.ServerID]Load{}
-	b.mu.RLock()
-	defer b.mu.RUnlock()
-	for _, p := range b.pools {
-		p.mu.Lock()
-		for _, s := range p.list {
-			if l := of(s); l != (Load{}) {
-				out[s.ID] = l
-			}
-		}
-		p.mu.Unlock()
-	}
-	return out
-}
-
 // Announce notes parts that a server was found to keep and puts them into the next
 // report, so that the other instances learn of them too.
 func (b *Board) Announce(server fleet.ServerID, parts []Part) {
