Bound digests to what a datagram carries; say when a report is not sent

Found when reading the change again: a relay handed on up to 2,000 placements of each kind and 400 members in a digest, over 64 KB at the two-year size. Sending it fails as a whole, the member loses its relay just when there is most to tell, and the failure was logged below the level in use. Instances that left the list are no longer kept among those to try.

--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -98,7 +98,7 @@
 	r.Echo = p.echo[t.ID]
 	p.mu.Unlock()
 	if err := p.socket.Send(t.Address, &r); err != nil {
-		p.log.Debug("report not sent", zap.String("to", t.Address), zap.Error(err))
+		p.log.Warn("report not sent", zap.String("to", t.Address), zap.Error(err))
 	}
 }
 
--- a/cmd/internal/edge/relay.go
+++ b/cmd/internal/edge/relay.go
@@ -19,8 +19,12 @@
 	otherDataCentre fleet.InstanceID = "/data-centre/"
 )
 
-// maxNews bounds what a relay hands on in one round, of each kind.
-const maxNews = 2000
+// Bounds of what a digest hands on of other instances' news: with the largest list of
+// members and the loads of 600 servers it has to fit into a datagram of 64 KB.
+const (
+	maxPlaced     = 400
+	maxSuspicions = 200
+)
 
 // relay takes the reports of peers into the board and makes the digests with which this
 // instance reports for others in larger fleets.
@@ -150,12 +154,12 @@
 // appendTo adds what others than the receiver told.
 func (n *news) appendTo(out *gossip.Digest, to fleet.InstanceID) {
 	for _, p := range n.placed {
-		if p.id != to {
+		if p.id != to && len(out.Placed) < maxPlaced {
 			out.Placed = append(out.Placed, p.what)
 		}
 	}
 	for _, s := range n.suspicions {
-		if s.id != to {
+		if s.id != to && len(out.Suspicions) < maxSuspicions {
 			out.Suspicions = append(out.Suspicions, s.what)
 		}
 	}
@@ -231,12 +235,12 @@
 		n = &y.near
 	}
 	for _, p := range placed {
-		if len(n.placed) < maxNews {
+		if len(n.placed) < maxPlaced {
 			n.placed = append(n.placed, from[placement.Placed]{id, p})
 		}
 	}
 	for _, s := range suspicions {
-		if len(n.suspicions) < maxNews {
+		if len(n.suspicions) < maxSuspicions {
 			n.suspicions = append(n.suspicions, from[placement.Suspicion]{id, s})
 		}
 	}
--- a/cmd/internal/edge/relay_test.go
+++ b/cmd/internal/edge/relay_test.go
@@ -186,3 +186,51 @@
 		}
 	}
 }
+
+// Guards against digests that no datagram can carry, so that a member loses its relay
+// when the fleet has most to tell: the largest one of the two-year size fits.
+func TestLargestDigestFits(t *testing.T) {
+	const (
+		fleetSize = 370
+		servers   = 600
+		largest   = 65_507 // bytes of a UDP datagram
+	)
+	now := time.Unix(1_000_000, 0)
+	r, b := roster.New("front-region-a-1"), placement.NewBoard()
+	for i := range fleetSize {
+		r.Heard(now, roster.Peer{
+			ID: fleet.InstanceID(fmt.Sprintf("front-region-a-%d", 100+i)), Incarnation: uint64(now.UnixNano()), DataCentre: "region-a",
+			Caller: "10.100.100.100:10000", Peer: "10.100.100.100:10000", Serving: true, Reads: true, LinkMbps: 1000,
+		}, true)
+	}
+	loads := map[fleet.ServerID]placement.Load{}
+	var list []placement.Server
+	for i := range servers {
+		id := fleet.ServerID(fmt.Sprintf("i-%010d", i))
+		list = append(list, placement.Server{ID: id})
+		loads[id] = placement.Load{Running: 60, Unread: 500_000}
+	}
+	b.SetServers("pool", list)
+	b.SetPeer("front-region-a-100", now, loads)
+	y := newRelay(r, b, "region-a", 1)
+	y.relaying = true
+	for i := range 3000 {
+		parts := []placement.Part{{ID: 1 << 63, Tokens: 20_000}, {ID: 1<<63 + 1, Tokens: 20_000}, {ID: 1<<63 + 2, Tokens: 20_000}}
+		y.learn(now, "x", true, i%2 == 0, []placement.Placed{{Server: list[0].ID, Parts: parts}}, []placement.Suspicion{{Server: list[0].ID, Rest: time.Second}})
+	}
+	plan := roster.Plan{Members: []roster.Target{{ID: "front-region-a-101"}}}
+	r.Plan(now, roster.Peer{ID: "front-region-a-1", DataCentre: "region-a"})
+	y.round(now, &plan, gossip.Report{From: roster.Peer{ID: "front-region-a-1"}, Loads: loads}, func(_ roster.Target, rep gossip.Report) {
+		bytes, err := gossip.Marshal(&rep)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if d := rep.Digest; len(d.Placed) != maxPlaced || len(d.Loads) != servers || len(d.Members.Members) < 100 {
+			t.Errorf("%d prompts, %d loads, %d members: the digest is not a large one", len(d.Placed), len(d.Loads), len(d.Members.Members))
+		}
+		if len(bytes) > largest {
+			t.Errorf("the report takes %d bytes, a datagram %d", len(bytes), largest)
+		}
+		t.Logf("%d bytes", len(bytes))
+	})
+}
--- a/core/roster/digest.go
+++ b/core/roster/digest.go
@@ -36,7 +36,7 @@
 
 // maxDigest bounds the members of one digest, so that it fits into a datagram. The next
 // one goes on where it ended.
-const maxDigest = 400
+const maxDigest = 120
 
 // Asked notes what a peer, which has just been heard, holds of this instance's list,
 // whether it wants digests of the whole fleet and whether it takes loads from another
@@ -88,6 +88,11 @@
 			delete(r.lists, id)
 		}
 	}
+	for id := range r.tried {
+		if _, ok := r.listed[id]; !ok && r.peers[id] == nil {
+			delete(r.tried, id)
+		}
+	}
 	r.measure()
 }
 
