Play faults against real processes

A soak of our own, test files only (cmd/internal/soak): five processes of the daemon, proxies before the stand-ins of the store and of the servers, signals, series of configurations and leaving servers, planned from a seed and overlapping; callers that keep connections, five of which stay with their instance whatever the directory says.

--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 GOTEST = go test $(RACE) $(if $(SKIP),-skip '^($(SKIP))$$') -timeout 20m
 RAPIDTEST = $(GOTEST) $(RAPID) -rapid.seed=$(RAPID_SEED) -rapid.nofailfile
 
-.PHONY: all build test lint measure capacity docs generate
+.PHONY: all build test lint soak measure capacity docs generate
 
 all: lint test
 
@@ -34,6 +34,10 @@
 	go vet $(MODULES)
 	go tool staticcheck $(MODULES)
 
+# Real processes under faults, about half an hour; make test plays one seed.
+soak:
+	go test ./cmd/internal/soak -run TestSoak -timeout 60m -soak.seeds 50 -soak.seconds 20
+
 # Benchmarks with fixed seeds; figures go into docs/MEASURES.md.
 measure:
 	go test -run '^$$' -bench . -benchtime 1x -timeout 60m ./measure/...
--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -18,6 +18,8 @@
 // Run is a request that the runner ran.
 type Run struct {
 	ID, Method, Path, Body, Tenant, LastEvent string
+	// At is when it began.
+	At time.Time
 }
 
 // Runner is a running stand-in.
@@ -28,6 +30,8 @@
 	// connection after so many. Gap is the time between events.
 	Events, BreakAfter int
 	Gap                time.Duration
+	// Work is the time between the begin of a run and its answer.
+	Work time.Duration
 	// Full refuses all requests as not run.
 	Full bool
 
@@ -90,8 +94,9 @@
 	}
 	last := string(h.Peek("Last-Event-Id"))
 	r.mu.Lock()
-	r.runs = append(r.runs, Run{id, string(h.Method()), string(h.RequestURI()), string(ctx.PostBody()), string(h.Peek("Tenant")), last})
+	r.runs = append(r.runs, Run{id, string(h.Method()), string(h.RequestURI()), string(ctx.PostBody()), string(h.Peek("Tenant")), last, time.Now()})
 	r.mu.Unlock()
+	time.Sleep(r.Work)
 	ctx.Response.Header.Set("Response-Seal", r.ID+"."+id)
 	if !strings.HasPrefix(string(ctx.Path()), "/stream/") {
 		ctx.SetBodyString("answer of " + r.ID)
