Draw the soak's plan in one goroutine; ask often enough to meet a late lease

All draws are made by the planner now, and the key is taken away as part of the pause. Callers that stay with an instance give up after 1.2 s instead of 1.5 s: with 1.5 s none of their requests fell between 3 s after the key was taken away and the end of the pause.

--- a/cmd/internal/soak/callers_test.go
+++ b/cmd/internal/soak/callers_test.go
@@ -33,6 +33,7 @@
 	callDeadline = 3 * time.Second
 	// loyalDeadline is that of callers that stay with one instance.
 	loyalDeadline = time.Second
+	callSlack     = 200 * time.Millisecond
 )
 
 // run sends requests one after another until ctx ends, on kept connections. The first
@@ -43,7 +44,7 @@
 	if number < len(c.f.instances) {
 		deadline = loyalDeadline
 	}
-	client := &http.Client{Timeout: deadline + time.Second/2, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	client := &http.Client{Timeout: deadline + callSlack, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
 	defer client.CloseIdleConnections()
 	var addresses []string
 	var resolved time.Time
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -87,10 +87,10 @@
 	defer wg.Wait()
 	version, busy := 1, map[string]bool{}
 	var mu sync.Mutex
-	configure := func(second bool) {
+	configure := func(step int, second bool) {
 		mu.Lock()
 		defer mu.Unlock()
-		version += 1 + rnd.IntN(3)
+		version += step
 		f.configure(version, second)
 	}
 	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(time.Duration(100+rnd.IntN(600)) * time.Millisecond) {
@@ -110,7 +110,7 @@
 		case 0, 1:
 			// Versions grow in uneven steps and come in series.
 			for range 1 + rnd.IntN(3) {
-				configure(rnd.IntN(2) == 0)
+				configure(1+rnd.IntN(3), rnd.IntN(2) == 0)
 			}
 			continue
 		case 2:
@@ -120,9 +120,12 @@
 		case 4:
 			// A key is taken away right after the instance is suspended.
 			long = longestFault - long/4
-			key, act = n.name, func() { n.signal(syscall.SIGSTOP); time.Sleep(long); n.signal(syscall.SIGCONT) }
-			if !busy[key] {
-				time.AfterFunc(100*time.Millisecond, func() { configure(false) })
+			step := 1 + rnd.IntN(3)
+			key, act = n.name, func() {
+				n.signal(syscall.SIGSTOP)
+				configure(step, false)
+				time.Sleep(long)
+				n.signal(syscall.SIGCONT)
 			}
 		case 5:
 			p := n.toStore
