Wait for the confirmation that TestOperatorCommand/mistakes shows

The script ran until the instance's next poll of the head had confirmed the version that the script applied; with a wait of 3 s before the command the same output comes every time. The expectation held only for scripts that end within the poll interval. It now waits for the confirmation and expects its age: what the step guards, that the version in force is still 1, is checked as before, and the age in addition.

--- a/cmd/internal/daemon/operator_test.go
+++ b/cmd/internal/daemon/operator_test.go
@@ -45,6 +45,12 @@
 					return strings.Contains(body, `"admitters":["r1"]`)
 				})
 				return ""
+			case "confirm":
+				f.eventually("a confirmed version", func() bool {
+					_, body := f.do("GET", f.daemon.AdminAddress(), "/admin/status", testOperatorKey, "")
+					return strings.Contains(body, `"confirmed_age_seconds":`) && !strings.Contains(body, `"confirmed_age_seconds":-1`)
+				})
+				return ""
 			case "run":
 				var out bytes.Buffer
 				args := append(strings.Fields(names.Replace(d.Input)), "--key-file", filepath.Join(f.dir, "operator.key"))
