--- a/core/roster/relay.go
+++ b/core/roster/relay.go
@@ -9,9 +9,8 @@
 )
 
 const (
-	// directFleet is the largest fleet whose instances report to all others. At 80
-	// instances 160 datagrams a second in each direction took a fifth of a link of
-	// 10 Mbit/s.
+	// directFleet is the largest fleet whose instances report to all others. Beyond it
+	// reports to all take more datagrams than reportRate allows in LeastInterval.
 	directFleet = 40
 	// relaysEach is how many instances of a data centre relay reports, so that one of
 	// them may fail unnoticed.
