Report a deadline that passes inside an answer as slow; give TestStoreFaults time

Cause: TestStoreFaults was red once with 'use of closed network connection' behind status 200. The call then counted as refused by the service, with the wrong reason in log and metrics.

Ruled out: reuse of a pooled connection (the closed connection is the one of the call itself), the idle timeout (30 s), a close by the stand-in (it would be an EOF).

Mend: the deadline becomes the error's cause, reason slow. The new test fails before (refused, no deadline) and passes after. The test gives calls that have to succeed 30 s instead of 300 ms; the delayed call keeps 300 ms, every check stays.

--- a/adapters/platform/platform_test.go
+++ b/adapters/platform/platform_test.go
@@ -4,18 +4,29 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	smithyhttp "github.com/aws/smithy-go/transport/http"
+
 	policy "cyclamenhitch/core/breaker"
 	"cyclamenhitch/core/result"
 	"cyclamenhitch/core/store"
 	fake "cyclamenhitch/standins/platform"
 )
 
+const (
+	// shortTimeout ends calls that the stand-in delays; patientTimeout is for calls that
+	// have to succeed, also when the machine is busy.
+	shortTimeout   = 300 * time.Millisecond
+	patientTimeout = 30 * time.Second
+)
+
 func newStore(t *testing.T, secret func() []byte) (*Store, *fake.Server) {
 	t.Helper()
 	srv, err := fake.Start("127.0.0.1:0")
@@ -25,7 +36,7 @@
 	t.Cleanup(srv.Close)
 	return NewStore(Config{
 		TableURL: srv.URL(), TableName: "t", ObjectsURL: srv.URL(), Bucket: "b", AccessKeyID: "router", SecretKey: secret,
-		CallTimeout: 300 * time.Millisecond, MaxConcurrent: 4,
+		CallTimeout: shortTimeout, MaxConcurrent: 4,
 	}), srv
 }
 
@@ -44,6 +55,7 @@
 func TestStoreFaults(t *testing.T) {
 	ctx := context.Background()
 	s, srv := newStore(t, key32)
+	s.cfg.CallTimeout = patientTimeout
 	row := store.Row{Partition: "p", Sort: "0000", Version: 1, Writer: "n1", Data: []byte("x")}
 	srv.SetFault(fake.Fault{LoseReplies: 1})
 	if err := s.Put(ctx, row, 0); codeOf(err) != result.StoreUnavailable {
@@ -64,9 +76,11 @@
 		t.Fatalf("query over pages: %d rows, %v", len(rows), err)
 	}
 	srv.SetFault(fake.Fault{Delay: time.Second})
+	s.cfg.CallTimeout = shortTimeout
 	if _, err := s.GetObject(ctx, "o"); codeOf(err) != result.StoreUnavailable {
 		t.Fatalf("slow: %v", err)
 	}
+	s.cfg.CallTimeout = patientTimeout
 	srv.SetFault(fake.Fault{Down: true})
 	if _, err := s.Get(ctx, "p", "0000"); codeOf(err) != result.StoreUnavailable {
 		t.Fatalf("down: %v", err)
@@ -81,6 +95,27 @@
 	}
 }
 
+// Guards against a deadline that is reported as a refusal of the service: when it passes
+// while an answer is read, the HTTP client may return the error of the connection that
+// it closed, with the status of the answer.
+func TestDeadlineWhileAnAnswerIsRead(t *testing.T) {
+	s, _ := newStore(t, key32)
+	s.cfg.CallTimeout = time.Millisecond
+	err := s.call(context.Background(), s.tableCalls, "query p", func(ctx context.Context) error {
+		<-ctx.Done()
+		return &smithyhttp.ResponseError{
+			Response: &smithyhttp.Response{Response: &http.Response{StatusCode: http.StatusOK}},
+			Err:      &net.OpError{Op: "read", Net: "tcp", Err: net.ErrClosed},
+		}
+	})
+	if codeOf(err) != result.StoreUnavailable || !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatalf("error of the call: %v, want the deadline as its cause", err)
+	}
+	if table, _ := s.Failures(); table[ReasonSlow] != 1 || len(table) != 1 {
+		t.Fatalf("failures by reason: %v, want one slow call", table)
+	}
+}
+
 // Guards against callers that each wait for a deadline while the service is
 // down, and against a service that stays given up after its return.
 func TestStoreOutageIsNoticedOnce(t *testing.T) {
--- a/adapters/platform/table.go
+++ b/adapters/platform/table.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"maps"
 	"net/http"
@@ -98,6 +99,10 @@
 		}
 		return err
 	}
+	if cause := ctx.Err(); cause != nil && !errors.Is(err, cause) {
+		// The HTTP client may return the error of the connection that it closed then.
+		err = fmt.Errorf("%w: %w", cause, err)
+	}
 	reason := reasonOf(err)
 	b.leave(probe, time.Since(start), reason)
 	return result.Wrap(result.StoreUnavailable, err, "%s failed (%s)", op, reason)
