Take a relay's loads only while it knows them

Cause: a relay whose role began dropped what it had heard as a member and at once counted as the best source, with the loads of the few that had reported to it; one whose role ended kept its members' loads for 3 s beside the digest that replaced them; and a digest without loads, because its receiver had named another source a round before, was taken as 'no load anywhere'.

Change: digests say whether the relay knows the loads, and whether this one holds them. A new relay counts for others after 1 s and a report from each data centre, at most 2.5 s; until then it takes the loads of the other relay. Ruled out: handing the state over at a stop, which does nothing for a relay that crashes.

--- a/adapters/gossip/codec.go
+++ b/adapters/gossip/codec.go
@@ -26,7 +26,7 @@
 
 func encodeDigest(d *Digest) *gossippb.Digest {
 	m := &gossippb.Digest{
-		Base: d.Members.Base, Version: d.Members.Version,
+		Base: d.Members.Base, Version: d.Members.Version, Partial: d.Members.Partial, WithoutLoads: d.WithoutLoads,
 		Loads: encodeLoads(d.Loads), Suspicions: encodeSuspicions(d.Suspicions), Placed: encodePlaced(d.Placed),
 	}
 	for _, p := range d.Members.Members {
@@ -90,8 +90,9 @@
 
 func decodeDigest(m *gossippb.Digest) *Digest {
 	d := &Digest{
-		Members: roster.Digest{Base: m.Base, Version: m.Version},
-		Loads:   decodeLoads(m.Loads), Suspicions: decodeSuspicions(m.Suspicions), Placed: decodePlaced(m.Placed),
+		Members:      roster.Digest{Base: m.Base, Version: m.Version, Partial: m.Partial},
+		WithoutLoads: m.WithoutLoads,
+		Loads:        decodeLoads(m.Loads), Suspicions: decodeSuspicions(m.Suspicions), Placed: decodePlaced(m.Placed),
 	}
 	for _, p := range m.Members {
 		d.Members.Members = append(d.Members.Members, roster.Peer{
--- a/adapters/gossip/gossip.go
+++ b/adapters/gossip/gossip.go
@@ -51,6 +51,9 @@
 // own data centre, of its data centre to other relays.
 type Digest struct {
 	Members roster.Digest
+	// WithoutLoads says that Loads are left out: the receiver takes them from another
+	// relay, or the sender does not know them.
+	WithoutLoads bool
 	// Loads is the work of all instances meant but the receiver.
 	Loads map[fleet.ServerID]placement.Load
 	// Placed and Suspicions are what instances other than the sender told since the
--- a/cmd/internal/edge/relay.go
+++ b/cmd/internal/edge/relay.go
@@ -26,6 +26,16 @@
 	maxSuspicions = 200
 )
 
+// warmTime is how long a new relay hears reports before its loads count, if another one
+// knows them: some rounds of all members and of the relays of other data centres.
+const (
+	warmTime = time.Second
+	// warmAlone is the same while no other relay of the data centre knows the loads.
+	warmAlone = 500 * time.Millisecond
+	// warmMost bounds the wait for the relays of other data centres.
+	warmMost = 2500 * time.Millisecond
+)
+
 // relay takes the reports of peers into the board and makes the digests with which this
 // instance reports for others in larger fleets.
 type relay struct {
@@ -38,6 +48,15 @@
 	// relaying says that this instance is a relay; peers are then the other ones.
 	relaying bool
 	peers    []fleet.InstanceID
+	// began is when the role began. Until enough has been heard since, the loads of
+	// another relay count and held are those that this one was told; nil later.
+	began time.Time
+	held  map[fleet.InstanceID]map[fleet.ServerID]placement.Load
+	// ended says that the role ended and the next digest replaces the loads known from it.
+	ended bool
+	// knew says that another relay has told the loads of the fleet. At the start of the
+	// whole fleet there is none to wait for.
+	knew bool
 	// near are what the instances of this data centre told since the last round, far
 	// those of others.
 	near, far news
@@ -63,8 +82,10 @@
 type digests struct {
 	relay     *relay
 	near, far news
-	totals    map[fleet.ServerID]placement.Load
-	locals    map[fleet.ServerID]placement.Load
+	// partial says that the loads are not known.
+	partial bool
+	totals  map[fleet.ServerID]placement.Load
+	locals  map[fleet.ServerID]placement.Load
 }
 
 // round sends the reports of one round: own is this instance's, without what depends on
@@ -100,32 +121,117 @@
 
 // begin takes the news for a round and notes this instance's role.
 func (y *relay) begin(now time.Time, plan *roster.Plan) digests {
+	_, other := y.roster.Source(now, y.dc)
 	y.mu.Lock()
+	defer y.mu.Unlock()
 	d := digests{relay: y, near: y.near, far: y.far}
 	y.near, y.far = news{}, news{}
-	began := plan.Relaying && !y.relaying
-	y.relaying = plan.Relaying
 	y.peers = y.peers[:0]
 	for _, t := range slices.Concat(plan.Relays, plan.Remote) {
 		y.peers = append(y.peers, t.ID)
 	}
-	y.mu.Unlock()
-	if began {
-		// Its members report to this instance from now on.
-		y.board.SetPeer(wholeFleet, now, nil)
+	switch {
+	case plan.Relaying && !y.relaying:
+		y.began, y.held = now, map[fleet.InstanceID]map[fleet.ServerID]placement.Load{}
+	case y.relaying && !plan.Relaying:
+		y.held, y.ended = nil, true
 	}
-	if len(plan.Members)+len(plan.Remote) > 0 {
+	y.relaying = plan.Relaying
+	if y.held != nil && y.isWarm(now, other) {
+		y.warm(now)
+	}
+	d.partial = !y.relaying || y.held != nil
+	if !d.partial && len(plan.Members)+len(plan.Remote) > 0 {
 		d.totals = y.board.Totals()
 	}
 	return d
 }
 
+// isWarm reports whether enough has been heard since the role began. other says that
+// another relay of the data centre knows the loads. The caller holds the lock.
+func (y *relay) isWarm(now time.Time, other bool) bool {
+	age := now.Sub(y.began)
+	switch {
+	case age >= warmMost:
+		return true
+	case other:
+		return age >= warmTime && y.heardAll(now)
+	case y.knew:
+		return age >= warmAlone && y.heardAll(now)
+	}
+	return age >= warmAlone
+}
+
+// heardAll reports whether a relay of each other data centre has told its loads. The
+// caller holds the lock.
+func (y *relay) heardAll(now time.Time) bool {
+	for _, p := range y.roster.Live(now) {
+		if p.DataCentre == y.dc {
+			continue
+		}
+		if _, ok := y.held[otherDataCentre+fleet.InstanceID(p.DataCentre)]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// warm replaces what another relay told by what this one was told. The caller holds the
+// lock.
+func (y *relay) warm(now time.Time) {
+	y.board.KeepPeer("")
+	for id, loads := range y.held {
+		y.board.SetPeer(id, now, loads)
+	}
+	y.held, y.ended = nil, false
+}
+
+// setPeer takes the loads of an instance, or of a data centre, as a relay.
+func (y *relay) setPeer(now time.Time, id fleet.InstanceID, loads map[fleet.ServerID]placement.Load) {
+	y.mu.Lock()
+	held := y.held != nil
+	if held {
+		y.held[id] = loads
+	}
+	y.mu.Unlock()
+	if !held {
+		y.board.SetPeer(id, now, loads)
+	}
+}
+
+// setFleet takes the loads of the whole fleet from another relay, unless this one knows
+// them better.
+func (y *relay) setFleet(now time.Time, loads map[fleet.ServerID]placement.Load) {
+	y.mu.Lock()
+	known := y.relaying && y.held == nil
+	ended := y.ended
+	y.ended = ended && known
+	y.knew = true
+	y.mu.Unlock()
+	if known {
+		return
+	}
+	if ended {
+		y.board.KeepPeer("")
+	}
+	y.board.SetPeer(wholeFleet, now, loads)
+}
+
+// isWarming reports whether the loads of another relay still count here.
+func (y *relay) isWarming() bool {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	return y.held != nil
+}
+
 // whole returns the digest of the whole fleet for an instance of this data centre.
 func (d *digests) whole(to roster.Target) *gossip.Digest {
 	y := d.relay
-	out := &gossip.Digest{Members: y.roster.Digest(to.ID, y.incarnation, "")}
-	if !to.Spare {
+	out := d.empty(to, "")
+	if !out.WithoutLoads {
 		out.Loads = minus(d.totals, y.board.PeerLoads(to.ID))
+	}
+	if !to.Spare {
 		d.near.appendTo(out, to.ID)
 		d.far.appendTo(out, to.ID)
 	}
@@ -135,15 +241,23 @@
 // local returns the digest of this data centre for a relay of another one.
 func (d *digests) local(to roster.Target) *gossip.Digest {
 	y := d.relay
-	out := &gossip.Digest{Members: y.roster.Digest(to.ID, y.incarnation, y.dc)}
-	if to.Spare {
-		return out
+	out := d.empty(to, y.dc)
+	if !out.WithoutLoads {
+		if d.locals == nil {
+			d.locals = minus(d.totals, y.board.PeerLoadsOf(isElsewhere))
+		}
+		out.Loads = d.locals
 	}
-	if d.locals == nil {
-		d.locals = minus(d.totals, y.board.PeerLoadsOf(isElsewhere))
+	if !to.Spare {
+		d.near.appendTo(out, to.ID)
 	}
-	out.Loads = d.locals
-	d.near.appendTo(out, to.ID)
+	return out
+}
+
+// empty returns a digest of members, of one data centre with only.
+func (d *digests) empty(to roster.Target, only fleet.DataCentreID) *gossip.Digest {
+	out := &gossip.Digest{Members: d.relay.roster.Digest(to.ID, d.relay.incarnation, only), WithoutLoads: to.Spare || d.partial}
+	out.Members.Partial = d.partial
 	return out
 }
 
@@ -184,7 +298,10 @@
 	relaying := y.relaying
 	y.mu.Unlock()
 	near := r.From.DataCentre == y.dc
-	if relaying && near || !y.roster.IsLarge() {
+	switch {
+	case relaying && near:
+		y.setPeer(now, r.From.ID, r.Loads)
+	case !y.roster.IsLarge():
 		// In a large fleet others learn of this work from their relays.
 		y.board.SetPeer(r.From.ID, now, r.Loads)
 	}
@@ -195,15 +312,18 @@
 		counts = ok && source == r.From.ID
 	}
 	y.learn(now, r.From.ID, relaying && (near || counts), near, r.Placed, r.Suspicions)
-	if !counts {
+	if r.Digest == nil {
 		return
 	}
-	switch {
-	case !near && relaying:
-		y.board.SetPeer(otherDataCentre+fleet.InstanceID(r.From.DataCentre), now, r.Digest.Loads)
-	case near && !relaying:
-		y.board.SetPeer(wholeFleet, now, r.Digest.Loads)
-	case near:
+	if counts && !r.Digest.WithoutLoads {
+		switch {
+		case !near && relaying:
+			y.setPeer(now, otherDataCentre+fleet.InstanceID(r.From.DataCentre), r.Digest.Loads)
+		case near:
+			y.setFleet(now, r.Digest.Loads)
+		}
+	}
+	if near && relaying && !y.isWarming() {
 		return // its members report to this instance too
 	}
 	y.learn(now, r.From.ID, !near && relaying, near, r.Digest.Placed, r.Digest.Suspicions)
--- a/cmd/internal/edge/relay_test.go
+++ b/cmd/internal/edge/relay_test.go
@@ -218,7 +218,7 @@
 		parts := []placement.Part{{ID: 1 << 63, Tokens: 20_000}, {ID: 1<<63 + 1, Tokens: 20_000}, {ID: 1<<63 + 2, Tokens: 20_000}}
 		y.learn(now, "x", true, i%2 == 0, []placement.Placed{{Server: list[0].ID, Parts: parts}}, []placement.Suspicion{{Server: list[0].ID, Rest: time.Second}})
 	}
-	plan := roster.Plan{Members: []roster.Target{{ID: "front-region-a-101"}}}
+	plan := roster.Plan{Relaying: true, Members: []roster.Target{{ID: "front-region-a-101"}}}
 	r.Plan(now, roster.Peer{ID: "front-region-a-1", DataCentre: "region-a"})
 	y.round(now, &plan, gossip.Report{From: roster.Peer{ID: "front-region-a-1"}, Loads: loads}, func(_ roster.Target, rep gossip.Report) {
 		bytes, err := gossip.Marshal(&rep)
--- a/cmd/internal/edge/rollload_test.go
+++ b/cmd/internal/edge/rollload_test.go
@@ -210,8 +210,28 @@
 	f.over, f.sent = 0, 0
 }
 
-// loadWindow is that of the users' rule.
-const loadWindow = 5 * time.Second
+// believed returns the largest and the least part of the fleet's work that an instance
+// counts, of those that have served for a while.
+func (f *rollFleet) believed() (least, most float64) {
+	least, most = 1, 1
+	for _, n := range f.nodes {
+		if !n.up || n.Leaving || f.now.Sub(n.began) < settleTime {
+			continue
+		}
+		sum := 0
+		for _, l := range n.relay.board.Totals() {
+			sum += l.Running
+		}
+		share := float64(sum) / float64(f.total)
+		least, most = min(least, share), max(most, share)
+	}
+	return least, most
+}
+
+const (
+	loadWindow = 5 * time.Second
+	settleTime = 2 * time.Second
+)
 
 // Guards against instances that all send what arrives between two reports to the few
 // engines that were idle in the last one: after a start with empty caches over one in ten
@@ -221,3 +241,38 @@
 	f.run(loadWindow, nil)
 	f.check(t, "after the start")
 }
+
+// Guards against loads that are lost or counted twice while relays stop and start, one
+// instance each 130 ms, the relays first.
+func TestLoadsWhileRelaysRestart(t *testing.T) {
+	const (
+		stopFor = 3 * time.Second
+		downFor = 500 * time.Millisecond
+		gap     = 130 * time.Millisecond
+	)
+	f := newRollFleet(2, 300, 6, 320)
+	f.run(settleTime+time.Second, nil)
+	f.over, f.sent = 0, 0
+	began, next, ticks := f.now, 0, 0
+	f.run(loadWindow, func() {
+		for ; next < len(f.nodes) && !f.now.Before(began.Add(time.Duration(next)*gap)); next++ {
+			f.nodes[next].Leaving, f.nodes[next].Serving, f.nodes[next].next = true, false, f.now
+		}
+		for i := range next {
+			n, stops := f.nodes[i], began.Add(time.Duration(i)*gap)
+			if n.Incarnation > 1 {
+				continue
+			}
+			n.up = n.up && f.now.Before(stops.Add(stopFor))
+			if !f.now.Before(stops.Add(stopFor + downFor)) {
+				f.start(n)
+			}
+		}
+		if ticks++; ticks%10 == 0 {
+			if least, most := f.believed(); least < 0.5 || most > 1.5 {
+				t.Errorf("after %v an instance counts %.2f and one %.2f of the fleet's work", f.now.Sub(began), least, most)
+			}
+		}
+	})
+	f.check(t, "while instances restart")
+}
--- a/core/placement/peers.go
+++ b/core/placement/peers.go
@@ -78,6 +78,21 @@
 	}
 }
 
+// KeepPeer forgets the loads of all instances but one.
+func (b *Board) KeepPeer(kept fleet.InstanceID) {
+	b.fleetMu.Lock()
+	var others []fleet.InstanceID
+	for peer := range b.reported {
+		if peer != kept {
+			others = append(others, peer)
+		}
+	}
+	b.fleetMu.Unlock()
+	for _, peer := range others {
+		b.setPeer(peer, nil)
+	}
+}
+
 // Totals returns the work of all instances at the servers, as far as known.
 func (b *Board) Totals() map[fleet.ServerID]Load {
 	out := map[fleet.ServerID]Load{}
--- a/core/roster/digest.go
+++ b/core/roster/digest.go
@@ -25,12 +25,16 @@
 	// Members are the instances whose description changed; Gone are no longer live.
 	Members []Peer
 	Gone    []fleet.InstanceID
+	// Partial says that the relay does not know the loads yet, or no longer: its role has
+	// just begun or ended. Loads are taken from another one.
+	Partial bool
 }
 
 // list is a relay's member list as held here.
 type list struct {
 	Holding
 	at      time.Time // of the last digest
+	partial bool      // in the last digest
 	members map[fleet.InstanceID]Peer
 }
 
@@ -169,7 +173,7 @@
 		r.lists[relay] = l
 	}
 	before := l.at
-	l.at = now
+	l.at, l.partial = now, d.Partial
 	if d.Base <= l.Version {
 		for _, p := range d.Members {
 			if p.ID != r.self {
--- a/core/roster/relay.go
+++ b/core/roster/relay.go
@@ -254,7 +254,7 @@
 func rankHash(id fleet.InstanceID) uint64 { return fleet.HashID("relay/" + string(id)) }
 
 // Source returns the relay whose digests count for a data centre: the best ranked one
-// that was heard lately and has sent a digest. Counting several would count work twice.
+// that was heard lately and knows the loads. Counting several would count work twice.
 func (r *Roster) Source(now time.Time, dc fleet.DataCentreID) (fleet.InstanceID, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -262,7 +262,7 @@
 	var best *entry
 	for id, l := range r.lists {
 		e := r.peers[id]
-		if e == nil || e.DataCentre != dc || now.Sub(l.at) >= silent || now.Sub(e.heard) >= silent {
+		if e == nil || l.partial || e.DataCentre != dc || now.Sub(l.at) >= silent || now.Sub(e.heard) >= silent {
 			continue
 		}
 		if best == nil || byRank(e.Peer, best.Peer) < 0 {
