Learn how fast engines read prompts

So instances fetched parts that are read sooner than they are moved.

Change: each pool's rate is learned from the times to first tokens: the median slope between large and small prompts, so that what every answer takes besides reading does not count. Instances tell each other their figure and use the median, so that a restarted one knows it at once. A change of over 25% is logged, the rate is a metric of the pool.

--- a/adapters/gossip/codec.go
+++ b/adapters/gossip/codec.go
@@ -18,6 +18,9 @@
 		Loads: encodeLoads(r.Loads), Suspicions: encodeSuspicions(r.Suspicions), Placed: encodePlaced(r.Placed),
 		WantsDigest: r.Wants, HoldsIncarnation: r.Holds.Incarnation, HoldsVersion: r.Holds.Version, Spare: r.Spare,
 	}
+	for pool, rate := range r.Paces {
+		m.Paces = append(m.Paces, &gossippb.Pace{Pool: string(pool), TokensPerMilli: float32(rate)})
+	}
 	if r.Digest != nil {
 		m.Digest = encodeDigest(r.Digest)
 	}
@@ -82,6 +85,12 @@
 		Loads: decodeLoads(m.Loads), Suspicions: decodeSuspicions(m.Suspicions), Placed: decodePlaced(m.Placed),
 		Wants: m.WantsDigest, Holds: roster.Holding{Incarnation: m.HoldsIncarnation, Version: m.HoldsVersion}, Spare: m.Spare,
 	}
+	if len(m.Paces) > 0 {
+		r.Paces = make(map[fleet.PoolID]float64, len(m.Paces))
+	}
+	for _, x := range m.Paces {
+		r.Paces[fleet.PoolID(x.Pool)] = float64(x.TokensPerMilli)
+	}
 	if m.Digest != nil {
 		r.Digest = decodeDigest(m.Digest)
 	}
--- a/adapters/gossip/gossip.go
+++ b/adapters/gossip/gossip.go
@@ -36,6 +36,9 @@
 	Loads        map[fleet.ServerID]placement.Load
 	Placed       []placement.Placed
 	Suspicions   []placement.Suspicion
+	// Paces are how many prompt tokens a ms the engines of pools read, as the sender's
+	// requests show.
+	Paces map[fleet.PoolID]float64
 	// Wants says that the sender takes the receiver as its relay; Holds is which
 	// member list of the receiver it holds.
 	Wants bool
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -43,6 +44,8 @@
 	leaving     atomic.Bool
 	relaying    atomic.Bool
 
+	paces map[fleet.PoolID]float64 // as last logged
+
 	mu   sync.Mutex
 	echo map[fleet.InstanceID]freshness.Instant
 	live map[fleet.InstanceID]bool
@@ -53,7 +56,7 @@
 	p := &peers{
 		set: set, socket: socket, view: v, board: b, log: log, roster: roster.New(set.Instance),
 		incarnation: uint64(time.Now().UnixNano()), echo: map[fleet.InstanceID]freshness.Instant{},
-		live: map[fleet.InstanceID]bool{},
+		live: map[fleet.InstanceID]bool{}, paces: map[fleet.PoolID]float64{},
 	}
 	p.relay = newRelay(p.roster, b, set.DataCentre, p.incarnation)
 	return p
@@ -85,8 +88,9 @@
 	}
 	p.board.DropSilentPeers(now)
 	own.Loads, own.Placed = p.board.TakeReport()
-	own.Suspicions = p.board.Suspects(now)
+	own.Suspicions, own.Paces = p.board.Suspects(now), p.board.Paces()
 	p.noteChanges(now, own.From.Serving)
+	p.notePaces(own.Paces)
 	plan := p.roster.Plan(now, own.From)
 	p.noteRole(&plan)
 	p.relay.round(now, &plan, own, p.send)
@@ -157,6 +161,19 @@
 	p.live, p.was = seen, serving
 }
 
+// paceChange is the relative change of a pool's reading rate that is logged.
+const paceChange = 0.25
+
+// notePaces logs reading rates that this instance learned.
+func (p *peers) notePaces(paces map[fleet.PoolID]float64) {
+	for pool, rate := range paces {
+		if old := p.paces[pool]; math.Abs(rate-old) > paceChange*old {
+			p.paces[pool] = rate
+			p.log.Info("reading rate of engines learned", zap.String(logging.FieldPool, string(pool)), zap.Float64("tokens_per_ms", rate))
+		}
+	}
+}
+
 // take takes the report of a peer.
 func (p *peers) take(r *gossip.Report) {
 	now, boot := time.Now(), clock.SinceBoot()
@@ -167,6 +184,7 @@
 	p.echo[r.From.ID] = r.Sent
 	p.mu.Unlock()
 	p.roster.Asked(now, r.From.ID, r.Holds, r.Wants, r.Spare)
+	p.board.PeerPaces(r.From.ID, r.Paces)
 	p.relay.take(now, r)
 	p.confirm(r, boot)
 }
--- a/core/placement/board.go
+++ b/core/placement/board.go
@@ -77,6 +77,7 @@
 	freed   chan struct{}
 	// typical is the usual time of a plain service to its answer.
 	typical time.Duration
+	pace    pace
 }
 
 // state is what is known of one server; its pool's lock guards it.
@@ -307,6 +308,8 @@
 // PoolSummary counts the servers of a pool.
 type PoolSummary struct {
 	Servers, Out, Cold, Suspect int
+	// TokensPerMilli is how fast the engines read prompts, 0 for plain services.
+	TokensPerMilli float64 `json:",omitempty"`
 	// Running is the number of requests of all instances, as far as known.
 	Running int
 }
@@ -321,6 +324,9 @@
 		sum := PoolSummary{Servers: len(p.list)}
 		for _, s := range p.list {
 			sum.Running += s.load().Running
+			if s.Engine {
+				sum.TokensPerMilli = p.pace.tokensPerMilli()
+			}
 			if s.Out {
 				sum.Out++
 			}
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -9,8 +9,6 @@
 
 // Estimates of a model engine's work.
 const (
-	// readPerMilli is how many prompt tokens an engine reads in a ms.
-	readPerMilli = 30
 	// runningCost is how much longer a prompt waits for each request that generates,
 	// in prompt tokens; each one makes every step of the engine a little longer.
 	runningCost = 40
@@ -66,6 +64,8 @@
 	Full bool
 	// tie orders servers of equal cost differently for each request.
 	tie uint64
+	// reading is what the engine reads until the first token, in tokens.
+	reading int
 }
 
 // Hopeless reports whether a request that has to wait for a slot there would not get
@@ -116,7 +116,10 @@
 		return nil, verdict
 	}
 	bound := boundOf(running, p.countIn())
-	r := ranking{now: now, ask: ask, bound: bound, order: hashOrder(eligible, ask), from: p.donor(now, ask), usual: usualErrors(now, eligible)}
+	r := ranking{
+		now: now, ask: ask, bound: bound, order: hashOrder(eligible, ask), from: p.donor(now, ask), usual: usualErrors(now, eligible),
+		pace: p.pace.tokensPerMilli(),
+	}
 	out := r.best(eligible, shortlist(eligible, r.order, ask))
 	if len(out) == 0 || !out[0].soon(ask) {
 		out = r.best(eligible, nil)
@@ -135,6 +138,8 @@
 	order []int
 	from  donor
 	usual float64
+	// pace is how many prompt tokens a ms an engine reads.
+	pace float64
 }
 
 // best returns the best of the servers with the indexes, of all with nil.
@@ -146,7 +151,7 @@
 		if s.Engine && float64(l.Running+1) > r.bound {
 			return
 		}
-		c := s.candidate(r.now, l, r.ask, r.order[i], r.from)
+		c := s.candidate(r, l, r.order[i])
 		c.addErrors(s, max(0, s.errors.now(r.now)-r.usual), r.ask)
 		out = insert(out, &c)
 	}
@@ -333,7 +338,8 @@
 }
 
 // candidate estimates the cost of the request at a server with the load.
-func (s *state) candidate(now time.Time, l Load, ask *Ask, rank int, from donor) Candidate {
+func (s *state) candidate(r *ranking, l Load, rank int) Candidate {
+	now, ask := r.now, r.ask
 	c := Candidate{ID: s.ID, Address: s.Address, Suspect: s.fault.suspect(now), Full: s.Slots > 0 && l.Running >= s.Slots, tie: fleet.Mix(ask.Key, s.hash)}
 	factor := s.speed.factor(now)
 	if !s.Engine {
@@ -344,26 +350,27 @@
 		return c
 	}
 	c.Cached = s.cache.cached(ask.Parts)
-	n, transfer, fetchTime := s.fetch(now, c.Cached, from)
+	n, transfer, fetchTime := s.fetch(now, c.Cached, r.from)
 	if n > 0 {
-		c.Source, c.Fetched, c.donor, c.transfer = from.s.Address, n, from.s, transfer
+		c.Source, c.Fetched, c.donor, c.transfer = r.from.s.Address, n, r.from.s, transfer
 	}
 	unread := max(0, ask.Prompt-c.Cached-n)
-	work := float64(l.Unread + unread)
+	c.reading = l.Unread + unread
+	work := float64(c.reading)
 	work += float64(runningCost * l.Running)
 	if c.Full {
 		work += fullCost * float64(1+l.Running-s.Slots)
 	}
-	c.Wait = baseTime + fetchTime + time.Duration(factor*work/readPerMilli*float64(time.Millisecond))
-	cost := waitCost(c.Wait, ask.Objective) + fetchTime + readTime(unread) + rankCost*time.Duration(rank)
+	c.Wait = baseTime + fetchTime + time.Duration(factor*work/r.pace*float64(time.Millisecond))
+	cost := waitCost(c.Wait, ask.Objective) + fetchTime + readTime(unread, r.pace) + rankCost*time.Duration(rank)
 	c.Cost = float64(cost) / float64(time.Millisecond)
 	return c
 }
 
 // readTime is how long an engine reads prompt tokens. Reading what another engine
 // keeps takes this time from the requests that come after.
-func readTime(tokens int) time.Duration {
-	return time.Duration(float64(max(0, tokens)) / readPerMilli * float64(time.Millisecond))
+func readTime(tokens int, pace float64) time.Duration {
+	return time.Duration(float64(max(0, tokens)) / pace * float64(time.Millisecond))
 }
 
 // waitCost is the cost of a wait for the first token. A wait well below the
--- a/core/placement/ticket.go
+++ b/core/placement/ticket.go
@@ -14,8 +14,12 @@
 	began    time.Time
 	expected time.Duration
 	unread   int
-	opened   bool
-	ended    bool
+	// reading is what the engine reads until the first token, as far as known, in tokens;
+	// reads says that its time shows the reading rate.
+	reading int
+	reads   bool
+	opened  bool
+	ended   bool
 }
 
 // Begin takes a place at a server. It returns nil when the server is gone or, while
@@ -40,6 +44,7 @@
 	if s.Engine {
 		t.unread = max(0, ask.Prompt-s.cache.cached(ask.Parts)-c.Fetched)
 		t.expected = c.Wait
+		t.reading, t.reads = c.reading, c.Fetched == 0 && !c.Full && !s.cold(now)
 		s.fetching(now, c)
 		s.cache.add(ask.Parts)
 		if n := len(ask.Parts); n > 1 {
@@ -76,6 +81,9 @@
 		t.pool.typical += (took - t.pool.typical) / typicalWeight
 	}
 	t.s.speed.observe(now, took, t.expected)
+	if t.reads {
+		t.pool.pace.observe(t.reading, took)
+	}
 	t.pool.wake()
 }
 
