Let only relays follow the store after a start

Change: in a large fleet an instance that is no relay reads the list once and waits for a reader, 1.2 to 1.8 s after its start and after the last one that it could ask; a lease that ends soon is still renewed by everybody. Up to 8 readers, one a data centre.

--- a/cmd/internal/edge/follow.go
+++ b/cmd/internal/edge/follow.go
@@ -41,10 +41,14 @@
 	// listTime is how long after the start the first read of the instances may take
 	// before the other tables are read without it.
 	listTime = 150 * time.Millisecond
-	// firstReadTime is how long after its start an instance of a large fleet leaves the
-	// first read of the store to the relays. With all at once, 300 instances and 3,000
-	// servers take more calls than the store answers in a second.
-	firstReadTime = 1200 * time.Millisecond
+	// orphanTime is how long an instance of a large fleet that would not read the store
+	// for others waits for one that does, after its start and after the last one. With
+	// all at once, 300 instances and 3,000 servers take more calls than the store answers
+	// in a second, and each instance that registers ends the waits of all others.
+	orphanTime = 1200 * time.Millisecond
+	// orphanSpread is by how much instances differ in it, so that the first ones that read
+	// the store hand it on to the others.
+	orphanSpread = 600 * time.Millisecond
 	// startPoll is the time between two looks for a source after the start.
 	startPoll = 10 * time.Millisecond
 	// spareRetry is the mean wait after a failed call to the store of an instance
@@ -82,10 +86,8 @@
 func (v *view) source(t *table) source {
 	now := clock.SinceBoot()
 	own := source{Reader: v.store, direct: true}
-	if t.name == platform.OperatorTable && v.current.Load() != nil {
-		if _, at, known := v.lease.State(); known && float64(now-at) > selfHelpShare*float64(v.lease.Term()) {
-			return own
-		}
+	if v.needsLease(t, now) {
+		return own
 	}
 	for _, r := range v.peers.readers() {
 		switch {
@@ -105,7 +107,9 @@
 	var gone time.Time // when changes were last missing
 	for ctx.Err() == nil {
 		src := v.source(t)
-		if src.direct && !known && !v.mayBegin(t) {
+		if !src.direct {
+			v.asked.Store(int64(clock.SinceBoot()))
+		} else if !v.mayRead(t, known) {
 			sleep(ctx, startPoll)
 			continue
 		}
@@ -167,17 +171,39 @@
 	return platform.OperatorTable
 }
 
-// mayBegin reports whether a table that is not known yet may be read from the store. In
-// a large fleet the relays read it and hand it on.
-func (v *view) mayBegin(t *table) bool {
-	age := clock.SinceBoot() - v.began
+// mayRead reports whether a table may be read from the store now. In a large fleet relays
+// and readers read it and hand it on; only the first list of instances, without which
+// nobody is found, and a configuration whose lease ends soon are read by everybody.
+func (v *view) mayRead(t *table, known bool) bool {
+	now := clock.SinceBoot()
 	switch {
-	case t.name == platform.InstanceTable, age >= firstReadTime:
+	case t.name == platform.InstanceTable && !known, v.needsLease(t, now):
+		return true
+	case now-max(v.began, freshness.Instant(v.asked.Load())) >= orphanTime+v.orphanExtra():
 		return true
 	case !v.peers.roster.IsListed():
-		return age >= listTime
+		return now-v.began >= listTime
+	case !v.peers.roster.IsLarge():
+		return true
+	}
+	// The reader of a data centre is one of its relays. An instance that hears nobody yet
+	// would take itself for a reader.
+	return v.peers.roster.WouldRelay(time.Now(), v.peers.self())
+}
+
+// orphanExtra is this instance's part of orphanSpread.
+func (v *view) orphanExtra() freshness.Instant {
+	return freshness.Instant(fleet.HashID("orphan/"+string(v.set.Instance)) % uint64(orphanSpread))
+}
+
+// needsLease reports whether the configuration is to be confirmed by this instance's own
+// read, whoever else reads it.
+func (v *view) needsLease(t *table, now freshness.Instant) bool {
+	if t.name != platform.OperatorTable || v.current.Load() == nil {
+		return false
 	}
-	return !v.peers.roster.IsLarge() || v.peers.roster.WouldRelay(time.Now(), v.peers.self())
+	_, at, known := v.lease.State()
+	return known && float64(now-at) > selfHelpShare*float64(v.lease.Term())
 }
 
 // noteFailure notes that entries of servers may lapse: only when the store itself could
--- a/cmd/internal/edge/follow_test.go
+++ b/cmd/internal/edge/follow_test.go
@@ -62,9 +62,10 @@
 }
 
 // Guards against a restart after which all instances of a large fleet read the store
-// whole, and against instances that wait for relays that never come.
+// whole, or follow the list of instances there, which changes with each one that starts;
+// and against instances that wait for relays that never come.
 func TestRelaysReadFirst(t *testing.T) {
-	begins := func(instances int, age time.Duration) int {
+	begins := func(instances, table int, known bool, age time.Duration) int {
 		n := 0
 		listed := map[fleet.InstanceID]roster.Listing{}
 		for i := range instances {
@@ -76,7 +77,7 @@
 			v.peers = newPeers(set, nil, v, v.board, zap.NewNop())
 			v.peers.roster.SetListed(listed)
 			v.began = clock.SinceBoot() - age
-			if v.mayBegin(v.tables[0]) {
+			if v.mayRead(v.tables[table], known) {
 				n++
 			}
 		}
@@ -84,10 +85,20 @@
 	}
 	for _, c := range []struct {
 		instances int
+		table     int // of view.tables, the last one is the list of instances
+		known     bool
 		age       time.Duration
 		want      int
-	}{{9, 0, 9}, {80, 0, 2}, {80, firstReadTime, 80}} {
-		if got := begins(c.instances, c.age); got != c.want {
+	}{
+		{9, 0, false, 0, 9},
+		{80, 0, false, 0, 2},
+		{80, 0, false, orphanTime + orphanSpread, 80},
+		{80, 2, false, 0, 80},
+		{9, 2, true, 0, 9},
+		{80, 2, true, 0, 2},
+		{80, 2, true, orphanTime + orphanSpread, 80},
+	} {
+		if got := begins(c.instances, c.table, c.known, c.age); got != c.want {
 			t.Errorf("%v after the start %d of %d instances read the store, want %d", c.age, got, c.instances, c.want)
 		}
 	}
--- a/cmd/internal/edge/view.go
+++ b/cmd/internal/edge/view.go
@@ -61,6 +61,8 @@
 	// storeOK says that the last direct read succeeded.
 	storeOK atomic.Bool
 
+	// asked is when a peer was last asked for a table, as time since boot; 0 for never.
+	asked atomic.Int64
 	// began is when the instance started.
 	began freshness.Instant
 
--- a/core/roster/readers.go
+++ b/core/roster/readers.go
@@ -11,7 +11,7 @@
 // maxReaders bounds the instances that read the store for all. Up to that many data
 // centres have a reader of their own, so that followers are spread; with three, those
 // of two data centres overloaded the reader of another one.
-const maxReaders = 5
+const maxReaders = 8
 
 // Readers returns the instances that read the store for all others, at most one of
 // each data centre, that of self's data centre first. Instances with more bandwidth
