Bound the bytes that a server may send without making progress

Cause: bytes that are no answer were bounded in time only, by the request's deadline. An event could grow to 1 MB, so that some 180 streams of one server in trouble could end an instance of 184 MB (worked out, not played).

Change: each connection has an allowance of bytes, renewed by events with a number or data; beyond it the connection is closed and the answer is invalid. An event without a number ends the numbering for opaque answers too, so that such a stream is not resumed.

--- a/adapters/engine/answer.go
+++ b/adapters/engine/answer.go
@@ -34,6 +34,27 @@
 // partBytes is the size of the parts of an answer that is not streamed.
 const partBytes = 16 << 10
 
+const (
+	// headAllowance bounds the bytes before the end of a head, informational answers
+	// included.
+	headAllowance = 64 << 10
+	// framingAllowance bounds the chunk sizes, extensions and trailers of a body, beside
+	// as many bytes as the body may have.
+	framingAllowance = 64 << 10
+)
+
+// bodyAllowance is how many bytes may follow the head. A stream gets its allowance again
+// with each event.
+func (a *answer) bodyAllowance() int {
+	switch {
+	case a.isEventStream():
+		return maxEventBytes + framingAllowance
+	case a.declared >= 0:
+		return a.declared + framingAllowance
+	}
+	return 2*a.limit + framingAllowance
+}
+
 func (a *answer) begin() {
 	a.status, a.body = a.resp.StatusCode(), a.resp.BodyStream()
 	a.declared = a.resp.Header.ContentLength()
@@ -193,6 +214,8 @@
 	switch {
 	case errors.As(context.Cause(a.x.ctx), &stopped):
 		return stopped
+	case a.conn.allowance < 0:
+		return result.New(result.AnswerInvalid, "server %s sends bytes without end that are no answer", a.x.srv.Name)
 	case a.x.ctx.Err() != nil:
 		return result.New(result.CallerGone, "the caller left after %d bytes of the answer", a.got)
 	case a.conn.verdict == liveness.Expire:
--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -105,6 +105,7 @@
 			return nil, e
 		}
 	}
+	cn.allowance = headAllowance
 	cn.watch.Start(time.Now(), time.Duration(x.req.Pool.SilenceSeconds)*time.Second, x.req.Deadline)
 	a := &answer{x: x, conn: cn, limit: x.client.MaxAnswerBytes}
 	// A caller that leaves closes the connection, which cancels the request at
@@ -125,6 +126,7 @@
 		a.Close()
 		return nil, err
 	}
+	cn.allowance = a.bodyAllowance()
 	return a, nil
 }
 
--- a/adapters/engine/events.go
+++ b/adapters/engine/events.go
@@ -11,8 +11,8 @@
 )
 
 const (
-	// maxEventBytes bounds one server-sent event.
-	maxEventBytes = 1 << 20
+	// maxEventBytes bounds one server-sent event, and with it the memory of a stream.
+	maxEventBytes = 32 << 10
 	// eventBuffer is the first size of the buffer of a stream, in bytes; one
 	// event is usually below 300 bytes.
 	eventBuffer = 1024
@@ -110,7 +110,12 @@
 // take verifies the whole events in the buffer and returns those before the end
 // mark or before the first faulty one.
 func (s *eventStream) take() ([]byte, error) {
-	start := 0
+	start, before := 0, s.count
+	defer func() {
+		if s.count > before {
+			s.conn.allowance = s.bodyAllowance()
+		}
+	}()
 	for {
 		end := eventEnd(s.buf, s.scanned)
 		if end < 0 {
@@ -265,14 +270,22 @@
 
 // verifyOpaque checks the number of an event whose content is not known.
 func (s *eventStream) verifyOpaque(event []byte) error {
+	data := false
 	for len(event) > 0 {
 		line, rest, _ := bytes.Cut(event, []byte("\n"))
 		event = rest
 		name, value, _ := bytes.Cut(bytes.TrimSuffix(line, []byte("\r")), []byte(":"))
-		if string(name) == "id" {
+		switch string(name) {
+		case "id":
 			return s.number(bytes.TrimPrefix(value, []byte(" ")))
+		case "data":
+			data = true
 		}
 	}
+	if data {
+		// An event without a number ends the numbering.
+		s.count, s.numbered, s.conn.watch.Resumable = s.count+1, false, false
+	}
 	return nil
 }
 
--- a/adapters/engine/pool.go
+++ b/adapters/engine/pool.go
@@ -57,6 +57,9 @@
 	verdict liveness.Verdict
 	wrote   bool
 
+	// allowance is how many more bytes the server may send before it makes progress.
+	allowance int
+
 	peeked  int // result of the last look at unread bytes
 	peekErr error
 	peekBuf [1]byte
@@ -217,6 +220,9 @@
 		}
 		n, err := c.Conn.Read(b)
 		if n > 0 {
+			if c.allowance -= n; c.allowance < 0 {
+				return 0, errFlood
+			}
 			c.watch.OnBytes(time.Now())
 			return n, err
 		}
@@ -230,7 +236,11 @@
 	}
 }
 
-var errQuiet = result.New(result.ConnectionSilent, "no bytes within the limit")
+// Reasons to give a connection up; readError makes the error of the request of them.
+var (
+	errQuiet = result.New(result.ConnectionSilent, "no bytes within the limit")
+	errFlood = result.New(result.AnswerInvalid, "more bytes than an answer may have")
+)
 
 // quiet decides about a connection without bytes, with a probe when it is due.
 func (c *conn) quiet() liveness.Verdict {
