Count a configuration that the store took from an instance as contact with the store

Cause, from the code: only the end of a read of the head counted as an answer of the store. An instance whose first read has not ended when its own write of a version is taken has a version and no contact, so that it refuses requests until that read ends.

Mend: a head that the store took is noted as its answer before the version is in force. TestWrittenHeadIsContact guards it (without the note Check says Isolated).

--- a/cmd/internal/daemon/configpeer.go
+++ b/cmd/internal/daemon/configpeer.go
@@ -62,6 +62,10 @@
 // accepted puts a version that this instance has just had accepted in force and
 // notifies a few peers, so that the spread does not wait for a poll.
 func (c *configComponent) accepted(head configstate.Head, text []byte) {
+	c.mu.Lock()
+	c.state.HeadWritten(time.Now(), head)
+	c.publishTimes()
+	c.mu.Unlock()
 	err := c.apply(configstate.Body{Version: head.Version, Sum: sha256.Sum256(text), Operator: head.Operator, Text: text})
 	if err != nil {
 		c.d.log.Warn("accepted configuration cannot be applied", zap.Error(err))
--- a/core/configstate/state.go
+++ b/core/configstate/state.go
@@ -191,6 +191,15 @@
 	return Action{}, false
 }
 
+// HeadWritten notes that the store took a head that this instance wrote: the store has
+// answered, and the version is its newest one.
+func (s *State) HeadWritten(now time.Time, h Head) {
+	s.answered = now
+	if h.Version > s.head.Version {
+		s.head = h
+	}
+}
+
 // HeadRead reports the end of ActReadHead.
 func (s *State) HeadRead(now time.Time, h Head, err error) {
 	s.reading = false
--- a/core/configstate/state_test.go
+++ b/core/configstate/state_test.go
@@ -309,3 +309,18 @@
 	return nil, store.ErrNotFound
 }
 func (r *racyStore) PutObject(context.Context, string, []byte) error { return nil }
+
+// Guards against an instance that counts as isolated right after the store took a version
+// from it, because its own first read of the head has not ended yet.
+func TestWrittenHeadIsContact(t *testing.T) {
+	now := time.Unix(1_790_000_000, 0)
+	s := NewState(0, 1)
+	s.Next(now, 1)
+	s.HeadWritten(now, Head{Version: 1})
+	if !s.Advance(now, 1) {
+		t.Fatal("the version is not taken")
+	}
+	if got := Check(now, s.Version(), s.Answered(), s.Confirmed(), 20*time.Second, time.Minute); got != NotBlocked {
+		t.Errorf("after the store took the version: blocked by %v", got)
+	}
+}
