Learn cached prompts right after a restart; fetch only processed parts

Change: an instance asks three listed peers at once, and otherwise the engines that the list assigns to it, and reports what they cache at once and once more after 0.4 s. Peers that are learning themselves answer with what they know and status 206. A part can be fetched only once its engine has processed it; a refused request leaves no parts behind.

--- a/cmd/internal/edge/edge_test.go
+++ b/cmd/internal/edge/edge_test.go
@@ -17,6 +17,8 @@
 	"cyclamenhitch/adapters/settings"
 	"cyclamenhitch/core/entryexpiry"
 	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/roster"
+	"cyclamenhitch/platform"
 	"cyclamenhitch/standins/runner"
 	"cyclamenhitch/standins/userstore"
 )
@@ -48,6 +50,7 @@
 
 type testEdge struct {
 	set  *settings.Edge
+	edge *Edge
 	stop context.CancelFunc
 	done chan error
 }
@@ -73,7 +76,7 @@
 		f.start(fmt.Sprint("i", i), fmt.Sprint("z", i))
 	}
 	f.eventually("all instances are named", func() bool {
-		return strings.Count(f.resolve(0), "127.0.0.1:") == instances
+		return instances == 0 || strings.Count(f.resolve(0), "127.0.0.1:") == instances
 	})
 	return f
 }
@@ -88,22 +91,52 @@
 	return ln.Addr().String()
 }
 
+// start starts an instance of a fleet that starts for the first time.
 func (f *testFleet) start(name, dc string) {
 	f.t.Helper()
+	f.run(f.settings(name, dc, true))
+}
+
+// startAgain starts instances, named by number, of a fleet that has run before: the store
+// still lists them.
+func (f *testFleet) startAgain(instances, dataCentres int) {
+	f.t.Helper()
+	var all []*settings.Edge
+	for i := range instances {
+		set := f.settings(fmt.Sprint("i", i), fmt.Sprint("z", i%dataCentres), false)
+		row, err := platform.EncodeInstance(roster.Listing{Peer: set.Listen.Peer, DataCentre: set.DataCentre})
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		f.store.Set(platform.InstanceTable, string(set.Instance), row)
+		all = append(all, set)
+	}
+	for _, set := range all {
+		f.run(set)
+	}
+}
+
+func (f *testFleet) settings(name, dc string, first bool) *settings.Edge {
+	f.t.Helper()
+	sample := 1
 	set := &settings.Edge{
-		Instance: fleet.InstanceID(name), DataCentre: fleet.DataCentreID(dc), Region: "r", Store: f.store.Address(), FirstStart: true,
+		Instance: fleet.InstanceID(name), DataCentre: fleet.DataCentreID(dc), Region: "r", Store: f.store.Address(), FirstStart: first,
 		Listen: settings.EdgeListen{Caller: freeAddress(f.t), Ready: freeAddress(f.t), Directory: freeAddress(f.t), Peer: freeAddress(f.t)},
 		Times:  settings.EdgeTimes{RevokeMillis: 3000, StopMillis: 4000, KeepMillis: 200},
 		Limits: settings.EdgeLimits{MemoryMegabytes: 256, Descriptors: 1000, RetryRatio: 1, RetryBurst: 1000},
 	}
-	sample := 1
 	set.Log.SampleDecisions = &sample
+	return set
+}
+
+func (f *testFleet) run(set *settings.Edge) {
+	f.t.Helper()
 	e, err := New(set, zap.NewNop())
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	te := &testEdge{set: set, stop: stop, done: make(chan error, 1)}
+	te := &testEdge{set: set, edge: e, stop: stop, done: make(chan error, 1)}
 	go func() { te.done <- e.Run(ctx, make(chan os.Signal)) }()
 	f.edges = append(f.edges, te)
 }
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -43,10 +43,15 @@
 	incarnation uint64
 	leaving     atomic.Bool
 	relaying    atomic.Bool
+	// promptsKnown is true once this instance has learned what the engines cache, as far as
+	// it can be learned after a start.
+	promptsKnown atomic.Bool
 
 	paces map[fleet.PoolID]float64 // as last logged
 
-	mu            sync.Mutex
+	mu sync.Mutex
+	// learned holds the cache contents that this instance learned from engines.
+	learned       []placement.Placement
 	echo          map[fleet.InstanceID]freshness.Instant
 	live          map[fleet.InstanceID]bool
 	loggedServing bool // whether the last report said serving
--- a/cmd/internal/edge/prompts.go
+++ b/cmd/internal/edge/prompts.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -18,8 +20,8 @@
 )
 
 const (
-	// learnPromptsDelay is how long after its start an instance looks for peers that know
-	// the engines' cache contents. All peers have reported by then.
+	// learnPromptsDelay is how long after its start an instance looks again for peers that
+	// know the engines' cache contents. All peers that live have reported by then.
 	learnPromptsDelay = 400 * time.Millisecond
 	// relayedReportsDelay is the additional delay until relays have reported all peers.
 	relayedReportsDelay = 800 * time.Millisecond
@@ -28,33 +30,100 @@
 	// maxPartsPerEngine limits the cached prompt parts sent for one engine.
 	maxPartsPerEngine = 256
 	pathPrompts       = "/prompts"
-	// peerPromptsTimeout limits a call to a peer.
+	// peerPromptsTimeout limits a call to a live peer.
 	peerPromptsTimeout = time.Second
+	// maxPeersAsked limits the peers that are asked at once. firstPeersTimeout limits the
+	// calls right after the start: a listed peer may be down.
+	maxPeersAsked     = 3
+	firstPeersTimeout = 40 * time.Millisecond
+	// viewPollInterval is the interval at which a starting instance looks whether it has
+	// read the store.
+	viewPollInterval = 5 * time.Millisecond
 )
 
-// learnPrompts loads the engines' cache contents after a restart: from a peer that has
-// run for longer, or else from the engines, each of which is queried by one instance.
+// learnPrompts loads the engines' cache contents after a restart: from a peer that knows
+// them, or else from the engines, each of which is queried by one instance.
 func (p *peers) learnPrompts(ctx context.Context) {
-	sleep(ctx, learnPromptsDelay)
+	defer p.promptsKnown.Store(true)
 	// The size of the fleet is unknown before the instance list has been read.
 	for ctx.Err() == nil && (!p.view.fresh() || !p.roster.HasListing()) {
-		sleep(ctx, learnPromptsDelay/4)
+		sleep(ctx, viewPollInterval)
 	}
+	listed := slices.Collect(maps.Keys(p.roster.Listed()))
+	if !p.set.FirstStart {
+		if p.learnPromptsFromSome(p.roster.Listed(), firstPeersTimeout) {
+			return
+		}
+		if !p.roster.IsLarge() {
+			// The whole fleet may have restarted. The list names its instances before their
+			// reports arrive.
+			p.askEngines(func(e fleet.ServerID) bool { return isAssigned(e, p.set.Instance, listed) })
+			p.sendReports()
+		}
+	}
+	sleep(ctx, learnPromptsDelay)
 	if p.roster.IsLarge() {
 		sleep(ctx, relayedReportsDelay)
 	}
+	p.announceLearned() // for the instances that started after the first report
 	live := p.roster.Live(time.Now())
 	for _, peer := range live {
 		if peer.Incarnation+uint64(minPeerLead) > p.incarnation {
 			continue
 		}
-		if p.learnPromptsFrom(peer) {
+		if p.learnPromptsFrom(peer.ID, peer.Peer, peerPromptsTimeout) {
 			return
 		}
 	}
 	if p.set.FirstStart {
 		return
 	}
+	p.askUnassignedEngines(live, listed)
+	if !p.roster.IsLarge() {
+		// Reports that were sent before this instance listened are lost.
+		p.learnPromptsFromSome(addressesOf(live), peerPromptsTimeout)
+	}
+}
+
+func addressesOf(live []roster.Peer) map[fleet.InstanceID]roster.Listing {
+	out := make(map[fleet.InstanceID]roster.Listing, len(live))
+	for _, peer := range live {
+		out[peer.ID] = roster.Listing{Peer: peer.Peer, DataCentre: peer.DataCentre}
+	}
+	return out
+}
+
+// learnPromptsFromSome asks some of the peers at once, those of this data centre first, and
+// reports whether one of them knows the cache contents of all engines.
+func (p *peers) learnPromptsFromSome(listed map[fleet.InstanceID]roster.Listing, timeout time.Duration) bool {
+	delete(listed, p.set.Instance)
+	ids := slices.Collect(maps.Keys(listed))
+	key := fleet.HashID(string(p.set.Instance))
+	slices.SortFunc(ids, func(a, b fleet.InstanceID) int {
+		aFar, bFar := listed[a].DataCentre != p.set.DataCentre, listed[b].DataCentre != p.set.DataCentre
+		if aFar != bFar {
+			if aFar {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(fleet.Mix(key, fleet.HashID(string(a))), fleet.Mix(key, fleet.HashID(string(b))))
+	})
+	ids = ids[:min(len(ids), maxPeersAsked)]
+	learned := make(chan bool, len(ids))
+	for _, id := range ids {
+		go func() { learned <- p.learnPromptsFrom(id, listed[id].Peer, timeout) }()
+	}
+	for range ids {
+		if <-learned {
+			return true
+		}
+	}
+	return false
+}
+
+// askUnassignedEngines asks the engines that no live instance has asked after its start.
+func (p *peers) askUnassignedEngines(live []roster.Peer, listed []fleet.InstanceID) {
 	ids := []fleet.InstanceID{p.set.Instance}
 	for _, peer := range live {
 		ids = append(ids, peer.ID)
@@ -67,10 +136,21 @@
 			return
 		}
 		ids = append(slices.DeleteFunc(ids[1:], func(id fleet.InstanceID) bool { return !slices.Contains(relays, id) }), p.set.Instance)
+		p.askEngines(func(e fleet.ServerID) bool { return isAssigned(e, p.set.Instance, ids) })
+		return
 	}
+	absent := slices.DeleteFunc(slices.Clone(listed), func(id fleet.InstanceID) bool { return slices.Contains(ids, id) })
+	p.askEngines(func(e fleet.ServerID) bool {
+		asked := !slices.ContainsFunc(absent, func(id fleet.InstanceID) bool { return isAssigned(e, id, listed) })
+		return !asked && isAssigned(e, p.set.Instance, ids)
+	})
+}
+
+// askEngines loads the cache contents of the chosen engines from them.
+func (p *peers) askEngines(chosen func(fleet.ServerID) bool) {
 	var wg sync.WaitGroup
 	for _, e := range p.board.Engines() {
-		if !isAssigned(e.ID, p.set.Instance, ids) {
+		if !chosen(e.ID) {
 			continue
 		}
 		wg.Add(1)
@@ -80,6 +160,7 @@
 		}()
 	}
 	wg.Wait()
+	p.announceLearned()
 }
 
 // isAssigned reports whether self is the instance that queries an engine, by rendezvous
@@ -101,33 +182,54 @@
 		p.log.Warn("cannot query the cached prompts of an engine", zap.String(logging.FieldServer, string(e.ID)), zap.Error(err))
 		return
 	}
+	p.mu.Lock()
 	for len(parts) > 0 {
 		n := min(len(parts), maxPartsPerEngine)
-		p.board.AddCached(e.ID, parts[:n])
+		p.learned = append(p.learned, placement.Placement{Server: e.ID, Parts: parts[:n]})
 		parts = parts[n:]
 	}
+	p.mu.Unlock()
+}
+
+// announceLearned adds the parts that this instance learned from engines to the board and
+// to its next report.
+func (p *peers) announceLearned() {
+	p.mu.Lock()
+	learned := slices.Clone(p.learned)
+	p.mu.Unlock()
+	for _, l := range learned {
+		p.board.AddCached(time.Now(), l.Server, l.Parts)
+	}
 }
 
-func (p *peers) learnPromptsFrom(peer roster.Peer) bool {
-	status, body, err := fasthttp.GetTimeout(nil, "http://"+peer.Peer+pathPrompts, peerPromptsTimeout)
-	if err != nil || status != fasthttp.StatusOK {
-		p.log.Warn("cannot read cached prompts from a peer", zap.String("peer", string(peer.ID)), zap.Int("status", status), zap.Error(err))
+// learnPromptsFrom loads the cache contents that a peer knows and reports whether the
+// peer knows all of them.
+func (p *peers) learnPromptsFrom(id fleet.InstanceID, address string, timeout time.Duration) bool {
+	status, body, err := fasthttp.GetTimeout(nil, "http://"+address+pathPrompts, timeout)
+	if err != nil || status != fasthttp.StatusOK && status != fasthttp.StatusPartialContent {
+		p.log.Warn("cannot read cached prompts from a peer", zap.String("peer", string(id)), zap.Int("status", status), zap.Error(err))
 		return false
 	}
 	r, err := gossip.Unmarshal(body)
 	if err != nil {
-		p.log.Warn("cannot decode the cached prompts of a peer", zap.String("peer", string(peer.ID)), zap.Error(err))
+		p.log.Warn("cannot decode the cached prompts of a peer", zap.String("peer", string(id)), zap.Error(err))
 		return false
 	}
+	now := time.Now()
 	for _, placed := range r.Placements {
-		p.board.AddPeerPlacement(placed.Server, placed.Parts)
+		p.board.AddPeerCached(now, placed.Server, placed.Parts)
 	}
-	p.log.Info("cached prompts read from a peer", zap.String("peer", string(peer.ID)), zap.Int("engines", len(r.Placements)))
-	return true
+	p.log.Info("cached prompts read from a peer", zap.String("peer", string(id)), zap.Int("engines", len(r.Placements)),
+		zap.Bool("complete", status == fasthttp.StatusOK))
+	return status == fasthttp.StatusOK
 }
 
-// servePrompts sends the known cache contents to a peer that has just started.
+// servePrompts sends the known cache contents to a peer that has just started. The
+// status tells whether this instance itself is still learning them.
 func (p *peers) servePrompts(ctx *fasthttp.RequestCtx) {
+	if !p.promptsKnown.Load() {
+		ctx.SetStatusCode(fasthttp.StatusPartialContent)
+	}
 	b, err := gossip.Marshal(&gossip.Report{Placements: p.board.CachedParts(maxPartsPerEngine)})
 	if err != nil {
 		p.log.Error("cannot encode cached prompts", zap.Error(err))
--- a/cmd/internal/edge/relay.go
+++ b/cmd/internal/edge/relay.go
@@ -348,7 +348,7 @@
 func (rl *relay) applyItems(now time.Time, id fleet.InstanceID, forward, local bool, placed []placement.Placement, suspicions []placement.Suspicion) {
 	rl.board.ApplyPeerSuspicions(now, suspicions)
 	for _, p := range placed {
-		rl.board.AddPeerPlacement(p.Server, p.Parts)
+		rl.board.AddPeerPlacement(now, p.Server, p.Parts)
 	}
 	if !forward {
 		return
--- a/core/placement/balancer.go
+++ b/core/placement/balancer.go
@@ -179,18 +179,39 @@
 
 // AddPeerPlacement records that another instance sent a prompt with these parts to a
 // server.
-func (b *Balancer) AddPeerPlacement(server fleet.ServerID, parts []Part) {
+func (b *Balancer) AddPeerPlacement(now time.Time, server fleet.ServerID, parts []Part) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	for _, p := range b.pools {
 		p.mu.Lock()
 		if s := p.servers[server]; s != nil {
-			s.cache.add(parts)
+			s.cache.add(parts, now.Add(readTime(totalTokens(parts), p.readRate.tokensPerMs())))
 		}
 		p.mu.Unlock()
 	}
 }
 
+// AddPeerCached records parts that another instance knows to be cached by a server.
+func (b *Balancer) AddPeerCached(now time.Time, server fleet.ServerID, parts []Part) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, p := range b.pools {
+		p.mu.Lock()
+		if s := p.servers[server]; s != nil {
+			s.cache.add(parts, now)
+		}
+		p.mu.Unlock()
+	}
+}
+
+func totalTokens(parts []Part) int {
+	n := 0
+	for _, p := range parts {
+		n += p.Tokens
+	}
+	return n
+}
+
 // Suspicion is a suspected server and the remaining time for which to avoid it.
 type Suspicion struct {
 	Server    fleet.ServerID
@@ -264,13 +285,13 @@
 
 // AddCached records parts that a server was found to cache and adds them to the next
 // report, so that the other instances learn of them.
-func (b *Balancer) AddCached(server fleet.ServerID, parts []Part) {
+func (b *Balancer) AddCached(now time.Time, server fleet.ServerID, parts []Part) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	for _, p := range b.pools {
 		p.mu.Lock()
 		if s := p.servers[server]; s != nil {
-			s.cache.add(parts)
+			s.cache.add(parts, now)
 			s.placed = append(s.placed, parts)
 		}
 		p.mu.Unlock()
--- a/core/placement/cache.go
+++ b/core/placement/cache.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"slices"
+	"time"
 )
 
 // Part is one part of a prompt. Prompts that begin with the same parts share them in
@@ -15,10 +16,18 @@
 // prefixCache is an LRU model of the parts that an engine has cached.
 type prefixCache struct {
 	limit, used int
-	lru         *list.List // of Part, most recent first
+	lru         *list.List // of *cachedPart, most recent first
 	parts       map[uint64]*list.Element
 }
 
+// cachedPart is a part that an engine has cached, or will have once it has processed the
+// request that brought it.
+type cachedPart struct {
+	Part
+	// readAt is the known or expected time at which the engine has processed the part.
+	readAt time.Time
+}
+
 func newPrefixCache(limit int) *prefixCache {
 	return &prefixCache{limit: limit, lru: list.New(), parts: map[uint64]*list.Element{}}
 }
@@ -27,14 +36,15 @@
 func (c *prefixCache) mostRecent(most int) []Part {
 	out := make([]Part, 0, min(most, c.lru.Len()))
 	for e := c.lru.Front(); e != nil && len(out) < most; e = e.Next() {
-		out = append(out, e.Value.(Part))
+		out = append(out, e.Value.(*cachedPart).Part)
 	}
 	slices.Reverse(out)
 	return out
 }
 
-// cachedTokens returns the number of prompt tokens that are cached. A part counts
-// only if all parts before it are cached.
+// cachedTokens returns the number of prompt tokens that are cached or being processed: a
+// request for the same parts waits for them and does not process them again. A part
+// counts only if all parts before it are cached.
 func (c *prefixCache) cachedTokens(parts []Part) int {
 	n := 0
 	for _, p := range parts {
@@ -46,23 +56,52 @@
 	return n
 }
 
-// add records that the engine has processed the parts.
-func (c *prefixCache) add(parts []Part) {
+// readTokens is cachedTokens without the parts that the engine is still processing. Only
+// these can be fetched by another engine.
+func (c *prefixCache) readTokens(now time.Time, parts []Part) int {
+	n := 0
+	for _, p := range parts {
+		e := c.parts[p.ID]
+		if e == nil || e.Value.(*cachedPart).readAt.After(now) {
+			break
+		}
+		n += p.Tokens
+	}
+	return n
+}
+
+// add records that the engine processes the parts and has done so at readAt.
+func (c *prefixCache) add(parts []Part, readAt time.Time) {
 	// Insert in reverse order: the first part is the most reusable, so it becomes the
 	// most recent.
 	for i := len(parts) - 1; i >= 0; i-- {
 		p := parts[i]
 		if e := c.parts[p.ID]; e != nil {
 			c.lru.MoveToFront(e)
+			if known := e.Value.(*cachedPart); readAt.Before(known.readAt) {
+				known.readAt = readAt
+			}
 			continue
 		}
-		c.parts[p.ID] = c.lru.PushFront(p)
+		c.parts[p.ID] = c.lru.PushFront(&cachedPart{p, readAt})
 		c.used += p.Tokens
 	}
 	for c.used > c.limit && c.lru.Len() > 0 {
-		e := c.lru.Back()
-		p := c.lru.Remove(e).(Part)
-		delete(c.parts, p.ID)
-		c.used -= p.Tokens
+		c.remove(c.lru.Back())
+	}
+}
+
+func (c *prefixCache) remove(e *list.Element) {
+	p := c.lru.Remove(e).(*cachedPart)
+	delete(c.parts, p.ID)
+	c.used -= p.Tokens
+}
+
+// removeUnread removes the parts that the engine has not processed.
+func (c *prefixCache) removeUnread(parts []Part, now time.Time) {
+	for _, p := range parts {
+		if e := c.parts[p.ID]; e != nil && e.Value.(*cachedPart).readAt.After(now) {
+			c.remove(e)
+		}
 	}
 }
--- a/core/placement/fetch_test.go
+++ b/core/placement/fetch_test.go
@@ -20,7 +20,7 @@
 	b.SetServers("p", servers)
 	part := []Part{{ID: 7, Tokens: 9000}}
 	for i := range keep {
-		b.AddPeerPlacement(fleet.ServerID(fmt.Sprint("e", i)), part)
+		b.AddPeerCached(epoch, fleet.ServerID(fmt.Sprint("e", i)), part)
 	}
 	return b, part
 }
@@ -82,3 +82,38 @@
 		t.Errorf("after the transfer a fetch is expected to take %v, want %v", later.Wait, first.Wait)
 	}
 }
+
+// Guards against fetches that find nothing: a part can be fetched only once its engine has
+// processed it. A second request for it is placed at that engine and does not count the
+// part again.
+func TestFetchOnlyProcessedParts(t *testing.T) {
+	b, part := newFetchBalancer(2, 0)
+	req := &Request{Parts: part, PromptTokens: 9000, Objective: 4 * time.Second}
+	ranked, _ := b.Rank(epoch, "p", req, nil)
+	run := b.Reserve(epoch, "p", ranked[0], req)
+	first := ranked[0].ID
+	ranked, _ = b.Rank(epoch, "p", req, nil)
+	if ranked[0].ID != first || ranked[0].Cached != 9000 || ranked[1].Source != "" {
+		t.Errorf("while the part is processed: %+v", ranked)
+	}
+	run.OnFirstOutput(epoch.Add(50 * time.Millisecond))
+	ranked, _ = b.Rank(epoch.Add(50*time.Millisecond), "p", req, func(id fleet.ServerID) bool { return id == first })
+	if ranked[0].Fetched != 9000 {
+		t.Errorf("after the part was processed: %+v", ranked)
+	}
+}
+
+// Guards against parts that an engine is wrongly believed to cache: one that refused the
+// request has not processed them.
+func TestRefusedPartsAreNotCached(t *testing.T) {
+	b, part := newFetchBalancer(2, 0)
+	req := &Request{Parts: part, PromptTokens: 9000}
+	ranked, _ := b.Rank(epoch, "p", req, nil)
+	b.Reserve(epoch, "p", ranked[0], req).Release(epoch, Refused)
+	ranked, _ = b.Rank(epoch.Add(time.Minute), "p", req, nil)
+	for _, c := range ranked {
+		if c.Cached != 0 || c.Fetched != 0 {
+			t.Errorf("%+v, want nothing cached", c)
+		}
+	}
+}
--- a/core/placement/peers_test.go
+++ b/core/placement/peers_test.go
@@ -115,7 +115,7 @@
 	if repeated != 800/knownReportInterval {
 		t.Errorf("%d of 800 prompts with a known part are reported, want %d", repeated, 800/knownReportInterval)
 	}
-	b.AddPeerPlacement("e0", []Part{{3, 8000}})
+	b.AddPeerCached(epoch, "e0", []Part{{3, 8000}})
 	if reported(3, 1) {
 		t.Error("what a peer has reported is reported again")
 	}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -98,7 +98,9 @@
 	list := engines(3)
 	b.SetServers("p", list)
 	first, _ := b.Rank(epoch, "p", prompt(1), nil)
-	b.Reserve(epoch, "p", first[0], prompt(1)).Release(epoch, Ended)
+	run := b.Reserve(epoch, "p", first[0], prompt(1))
+	run.OnFirstOutput(epoch)
+	run.Release(epoch, Ended)
 	for i := range list {
 		list[i].Out = list[i].ID == first[0].ID
 	}
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -302,7 +302,7 @@
 	cachedTokens int
 }
 
-// fetchSource returns the server that has most of the prompt cached. Ties go to the
+// fetchSource returns the server that has processed and cached most of the prompt. Ties go to the
 // server whose link is free first, then to the highest hash with the request's key:
 // with a fixed order all fetches of a shared part would queue at one engine. Servers
 // that may receive no new work remain valid sources.
@@ -314,7 +314,7 @@
 		if !s.Engine || s.FetchTokensPerMs == 0 || s.failures.suspect(now) {
 			continue
 		}
-		n := s.cache.cachedTokens(req.Parts)
+		n := s.cache.readTokens(now, req.Parts)
 		if n == 0 || n < best.cachedTokens {
 			continue
 		}
--- a/core/placement/reservation.go
+++ b/core/placement/reservation.go
@@ -15,6 +15,7 @@
 	startedAt    time.Time
 	expected     time.Duration
 	unreadTokens int
+	parts        []Part
 	// readTokens is the estimated number of tokens that the engine processes before the
 	// first output token; measuresReadRate tells whether the time to the first token is a
 	// sample of the read rate.
@@ -51,7 +52,8 @@
 		if n := len(req.Parts); n > 1 && server.shouldReport(req, req.Parts[:n-1]) {
 			server.placed = append(server.placed, req.Parts[:n-1])
 		}
-		server.cache.add(req.Parts)
+		t.parts = req.Parts
+		server.cache.add(req.Parts, now.Add(c.Wait))
 	}
 	server.ownLoad.Running++
 	server.ownLoad.Unread += t.unreadTokens
@@ -94,6 +96,7 @@
 	t.answered = true
 	t.server.ownLoad.Unread -= t.unreadTokens
 	t.server.failures.succeeded(now)
+	t.server.cache.add(t.parts, now)
 	took := now.Sub(t.startedAt)
 	if !t.server.Engine {
 		t.expected = t.pool.meanLatency
@@ -134,6 +137,9 @@
 	if !t.answered {
 		t.server.ownLoad.Unread -= t.unreadTokens
 	}
+	if o == Refused {
+		t.server.cache.removeUnread(t.parts, now)
+	}
 	switch o {
 	case Failed, Refused:
 		t.server.failures.failed(now, failureBackoffBase)
--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -35,12 +35,16 @@
 	ProcessingTime time.Duration
 	// AtCapacity rejects all requests as not executed.
 	AtCapacity bool
+	// Cached lists the prompt parts that the runner has cached, as "ID:TOKENS" with the ID
+	// in hexadecimal.
+	Cached []string
 
 	ln          net.Listener
 	srv         *fasthttp.Server
 	mu          sync.Mutex
 	runs        []Run
 	disconnects int
+	lists       int
 }
 
 // Start listens on a free loopback port. The exported fields must not change
@@ -77,6 +81,13 @@
 	return r.disconnects
 }
 
+// Lists returns how often the cached prompt parts were listed.
+func (r *Runner) Lists() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lists
+}
+
 // RegistryEntry returns the JSON entry that registers the runner in the store.
 func (r *Runner) RegistryEntry(service, zone, state string) []byte {
 	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":%q,"slots":8,"state":%q,"cold_left_ms":0,"sequence":1,"born":1}`, service, r.Address(), zone, state)
@@ -86,6 +97,10 @@
 	h := &ctx.Request.Header
 	id := string(h.Peek("Request-Id"))
 	ctx.Response.Header.Set("Request-Id", id)
+	if string(ctx.Path()) == "/kv-list" {
+		r.list(ctx)
+		return
+	}
 	if want := string(h.Peek("Expect-Instance")); want != "" && want != r.ID {
 		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
 		return
@@ -111,6 +126,20 @@
 	ctx.SetBodyStreamWriter(func(w *bufio.Writer) { r.stream(w, conn, first) })
 }
 
+// list responds with the cached prompt parts.
+func (r *Runner) list(ctx *fasthttp.RequestCtx) {
+	r.mu.Lock()
+	r.lists++
+	r.mu.Unlock()
+	held := make([]string, 0, len(r.Cached))
+	for _, part := range r.Cached {
+		id, tokens, _ := strings.Cut(part, ":")
+		held = append(held, fmt.Sprintf(`["",%q,%s,"m"]`, id, tokens))
+	}
+	ctx.SetContentType("application/json")
+	ctx.SetBodyString(`{"epoch":1,"next":1,"held":[` + strings.Join(held, ",") + `]}`)
+}
+
 func (r *Runner) stream(w *bufio.Writer, conn net.Conn, after int) {
 	for i := after + 1; i <= r.Events; i++ {
 		if r.DisconnectAfter > 0 && i > r.DisconnectAfter {
