Weigh moves, keep small prompts near, and keep reports within a datagram

Change: core/placement has a Policy with weights and switches, set by [policy] in the instance's settings. A transfer costs 2.5 ms for each ms (1 before); a wait costs 0.05 + 4 r^4 of itself (0.2 + 4 r^2); plain services and prompts that are read within 10 ms prefer servers of the own data centre; an engine stays a source until its host is unreachable or it fails three times in a row. Reports and digests limit the prompt parts they carry and send the rest in the next rounds. In large fleets too, each instance asks the engines that the list assigns to it right after a restart. TestOneRelayAsksEachEngine is replaced by TestEachEngineIsAskedOnce (any set of live instances) and TestAllCachedPromptsAreForwarded.

--- a/adapters/settings/edge.go
+++ b/adapters/settings/edge.go
@@ -11,6 +11,7 @@
 	"github.com/pelletier/go-toml/v2"
 
 	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/result"
 	"cyclamenhitch/core/tomlpos"
 )
@@ -35,10 +36,45 @@
 	Times EdgeTimes `toml:"times"`
 	// Limits limits the resources of the instance.
 	Limits EdgeLimits `toml:"limits"`
+	// Policy weighs and switches the mechanisms that choose a server.
+	Policy EdgePolicy `toml:"policy"`
 	// Log configures logging.
 	Log Log `toml:"log"`
 }
 
+// EdgePolicy weighs what a choice of a server costs, in ms of prompt processing by an
+// engine.
+type EdgePolicy struct {
+	// FetchWeight is the cost of one ms of transfer of cached prompts between engines.
+	// Accepted: 0 to 100. Default 2.5.
+	FetchWeight *float64 `toml:"fetch_weight"`
+	// RemoteMillis is the cost of running a request in another data centre, in ms. It
+	// applies to plain services and to prompts that are quick to process. Accepted: 0 to
+	// 1000. Default 8.
+	RemoteMillis *float64 `toml:"remote_ms"`
+	// Disabled names mechanisms to switch off, to measure what they are worth. Default none.
+	Disabled []string `toml:"disabled"`
+}
+
+// PlacementPolicy returns the policy that the settings describe.
+func (s *Edge) PlacementPolicy() (placement.Policy, error) {
+	p := placement.DefaultPolicy(s.DataCentre)
+	if w := s.Policy.FetchWeight; w != nil {
+		p.FetchWeight = *w
+	}
+	if ms := s.Policy.RemoteMillis; ms != nil {
+		if !(*ms >= 0 && *ms <= 1e6) {
+			return p, fmt.Errorf("remote_ms is %v, accepted range: 0 to 1000", *ms)
+		}
+		p.RemoteCost = time.Duration(*ms * float64(time.Millisecond))
+	}
+	var err error
+	if p.Off, err = placement.ParseMechanisms(s.Policy.Disabled); err != nil {
+		return p, err
+	}
+	return p, p.Validate()
+}
+
 // EdgeListen holds the addresses of the instance, each an IP address and a port.
 type EdgeListen struct {
 	// Caller serves callers. Required.
@@ -175,6 +211,9 @@
 			add(n.key, "is %d, accepted range: %d to %d", n.v, n.min, n.max)
 		}
 	}
+	if _, err := s.PlacementPolicy(); err != nil {
+		add("policy", "is invalid: %v", err)
+	}
 	if r := s.Limits.RetryRatio; r < 0 || r > 1 {
 		add("limits.retry_ratio", "is %v, accepted range: 0 to 1", r)
 	}
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -19,6 +19,7 @@
 	"cyclamenhitch/adapters/httpapi"
 	"cyclamenhitch/adapters/logging"
 	"cyclamenhitch/adapters/settings"
+	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/result"
@@ -61,7 +62,11 @@
 
 // New checks the settings and binds the peer socket. It starts no work.
 func New(set *settings.Edge, log *zap.Logger) (*Edge, error) {
-	e := &Edge{set: set, log: log, board: placement.NewBalancer(), meters: newMeters()}
+	policy, err := set.PlacementPolicy()
+	if err != nil {
+		return nil, result.Wrap(result.SettingsInvalid, err, "the policy is invalid")
+	}
+	e := &Edge{set: set, log: log, board: placement.NewBalancer(policy), meters: newMeters()}
 	e.store = platform.NewStore(set.Store)
 	e.store.OnCall = e.meters.observeStoreCall
 	e.view = newView(set, e.store, e.board, log)
@@ -85,7 +90,7 @@
 	e.caller = &httpapi.Server{
 		Opener: &gateway.Gateway{
 			Placer:   &placer{board: e.board, view: e.view, meters: e.meters, stopRefusal: e.stop.refuseStream},
-			Upstream: client, Budget: budgets, Now: time.Now,
+			Upstream: client, Budget: retryBudget(policy, budgets), Now: time.Now,
 			AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
 		},
 		Admission: e.view, Log: log, Observe: e.meters.observeRequest, LogOneIn: uint64(*set.Log.SampleDecisions),
@@ -132,6 +137,20 @@
 	return int(retryBudgetShare * set.Limits.RetryRatio * 100), int(retryBudgetShare * set.Limits.RetryBurst / float64(max(1, instances)))
 }
 
+// retryBudget returns the budget of second runs.
+func retryBudget(policy placement.Policy, budgets *retry.Budgets) gateway.RetryBudget {
+	if !policy.On(placement.SecondRuns) {
+		return noRetries{}
+	}
+	return budgets
+}
+
+// noRetries is the budget of an instance whose second runs are switched off.
+type noRetries struct{}
+
+func (noRetries) OnRequest(fleet.PoolID)     {}
+func (noRetries) TryRetry(fleet.PoolID) bool { return false }
+
 // Run serves until ctx ends, then stops gracefully. reload signals a changed settings
 // file.
 func (e *Edge) Run(ctx context.Context, reload <-chan os.Signal) error {
@@ -167,7 +186,7 @@
 	go e.view.run(work)
 	go e.peers.run(work)
 	e.log.Info("instance started", zap.String("caller", e.set.Listen.Caller), zap.String("peer", e.set.Listen.Peer),
-		zap.Duration("since_boot", clock.SinceBoot()))
+		zap.Strings("mechanisms_off", e.set.Policy.Disabled), zap.Duration("since_boot", clock.SinceBoot()))
 	for {
 		select {
 		case err := <-errs:
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -69,7 +69,9 @@
 
 func (p *peers) run(ctx context.Context) {
 	go p.socket.Receive(p.applyReport)
-	go p.learnPrompts(ctx)
+	if p.board.Policy().On(placement.PromptLearning) {
+		go p.learnPrompts(ctx)
+	}
 	for ctx.Err() == nil {
 		gap := p.sendReports()
 		sleep(ctx, gap-gap/10+rand.N(gap/5))
@@ -92,7 +94,10 @@
 		own.From.Version, own.Confirmed, own.ConfirmedAge = version, true, boot-at
 	}
 	p.board.ExpirePeerLoads(now)
-	own.Loads, own.Placements = p.board.DrainReport()
+	own.Loads, own.Placements = p.board.DrainReport(maxReportParts)
+	if !p.board.Policy().On(placement.PlacementReports) {
+		own.Placements = nil
+	}
 	own.Suspicions, own.ReadRates = p.board.Suspicions(now), p.board.ReadRates()
 	p.updateLiveInstances(now, own.From.Serving)
 	p.logPaces(own.ReadRates)
--- a/cmd/internal/edge/placer.go
+++ b/cmd/internal/edge/placer.go
@@ -34,6 +34,9 @@
 func (p *placer) Place(ctx context.Context, req *gateway.Request) (*manifest.Server, gateway.Permit, error) {
 	ask := &placement.Request{Parts: req.Parts, PromptTokens: req.PromptTokens, Objective: req.Objective, Key: uint64(req.Chat)}
 	began := time.Now()
+	if !p.board.Policy().On(placement.RequestUrgency) {
+		req.Urgency = neutralUrgency
+	}
 	for {
 		if req.Recheck != nil {
 			if e := req.Recheck(); e != nil {
@@ -74,6 +77,9 @@
 	}
 }
 
+// neutralUrgency is what engines assume of requests without an urgency.
+const neutralUrgency = 5
+
 const (
 	// maxWaitShare is the fraction of its objective for which a request may wait for a
 	// server; minWaitLimit is the lower bound of that limit.
@@ -87,7 +93,8 @@
 // if it may continue to wait.
 func (p *placer) refusalAfterWait(req *gateway.Request, v placement.RankStatus, waited time.Duration) *result.Error {
 	hold := max(minWaitLimit, time.Duration(maxWaitShare*float64(req.Objective)))
-	if waited < hold && (v != placement.NoServers || !p.view.hasReadServers()) {
+	mayWait := p.board.Policy().On(placement.Waiting) && waited < hold
+	if mayWait && (v != placement.NoServers || !p.view.hasReadServers()) {
 		return nil
 	}
 	switch v {
--- a/cmd/internal/edge/prompts.go
+++ b/cmd/internal/edge/prompts.go
@@ -29,7 +29,10 @@
 	minPeerLead = 3 * time.Second
 	// maxPartsPerEngine limits the cached prompt parts sent for one engine.
 	maxPartsPerEngine = 256
-	pathPrompts       = "/prompts"
+	// maxPartsPerItem limits the parts of one reported placement, so that many of them can
+	// be divided among several reports.
+	maxPartsPerItem = 64
+	pathPrompts     = "/prompts"
 	// peerPromptsTimeout limits a call to a live peer.
 	peerPromptsTimeout = time.Second
 	// maxPeersAsked limits the peers that are asked at once. firstPeersTimeout limits the
@@ -51,15 +54,13 @@
 	}
 	listed := slices.Collect(maps.Keys(p.roster.Listed()))
 	if !p.set.FirstStart {
-		if p.learnPromptsFromSome(p.roster.Listed(), firstPeersTimeout) {
+		if p.learnPromptsFromListed() {
 			return
 		}
-		if !p.roster.IsLarge() {
-			// The whole fleet may have restarted. The list names its instances before their
-			// reports arrive.
-			p.askEngines(func(e fleet.ServerID) bool { return isAssigned(e, p.set.Instance, listed) })
-			p.sendReports()
-		}
+		// The whole fleet may have restarted. The list names its instances before their
+		// reports arrive.
+		p.askEngines(func(e fleet.ServerID) bool { return isAssigned(e, p.set.Instance, listed) })
+		p.sendReports()
 	}
 	sleep(ctx, learnPromptsDelay)
 	if p.roster.IsLarge() {
@@ -78,11 +79,20 @@
 	if p.set.FirstStart {
 		return
 	}
-	p.askUnassignedEngines(live, listed)
+	p.askUnaskedEngines(live, listed)
 	if !p.roster.IsLarge() {
 		// Reports that were sent before this instance listened are lost.
-		p.learnPromptsFromSome(addressesOf(live), peerPromptsTimeout)
+		p.learnPromptsFromSome(addressesOf(live), maxPeersAsked, peerPromptsTimeout)
+	}
+}
+
+// learnPromptsFromListed asks peers that are listed but may be down. In a large fleet it
+// asks one: the answer has the caches of hundreds of engines.
+func (p *peers) learnPromptsFromListed() bool {
+	if p.roster.IsLarge() {
+		return p.learnPromptsFromSome(p.roster.Listed(), 1, peerPromptsTimeout)
 	}
+	return p.learnPromptsFromSome(p.roster.Listed(), maxPeersAsked, firstPeersTimeout)
 }
 
 func addressesOf(live []roster.Peer) map[fleet.InstanceID]roster.Listing {
@@ -93,9 +103,9 @@
 	return out
 }
 
-// learnPromptsFromSome asks some of the peers at once, those of this data centre first, and
+// learnPromptsFromSome asks up to most of the peers at once, those of this data centre first, and
 // reports whether one of them knows the cache contents of all engines.
-func (p *peers) learnPromptsFromSome(listed map[fleet.InstanceID]roster.Listing, timeout time.Duration) bool {
+func (p *peers) learnPromptsFromSome(listed map[fleet.InstanceID]roster.Listing, most int, timeout time.Duration) bool {
 	delete(listed, p.set.Instance)
 	ids := slices.Collect(maps.Keys(listed))
 	key := fleet.HashID(string(p.set.Instance))
@@ -109,7 +119,7 @@
 		}
 		return cmp.Compare(fleet.Mix(key, fleet.HashID(string(a))), fleet.Mix(key, fleet.HashID(string(b))))
 	})
-	ids = ids[:min(len(ids), maxPeersAsked)]
+	ids = ids[:min(len(ids), most)]
 	learned := make(chan bool, len(ids))
 	for _, id := range ids {
 		go func() { learned <- p.learnPromptsFrom(id, listed[id].Peer, timeout) }()
@@ -122,28 +132,13 @@
 	return false
 }
 
-// askUnassignedEngines asks the engines that no live instance has asked after its start.
-func (p *peers) askUnassignedEngines(live []roster.Peer, listed []fleet.InstanceID) {
-	ids := []fleet.InstanceID{p.set.Instance}
+// askUnaskedEngines asks the engines whose assigned instance does not live.
+func (p *peers) askUnaskedEngines(live []roster.Peer, listed []fleet.InstanceID) {
+	alive := []fleet.InstanceID{p.set.Instance}
 	for _, peer := range live {
-		ids = append(ids, peer.ID)
+		alive = append(alive, peer.ID)
 	}
-	if p.roster.IsLarge() {
-		// Only relays query engines, because they know each other first; they inform the
-		// other instances.
-		relays := p.relay.otherRelays()
-		if relays == nil {
-			return
-		}
-		ids = append(slices.DeleteFunc(ids[1:], func(id fleet.InstanceID) bool { return !slices.Contains(relays, id) }), p.set.Instance)
-		p.askEngines(func(e fleet.ServerID) bool { return isAssigned(e, p.set.Instance, ids) })
-		return
-	}
-	absent := slices.DeleteFunc(slices.Clone(listed), func(id fleet.InstanceID) bool { return slices.Contains(ids, id) })
-	p.askEngines(func(e fleet.ServerID) bool {
-		asked := !slices.ContainsFunc(absent, func(id fleet.InstanceID) bool { return isAssigned(e, id, listed) })
-		return !asked && isAssigned(e, p.set.Instance, ids)
-	})
+	p.askEngines(func(e fleet.ServerID) bool { return takesOver(e, p.set.Instance, alive, listed) })
 }
 
 // askEngines loads the cache contents of the chosen engines from them.
@@ -176,6 +171,17 @@
 	return true
 }
 
+// takesOver reports whether self queries an engine because the listed instance that it is
+// assigned to does not live.
+func takesOver(engine fleet.ServerID, self fleet.InstanceID, alive, listed []fleet.InstanceID) bool {
+	for _, id := range listed {
+		if isAssigned(engine, id, listed) {
+			return !slices.Contains(alive, id) && isAssigned(engine, self, alive)
+		}
+	}
+	return isAssigned(engine, self, alive)
+}
+
 func (p *peers) askEngine(e placement.Server) {
 	parts, err := platform.CachedPromptParts(e.Address)
 	if err != nil {
@@ -184,7 +190,7 @@
 	}
 	p.mu.Lock()
 	for len(parts) > 0 {
-		n := min(len(parts), maxPartsPerEngine)
+		n := min(len(parts), maxPartsPerItem)
 		p.learned = append(p.learned, placement.Placement{Server: e.ID, Parts: parts[:n]})
 		parts = parts[n:]
 	}
--- a/cmd/internal/edge/prompts_test.go
+++ b/cmd/internal/edge/prompts_test.go
@@ -5,6 +5,9 @@
 	"maps"
 	"testing"
 
+	"pgregory.net/rapid"
+
+	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/standins/runner"
 )
 
@@ -58,3 +61,39 @@
 		"services":[{"name":"s","max_conns":100,"engine":{"slots":64,"kv_capacity_tokens":300000,"kv_token_bytes":35000,"link_mbps":50000}}],
 		"tenants":[{"name":"t","api_keys":["k1"]}]}`)
 }
+
+// Guards against engines that no instance asks, or several, after a restart: whichever of
+// the listed instances live, each engine is asked by its assigned instance or, if that one
+// does not live, by one other.
+func TestEachEngineIsAskedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		listed := instanceIDs(rapid.IntRange(1, 40).Draw(t, "listed"))
+		var alive []fleet.InstanceID
+		for _, id := range listed {
+			if rapid.Bool().Draw(t, "lives") {
+				alive = append(alive, id)
+			}
+		}
+		alive = append(alive, "new")
+		for e := range 20 {
+			engine := fleet.ServerID(fmt.Sprint("e", e))
+			asked := 0
+			for _, self := range alive {
+				if self != "new" && isAssigned(engine, self, listed) || takesOver(engine, self, alive, listed) {
+					asked++
+				}
+			}
+			if asked != 1 {
+				t.Errorf("engine %s is asked by %d instances", engine, asked)
+			}
+		}
+	})
+}
+
+func instanceIDs(n int) []fleet.InstanceID {
+	ids := make([]fleet.InstanceID, n)
+	for i := range ids {
+		ids[i] = fleet.InstanceID(fmt.Sprint("i", i))
+	}
+	return ids
+}
--- a/cmd/internal/edge/relay.go
+++ b/cmd/internal/edge/relay.go
@@ -1,7 +1,6 @@
 package edge
 
 import (
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -23,7 +22,13 @@
 // of 600 servers it has to fit into a datagram of 64 KB.
 const (
 	maxDigestPlacements = 400
+	maxDigestParts      = 2000
 	maxDigestSuspicions = 200
+	// maxReportParts limits the prompt parts in the placements of an instance's own report.
+	maxReportParts = 1000
+	// maxPendingPlacements limits the placements that wait to be forwarded. After a restart
+	// of the fleet these are the cache contents of all engines.
+	maxPendingPlacements = 10_000
 )
 
 // A new relay collects reports during a warm-up before it uses its own sum of the loads.
@@ -46,9 +51,8 @@
 	incarnation uint64
 
 	mu sync.Mutex
-	// relaying is true while this instance is a relay; peers are then the other relays.
+	// relaying is true while this instance is a relay.
 	relaying bool
-	peers    []fleet.InstanceID
 	// roleStart is when this instance became a relay. During the warm-up the board uses
 	// the loads of another relay and warmup collects the reported ones; it is nil
 	// afterwards.
@@ -71,6 +75,18 @@
 	suspicions []reported[placement.Suspicion]
 }
 
+// take removes and returns the items of the next round: half of what a digest holds.
+func (n *pendingItems) take() pendingItems {
+	items, parts := 0, 0
+	for items < len(n.placed) && items < maxDigestPlacements/2 && parts+len(n.placed[items].item.Parts) <= maxDigestParts/2 {
+		parts += len(n.placed[items].item.Parts)
+		items++
+	}
+	out := pendingItems{placed: n.placed[:items:items], suspicions: n.suspicions}
+	n.placed, n.suspicions = n.placed[items:], nil
+	return out
+}
+
 // reported is an item with the instance that sent it.
 type reported[T any] struct {
 	sender fleet.InstanceID
@@ -127,12 +143,7 @@
 	_, other := rl.roster.LoadSource(now, rl.dc)
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	d := roundDigests{relay: rl, local: rl.local, remote: rl.remote}
-	rl.local, rl.remote = pendingItems{}, pendingItems{}
-	rl.peers = rl.peers[:0]
-	for _, t := range slices.Concat(plan.Relays, plan.Remote) {
-		rl.peers = append(rl.peers, t.ID)
-	}
+	d := roundDigests{relay: rl, local: rl.local.take(), remote: rl.remote.take()}
 	switch {
 	case plan.Relaying && !rl.relaying:
 		rl.roleStart, rl.warmup = now, map[fleet.InstanceID]map[fleet.ServerID]placement.Load{}
@@ -333,16 +344,6 @@
 	rl.applyItems(now, r.From.ID, !local && relaying, local, r.Digest.Placements, r.Digest.Suspicions)
 }
 
-// otherRelays returns the other relays, or nil if this instance is not a relay.
-func (rl *relay) otherRelays() []fleet.InstanceID {
-	rl.mu.Lock()
-	defer rl.mu.Unlock()
-	if !rl.relaying {
-		return nil
-	}
-	return append([]fleet.InstanceID{}, rl.peers...)
-}
-
 // applyItems applies placements and suspicions to the board and, with forward, queues them
 // for the next round.
 func (rl *relay) applyItems(now time.Time, id fleet.InstanceID, forward, local bool, placed []placement.Placement, suspicions []placement.Suspicion) {
@@ -360,7 +361,7 @@
 		n = &rl.local
 	}
 	for _, p := range placed {
-		if len(n.placed) < maxDigestPlacements {
+		if len(n.placed) < maxPendingPlacements {
 			n.placed = append(n.placed, reported[placement.Placement]{id, p})
 		}
 	}
--- a/cmd/internal/edge/relay_test.go
+++ b/cmd/internal/edge/relay_test.go
@@ -17,6 +17,8 @@
 	relays  map[fleet.InstanceID]*relay
 	members []roster.Peer
 	dead    map[fleet.InstanceID]bool
+	// onReport, unless nil, is called with each report that is sent.
+	onReport func(*gossip.Report)
 }
 
 const testServers = 7
@@ -34,7 +36,7 @@
 	for _, p := range f.members {
 		r := roster.New(p.ID)
 		r.SetListed(listed)
-		b := placement.NewBalancer()
+		b := placement.NewBalancer(placement.DefaultPolicy(""))
 		var servers []placement.Server
 		for s := range testServers {
 			servers = append(servers, placement.Server{ID: fleet.ServerID(fmt.Sprint("s", s)), Engine: true, CacheTokens: 1 << 20})
@@ -56,7 +58,7 @@
 			rl := f.relays[p.ID]
 			rl.board.ExpirePeerLoads(f.now)
 			own := gossip.Report{From: p}
-			own.Loads, own.Placements = rl.board.DrainReport()
+			own.Loads, own.Placements = rl.board.DrainReport(maxReportParts)
 			own.Suspicions = rl.board.Suspicions(f.now)
 			plan := rl.roster.Plan(f.now, p)
 			rl.sendRound(f.now, &plan, own, f.deliver)
@@ -65,6 +67,9 @@
 }
 
 func (f *relayFleet) deliver(t roster.Target, r gossip.Report) {
+	if f.onReport != nil {
+		f.onReport(&r)
+	}
 	if f.dead[t.ID] {
 		return
 	}
@@ -167,21 +172,48 @@
 	}
 }
 
-// After a restart each engine must be queried by exactly one relay.
-func TestOneRelayAsksEachEngine(t *testing.T) {
-	f := newRelayFleet(48, 4)
-	f.run(4)
-	for e := range 90 {
-		engine := fleet.ServerID(fmt.Sprint("e", e))
-		n := 0
-		for _, p := range f.members {
-			relays := f.relays[p.ID].otherRelays()
-			if relays != nil && isAssigned(engine, p.ID, append(relays, p.ID)) {
-				n++
+// After a restart of the fleet the cache contents of all engines must reach every instance,
+// in digests that fit into a datagram: one that is too large is lost with its loads.
+func TestAllCachedPromptsAreForwarded(t *testing.T) {
+	const (
+		engines  = 300
+		parts    = 128
+		largest  = 65_507 // bytes of a UDP datagram
+		inRounds = 60
+	)
+	f := newRelayFleet(48, 3)
+	f.run(6) // until the relays know each other
+	var servers []placement.Server
+	for e := range engines {
+		servers = append(servers, placement.Server{ID: fleet.ServerID(fmt.Sprint("e", e)), Engine: true, CacheTokens: 1 << 20})
+	}
+	for i, p := range f.members {
+		b := f.relays[p.ID].board
+		b.SetServers("pool", servers)
+		for e := i; e < engines; e += len(f.members) {
+			for first := 0; first < parts; first += maxPartsPerItem {
+				var item []placement.Part
+				for k := range maxPartsPerItem {
+					item = append(item, placement.Part{ID: 1<<63 + uint64(1000*e+first+k), Tokens: 2000})
+				}
+				b.AddCached(f.now, servers[e].ID, item)
 			}
 		}
-		if n != 1 {
-			t.Errorf("engine %s is asked by %d instances", engine, n)
+	}
+	f.onReport = func(r *gossip.Report) {
+		bytes, err := gossip.Marshal(r)
+		if err != nil || len(bytes) > largest {
+			t.Fatalf("a report takes %d bytes, a datagram %d (%v)", len(bytes), largest, err)
+		}
+	}
+	f.run(inRounds)
+	for _, p := range f.members {
+		known := 0
+		for _, c := range f.relays[p.ID].board.CachedParts(parts) {
+			known += len(c.Parts)
+		}
+		if known != engines*parts {
+			t.Errorf("%s knows %d of %d cached parts", p.ID, known, engines*parts)
 		}
 	}
 }
@@ -195,7 +227,7 @@
 		largest   = 65_507 // bytes of a UDP datagram
 	)
 	now := time.Unix(1_000_000, 0)
-	r, b := roster.New("front-region-a-1"), placement.NewBalancer()
+	r, b := roster.New("front-region-a-1"), placement.NewBalancer(placement.DefaultPolicy(""))
 	for i := range fleetSize {
 		r.HandleReport(now, roster.Peer{
 			ID: fleet.InstanceID(fmt.Sprintf("front-region-a-%d", 100+i)), Incarnation: uint64(now.UnixNano()), DataCentre: "region-a",
--- a/cmd/internal/edge/rollload_test.go
+++ b/cmd/internal/edge/rollload_test.go
@@ -86,7 +86,7 @@
 func (f *rollFleet) start(n *rollNode) {
 	n.Incarnation++
 	n.up, n.Leaving, n.Serving, n.startedAt = true, false, true, f.now
-	r, b := roster.New(n.ID), placement.NewBalancer()
+	r, b := roster.New(n.ID), placement.NewBalancer(placement.DefaultPolicy(""))
 	r.SetListed(f.listed)
 	b.SetServers("pool", f.servers)
 	n.relay = newRelay(r, b, n.DataCentre, n.Incarnation)
@@ -97,7 +97,7 @@
 	rl := n.relay
 	rl.board.ExpirePeerLoads(f.now)
 	own := gossip.Report{From: n.Peer}
-	own.Loads, own.Placements = rl.board.DrainReport()
+	own.Loads, own.Placements = rl.board.DrainReport(maxReportParts)
 	plan := rl.roster.Plan(f.now, n.Peer)
 	rl.sendRound(f.now, &plan, own, func(t roster.Target, r gossip.Report) {
 		if to := f.byID[t.ID]; to != nil && to.up {
--- a/core/placement/balancer.go
+++ b/core/placement/balancer.go
@@ -59,6 +59,8 @@
 
 // Balancer tracks the state of all servers and assigns requests to them.
 type Balancer struct {
+	policy Policy
+
 	mu    sync.RWMutex
 	pools map[fleet.PoolID]*pool
 
@@ -81,6 +83,7 @@
 	// service.
 	meanLatency time.Duration
 	readRate    readRate
+	policy      *Policy
 }
 
 // serverState is the state of one server, guarded by the lock of its pool.
@@ -105,13 +108,17 @@
 }
 
 // NewBalancer returns a Balancer without servers.
-func NewBalancer() *Balancer {
+func NewBalancer(policy Policy) *Balancer {
 	return &Balancer{
-		pools: map[fleet.PoolID]*pool{}, lastReport: map[fleet.InstanceID]time.Time{},
+		policy: policy,
+		pools:  map[fleet.PoolID]*pool{}, lastReport: map[fleet.InstanceID]time.Time{},
 		peerLoads: map[fleet.InstanceID]map[fleet.ServerID]Load{},
 	}
 }
 
+// Policy returns the policy.
+func (b *Balancer) Policy() *Policy { return &b.policy }
+
 func (b *Balancer) pool(id fleet.PoolID) *pool {
 	b.mu.RLock()
 	p := b.pools[id]
@@ -122,7 +129,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if p = b.pools[id]; p == nil {
-		p = &pool{servers: map[fleet.ServerID]*serverState{}, changed: make(chan struct{})}
+		p = &pool{servers: map[fleet.ServerID]*serverState{}, changed: make(chan struct{}), policy: &b.policy}
 		b.pools[id] = p
 	}
 	return p
@@ -185,7 +192,7 @@
 	for _, p := range b.pools {
 		p.mu.Lock()
 		if s := p.servers[server]; s != nil {
-			s.cache.add(parts, now.Add(readTime(totalTokens(parts), p.readRate.tokensPerMs())))
+			s.cache.add(parts, now.Add(readTime(totalTokens(parts), p.tokensPerMs())))
 		}
 		p.mu.Unlock()
 	}
@@ -204,6 +211,15 @@
 	}
 }
 
+// tokensPerMs returns the rate at which the engines process prompts. The caller holds the
+// lock.
+func (p *pool) tokensPerMs() float64 {
+	if !p.policy.On(LearnedRate) {
+		return defaultReadRate
+	}
+	return p.readRate.tokensPerMs()
+}
+
 func totalTokens(parts []Part) int {
 	n := 0
 	for _, p := range parts {
@@ -260,9 +276,9 @@
 	Parts  []Part
 }
 
-// DrainReport returns the loads of this instance and the placements since the last
-// call.
-func (b *Balancer) DrainReport() (map[fleet.ServerID]Load, []Placement) {
+// DrainReport returns the loads of this instance and the placements since the last call,
+// of up to mostParts parts. Further ones stay for the next call.
+func (b *Balancer) DrainReport(mostParts int) (map[fleet.ServerID]Load, []Placement) {
 	loads := map[fleet.ServerID]Load{}
 	var placed []Placement
 	b.mu.RLock()
@@ -273,10 +289,13 @@
 			if s.ownLoad.Running > 0 {
 				loads[s.ID] = s.ownLoad
 			}
-			for _, parts := range s.placed {
-				placed = append(placed, Placement{s.ID, parts})
+			n := 0
+			for n < len(s.placed) && len(s.placed[n]) <= mostParts {
+				mostParts -= len(s.placed[n])
+				placed = append(placed, Placement{s.ID, s.placed[n]})
+				n++
 			}
-			s.placed = nil
+			s.placed = append([][]Part(nil), s.placed[n:]...)
 		}
 		p.mu.Unlock()
 	}
@@ -353,7 +372,7 @@
 		for _, s := range p.list {
 			sum.Running += s.load().Running
 			if s.Engine {
-				sum.TokensPerMilli = p.readRate.tokensPerMs()
+				sum.TokensPerMilli = p.tokensPerMs()
 			}
 			if s.Out {
 				sum.Out++
--- a/core/placement/health.go
+++ b/core/placement/health.go
@@ -8,6 +8,7 @@
 // failures tracks the failed requests of a server.
 type failures struct {
 	consecutive  int
+	unreachable  bool // nothing was received from the host at the last failure
 	suspectUntil time.Time
 	// lastAnswer is when the server last answered this instance.
 	lastAnswer time.Time
@@ -49,6 +50,15 @@
 
 func (f *failures) suspect(now time.Time) bool { return now.Before(f.suspectUntil) }
 
+// repeatedFailures is the number of consecutive failures after which a server is taken to
+// be down and not only to have lost an answer.
+const repeatedFailures = 3
+
+// down reports whether the server is suspect and probably does not run.
+func (f *failures) down(now time.Time) bool {
+	return (f.unreachable || f.consecutive >= repeatedFailures) && f.suspect(now)
+}
+
 // speed compares the response times of a server with the expected times.
 type speed struct {
 	ratio float64 // of measured to expected time; 0 means unknown
--- a/core/placement/peers_test.go
+++ b/core/placement/peers_test.go
@@ -15,7 +15,7 @@
 // of the last reports of the instances that still report.
 func TestTotalsAreTheLastReports(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b, now := NewBalancer(), epoch
+		b, now := NewBalancer(DefaultPolicy("")), epoch
 		known := map[fleet.ServerID]bool{}
 		set := func() {
 			clear(known)
@@ -93,14 +93,14 @@
 // shared parts the engine is known to cache is reported only occasionally, a new one
 // at once.
 func TestNewPlacementsAreReported(t *testing.T) {
-	b := NewBalancer()
+	b := NewBalancer(DefaultPolicy(""))
 	b.SetServers("p", engines(1))
 	reported := func(part, key uint64) bool {
 		req := prompt(part)
 		req.Key = key
 		ranked, _ := b.Rank(epoch, "p", req, nil)
 		b.Reserve(epoch, "p", ranked[0], req).Release(epoch, Ended)
-		_, placed := b.DrainReport()
+		_, placed := b.DrainReport(1000)
 		return len(placed) > 0
 	}
 	if !reported(1, 1) || !reported(2, 1) {
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -27,10 +27,14 @@
 
 // Weights of the wait time in waitCost.
 const (
-	waitWeight = 0.2
+	waitWeight = 0.05
 	lateWeight = 4
 )
 
+// remoteServiceCost is the cost of a plain service in another data centre, in units of one
+// request's time.
+const remoteServiceCost = 0.2
+
 // meanLatencyWindow is the inverse weight of a new sample in a service's mean
 // latency.
 const meanLatencyWindow = 16
@@ -108,7 +112,7 @@
 		if exclude != nil && exclude(s.ID) {
 			continue
 		}
-		if s.cold(now) {
+		if p.policy.On(ColdRamp) && s.cold(now) {
 			if _, ok := share.minInterval(s.hash, s.ColdRate); !ok || now.Before(s.coldNextAt) {
 				status = max(status, ColdLimited)
 				continue
@@ -121,10 +125,18 @@
 	}
 	bound := loadBound(running, p.eligibleCount())
 	r := ranking{
-		now: now, req: req, bound: bound, order: hashOrder(eligible, req), source: p.fetchSource(now, req), meanErrors: meanErrorRate(now, eligible),
-		readRate: p.readRate.tokensPerMs(),
+		now: now, req: req, policy: p.policy, bound: bound, meanErrors: meanErrorRate(now, eligible), readRate: p.tokensPerMs(),
+	}
+	if p.policy.On(Fetching) {
+		r.source = p.fetchSource(now, req)
+	}
+	r.preferNear = p.policy.On(NearServers) && r.isCheapToCopy()
+	r.order = r.rankByHash(eligible)
+	var indexes []int
+	if p.policy.On(Shortlist) {
+		indexes = shortlist(eligible, r.order, req)
 	}
-	out := r.best(eligible, shortlist(eligible, r.order, req))
+	out := r.best(eligible, indexes)
 	if len(out) == 0 || !out[0].leavesSlack(req) {
 		out = r.best(eligible, nil)
 	}
@@ -136,9 +148,12 @@
 
 // ranking holds the inputs for comparing the candidates of one request.
 type ranking struct {
-	now        time.Time
-	req        *Request
-	bound      float64
+	now    time.Time
+	req    *Request
+	policy *Policy
+	bound  float64
+	// preferNear is set if servers of the own data centre rank first.
+	preferNear bool
 	order      []int
 	source     fetchSource
 	meanErrors float64
@@ -153,11 +168,13 @@
 	try := func(i int) {
 		s := servers[i]
 		l := s.load()
-		if s.Engine && float64(l.Running+1) > r.bound {
+		if s.Engine && r.policy.On(LoadBound) && float64(l.Running+1) > r.bound {
 			return
 		}
 		c := s.candidate(r, l, r.order[i])
-		c.addErrorCost(s, max(0, s.errors.now(r.now)-r.meanErrors), r.req)
+		if r.policy.On(ErrorCost) {
+			c.addErrorCost(s, max(0, s.errors.now(r.now)-r.meanErrors), r.req)
+		}
 		out = insertCandidate(out, &c)
 	}
 	if indexes == nil {
@@ -261,6 +278,49 @@
 	return n
 }
 
+// nearReadTime is the processing time of a prompt up to which each data centre keeps its
+// own copy of the parts: processing them once more costs less than sending the prompts
+// and answers of several requests to another data centre.
+const nearReadTime = 10 * time.Millisecond
+
+// isCheapToCopy reports whether the request's prompt is processed within nearReadTime.
+// It answers traffic between data centres: large prompts stay where they are cached,
+// because copies of them would cost more than that traffic.
+func (r *ranking) isCheapToCopy() bool {
+	return readTime(totalTokens(r.req.Parts), r.readRate) <= nearReadTime
+}
+
+// rankByHash returns the rank of each server in the hash order of the request. With
+// preferNear the servers of the own data centre and the others are ranked separately.
+func (r *ranking) rankByHash(servers []*serverState) []int {
+	if !r.policy.On(HashOrder) {
+		return make([]int, len(servers))
+	}
+	if !r.preferNear {
+		return hashOrder(servers, r.req)
+	}
+	order := make([]int, len(servers))
+	for _, near := range []bool{true, false} {
+		var group []*serverState
+		var indexes []int
+		for i, s := range servers {
+			if (s.DataCentre == r.policy.DataCentre) == near {
+				group, indexes = append(group, s), append(indexes, i)
+			}
+		}
+		for i, rank := range hashOrder(group, r.req) {
+			order[indexes[i]] = rank
+		}
+	}
+	return order
+}
+
+// isRemote reports whether the request prefers a server of the own data centre and s is in
+// another one.
+func (r *ranking) isRemote(s *serverState) bool {
+	return r.preferNear && s.DataCentre != r.policy.DataCentre
+}
+
 // hashOrder ranks the servers by rendezvous hash for the request's key and returns
 // maxRanks for all servers after the first ones. All instances compute the same order
 // without communication.
@@ -305,13 +365,14 @@
 // fetchSource returns the server that has processed and cached most of the prompt. Ties go to the
 // server whose link is free first, then to the highest hash with the request's key:
 // with a fixed order all fetches of a shared part would queue at one engine. Servers
-// that may receive no new work remain valid sources.
+// that may receive no new work, or that failed once or twice, remain valid sources: their
+// caches are intact.
 func (p *pool) fetchSource(now time.Time, req *Request) fetchSource {
 	var best fetchSource
 	var free time.Duration
 	var hash uint64
 	for _, s := range p.list {
-		if !s.Engine || s.FetchTokensPerMs == 0 || s.failures.suspect(now) {
+		if !s.Engine || s.FetchTokensPerMs == 0 || s.failures.down(now) {
 			continue
 		}
 		n := s.cache.readTokens(now, req.Parts)
@@ -349,13 +410,19 @@
 // candidate estimates the cost of running the request at the server with load l.
 func (s *serverState) candidate(r *ranking, l Load, rank int) Candidate {
 	now, req := r.now, r.req
-	c := Candidate{ID: s.ID, Address: s.Address, Suspect: s.failures.suspect(now), Full: s.Slots > 0 && l.Running >= s.Slots, tieBreak: fleet.Mix(req.Key, s.hash)}
-	slowdown := s.speed.slowdown(now)
+	c := Candidate{ID: s.ID, Address: s.Address, Suspect: r.policy.On(AvoidSuspects) && s.failures.suspect(now), Full: s.Slots > 0 && l.Running >= s.Slots, tieBreak: fleet.Mix(req.Key, s.hash)}
+	slowdown := 1.0
+	if r.policy.On(Slowdown) {
+		slowdown = s.speed.slowdown(now)
+	}
 	if !s.Engine {
 		// Expected time, in units of the time of one request.
 		slots := float64(max(1, s.Slots))
 		c.Cost = slowdown * (1 + float64(l.Running)/slots + 4*math.Max(0, float64(l.Running+1)-slots)/slots)
 		c.Cost += 0.01 * float64(rank)
+		if r.isRemote(s) {
+			c.Cost += remoteServiceCost
+		}
 		return c
 	}
 	c.Cached = s.cache.cachedTokens(req.Parts)
@@ -371,7 +438,10 @@
 		work += queuedCostTokens * float64(1+l.Running-s.Slots)
 	}
 	c.Wait = baseFirstTokenTime + fetchTime + time.Duration(slowdown*work/r.readRate*float64(time.Millisecond))
-	cost := waitCost(c.Wait, req.Objective) + fetchTime + readTime(unread, r.readRate) + rankCost*time.Duration(rank)
+	cost := waitCost(c.Wait, req.Objective) + time.Duration(r.policy.FetchWeight*float64(fetchTime)) + readTime(unread, r.readRate) + rankCost*time.Duration(rank)
+	if r.isRemote(s) {
+		cost += r.policy.RemoteCost
+	}
 	c.Cost = float64(cost) / float64(time.Millisecond)
 	return c
 }
@@ -384,11 +454,11 @@
 
 // waitCost is the cost of a wait for the first token. A wait well below the objective
 // costs little, so that a prompt stays where its parts are cached; close to the
-// objective the cost grows with the third power.
+// objective the cost grows with the fifth power.
 func waitCost(wait, objective time.Duration) time.Duration {
 	if objective <= 0 {
 		objective = defaultObjective
 	}
 	r := float64(wait) / float64(objective)
-	return time.Duration(float64(wait) * (waitWeight + lateWeight*r*r))
+	return time.Duration(float64(wait) * (waitWeight + lateWeight*r*r*r*r))
 }
--- a/core/placement/reservation.go
+++ b/core/placement/reservation.go
@@ -36,7 +36,7 @@
 	if server == nil || server.Out {
 		return nil
 	}
-	if server.cold(now) {
+	if p.policy.On(ColdRamp) && server.cold(now) {
 		gap, ok := share.minInterval(server.hash, server.ColdRate)
 		if !ok || now.Before(server.coldNextAt) {
 			return nil
@@ -156,6 +156,7 @@
 		}
 	case Unreachable:
 		t.server.failures.failed(now, unreachableBackoffBase)
+		t.server.failures.unreachable = true
 		t.server.ownSuspectUntil = t.server.failures.suspectUntil
 	}
 	t.pool.notifyWaiters()
--- a/measure/placement/placement_test.go
+++ b/measure/placement/placement_test.go
@@ -19,7 +19,7 @@
 const peerCount = 8
 
 func newBalancer(n int) *core.Balancer {
-	b := core.NewBalancer()
+	b := core.NewBalancer(core.DefaultPolicy(""))
 	servers := make([]core.Server, n)
 	loads := map[fleet.ServerID]core.Load{}
 	for i := range servers {
@@ -61,7 +61,7 @@
 				reservation.OnFirstOutput(now)
 				reservation.Release(now, core.Ended)
 				if i%1000 == 0 {
-					balancer.DrainReport()
+					balancer.DrainReport(1000)
 				}
 			}
 		})
