--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -31,10 +31,6 @@
 	lateWeight = 4
 )
 
-// remoteServiceCost is the cost of a plain service in another data centre, in units of one
-// request's time.
-const remoteServiceCost = 0.2
-
 // meanLatencyWindow is the inverse weight of a new sample in a service's mean
 // latency.
 const meanLatencyWindow = 16
@@ -130,8 +126,11 @@
 	if p.policy.On(Fetching) {
 		r.source = p.fetchSource(now, req)
 	}
-	r.preferNear = p.policy.On(NearServers) && r.isCheapToCopy()
-	r.order = r.rankByHash(eligible)
+	if p.policy.On(HashOrder) {
+		r.order = hashOrder(eligible, req)
+	} else {
+		r.order = make([]int, len(eligible))
+	}
 	var indexes []int
 	if p.policy.On(Shortlist) {
 		indexes = shortlist(eligible, r.order, req)
@@ -148,12 +147,10 @@
 
 // ranking holds the inputs for comparing the candidates of one request.
 type ranking struct {
-	now    time.Time
-	req    *Request
-	policy *Policy
-	bound  float64
-	// preferNear is set if servers of the own data centre rank first.
-	preferNear bool
+	now        time.Time
+	req        *Request
+	policy     *Policy
+	bound      float64
 	order      []int
 	source     fetchSource
 	meanErrors float64
@@ -278,49 +275,6 @@
 	return n
 }
 
-// nearReadTime is the processing time of a prompt up to which each data centre keeps its
-// own copy of the parts: processing them once more costs less than sending the prompts
-// and answers of several requests to another data centre.
-const nearReadTime = 10 * time.Millisecond
-
-// isCheapToCopy reports whether the request's prompt is processed within nearReadTime.
-// It answers traffic between data centres: large prompts stay where they are cached,
-// because copies of them would cost more than that traffic.
-func (r *ranking) isCheapToCopy() bool {
-	return readTime(totalTokens(r.req.Parts), r.readRate) <= nearReadTime
-}
-
-// rankByHash returns the rank of each server in the hash order of the request. With
-// preferNear the servers of the own data centre and the others are ranked separately.
-func (r *ranking) rankByHash(servers []*serverState) []int {
-	if !r.policy.On(HashOrder) {
-		return make([]int, len(servers))
-	}
-	if !r.preferNear {
-		return hashOrder(servers, r.req)
-	}
-	order := make([]int, len(servers))
-	for _, near := range []bool{true, false} {
-		var group []*serverState
-		var indexes []int
-		for i, s := range servers {
-			if (s.DataCentre == r.policy.DataCentre) == near {
-				group, indexes = append(group, s), append(indexes, i)
-			}
-		}
-		for i, rank := range hashOrder(group, r.req) {
-			order[indexes[i]] = rank
-		}
-	}
-	return order
-}
-
-// isRemote reports whether the request prefers a server of the own data centre and s is in
-// another one.
-func (r *ranking) isRemote(s *serverState) bool {
-	return r.preferNear && s.DataCentre != r.policy.DataCentre
-}
-
 // hashOrder ranks the servers by rendezvous hash for the request's key and returns
 // maxRanks for all servers after the first ones. All instances compute the same order
 // without communication.
@@ -420,9 +374,6 @@
 		slots := float64(max(1, s.Slots))
 		c.Cost = slowdown * (1 + float64(l.Running)/slots + 4*math.Max(0, float64(l.Running+1)-slots)/slots)
 		c.Cost += 0.01 * float64(rank)
-		if r.isRemote(s) {
-			c.Cost += remoteServiceCost
-		}
 		return c
 	}
 	c.Cached = s.cache.cachedTokens(req.Parts)
@@ -439,9 +390,6 @@
 	}
 	c.Wait = baseFirstTokenTime + fetchTime + time.Duration(slowdown*work/r.readRate*float64(time.Millisecond))
 	cost := waitCost(c.Wait, req.Objective) + time.Duration(r.policy.FetchWeight*float64(fetchTime)) + readTime(unread, r.readRate) + rankCost*time.Duration(rank)
-	if r.isRemote(s) {
-		cost += r.policy.RemoteCost
-	}
 	c.Cost = float64(cost) / float64(time.Millisecond)
 	return c
 }
