Read from a peer when the store refuses only this instance

An instance whose lease runs out reads the store itself; the read is refused at once, and the pause ends at once too because a peer could be read, which the instance then does not do. Change: for a second after a failed read such an instance reads from a peer, whose copy renews the lease as well. TestOwnReadAfterFailure fails without the change.

--- a/cmd/internal/edge/follow.go
+++ b/cmd/internal/edge/follow.go
@@ -49,6 +49,10 @@
 	// relayWaitJitter is the range of the per-instance addition to relayWait, so that the
 	// first instances to read the store can serve the others.
 	relayWaitJitter = 600 * time.Millisecond
+	// ownReadRetryDelay is the time after a failed read of the store in which an instance
+	// whose lease runs out reads from a peer instead. A store that refuses only this
+	// instance refuses at once, and the peer's copy renews the lease as well.
+	ownReadRetryDelay = time.Second
 	// sourcePollInterval is the interval at which an instance that may not read the store
 	// looks for a peer to read from.
 	sourcePollInterval = 10 * time.Millisecond
@@ -206,15 +210,19 @@
 	if t.name != platform.OperatorTable || v.current.Load() == nil {
 		return false
 	}
+	if failed := v.lastReadFailure.Load(); failed > 0 && now-freshness.Instant(failed) < ownReadRetryDelay && v.hasReader() {
+		return false
+	}
 	_, at, known := v.lease.State()
 	return known && float64(now-at) > ownReadLeaseShare*float64(v.lease.Term())
 }
 
-// noteFailure starts the grace period for server entries, but only if the store itself
-// could not be read. A failed peer does not indicate a store outage, and servers that
+// noteFailure records a failed read of the store and starts the grace period for server
+// entries, but only if the store itself could not be read. A failed peer does not indicate a store outage, and servers that
 // leave in that time must not receive more work.
 func (v *view) noteFailure(src tableSource, err error) {
 	if src.direct && err != nil && !errors.Is(err, store.ErrHistoryTruncated) {
+		v.lastReadFailure.Store(int64(clock.SinceBoot()))
 		v.noteServersUnreadable()
 	}
 }
--- a/cmd/internal/edge/follow_test.go
+++ b/cmd/internal/edge/follow_test.go
@@ -41,6 +41,35 @@
 	}
 }
 
+// An instance that the store refuses while it serves the others must not ask it again and
+// again when its lease runs out: it reads from a peer, whose copy renews the lease.
+func TestOwnReadAfterFailure(t *testing.T) {
+	set := &settings.Edge{Instance: "a", DataCentre: "x", Times: settings.EdgeTimes{RevokeMillis: 5000}}
+	board := placement.NewBalancer(placement.DefaultPolicy())
+	v := newView(set, platform.NewStore("127.0.0.1:1"), board, zap.NewNop())
+	v.peers = newPeers(set, nil, v, board, zap.NewNop())
+	v.applyConfig(engineConfig(), true)
+	now := clock.SinceBoot()
+	v.lease.Confirm(2, now-v.lease.Term()*9/10)
+	operators := v.tables[0]
+	src := tableSource{direct: true}
+	if !v.needsOwnRead(operators, now) {
+		t.Fatal("a lease that runs out does not need an own read")
+	}
+	v.noteFailure(src, result.New(result.StoreUnavailable, "refused"))
+	if !v.needsOwnRead(operators, clock.SinceBoot()) {
+		t.Error("without a peer to read from, the store is not asked")
+	}
+	v.peers.roster.HandleReport(time.Now(), roster.Peer{ID: "b", DataCentre: "y", ReadsStore: true}, true)
+	failed := clock.SinceBoot()
+	if v.needsOwnRead(operators, failed) {
+		t.Error("the store is asked again at once although a peer can be read")
+	}
+	if !v.needsOwnRead(operators, failed+ownReadRetryDelay) {
+		t.Error("the store is not asked again")
+	}
+}
+
 // Only a failure of the store itself may start the grace period for missing entries. If a
 // failed peer started it, a server that has left would still receive work.
 func TestPeerFailureKeepsNoServer(t *testing.T) {
--- a/cmd/internal/edge/view.go
+++ b/cmd/internal/edge/view.go
@@ -64,6 +64,9 @@
 	// lastPeerRead is the start of the last read from a peer, as time since boot; 0 if
 	// there was none.
 	lastPeerRead atomic.Int64
+	// lastReadFailure is when a read of the store last failed, as time since boot; 0 if none
+	// has.
+	lastReadFailure atomic.Int64
 	// startedAt is when the instance started.
 	startedAt freshness.Instant
 
