Describe the mechanisms in one table and in the operators' page

Cause: names of mechanisms stood in a map beside the constants' comments, and the operators' page did not know [policy].

--- a/adapters/settings/edge_test.go
+++ b/adapters/settings/edge_test.go
@@ -25,7 +25,7 @@
 		"fetch_weight = -1":               "10:2: policy is invalid: fetch weight is -1, accepted range: 0 to 100",
 		"fetch_weight = inf":              "fetch weight is +Inf",
 		"fetch_weight = nan":              "fetch weight is NaN",
-		`disabled = ["fetching", "luck"]`: `mechanism "luck" is unknown, known are avoid_suspects, cold_ramp`,
+		`disabled = ["fetching", "luck"]`: `mechanism "luck" is unknown, known are hash_order, fetching`,
 		"weight = 1":                      "weight",
 	} {
 		_, err := ParseEdge("node.toml", []byte(validEdge+"[policy]\n"+lines+"\n"))
--- a/cmd/internal/doctable/tables.go
+++ b/cmd/internal/doctable/tables.go
@@ -15,12 +15,13 @@
 	"cyclamenhitch/cmd/internal/daemon"
 	"cyclamenhitch/cmd/internal/operator"
 	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/result"
 )
 
 // tables returns the text of all generated sections by name.
 func tables(root string) (map[string]string, error) {
-	out := map[string]string{"codes": resultCodesTable(), "metrics": metricsTable()}
+	out := map[string]string{"codes": resultCodesTable(), "metrics": metricsTable(), "mechanisms": mechanismsTable()}
 	var err error
 	if out["commands"], err = operator.Reference(); err != nil {
 		return nil, err
@@ -53,6 +54,15 @@
 	return b.String()
 }
 
+func mechanismsTable() string {
+	var b strings.Builder
+	b.WriteString("| name | what it does |\n| --- | --- |\n")
+	for _, m := range placement.ListMechanisms() {
+		fmt.Fprintf(&b, "| `%s` | %s |\n", m.Name, m.Does)
+	}
+	return b.String()
+}
+
 // keyRow describes one key of a TOML file.
 type keyRow struct{ key, meaning, unit, def, accepted string }
 
--- a/cmd/internal/edge/prompts.go
+++ b/cmd/internal/edge/prompts.go
@@ -52,7 +52,7 @@
 	for ctx.Err() == nil && (!p.view.fresh() || !p.roster.HasListing()) {
 		sleep(ctx, viewPollInterval)
 	}
-	listed := slices.Collect(maps.Keys(p.roster.Listed()))
+	listed := slices.Collect(maps.Keys(p.roster.Listed())) // includes this instance
 	if !p.set.FirstStart {
 		if p.learnPromptsFromListed() {
 			return
@@ -95,6 +95,7 @@
 	return p.learnPromptsFromSome(p.roster.Listed(), maxPeersAsked, firstPeersTimeout)
 }
 
+// addressesOf returns where the peers can be reached.
 func addressesOf(live []roster.Peer) map[fleet.InstanceID]roster.Listing {
 	out := make(map[fleet.InstanceID]roster.Listing, len(live))
 	for _, peer := range live {
@@ -103,8 +104,8 @@
 	return out
 }
 
-// learnPromptsFromSome asks up to most of the peers at once, those of this data centre first, and
-// reports whether one of them knows the cache contents of all engines.
+// learnPromptsFromSome asks up to most of the peers at once, those of this data centre
+// first. It reports whether one of them knows the cache contents of all engines.
 func (p *peers) learnPromptsFromSome(listed map[fleet.InstanceID]roster.Listing, most int, timeout time.Duration) bool {
 	delete(listed, p.set.Instance)
 	ids := slices.Collect(maps.Keys(listed))
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -40,69 +40,75 @@
 // Mechanisms is a set of mechanisms.
 type Mechanisms uint32
 
-// Mechanisms of the placement and of the instance around it. ColdRamp and LoadBound keep
-// promises to the users and are switched off in experiments only.
+// Mechanisms of the placement and of the instance around it; mechanisms describes them.
+// ColdRamp and LoadBound keep promises to the users and are switched off in experiments only.
 const (
-	// HashOrder keeps a prompt on the engines that rank first by its hash.
 	HashOrder Mechanism = 1 << iota
-	// Fetching lets an engine fetch cached parts from another one.
 	Fetching
-	// LearnedRate estimates the rate at which engines process prompts.
 	LearnedRate
-	// AvoidSuspects avoids servers that failed recently.
 	AvoidSuspects
-	// ErrorCost adds the cost of a server's excess errors.
 	ErrorCost
-	// Slowdown corrects expected times by the observed ones.
 	Slowdown
-	// LoadBound excludes engines far above the mean load.
 	LoadBound
-	// Shortlist compares only a few engines in large pools.
 	Shortlist
-	// ColdRamp limits the requests to cold servers.
 	ColdRamp
-	// Waiting lets requests wait for a server instead of refusing them at once.
 	Waiting
-	// SecondRuns sends failed requests to another server.
 	SecondRuns
-	// PlacementReports tells the peers which prompts were sent where.
 	PlacementReports
-	// PromptLearning learns after a start what the engines cache.
 	PromptLearning
-	// RequestUrgency tells engines which requests go first.
 	RequestUrgency
 )
 
-var mechanismNames = map[string]Mechanism{
-	"hash_order": HashOrder, "fetching": Fetching, "learned_rate": LearnedRate, "avoid_suspects": AvoidSuspects,
-	"error_cost": ErrorCost, "slowdown": Slowdown, "load_bound": LoadBound, "shortlist": Shortlist, "cold_ramp": ColdRamp,
-	"waiting": Waiting, "second_runs": SecondRuns, "placement_reports": PlacementReports, "prompt_learning": PromptLearning,
-	"request_urgency": RequestUrgency,
+// MechanismInfo describes a mechanism to operators.
+type MechanismInfo struct {
+	Mechanism Mechanism
+	// Name is the name in the settings.
+	Name string
+	// Does tells what the mechanism does.
+	Does string
 }
 
-// MechanismNames returns the names that ParseMechanisms accepts, sorted.
-func MechanismNames() []string {
-	names := make([]string, 0, len(mechanismNames))
-	for name := range mechanismNames {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
+var mechanisms = []MechanismInfo{
+	{HashOrder, "hash_order", "keeps a prompt on the engines that rank first by its hash"},
+	{Fetching, "fetching", "lets an engine fetch cached parts from another one"},
+	{LearnedRate, "learned_rate", "estimates the rate at which engines process prompts"},
+	{AvoidSuspects, "avoid_suspects", "avoids servers that failed recently"},
+	{ErrorCost, "error_cost", "adds the cost of a server's excess errors"},
+	{Slowdown, "slowdown", "corrects expected times by the observed ones"},
+	{LoadBound, "load_bound", "excludes engines far above the mean load"},
+	{Shortlist, "shortlist", "compares only a few engines in large pools"},
+	{ColdRamp, "cold_ramp", "limits the requests to cold servers"},
+	{Waiting, "waiting", "lets requests wait for a server instead of refusing them at once"},
+	{SecondRuns, "second_runs", "sends failed requests to another server"},
+	{PlacementReports, "placement_reports", "tells the peers which prompts were sent where"},
+	{PromptLearning, "prompt_learning", "learns after a start what the engines cache"},
+	{RequestUrgency, "request_urgency", "tells engines which requests go first"},
 }
 
+// ListMechanisms returns all mechanisms.
+func ListMechanisms() []MechanismInfo { return slices.Clone(mechanisms) }
+
 // ParseMechanisms returns the set of the named mechanisms.
 func ParseMechanisms(names []string) (Mechanisms, error) {
 	var set Mechanisms
 	for _, name := range names {
-		m, ok := mechanismNames[name]
-		if !ok {
-			return 0, fmt.Errorf("mechanism %q is unknown, known are %s", name, strings.Join(MechanismNames(), ", "))
+		i := slices.IndexFunc(mechanisms, func(m MechanismInfo) bool { return m.Name == name })
+		if i < 0 {
+			return 0, fmt.Errorf("mechanism %q is unknown, known are %s", name, knownMechanisms())
 		}
-		set |= Mechanisms(m)
+		set |= Mechanisms(mechanisms[i].Mechanism)
 	}
 	return set, nil
 }
 
+func knownMechanisms() string {
+	names := make([]string, len(mechanisms))
+	for i, m := range mechanisms {
+		names[i] = m.Name
+	}
+	return strings.Join(names, ", ")
+}
+
 // Has reports whether m is in the set.
 func (s Mechanisms) Has(m Mechanism) bool { return s&Mechanisms(m) != 0 }
 
--- a/core/placement/policy_test.go
+++ b/core/placement/policy_test.go
@@ -10,11 +10,13 @@
 )
 
 func TestParseMechanisms(t *testing.T) {
-	for _, name := range MechanismNames() {
-		set, err := ParseMechanisms([]string{name})
-		if err != nil || set == 0 || set&(set-1) != 0 {
-			t.Errorf("%s: set %b, error %v", name, set, err)
+	var all Mechanisms
+	for _, m := range ListMechanisms() {
+		set, err := ParseMechanisms([]string{m.Name})
+		if err != nil || !set.Has(m.Mechanism) || set&all != 0 || m.Does == "" {
+			t.Errorf("%s: set %b, error %v", m.Name, set, err)
 		}
+		all |= set
 	}
 	if _, err := ParseMechanisms([]string{"fetching", "fetch"}); err == nil || !strings.Contains(err.Error(), `"fetch" is unknown`) || !strings.Contains(err.Error(), "fetching") {
 		t.Errorf("unknown mechanism: %v, want an error that lists the known ones", err)
