--- a/cmd/internal/edge/prompts.go
+++ b/cmd/internal/edge/prompts.go
@@ -52,7 +52,7 @@
 	for ctx.Err() == nil && (!p.view.fresh() || !p.roster.HasListing()) {
 		sleep(ctx, viewPollInterval)
 	}
-	listed := slices.Collect(maps.Keys(p.roster.Listed())) // includes this instance
+	listed := slices.Collect(maps.Keys(p.roster.Listed()))
 	if !p.set.FirstStart {
 		if p.learnPromptsFromListed() {
 			return
