--- a/core/placement/policy_test.go
+++ b/core/placement/policy_test.go
@@ -92,4 +92,15 @@
 	if seen != 60 {
 		t.Errorf("%d of 60 parts reported", seen)
 	}
+	// A prompt of very many parts must not hold up the reports of others.
+	long := make([]Part, 5000)
+	for i := range long {
+		long[i] = Part{ID: uint64(10_000 + i), Tokens: 1}
+	}
+	for _, parts := range [][]Part{long, {{ID: 1, Tokens: 9}, {ID: 2, Tokens: 9}}} {
+		b.Reserve(epoch, "p", Candidate{ID: "e0"}, &Request{Parts: parts, PromptTokens: len(parts)})
+	}
+	if _, placed := b.DrainReport(1000); len(placed) != 2 {
+		t.Errorf("%d of 2 prompts reported after a long one", len(placed))
+	}
 }
--- a/core/placement/reservation.go
+++ b/core/placement/reservation.go
@@ -50,7 +50,7 @@
 		t.readTokens, t.measuresReadRate = c.readTokens, c.Fetched == 0 && !c.Full && !server.cold(now)
 		server.recordTransfer(now, c)
 		if n := len(req.Parts); n > 1 && server.shouldReport(req, req.Parts[:n-1]) {
-			server.placed = append(server.placed, req.Parts[:n-1])
+			server.placed = append(server.placed, req.Parts[:min(n-1, maxReportedParts)])
 		}
 		t.parts = req.Parts
 		server.cache.add(req.Parts, now.Add(c.Wait))
@@ -65,6 +65,10 @@
 // are still in use.
 const knownReportInterval = 8
 
+// maxReportedParts limits the parts of one reported prompt. The first parts are the ones
+// that other prompts share, and a longer list would not fit into a report.
+const maxReportedParts = 256
+
 // shouldReport reports whether to tell peers that the parts were sent to the server.
 // Parts that all peers know would displace unknown parts from the size-limited
 // digests.
