--- a/core/placement/balancer.go
+++ b/core/placement/balancer.go
@@ -187,25 +187,25 @@
 // AddPeerPlacement records that another instance sent a prompt with these parts to a
 // server.
 func (b *Balancer) AddPeerPlacement(now time.Time, server fleet.ServerID, parts []Part) {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
-	for _, p := range b.pools {
-		p.mu.Lock()
-		if s := p.servers[server]; s != nil {
-			s.cache.add(parts, now.Add(readTime(totalTokens(parts), p.tokensPerMs())))
-		}
-		p.mu.Unlock()
-	}
+	b.forServer(server, func(p *pool, s *serverState) {
+		s.cache.add(parts, now.Add(readTime(totalTokens(parts), p.tokensPerMs())))
+	})
 }
 
 // AddPeerCached records parts that another instance knows to be cached by a server.
 func (b *Balancer) AddPeerCached(now time.Time, server fleet.ServerID, parts []Part) {
+	b.forServer(server, func(_ *pool, s *serverState) { s.cache.add(parts, now) })
+}
+
+// forServer calls f with the state of a server in each pool that has it, under the lock of
+// the pool.
+func (b *Balancer) forServer(id fleet.ServerID, f func(*pool, *serverState)) {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 	for _, p := range b.pools {
 		p.mu.Lock()
-		if s := p.servers[server]; s != nil {
-			s.cache.add(parts, now)
+		if s := p.servers[id]; s != nil {
+			f(p, s)
 		}
 		p.mu.Unlock()
 	}
@@ -305,16 +305,10 @@
 // AddCached records parts that a server was found to cache and adds them to the next
 // report, so that the other instances learn of them.
 func (b *Balancer) AddCached(now time.Time, server fleet.ServerID, parts []Part) {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
-	for _, p := range b.pools {
-		p.mu.Lock()
-		if s := p.servers[server]; s != nil {
-			s.cache.add(parts, now)
-			s.placed = append(s.placed, parts)
-		}
-		p.mu.Unlock()
-	}
+	b.forServer(server, func(_ *pool, s *serverState) {
+		s.cache.add(parts, now)
+		s.placed = append(s.placed, parts)
+	})
 }
 
 // Engines returns all model engines, in no particular order.
