--- a/cmd/internal/edge/relay_test.go
+++ b/cmd/internal/edge/relay_test.go
@@ -216,6 +216,15 @@
 			t.Errorf("%s knows %d of %d cached parts", p.ID, known, engines*parts)
 		}
 	}
+	// What callers get: a prompt that returns to any instance is not processed again.
+	for i, p := range f.members {
+		e := 7 * i % engines
+		part := placement.Part{ID: 1<<63 + uint64(1000*e), Tokens: 2000}
+		ranked, _ := f.relays[p.ID].board.Rank(f.now, "pool", &placement.Request{Parts: []placement.Part{part}, PromptTokens: 2000}, nil)
+		if ranked[0].ID != servers[e].ID || ranked[0].Cached != part.Tokens {
+			t.Errorf("%s sends a prompt that %s caches to %s", p.ID, servers[e].ID, ranked[0].ID)
+		}
+	}
 }
 
 // The largest digest of the fleet size expected in two years must fit into a datagram;
