Do not hand the RequestCtx of a peer call on as its context

The server for peer calls passed fasthttp's RequestCtx to the handlers as their context. An HTTP client that dials reads the context's values in a goroutine of its own (the trace: net.(*sysDialer).dialSingle from the SDK's transport), which may last longer than the call; meanwhile fasthttp resets the RequestCtx for the next request. Change: a call's context is a child of the server's, and ends with the call; at Shutdown it ends first, as the RequestCtx did.

--- a/adapters/peer/handler.go
+++ b/adapters/peer/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"net/url"
@@ -36,8 +37,9 @@
 
 // serveHTTP calls the handler on the current goroutine. The net/http adaptor of fasthttp
 // starts a goroutine per call to support flushed and hijacked responses, which peers do
-// not use.
-func serveHTTP(h http.Handler, ctx *fasthttp.RequestCtx, path string, message []byte) (status int, answer []byte) {
+// not use. The call's context does not refer to the RequestCtx, which is reset for the next
+// request: an HTTP client that dials may read the context's values after the call.
+func (s *Server) serveHTTP(h http.Handler, ctx *fasthttp.RequestCtx, path string, message []byte) (status int, answer []byte) {
 	rec := responseRecorder{header: http.Header{}, body: make([]byte, macBytes, 512)}
 	defer func() {
 		if p := recover(); p != nil {
@@ -54,7 +56,9 @@
 		Header: http.Header{"Content-Type": {contentType}}, Host: host,
 		Body: io.NopCloser(bytes.NewReader(message)), ContentLength: int64(len(message)),
 	}
-	h.ServeHTTP(&rec, req.WithContext(ctx))
+	call, cancel := context.WithCancel(s.calls)
+	defer cancel()
+	h.ServeHTTP(&rec, req.WithContext(call))
 	rec.WriteHeader(http.StatusOK)
 	return rec.status, rec.body
 }
--- a/adapters/peer/peer.go
+++ b/adapters/peer/peer.go
@@ -38,6 +38,9 @@
 	traffic *Traffic
 	mounts  []mount
 	srv     *fasthttp.Server
+	// calls is the parent of all calls' contexts; endCalls ends it at Shutdown.
+	calls    context.Context
+	endCalls context.CancelFunc
 }
 
 // discardLogger discards the HTTP server's messages, so that a client without the key
@@ -56,6 +59,7 @@
 // key and, unless t is nil, run over mutual TLS.
 func NewServer(key KeyProvider, t TLS, traffic *Traffic) *Server {
 	s := &Server{key: key, tls: t, traffic: traffic}
+	s.calls, s.endCalls = context.WithCancel(context.Background())
 	s.srv = &fasthttp.Server{
 		Handler: s.handle, MaxRequestBodySize: maxCallBytes + callAuthBytes,
 		// Peers ignore these header fields.
@@ -81,8 +85,12 @@
 	return s.srv.Serve(ln)
 }
 
-// Shutdown closes the listeners and waits for open calls until ctx is done.
-func (s *Server) Shutdown(ctx context.Context) error { return s.srv.ShutdownWithContext(ctx) }
+// Shutdown closes the listeners, cancels the contexts of open calls and waits for the calls
+// until ctx is done.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.endCalls()
+	return s.srv.ShutdownWithContext(ctx)
+}
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
@@ -104,7 +112,7 @@
 func (s *Server) dispatch(ctx *fasthttp.RequestCtx, path string, message []byte) (int, []byte) {
 	for _, m := range s.mounts {
 		if strings.HasPrefix(path, m.prefix) {
-			return serveHTTP(m.handler, ctx, path, message)
+			return s.serveHTTP(m.handler, ctx, path, message)
 		}
 	}
 	return fasthttp.StatusNotFound, make([]byte, macBytes)
--- a/adapters/peer/wire_test.go
+++ b/adapters/peer/wire_test.go
@@ -236,3 +236,31 @@
 		t.Fatalf("response %v, error %v", resp, err)
 	}
 }
+
+// Guards against a call's context that refers to the next request on the connection: an
+// HTTP client that dials reads its values after the call has ended.
+func TestCallContextEndsWithCall(t *testing.T) {
+	key := testKey(strings.Repeat("a", 32))
+	var traffic Traffic
+	srv := NewServer(key, nil, &traffic)
+	contexts := make(chan context.Context, 2)
+	srv.Mount("/svc/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		contexts <- r.Context()
+		w.WriteHeader(http.StatusOK)
+	}))
+	ln := listen(t)
+	go func() { _ = srv.Serve(ln) }()
+	defer func() { _ = srv.Shutdown(context.Background()) }()
+	client := NewClient(key, nil, &traffic)
+	for range 2 {
+		if _, err := post(context.Background(), client, ln.Addr().String(), "/svc/Echo"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 2 {
+		ctx := <-contexts
+		if ctx.Value("key") != nil || !errors.Is(ctx.Err(), context.Canceled) {
+			t.Errorf("after the call its context has the error %v", ctx.Err())
+		}
+	}
+}
