Fill digests to a datagram, newest placements first

Cause, found by reading the change again: the limit of 2,000 prompt parts let a digest beside the largest member list and loads grow to 71 KB with prompts of five parts (89 KB with the relay's own placements), and a datagram holds 65.5 KB. Change: a round takes the newest placements of both lists by turns, up to 400 and up to the bytes that are left beside the rest of the report; sizes are computed from the encoding. The oldest yield when 10,000 wait. Measured: TestLargestDigestFits now plays prompts of 1 to 256 parts and a relay's own placements (before: 71,265 and 88,914 bytes, now within 65,507 and still 400 prompts of three parts); TestFreshPlacementsGoFirst fails without the change (30 older ones, none of the fresh).

--- a/adapters/gossip/gossip.go
+++ b/adapters/gossip/gossip.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"cyclamenhitch/adapters/gossip/gossippb"
@@ -20,6 +21,9 @@
 
 //go:generate protoc --go_out=gossippb --go_opt=paths=source_relative -I gossippb gossip.proto
 
+// MaxReportBytes is the size of the largest report that fits into a UDP datagram over IPv4.
+const MaxReportBytes = 65_507
+
 // maxDatagramBytes is the receive buffer size, which fits any UDP datagram.
 const maxDatagramBytes = 64 << 10
 
@@ -128,6 +132,20 @@
 	}
 }
 
+// Size returns the encoded size of a report, in bytes.
+func Size(r *Report) int { return proto.Size(encode(r)) }
+
+// PlacementSize returns the number of bytes that a placement adds to a report.
+func PlacementSize(p *placement.Placement) int {
+	tokens := 0
+	for _, part := range p.Parts {
+		tokens += protowire.SizeVarint(uint64(part.Tokens))
+	}
+	// Each of the fields, and the placement itself, has a tag of one byte.
+	n := 1 + protowire.SizeBytes(len(p.Server)) + 1 + protowire.SizeBytes(8*len(p.Parts)) + 1 + protowire.SizeBytes(tokens)
+	return 1 + protowire.SizeBytes(n)
+}
+
 // Marshal encodes a report, for a peer that requested it.
 func Marshal(r *Report) ([]byte, error) { return proto.Marshal(encode(r)) }
 
--- a/cmd/internal/edge/relay.go
+++ b/cmd/internal/edge/relay.go
@@ -18,17 +18,19 @@
 	dataCentrePrefix fleet.InstanceID = "/data-centre/"
 )
 
-// Limits of the forwarded items in a digest: with the largest member list and the loads
-// of 600 servers it has to fit into a datagram of 64 KB.
+// Limits of the forwarded items in a digest. Placements also have to fit into the rest of
+// the datagram beside the member list and the loads.
 const (
 	maxDigestPlacements = 400
-	maxDigestParts      = 2000
 	maxDigestSuspicions = 200
-	// maxReportParts limits the prompt parts in the placements of an instance's own report.
+	// maxReportParts limits the prompt parts in the placements of an instance's own report,
+	// which has the loads of up to 600 servers besides.
 	maxReportParts = 1000
 	// maxPendingPlacements limits the placements that wait to be forwarded. After a restart
 	// of the fleet these are the cache contents of all engines.
 	maxPendingPlacements = 10_000
+	// sizeMargin covers the fields of a report that depend on its receiver, in bytes.
+	sizeMargin = 256
 )
 
 // A new relay collects reports during a warm-up before it uses its own sum of the loads.
@@ -75,18 +77,48 @@
 	suspicions []reported[placement.Suspicion]
 }
 
-// take removes and returns the items of the next round: half of what a digest holds.
-func (n *pendingItems) take() pendingItems {
-	items, parts := 0, 0
-	for items < len(n.placed) && items < maxDigestPlacements/2 && parts+len(n.placed[items].item.Parts) <= maxDigestParts/2 {
-		parts += len(n.placed[items].item.Parts)
-		items++
-	}
-	out := pendingItems{placed: n.placed[:items:items], suspicions: n.suspicions}
-	n.placed, n.suspicions = n.placed[items:], nil
+// takeRound removes the items of the next round: the newest placements of both lists by
+// turns, up to most of them and room bytes, and all suspicions. The newest go first, so that
+// the cache contents of engines after a restart do not hold up what is placed now.
+func takeRound(local, remote *pendingItems, most, room int) (pendingItems, pendingItems) {
+	lists := [...]*pendingItems{local, remote}
+	first := [...]int{len(local.placed), len(remote.placed)}
+	for taken := true; taken; {
+		taken = false
+		for i, list := range lists {
+			if first[i] == 0 || most == 0 {
+				continue
+			}
+			size := gossip.PlacementSize(&list.placed[first[i]-1].item)
+			if size > room {
+				continue
+			}
+			first[i], most, room, taken = first[i]-1, most-1, room-size, true
+		}
+	}
+	return local.cut(first[0]), remote.cut(first[1])
+}
+
+// cut removes and returns the placements from index first on, and all suspicions.
+func (n *pendingItems) cut(first int) pendingItems {
+	out := pendingItems{placed: n.placed[first:], suspicions: n.suspicions}
+	n.placed, n.suspicions = n.placed[:first:first], nil
 	return out
 }
 
+// add queues items of a report. The oldest placements yield when too many are queued.
+func (n *pendingItems) add(sender fleet.InstanceID, placed []placement.Placement, suspicions []placement.Suspicion) {
+	for _, p := range placed {
+		n.placed = append(n.placed, reported[placement.Placement]{sender, p})
+	}
+	n.placed = n.placed[max(0, len(n.placed)-maxPendingPlacements):]
+	for _, s := range suspicions {
+		if len(n.suspicions) < maxDigestSuspicions {
+			n.suspicions = append(n.suspicions, reported[placement.Suspicion]{sender, s})
+		}
+	}
+}
+
 // reported is an item with the instance that sent it.
 type reported[T any] struct {
 	sender fleet.InstanceID
@@ -110,7 +142,7 @@
 // sendRound sends the reports of one round. own is this instance's report without the
 // fields that depend on the receiver.
 func (rl *relay) sendRound(now time.Time, plan *roster.Plan, own gossip.Report, send func(roster.Target, gossip.Report)) {
-	d := rl.beginRound(now, plan)
+	d := rl.beginRound(now, plan, &own)
 	to := func(t roster.Target, r gossip.Report) {
 		r.HeldList, r.HasOtherLoadSource = rl.roster.HeldListVersion(t.ID), rl.roster.HasOtherLoadSource(now, t.ID)
 		send(t, r)
@@ -139,11 +171,14 @@
 }
 
 // beginRound takes the pending items for a round and updates this instance's role.
-func (rl *relay) beginRound(now time.Time, plan *roster.Plan) roundDigests {
+func (rl *relay) beginRound(now time.Time, plan *roster.Plan, own *gossip.Report) roundDigests {
 	_, other := rl.roster.LoadSource(now, rl.dc)
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	d := roundDigests{relay: rl, local: rl.local.take(), remote: rl.remote.take()}
+	d := roundDigests{relay: rl}
+	if len(rl.local.placed)+len(rl.remote.placed)+len(rl.local.suspicions)+len(rl.remote.suspicions) > 0 {
+		d.local, d.remote = takeRound(&rl.local, &rl.remote, maxDigestPlacements, rl.roomForPlacements(own))
+	}
 	switch {
 	case plan.Relaying && !rl.relaying:
 		rl.roleStart, rl.warmup = now, map[fleet.InstanceID]map[fleet.ServerID]placement.Load{}
@@ -161,6 +196,21 @@
 	return d
 }
 
+// roomForPlacements returns the bytes left in a datagram beside this instance's own report
+// and the largest member list, loads and suspicions of a digest. The caller holds mu.
+func (rl *relay) roomForPlacements(own *gossip.Report) int {
+	largest := *own
+	digest := gossip.Digest{Members: rl.roster.Digest("", rl.incarnation, ""), Loads: rl.board.Totals()}
+	for _, n := range [...]*pendingItems{&rl.local, &rl.remote} {
+		for _, s := range n.suspicions {
+			digest.Suspicions = append(digest.Suspicions, s.item)
+		}
+	}
+	digest.Suspicions = digest.Suspicions[:min(len(digest.Suspicions), maxDigestSuspicions)]
+	largest.Digest = &digest
+	return gossip.MaxReportBytes - gossip.Size(&largest) - sizeMargin
+}
+
 // hasWarmedUp reports whether the warm-up is complete. other is true if another relay of
 // the data centre knows the loads. The caller holds mu.
 func (rl *relay) hasWarmedUp(now time.Time, other bool) bool {
@@ -360,14 +410,5 @@
 	if local {
 		n = &rl.local
 	}
-	for _, p := range placed {
-		if len(n.placed) < maxPendingPlacements {
-			n.placed = append(n.placed, reported[placement.Placement]{id, p})
-		}
-	}
-	for _, s := range suspicions {
-		if len(n.suspicions) < maxDigestSuspicions {
-			n.suspicions = append(n.suspicions, reported[placement.Suspicion]{id, s})
-		}
-	}
+	n.add(id, placed, suspicions)
 }
--- a/cmd/internal/edge/relay_test.go
+++ b/cmd/internal/edge/relay_test.go
@@ -252,25 +252,83 @@
 	}
 	b.SetServers("pool", list)
 	b.SetPeerLoads("front-region-a-100", now, loads)
-	rl := newRelay(r, b, "region-a", 1)
-	rl.relaying = true
-	for i := range 3000 {
-		parts := []placement.Part{{ID: 1 << 63, Tokens: 20_000}, {ID: 1<<63 + 1, Tokens: 20_000}, {ID: 1<<63 + 2, Tokens: 20_000}}
-		rl.applyItems(now, "x", true, i%2 == 0, []placement.Placement{{Server: list[0].ID, Parts: parts}}, []placement.Suspicion{{Server: list[0].ID, Remaining: time.Second}})
-	}
-	plan := roster.Plan{Relaying: true, Members: []roster.Target{{ID: "front-region-a-101"}}}
 	r.Plan(now, roster.Peer{ID: "front-region-a-1", DataCentre: "region-a"})
-	rl.sendRound(now, &plan, gossip.Report{From: roster.Peer{ID: "front-region-a-1"}, Loads: loads}, func(_ roster.Target, rep gossip.Report) {
-		bytes, err := gossip.Marshal(&rep)
-		if err != nil {
-			t.Fatal(err)
+	own := gossip.Report{From: roster.Peer{ID: "front-region-a-1"}, Loads: loads}
+	digest := func(parts int, own gossip.Report) *gossip.Digest {
+		t.Helper()
+		rl := newRelay(r, b, "region-a", 1)
+		rl.relaying = true
+		for i := range 3000 {
+			list := []placement.Placement{{Server: list[0].ID, Parts: largeParts(parts)}}
+			rl.applyItems(now, "x", true, i%2 == 0, list, []placement.Suspicion{{Server: "i-0000000000", Remaining: time.Second}})
 		}
-		if d := rep.Digest; len(d.Placements) != maxDigestPlacements || len(d.Loads) != servers || len(d.Members.Members) < 100 {
-			t.Errorf("%d prompts, %d loads, %d members: the digest is not a large one", len(d.Placements), len(d.Loads), len(d.Members.Members))
+		var d *gossip.Digest
+		plan := roster.Plan{Relaying: true, Members: []roster.Target{{ID: "front-region-a-101"}}}
+		rl.sendRound(now, &plan, own, func(_ roster.Target, rep gossip.Report) {
+			bytes, err := gossip.Marshal(&rep)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if d = rep.Digest; len(d.Loads) != servers || len(d.Members.Members) < 100 {
+				t.Errorf("%d loads, %d members: the digest is not a large one", len(d.Loads), len(d.Members.Members))
+			}
+			if len(bytes) > largest {
+				t.Errorf("the report takes %d bytes with prompts of %d parts, a datagram %d", len(bytes), parts, largest)
+			}
+		})
+		return d
+	}
+	if n := len(digest(3, own).Placements); n != maxDigestPlacements {
+		t.Errorf("%d prompts, want %d", n, maxDigestPlacements)
+	}
+	for _, parts := range []int{1, 5, 64, 256} {
+		if len(digest(parts, own).Placements) == 0 {
+			t.Errorf("no prompts of %d parts", parts)
 		}
-		if len(bytes) > largest {
-			t.Errorf("the report takes %d bytes, a datagram %d", len(bytes), largest)
+	}
+	for i := range maxReportParts / 3 {
+		own.Placements = append(own.Placements, placement.Placement{Server: list[i].ID, Parts: largeParts(3)})
+	}
+	digest(5, own)
+}
+
+// largeParts returns parts whose encoding takes as much space as any.
+func largeParts(n int) []placement.Part {
+	parts := make([]placement.Part, n)
+	for i := range parts {
+		parts[i] = placement.Part{ID: 1<<63 + uint64(i), Tokens: 20_000}
+	}
+	return parts
+}
+
+// The cache contents of all engines, which wait to be forwarded after a restart, must not
+// hold up what is placed meanwhile, in either data centre.
+func TestFreshPlacementsGoFirst(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	r := roster.New("a")
+	rl := newRelay(r, placement.NewBalancer(placement.DefaultPolicy()), "x", 1)
+	rl.relaying = true
+	for i := range 5000 {
+		rl.applyItems(now, "b", true, i%5 == 0, []placement.Placement{{Server: "e", Parts: largeParts(64)}}, nil)
+	}
+	fresh := func(id uint64) []placement.Placement {
+		return []placement.Placement{{Server: "e", Parts: []placement.Part{{ID: id, Tokens: 9}}}}
+	}
+	rl.applyItems(now, "b", true, true, fresh(1), nil)
+	rl.applyItems(now, "c", true, false, fresh(2), nil)
+	plan := roster.Plan{Relaying: true, Members: []roster.Target{{ID: "d"}}}
+	found := map[uint64]bool{}
+	older := 0
+	rl.sendRound(now, &plan, gossip.Report{}, func(_ roster.Target, rep gossip.Report) {
+		for _, p := range rep.Digest.Placements {
+			if len(p.Parts) == 1 {
+				found[p.Parts[0].ID] = true
+			} else {
+				older++
+			}
 		}
-		t.Logf("%d bytes", len(bytes))
 	})
+	if !found[1] || !found[2] || older == 0 {
+		t.Errorf("fresh placements %v and %d older ones in the next digest", found, older)
+	}
 }
