--- a/cmd/internal/edge/follow.go
+++ b/cmd/internal/edge/follow.go
@@ -218,8 +218,8 @@
 }
 
 // noteFailure records a failed read of the store and starts the grace period for server
-// entries, but only if the store itself could not be read. A failed peer does not indicate a store outage, and servers that
-// leave in that time must not receive more work.
+// entries, but only if the store itself could not be read. A failed peer does not indicate
+// an outage, and servers that leave in that time must not receive more work.
 func (v *view) noteFailure(src tableSource, err error) {
 	if src.direct && err != nil && !errors.Is(err, store.ErrHistoryTruncated) {
 		v.lastReadFailure.Store(int64(clock.SinceBoot()))
--- a/core/placement/cache.go
+++ b/core/placement/cache.go
@@ -24,8 +24,8 @@
 // request that brought it.
 type cachedPart struct {
 	Part
-	// readAt is the known or expected time at which the engine has processed the part.
-	readAt time.Time
+	// processedAt is the known or expected time at which the engine has processed the part.
+	processedAt time.Time
 }
 
 func newPrefixCache(limit int) *prefixCache {
@@ -56,13 +56,13 @@
 	return n
 }
 
-// readTokens is cachedTokens without the parts that the engine is still processing. Only
-// these can be fetched by another engine.
-func (c *prefixCache) readTokens(now time.Time, parts []Part) int {
+// processedTokens is cachedTokens without the parts that the engine is still processing.
+// Only these can be fetched by another engine.
+func (c *prefixCache) processedTokens(now time.Time, parts []Part) int {
 	n := 0
 	for _, p := range parts {
 		e := c.parts[p.ID]
-		if e == nil || e.Value.(*cachedPart).readAt.After(now) {
+		if e == nil || e.Value.(*cachedPart).processedAt.After(now) {
 			break
 		}
 		n += p.Tokens
@@ -70,20 +70,20 @@
 	return n
 }
 
-// add records that the engine processes the parts and has done so at readAt.
-func (c *prefixCache) add(parts []Part, readAt time.Time) {
+// add records that the engine processes the parts and has done so at processedAt.
+func (c *prefixCache) add(parts []Part, processedAt time.Time) {
 	// Insert in reverse order: the first part is the most reusable, so it becomes the
 	// most recent.
 	for i := len(parts) - 1; i >= 0; i-- {
 		p := parts[i]
 		if e := c.parts[p.ID]; e != nil {
 			c.lru.MoveToFront(e)
-			if known := e.Value.(*cachedPart); readAt.Before(known.readAt) {
-				known.readAt = readAt
+			if known := e.Value.(*cachedPart); processedAt.Before(known.processedAt) {
+				known.processedAt = processedAt
 			}
 			continue
 		}
-		c.parts[p.ID] = c.lru.PushFront(&cachedPart{p, readAt})
+		c.parts[p.ID] = c.lru.PushFront(&cachedPart{p, processedAt})
 		c.used += p.Tokens
 	}
 	for c.used > c.limit && c.lru.Len() > 0 {
@@ -97,10 +97,10 @@
 	c.used -= p.Tokens
 }
 
-// removeUnread removes the parts that the engine has not processed.
-func (c *prefixCache) removeUnread(parts []Part, now time.Time) {
+// removeUnprocessed removes the parts that the engine has not processed.
+func (c *prefixCache) removeUnprocessed(parts []Part, now time.Time) {
 	for _, p := range parts {
-		if e := c.parts[p.ID]; e != nil && e.Value.(*cachedPart).readAt.After(now) {
+		if e := c.parts[p.ID]; e != nil && e.Value.(*cachedPart).processedAt.After(now) {
 			c.remove(e)
 		}
 	}
--- a/core/placement/reservation.go
+++ b/core/placement/reservation.go
@@ -142,7 +142,7 @@
 		t.server.ownLoad.Unread -= t.unreadTokens
 	}
 	if o == Refused {
-		t.server.cache.removeUnread(t.parts, now)
+		t.server.cache.removeUnprocessed(t.parts, now)
 	}
 	switch o {
 	case Failed, Refused:
