--- /dev/null
+++ b/adapters/httpapi/run.go
@@ -0,0 +1,117 @@
+package httpapi
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cyclamenhitch/core/gateway"
+	"cyclamenhitch/core/result"
+)
+
+// run sends req to a server and forwards the response to the caller.
+func (s *Server) run(ctx *fasthttp.RequestCtx, req *gateway.Request) {
+	start := time.Now()
+	obs := Observation{Pool: req.Pool.Name}
+	if req.Account != nil {
+		obs.Account = req.Account.Name
+	}
+	s.running.Add(1)
+	if err := s.Admission.Check(); err != nil {
+		e := result.As(err)
+		if !req.Idempotent && s.Frontend == nil { // the idempotency key's claim was not looked up
+			e = e.WithOutcome(result.Unknown)
+		}
+		s.finish(ctx, req, obs, start, e)
+		return
+	}
+	// A streamed request outlives the handler, so it must not use ctx.
+	work, cancel := context.WithCancel(s.baseContext())
+	conn, _ := ctx.Conn().(*callerConn)
+	if conn != nil {
+		conn.setOnDisconnect(cancel)
+	}
+	end := func() {
+		if conn != nil {
+			conn.setOnDisconnect(nil)
+		}
+		cancel()
+	}
+	ans, err := s.Opener.Open(work, req)
+	if err != nil {
+		end()
+		s.finish(ctx, req, obs, start, result.As(err))
+		return
+	}
+	stream := false
+	obs.Status = ans.Status()
+	ctx.SetStatusCode(obs.Status)
+	for _, f := range ans.Fields() {
+		switch f.Name {
+		case "Content-Length": // of a response to HEAD
+			if n, err := strconv.Atoi(f.Value); err == nil {
+				ctx.Response.Header.SetContentLength(n)
+			}
+			continue
+		case "Content-Type":
+			stream = req.Stream && strings.HasPrefix(f.Value, "text/event-stream")
+		}
+		ctx.Response.Header.Set(f.Name, f.Value)
+	}
+	if s.Frontend == nil {
+		ctx.Response.Header.Set("X-Request-Id", req.ID)
+	}
+	if stream {
+		ctx.SetBodyStream(&relay{srv: s, req: req, ans: ans, obs: obs, start: start, release: end}, -1)
+		return
+	}
+	s.writeBuffered(ctx, req, ans, obs, start)
+	end()
+}
+
+// writeBuffered forwards a response that is not streamed once it is complete.
+func (s *Server) writeBuffered(ctx *fasthttp.RequestCtx, req *gateway.Request, ans gateway.Response, obs Observation, start time.Time) {
+	body, err := gateway.ReadAll(ans, 0)
+	ans.Close()
+	if err != nil {
+		ctx.Response.Reset()
+		if s.draining.Load() {
+			ctx.SetConnectionClose()
+		}
+		s.finish(ctx, req, obs, start, result.As(err))
+		return
+	}
+	ctx.Response.SetBodyRaw(body)
+	obs.Parts, obs.FirstPart = 1, time.Since(start)
+	s.finish(ctx, req, obs, start, nil)
+}
+
+// finish records the end of the request and writes the error response, if any.
+func (s *Server) finish(ctx *fasthttp.RequestCtx, req *gateway.Request, obs Observation, start time.Time, e *result.Error) {
+	if e != nil && ctx != nil {
+		s.writeError(ctx, e)
+		if s.Frontend == nil {
+			ctx.Response.Header.Set("X-Request-Id", req.ID)
+		}
+	}
+	s.record(req, obs, start, e)
+}
+
+func (s *Server) record(req *gateway.Request, obs Observation, start time.Time, e *result.Error) {
+	s.running.Add(-1)
+	obs.Total = time.Since(start)
+	obs.Outcome = result.Ran
+	if req.Server != nil {
+		obs.DataCentre = req.Server.DataCentre
+	}
+	if e != nil {
+		obs.Code, obs.Outcome = e.Code, e.Outcome
+	}
+	s.logCompletion(req, obs, e)
+	if s.Observe != nil {
+		s.Observe(obs)
+	}
+}
--- /dev/null
+++ b/cmd/internal/edge/servers.go
@@ -0,0 +1,166 @@
+package edge
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"cyclamenhitch/adapters/logging"
+	"cyclamenhitch/core/catalog"
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/placement"
+	"cyclamenhitch/platform"
+)
+
+// applyServers applies rows of the server table.
+func (v *view) applyServers(u update) {
+	now := time.Now()
+	v.mu.Lock()
+	v.grace.StoreRead(now)
+	old := v.servers
+	if u.full {
+		v.servers = make(map[fleet.ServerID]*discoveredServer, len(u.entries))
+		for id, s := range old {
+			v.handleMissingServer(now, id, s)
+		}
+	}
+	first := !v.serversRead
+	for _, e := range u.entries {
+		id := fleet.ServerID(e.Key)
+		if e.Value == nil {
+			v.handleMissingServer(now, id, old[id])
+			continue
+		}
+		s, err := platform.DecodeServer(e.Key, e.Value)
+		if err != nil {
+			delete(v.servers, id)
+			v.log.Warn("invalid server entry", zap.String("key", e.Key), zap.Error(err))
+			continue
+		}
+		v.servers[id] = v.mergeServer(now, old[id], s, first)
+	}
+	v.serversRead = true
+	v.mu.Unlock()
+	if len(u.entries) > 0 || u.full {
+		v.publishServers()
+	}
+}
+
+// handleMissingServer removes a server whose entry is missing, or keeps it for a grace
+// period if the entry may have expired in a store outage. The caller holds mu.
+func (v *view) handleMissingServer(now time.Time, id fleet.ServerID, s *discoveredServer) {
+	until := v.grace.KeepUntil(now)
+	if s == nil || s.Leaving || !until.After(now) {
+		if s != nil {
+			v.log.Info("server gone", zap.String(logging.FieldServer, string(id)))
+		}
+		delete(v.servers, id)
+		return
+	}
+	kept := *s
+	if kept.keptUntil.IsZero() {
+		kept.keptUntil = until
+		v.log.Info("server's entry lapsed", zap.String(logging.FieldServer, string(id)), zap.Duration("kept", until.Sub(now)))
+		time.AfterFunc(until.Sub(now), v.removeExpiredServers)
+	}
+	v.servers[id] = &kept
+}
+
+// removeExpiredServers removes the servers whose entries did not return within the grace
+// period. The period is extended while the store is unavailable again.
+func (v *view) removeExpiredServers() {
+	now := time.Now()
+	v.mu.Lock()
+	dropped := false
+	for id, s := range v.servers {
+		if s.keptUntil.IsZero() || now.Before(s.keptUntil) {
+			continue
+		}
+		if until := v.grace.KeepUntil(now); until.After(now) {
+			s.keptUntil = until
+			time.AfterFunc(until.Sub(now), v.removeExpiredServers)
+			continue
+		}
+		delete(v.servers, id)
+		dropped = true
+		v.log.Info("server gone", zap.String(logging.FieldServer, string(id)), zap.String(logging.FieldReason, "its entry did not return within the grace period"))
+	}
+	v.mu.Unlock()
+	if dropped {
+		v.publishServers()
+	}
+}
+
+// noteServersUnreadable starts the grace period for server entries.
+func (v *view) noteServersUnreadable() {
+	v.mu.Lock()
+	v.grace.StoreFailed()
+	v.mu.Unlock()
+}
+
+// hasReadServers reports whether the server table has been read at least once.
+func (v *view) hasReadServers() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.serversRead
+}
+
+// mergeServer returns the new state of a server from its entry and its old state. The
+// caller holds mu.
+func (v *view) mergeServer(now time.Time, old *discoveredServer, s catalog.ServerEntry, first bool) *discoveredServer {
+	n := &discoveredServer{ServerEntry: s}
+	if s.ColdLeft > 0 {
+		n.coldUntil = now.Add(s.ColdLeft)
+	}
+	switch {
+	case old == nil && !first, old != nil && old.StartMillis != s.StartMillis:
+		// The entry of a server that has just started may not yet report that it is cold.
+		if c := v.current.Load(); c != nil {
+			if p := c.Pool(s.Pool); p != nil {
+				n.coldUntil = laterOf(n.coldUntil, now.Add(p.ColdTime))
+			}
+		}
+	case old != nil:
+		n.coldUntil = laterOf(n.coldUntil, old.coldUntil)
+	}
+	if old == nil || old.Leaving != s.Leaving || old.StartMillis != s.StartMillis || n.coldUntil.After(old.coldUntil) {
+		v.log.Info("server seen", zap.String(logging.FieldServer, string(s.ID)), zap.String(logging.FieldPool, string(s.Pool)),
+			zap.String(logging.FieldAddress, s.Address), zap.Bool("leaving", s.Leaving), zap.Duration("cold", max(0, n.coldUntil.Sub(now))))
+	}
+	return n
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
+// publishServers updates the servers on the placement board.
+func (v *view) publishServers() {
+	c := v.current.Load()
+	if c == nil {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	byPool := map[fleet.PoolID][]placement.Server{}
+	for _, s := range v.servers {
+		p := c.Pool(s.Pool)
+		if p == nil {
+			continue
+		}
+		slots := s.Slots
+		if p.Slots > 0 {
+			slots = p.Slots
+		}
+		byPool[s.Pool] = append(byPool[s.Pool], placement.Server{
+			ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, Slots: slots, Engine: p.Engine, CacheTokens: p.CacheTokens,
+			Out: s.Leaving || v.outOfService[s.DataCentre], ColdUntil: s.coldUntil, ColdRate: p.ColdRate, FetchTokensPerMs: p.FetchTokensPerMs, Incarnation: s.StartMillis,
+		})
+	}
+	for _, p := range c.Pools() {
+		v.board.SetServers(p.Name, byPool[p.Name])
+	}
+}
