Log the prompt parts of requests under which a server crashed

Change: when a connection ends before any answer, one connect tells whether the port refuses (the process ended) or not; if it does, a line names request, account, server and parts, and the metric server_crashes counts it. No decision depends on it yet.

--- a/adapters/engine/probe.go
+++ b/adapters/engine/probe.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net"
+	"syscall"
 	"time"
 )
 
@@ -55,3 +57,15 @@
 	_, err = io.ReadFull(conn, head[:])
 	return err == nil && bytes.Equal(head[:], []byte("HTTP/1."))
 }
+
+// RefusesConnections reports whether the host at addr answers and no process listens
+// there. It returns false if that cannot be told within the timeout, for example because
+// the host is down or unreachable.
+func RefusesConnections(addr string, timeout time.Duration) bool {
+	conn, err := net.DialTimeout("tcp", addr, timeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	_ = conn.Close()
+	return false
+}
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -89,7 +89,7 @@
 	e.stop = &stopper{limit: settings.Millis(set.Times.StopMillis), addressTTL: settings.Millis(set.Times.KeepMillis), peers: e.peers, log: log}
 	e.caller = &httpapi.Server{
 		Opener: &gateway.Gateway{
-			Placer:   &placer{board: e.board, view: e.view, meters: e.meters, stopRefusal: e.stop.refuseStream},
+			Placer:   &placer{board: e.board, view: e.view, meters: e.meters, crashes: &crashWatch{meters: e.meters, log: log}, stopRefusal: e.stop.refuseStream},
 			Upstream: client, Budget: retryBudget(policy, budgets), Now: time.Now,
 			AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
 		},
--- a/cmd/internal/edge/placer.go
+++ b/cmd/internal/edge/placer.go
@@ -17,9 +17,10 @@
 
 // placer assigns requests to the servers of the placement board.
 type placer struct {
-	board  *placement.Balancer
-	view   *view
-	meters *meters
+	board   *placement.Balancer
+	view    *view
+	meters  *meters
+	crashes *crashWatch
 	// stopRefusal returns an error for a request that could outlast a planned stop.
 	stopRefusal func(req *gateway.Request) *result.Error
 }
@@ -65,7 +66,8 @@
 			req.FetchFrom = c.Source
 			req.FirstPartTimeout = firstPartTimeout(c.Wait)
 			p.recordDecision(req, c, len(ranked), now.Sub(began))
-			return &manifest.Server{Name: c.ID, Pool: req.Pool.Name, Address: c.Address}, &permit{t}, nil
+			srv := &manifest.Server{Name: c.ID, Pool: req.Pool.Name, Address: c.Address}
+			return srv, &permit{ticket: t, req: req, srv: srv, crashes: p.crashes}, nil
 		}
 		if e := p.refusalAfterWait(req, verdict, now.Sub(began)); e != nil {
 			return nil, nil, e
@@ -152,13 +154,32 @@
 }
 
 // permit is a reservation on the placement board.
-type permit struct{ ticket *placement.Reservation }
+type permit struct {
+	ticket  *placement.Reservation
+	req     *gateway.Request
+	srv     *manifest.Server
+	crashes *crashWatch
+	// answered is set once the first part of the response has arrived.
+	answered, released bool
+}
 
 // Opened implements gateway.Permit.
-func (p *permit) Opened(time.Duration) { p.ticket.OnFirstOutput(time.Now()) }
+func (p *permit) Opened(time.Duration) {
+	p.answered = true
+	p.ticket.OnFirstOutput(time.Now())
+}
 
 // Release implements gateway.Permit.
-func (p *permit) Release(err error) { p.ticket.Release(time.Now(), placementOutcome(err)) }
+func (p *permit) Release(err error) {
+	if p.released {
+		return
+	}
+	p.released = true
+	p.ticket.Release(time.Now(), placementOutcome(err))
+	if !p.answered && err != nil {
+		p.crashes.onUnanswered(p.req, p.srv, err)
+	}
+}
 
 // placementOutcome classifies an error by what it indicates about the server.
 func placementOutcome(err error) placement.Outcome {
