--- a/cmd/internal/edge/fleet_test.go
+++ b/cmd/internal/edge/fleet_test.go
@@ -159,6 +159,14 @@
 
 // call sends a request to an instance and returns status, Response-Seal and body.
 func (f *testFleet) call(i int, path, key string) (int, string, string) {
+	f.t.Helper()
+	status, header, body := f.callWithPrompt(i, path, key, "")
+	return status, header.Get("Response-Seal"), body
+}
+
+// callWithPrompt sends a request with the given prompt parts to an instance and returns
+// status, header and body.
+func (f *testFleet) callWithPrompt(i int, path, key, parts string) (int, http.Header, string) {
 	f.t.Helper()
 	requestCount++
 	req, err := http.NewRequest("POST", "http://"+f.edges[i].set.Listen.Caller+path, strings.NewReader("body"))
@@ -169,16 +177,19 @@
 	req.Header.Set("Request-Id", fmt.Sprint("q", requestCount))
 	req.Header.Set("Authorization", "Bearer "+key)
 	req.Header.Set("Deadline-Remaining", "15000")
+	if parts != "" {
+		req.Header.Set("Prefix-Hash", parts)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return 0, "", err.Error()
+		return 0, http.Header{}, err.Error()
 	}
 	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	if err != nil {
-		return resp.StatusCode, resp.Header.Get("Response-Seal"), "broken: " + string(body)
+		return resp.StatusCode, resp.Header, "broken: " + string(body)
 	}
-	return resp.StatusCode, resp.Header.Get("Response-Seal"), string(body)
+	return resp.StatusCode, resp.Header, string(body)
 }
 
 func eventStream(n int) string {
--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -18,7 +19,9 @@
 // Run records a request that a runner executed.
 type Run struct {
 	ID, Method, Path, Body, Tenant, LastEventID string
-	StartedAt                                   time.Time
+	// PromptParts is the Prefix-Hash header.
+	PromptParts string
+	StartedAt   time.Time
 }
 
 // Runner is a backend server. Set the exported fields before Start.
@@ -38,11 +41,18 @@
 	// Cached lists the prompt parts that the runner has cached, as "ID:TOKENS" with the ID
 	// in hexadecimal.
 	Cached []string
+	// CrashParts are prompt parts, as hexadecimal IDs, on which the runner crashes when it
+	// is about to respond. It listens again after RestartTime.
+	CrashParts  []string
+	RestartTime time.Duration
 
-	ln          net.Listener
-	srv         *fasthttp.Server
 	mu          sync.Mutex
+	ln          net.Listener
+	addr        string
+	conns       map[net.Conn]bool
+	closed      bool
 	runs        []Run
+	crashes     int
 	disconnects int
 	lists       int
 }
@@ -50,21 +60,88 @@
 // Start listens on a free loopback port. The exported fields must not change
 // afterwards.
 func (r *Runner) Start() error {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	r.conns = map[net.Conn]bool{}
+	return r.listen("127.0.0.1:0")
+}
+
+func (r *Runner) listen(addr string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return nil
+	}
+	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
 	}
-	r.ln = ln
-	r.srv = &fasthttp.Server{Handler: r.handle}
-	go func() { _ = r.srv.Serve(ln) }()
+	r.ln, r.addr = ln, ln.Addr().String()
+	srv := &fasthttp.Server{Handler: r.handle, ConnState: r.trackConn}
+	go func() { _ = srv.Serve(ln) }() // ends when the listener is closed
 	return nil
 }
 
+func (r *Runner) trackConn(c net.Conn, state fasthttp.ConnState) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if state == fasthttp.StateClosed {
+		delete(r.conns, c)
+	} else {
+		r.conns[c] = true
+	}
+}
+
 // Address returns the host:port that the runner listens on.
-func (r *Runner) Address() string { return r.ln.Addr().String() }
+func (r *Runner) Address() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.addr
+}
 
 // Close closes the listener; open connections stay open.
-func (r *Runner) Close() { _ = r.ln.Close() }
+func (r *Runner) Close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	_ = r.ln.Close()
+}
+
+// Crash closes the listener and all connections. The runner listens again after
+// RestartTime.
+func (r *Runner) Crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.crashes++
+	_ = r.ln.Close()
+	for c := range r.conns {
+		_ = c.Close()
+	}
+	time.AfterFunc(r.RestartTime, func() {
+		for r.listen(r.addr) != nil { // the port may still be in use
+			time.Sleep(restartRetryDelay)
+		}
+	})
+}
+
+// restartRetryDelay is the time between two attempts to listen on the old port.
+const restartRetryDelay = 5 * time.Millisecond
+
+// Crashes returns how often the runner crashed.
+func (r *Runner) Crashes() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.crashes
+}
+
+// crashesOn reports whether a prompt holds a part on which the runner crashes.
+func (r *Runner) crashesOn(promptParts string) bool {
+	for _, part := range strings.Split(promptParts, ",") {
+		id, _, _ := strings.Cut(part, ":")
+		if slices.Contains(r.CrashParts, id) {
+			return true
+		}
+	}
+	return false
+}
 
 // Runs returns the requests executed so far.
 func (r *Runner) Runs() []Run {
@@ -112,9 +189,13 @@
 	}
 	last := string(h.Peek("Last-Event-Id"))
 	r.mu.Lock()
-	r.runs = append(r.runs, Run{id, string(h.Method()), string(h.RequestURI()), string(ctx.PostBody()), string(h.Peek("Tenant")), last, time.Now()})
+	r.runs = append(r.runs, Run{id, string(h.Method()), string(h.RequestURI()), string(ctx.PostBody()), string(h.Peek("Tenant")), last, string(h.Peek("Prefix-Hash")), time.Now()})
 	r.mu.Unlock()
 	time.Sleep(r.ProcessingTime)
+	if r.crashesOn(string(h.Peek("Prefix-Hash"))) {
+		r.Crash()
+		return
+	}
 	ctx.Response.Header.Set("Response-Seal", r.ID+"."+id)
 	if !strings.HasPrefix(string(ctx.Path()), "/stream/") {
 		ctx.SetBodyString("answer of " + r.ID)
