Keep prompts that crash engines away from them

Cause: every failure of a send was taken as the server's. The placement avoided the server that had ended and gave the next request with the same part to a sound one.

Change: core/quarantine. An instance that loses a connection before any answer, and finds that the port refuses, puts the prompt's parts (not the last one) under suspicion; an answer to a request with a part clears it. Instances report both, so that crashes add up that no one instance saw. A part is blocked after 3 crashes without an answer, or 5 separate ones if it was answered before; the part with most crashes explains them for what stood beside it. It is blocked for the accounts whose requests struck, for all once there are several. Requests with it are refused at once (1012, not run) and not sent a second time; one instance tries it again after 10 s, 60 s and so on. The evidence is stored, so that it outlasts a restart of all instances. Tables and reports are bounded, by account too.

Why it works: it relies on nothing but the rule that such a part is never answered, so that hot, shared and merely present parts clear themselves.

--- a/adapters/gossip/codec.go
+++ b/adapters/gossip/codec.go
@@ -1,11 +1,13 @@
 package gossip
 
 import (
+	"math"
 	"time"
 
 	"cyclamenhitch/adapters/gossip/gossippb"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/placement"
+	"cyclamenhitch/core/quarantine"
 	"cyclamenhitch/core/roster"
 )
 
@@ -18,6 +20,9 @@
 		Loads: encodeLoads(r.Loads), Suspicions: encodeSuspicions(r.Suspicions), Placed: encodePlacements(r.Placements),
 		WantsDigest: r.WantsDigest, HoldsIncarnation: r.HeldList.Incarnation, HoldsVersion: r.HeldList.Version, Spare: r.HasOtherLoadSource,
 	}
+	for i := range r.Evidence {
+		m.Evidence = append(m.Evidence, encodeEvidence(&r.Evidence[i]))
+	}
 	for pool, rate := range r.ReadRates {
 		m.Paces = append(m.Paces, &gossippb.Pace{Pool: string(pool), TokensPerMilli: float32(rate)})
 	}
@@ -88,6 +93,11 @@
 	if len(m.Paces) > 0 {
 		r.ReadRates = make(map[fleet.PoolID]float64, len(m.Paces))
 	}
+	for _, x := range m.Evidence {
+		if len(x.Crash) == len(x.Account) && len(x.Crash) == len(x.AgeMs) {
+			r.Evidence = append(r.Evidence, decodeEvidence(x))
+		}
+	}
 	for _, x := range m.Paces {
 		r.ReadRates[fleet.PoolID(x.Pool)] = float64(x.TokensPerMilli)
 	}
@@ -97,6 +107,33 @@
 	return r
 }
 
+func encodeEvidence(e *quarantine.Evidence) *gossippb.Evidence {
+	m := &gossippb.Evidence{
+		Part: uint64(e.Part), Depth: uint32(max(0, e.Depth)), Proven: e.Proven, Stored: e.Stored, Cleared: e.Cleared, ClearedAgeMs: encodeAge(e.ClearedAge),
+	}
+	for _, s := range e.Strikes {
+		m.Crash = append(m.Crash, uint64(s.Crash))
+		m.Account = append(m.Account, s.Account)
+		m.AgeMs = append(m.AgeMs, encodeAge(s.Age))
+	}
+	return m
+}
+
+func encodeAge(age time.Duration) uint32 {
+	return uint32(min(max(0, age.Milliseconds()), math.MaxUint32))
+}
+
+func decodeEvidence(m *gossippb.Evidence) quarantine.Evidence {
+	e := quarantine.Evidence{
+		Part: quarantine.PartKey(m.Part), Depth: int(m.Depth), Proven: m.Proven, Stored: m.Stored,
+		Cleared: m.Cleared, ClearedAge: time.Duration(m.ClearedAgeMs) * time.Millisecond,
+	}
+	for i := range m.Crash {
+		e.Strikes = append(e.Strikes, quarantine.Strike{Crash: quarantine.Crash(m.Crash[i]), Account: m.Account[i], Age: time.Duration(m.AgeMs[i]) * time.Millisecond})
+	}
+	return e
+}
+
 func decodeDigest(m *gossippb.Digest) *Digest {
 	d := &Digest{
 		Members:      roster.Digest{Base: m.Base, Version: m.Version, LoadsUnknown: m.Partial},
--- a/adapters/gossip/gossip.go
+++ b/adapters/gossip/gossip.go
@@ -15,6 +15,7 @@
 	"cyclamenhitch/adapters/gossip/gossippb"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/placement"
+	"cyclamenhitch/core/quarantine"
 	"cyclamenhitch/core/result"
 	"cyclamenhitch/core/roster"
 )
@@ -43,6 +44,8 @@
 	// ReadRates holds the prompt processing rate of each pool's engines, in tokens per ms,
 	// as estimated from the sender's requests.
 	ReadRates map[fleet.PoolID]float64
+	// Evidence is what the sender knows about prompt parts that crash engines.
+	Evidence []quarantine.Evidence
 	// WantsDigest reports whether the sender uses the receiver as a relay. HeldList is the
 	// version of the receiver's member list that the sender holds.
 	WantsDigest bool
--- a/cmd/internal/edge/crash_test.go
+++ b/cmd/internal/edge/crash_test.go
@@ -6,6 +6,11 @@
 	"testing"
 	"time"
 
+	"cyclamenhitch/core/gateway"
+	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/placement"
+	"cyclamenhitch/core/result"
+	"cyclamenhitch/platform"
 	"cyclamenhitch/standins/runner"
 )
 
@@ -77,3 +82,80 @@
 		t.Errorf("%d requests with the part reached engines after %d crashes, want at most %d", n, crashesToLearn, maxRunsOnceKnown)
 	}
 }
+
+// learnDeadlyPart sends requests with the deadly part until all instances refuse them.
+func (f *testFleet) learnDeadlyPart() {
+	f.t.Helper()
+	for i := range crashesToLearn {
+		f.callWithPrompt(i%crashFleet, "/r/1", "k1", prompt(soundPart, deadlyPart))
+	}
+	f.eventually("all instances block the part", func() bool {
+		for _, e := range f.edges {
+			if e.edge.crashes.tracker.Summary().Blocked == 0 {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// A request that is known to crash engines is refused at once with its own result code and
+// a time to return, and the refusal says truly that it has not run.
+func TestKnownCrashIsRefusedAsNotRun(t *testing.T) {
+	f, runners := startCrashFleet(t)
+	f.learnDeadlyPart()
+	before := runsWith(runners, deadlyPart)
+	status, header, body := f.callWithPrompt(1, "/r/1", "k1", prompt(soundPart, deadlyPart))
+	if status != 503 || header.Get("Retry-After") == "" || !strings.Contains(body, "1012 prompt_blocked") {
+		t.Errorf("status %d, Retry-After %q, body %q", status, header.Get("Retry-After"), body)
+	}
+	if runsWith(runners, deadlyPart) != before {
+		t.Error("the refused request ran")
+	}
+}
+
+// Guards against a fleet that forgets what crashes engines when all its instances restart.
+func TestBlockedPartOutlastsRestartOfAll(t *testing.T) {
+	f, runners := startCrashFleet(t)
+	f.learnDeadlyPart()
+	f.eventually("the store has the evidence", func() bool { return f.store.Count(platform.QuarantineTable) == 1 })
+	f.end()
+	f.edges = nil
+	f.startAgain(crashFleet, crashFleet)
+	f.eventually("all instances block the part again", func() bool {
+		for _, e := range f.edges {
+			if e.edge.crashes.tracker.Summary().Blocked == 0 {
+				return false
+			}
+		}
+		return true
+	})
+	before := runsWith(runners, deadlyPart)
+	for i := range f.edges {
+		f.callWithPrompt(i, "/r/1", "k1", prompt(soundPart, deadlyPart))
+	}
+	if n := runsWith(runners, deadlyPart) - before; n > 0 {
+		t.Errorf("%d requests with the part ran after the restart", n)
+	}
+}
+
+// A connection that a live server closes, or a server whose host does not answer, says
+// nothing about the request.
+func TestLostConnectionIsNoCrash(t *testing.T) {
+	live := &runner.Runner{ID: "a", Events: 9, DisconnectAfter: 4}
+	f := startFleet(t, 1, live)
+	f.store.Set("op", "config", engineConfig())
+	f.eventually("the configuration is in force", func() bool { s, _, _ := f.call(0, "/r/1", "k1"); return s == 200 })
+	req := &gateway.Request{ID: "q", Parts: []placement.Part{{ID: 1}, {ID: 2}}}
+	lost := result.New(result.AnswerTruncated, "ended")
+	watch := f.edges[0].edge.crashes
+	watch.onUnanswered(req, &manifest.Server{Name: "a", Pool: "s", Address: live.Address()}, lost)
+	watch.onUnanswered(req, &manifest.Server{Name: "a", Pool: "s", Address: freeAddress(t)}, result.New(result.ConnectionSilent, "silent"))
+	if n := watch.tracker.Summary().Suspect; n != 0 {
+		t.Errorf("%d parts are suspect", n)
+	}
+	watch.onUnanswered(req, &manifest.Server{Name: "a", Pool: "s", Address: freeAddress(t)}, lost)
+	if n := watch.tracker.Summary().Suspect; n != 1 {
+		t.Errorf("%d parts are suspect after a crash, want 1", n)
+	}
+}
--- a/cmd/internal/edge/crashwatch.go
+++ b/cmd/internal/edge/crashwatch.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"strconv"
 	"time"
 
@@ -9,9 +10,11 @@
 
 	"cyclamenhitch/adapters/engine"
 	"cyclamenhitch/adapters/logging"
+	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/manifest"
 	"cyclamenhitch/core/placement"
+	"cyclamenhitch/core/quarantine"
 	"cyclamenhitch/core/result"
 )
 
@@ -19,24 +22,63 @@
 // connection. The host of a crashed process refuses within a round trip.
 const crashCheckTimeout = 100 * time.Millisecond
 
-// crashWatch recognizes servers that crashed while they worked on a request.
+// crashWatch sends requests and records under which of them servers crash. Requests that
+// are known to crash servers are refused.
 type crashWatch struct {
-	meters *meters
-	log    *zap.Logger
+	gateway.Upstream
+	tracker *quarantine.Tracker
+	// incarnation returns the start time of a server.
+	incarnation func(fleet.ServerID) int64
+	meters      *meters
+	log         *zap.Logger
+}
+
+// Open implements gateway.Upstream. After a crash it returns once the crash is recorded,
+// so that a decision on a retry takes it into account.
+func (w *crashWatch) Open(ctx context.Context, srv *manifest.Server, req *gateway.Request, attemptID string) (gateway.Response, error) {
+	resp, err := w.Upstream.Open(ctx, srv, req, attemptID)
+	switch {
+	case len(req.Parts) == 0:
+	case err != nil:
+		w.onUnanswered(req, srv, err)
+	case resp.Status() < 300:
+		w.tracker.Answered(time.Now(), srv.Pool, req.Parts)
+	}
+	return resp, err
 }
 
-// onUnanswered is called when a request ended with err before the first part of a
-// response. It returns once it is known whether the server crashed.
 func (w *crashWatch) onUnanswered(req *gateway.Request, srv *manifest.Server, err error) {
 	if !isConnectionEnd(err) || !engine.RefusesConnections(srv.Address, crashCheckTimeout) {
 		return
 	}
+	w.tracker.Crashed(time.Now(), srv.Pool, quarantine.CrashOf(srv.Name, w.incarnation(srv.Name)), accountHash(req), req.Parts)
 	w.meters.serverCrashes.Add(string(srv.Pool), 1)
 	w.log.Warn("server crashed before it answered a request", zap.String(logging.FieldRequest, req.ID), zap.String(logging.FieldAccount, accountName(req)),
 		zap.String(logging.FieldPool, string(srv.Pool)), zap.String(logging.FieldServer, string(srv.Name)), zap.String(logging.FieldAddress, srv.Address),
 		zap.Array("prompt_parts", partIDs(req.Parts)))
 }
 
+// refusal returns the refusal of a request that is known to crash servers, or of another
+// attempt of one that may. The outcome is that of an attempt that was not made; if an
+// earlier one may have run, the gateway reports that one.
+func (w *crashWatch) refusal(now time.Time, req *gateway.Request) *result.Error {
+	if len(req.Parts) == 0 {
+		return nil
+	}
+	if len(req.TriedServers) > 0 && !w.tracker.MayRepeat(req.Pool.Name, req.Parts) {
+		return result.New(result.PromptBlocked, "servers crashed on requests with this prompt")
+	}
+	d := w.tracker.Check(now, req.Pool.Name, accountHash(req), fleet.HashID(req.ID), req.Parts)
+	if d.Trial {
+		w.log.Info("trying a blocked prompt part", zap.String(logging.FieldRequest, req.ID), zap.Stringer("part", d.Part))
+	}
+	if !d.Blocked {
+		return nil
+	}
+	w.meters.promptsBlocked.Add(string(req.Pool.Name), 1)
+	return result.New(result.PromptBlocked, "servers crashed on requests with part %v", d.Part).WithRetryAfter(d.RetryAfter)
+}
+
 // isConnectionEnd reports whether err is the end of a connection on which a request was
 // sent, as opposed to silence, a refusal or an invalid response.
 func isConnectionEnd(err error) bool {
@@ -51,6 +93,14 @@
 	return string(req.Account.Name)
 }
 
+// accountHash returns the hash of the request's account, 0 for none.
+func accountHash(req *gateway.Request) uint64 {
+	if req.Account == nil {
+		return 0
+	}
+	return fleet.HashID(string(req.Account.Name))
+}
+
 // maxLoggedParts limits the prompt parts in a log line.
 const maxLoggedParts = 16
 
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -22,6 +22,7 @@
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/placement"
+	"cyclamenhitch/core/quarantine"
 	"cyclamenhitch/core/result"
 	"cyclamenhitch/core/retry"
 	"cyclamenhitch/platform"
@@ -58,6 +59,8 @@
 	caller *httpapi.Server
 	stop   *stopper
 	meters *meters
+	// crashes keeps requests that crash servers away from them.
+	crashes *crashWatch
 }
 
 // New checks the settings and binds the peer socket. It starts no work.
@@ -74,7 +77,8 @@
 	if err != nil {
 		return nil, err
 	}
-	e.peers = newPeers(set, socket, e.view, e.board, log)
+	tracker := quarantine.New(set.Instance)
+	e.peers = newPeers(set, socket, e.view, e.board, tracker, log)
 	budgets := retry.NewBudgets()
 	e.view.peers = e.peers
 	client := &engine.Client{
@@ -82,6 +86,7 @@
 		KeepAlive:   &serverKeepAlive,
 		UserTimeout: unackedTimeout,
 	}
+	e.crashes = &crashWatch{Upstream: client, tracker: tracker, incarnation: e.view.incarnation, meters: e.meters, log: log}
 	e.peers.onInstanceCount = func(instances int) {
 		budgets.SetAll(instanceRetryBudget(set, instances))
 		client.MaxIdle.Store(int64(e.view.maxIdleConnections(instances)))
@@ -89,8 +94,8 @@
 	e.stop = &stopper{limit: settings.Millis(set.Times.StopMillis), addressTTL: settings.Millis(set.Times.KeepMillis), peers: e.peers, log: log}
 	e.caller = &httpapi.Server{
 		Opener: &gateway.Gateway{
-			Placer:   &placer{board: e.board, view: e.view, meters: e.meters, crashes: &crashWatch{meters: e.meters, log: log}, stopRefusal: e.stop.refuseStream},
-			Upstream: client, Budget: retryBudget(policy, budgets), Now: time.Now,
+			Placer:   &placer{board: e.board, view: e.view, meters: e.meters, crashes: e.crashes, stopRefusal: e.stop.refuseStream},
+			Upstream: e.crashes, Budget: retryBudget(policy, budgets), Now: time.Now,
 			AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
 		},
 		Admission: e.view, Log: log, Observe: e.meters.observeRequest, LogOneIn: uint64(*set.Log.SampleDecisions),
@@ -124,6 +129,7 @@
 		}
 		return ids
 	})
+	e.meters.gauge("prompt_parts", func() any { return e.crashes.tracker.Summary() })
 	e.meters.gauge("servers", func() any { return e.board.Summary(time.Now()) })
 }
 
@@ -185,6 +191,7 @@
 	}
 	go e.view.run(work)
 	go e.peers.run(work)
+	go (&quarantineStore{tracker: e.crashes.tracker, store: e.store, peers: e.peers, log: e.log}).run(work)
 	e.log.Info("instance started", zap.String("caller", e.set.Listen.Caller), zap.String("peer", e.set.Listen.Peer),
 		zap.Strings("mechanisms_off", e.set.Policy.Disabled), zap.Duration("since_boot", clock.SinceBoot()))
 	for {
--- a/cmd/internal/edge/follow_test.go
+++ b/cmd/internal/edge/follow_test.go
@@ -12,6 +12,7 @@
 	"cyclamenhitch/adapters/settings"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/placement"
+	"cyclamenhitch/core/quarantine"
 	"cyclamenhitch/core/result"
 	"cyclamenhitch/core/roster"
 	"cyclamenhitch/core/store"
@@ -25,7 +26,7 @@
 	set := &settings.Edge{Instance: "a", DataCentre: "x", Times: settings.EdgeTimes{RevokeMillis: 5000}}
 	board := placement.NewBalancer(placement.DefaultPolicy())
 	v := newView(set, platform.NewStore("127.0.0.1:1"), board, zap.NewNop())
-	v.peers = newPeers(set, nil, v, board, zap.NewNop())
+	v.peers = newPeers(set, nil, v, board, quarantine.New(set.Instance), zap.NewNop())
 	v.peers.roster.HandleReport(time.Now(), roster.Peer{ID: "b", DataCentre: "y", ReadsStore: true}, true)
 	if !v.hasReader() {
 		t.Fatal("a live reader is not usable")
@@ -47,7 +48,7 @@
 	set := &settings.Edge{Instance: "a", DataCentre: "x", Times: settings.EdgeTimes{RevokeMillis: 5000}}
 	board := placement.NewBalancer(placement.DefaultPolicy())
 	v := newView(set, platform.NewStore("127.0.0.1:1"), board, zap.NewNop())
-	v.peers = newPeers(set, nil, v, board, zap.NewNop())
+	v.peers = newPeers(set, nil, v, board, quarantine.New(set.Instance), zap.NewNop())
 	v.applyConfig(engineConfig(), true)
 	now := clock.SinceBoot()
 	v.lease.Confirm(2, now-v.lease.Term()*9/10)
@@ -76,7 +77,7 @@
 	for _, direct := range []bool{false, true} {
 		set := &settings.Edge{Instance: "a", DataCentre: "x", Times: settings.EdgeTimes{RevokeMillis: 5000}}
 		v := newView(set, platform.NewStore("127.0.0.1:1"), placement.NewBalancer(placement.DefaultPolicy()), zap.NewNop())
-		v.peers = newPeers(set, nil, v, v.board, zap.NewNop())
+		v.peers = newPeers(set, nil, v, v.board, quarantine.New(set.Instance), zap.NewNop())
 		entry := []byte(`{"service":"s","address":"10.0.0.9:8080","zone":"z","slots":6,"state":"ready","cold_left_ms":0}`)
 		v.applyServers(update{full: true, entries: []store.Entry{{Key: "i", Value: entry, Version: 1}}})
 		v.noteFailure(tableSource{direct: direct}, result.New(result.StoreUnavailable, "test"))
@@ -103,7 +104,7 @@
 		for id := range listed {
 			set := &settings.Edge{Instance: id, DataCentre: "x", Times: settings.EdgeTimes{RevokeMillis: 5000}}
 			v := newView(set, platform.NewStore("127.0.0.1:1"), placement.NewBalancer(placement.DefaultPolicy()), zap.NewNop())
-			v.peers = newPeers(set, nil, v, v.board, zap.NewNop())
+			v.peers = newPeers(set, nil, v, v.board, quarantine.New(set.Instance), zap.NewNop())
 			v.peers.roster.SetListed(listed)
 			v.startedAt = clock.SinceBoot() - age
 			if v.mayReadStore(v.tables[table], known) {
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -17,6 +17,7 @@
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/freshness"
 	"cyclamenhitch/core/placement"
+	"cyclamenhitch/core/quarantine"
 	"cyclamenhitch/core/roster"
 	"cyclamenhitch/platform"
 )
@@ -33,9 +34,11 @@
 	socket *gossip.Socket
 	view   *view
 	board  *placement.Balancer
-	log    *zap.Logger
-	roster *roster.Roster
-	relay  *relay
+	// tracker holds the evidence on prompt parts that crash engines.
+	tracker *quarantine.Tracker
+	log     *zap.Logger
+	roster  *roster.Roster
+	relay   *relay
 
 	// onInstanceCount is called with the number of instances that share the fleet's budgets.
 	onInstanceCount func(instances int)
@@ -57,9 +60,9 @@
 	loggedServing bool // whether the last report said serving
 }
 
-func newPeers(set *settings.Edge, socket *gossip.Socket, v *view, b *placement.Balancer, log *zap.Logger) *peers {
+func newPeers(set *settings.Edge, socket *gossip.Socket, v *view, b *placement.Balancer, tracker *quarantine.Tracker, log *zap.Logger) *peers {
 	p := &peers{
-		set: set, socket: socket, view: v, board: b, log: log, roster: roster.New(set.Instance),
+		set: set, socket: socket, view: v, board: b, tracker: tracker, log: log, roster: roster.New(set.Instance),
 		incarnation: uint64(time.Now().UnixNano()), echo: map[fleet.InstanceID]freshness.Instant{},
 		live: map[fleet.InstanceID]bool{}, paces: map[fleet.PoolID]float64{},
 	}
@@ -98,6 +101,8 @@
 	if !p.board.Policy().On(placement.PlacementReports) {
 		own.Placements = nil
 	}
+	own.Evidence = p.tracker.Report(now)
+	p.logVerdicts()
 	own.Suspicions, own.ReadRates = p.board.Suspicions(now), p.board.ReadRates()
 	p.updateLiveInstances(now, own.From.Serving)
 	p.logPaces(own.ReadRates)
@@ -152,6 +157,7 @@
 		seen[peer.ID] = true
 	}
 	p.board.SetInstances(p.set.Instance, ids)
+	p.tracker.SetInstances(ids)
 	p.onInstanceCount(max(minBudgetInstances, len(ids)))
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -184,6 +190,17 @@
 	}
 }
 
+// logVerdicts logs which prompt parts have been blocked or released.
+func (p *peers) logVerdicts() {
+	for _, c := range p.tracker.Changes() {
+		msg := "prompt part released"
+		if c.Blocked {
+			msg = "prompt part blocked"
+		}
+		p.log.Warn(msg, zap.Stringer("part", c.Part), zap.Int("incidents", c.Incidents), zap.Bool("all_accounts", c.AllAccounts), zap.Bool("answered_before", c.Proven))
+	}
+}
+
 // applyReport processes the report of a peer.
 func (p *peers) applyReport(r *gossip.Report) {
 	now, boot := time.Now(), clock.SinceBoot()
@@ -195,6 +212,7 @@
 	p.mu.Unlock()
 	p.roster.RecordListRequest(now, r.From.ID, r.HeldList, r.WantsDigest, r.HasOtherLoadSource)
 	p.board.ApplyPeerReadRates(r.From.ID, r.ReadRates)
+	p.tracker.Merge(now, r.Evidence)
 	p.relay.applyReport(now, r)
 	p.confirmFromPeer(r, boot)
 }
--- a/cmd/internal/edge/placer.go
+++ b/cmd/internal/edge/placer.go
@@ -51,6 +51,9 @@
 		if !now.Before(req.Deadline) {
 			return nil, nil, result.New(result.DeadlineTooShort, "deadline passed before the request was sent")
 		}
+		if e := p.crashes.refusal(now, req); e != nil {
+			return nil, nil, e
+		}
 		changed := p.board.Changed(req.Pool.Name)
 		left := req.Deadline.Sub(now)
 		ranked, verdict := p.board.Rank(now, req.Pool.Name, ask, triedFilter(req))
@@ -66,8 +69,7 @@
 			req.FetchFrom = c.Source
 			req.FirstPartTimeout = firstPartTimeout(c.Wait)
 			p.recordDecision(req, c, len(ranked), now.Sub(began))
-			srv := &manifest.Server{Name: c.ID, Pool: req.Pool.Name, Address: c.Address}
-			return srv, &permit{ticket: t, req: req, srv: srv, crashes: p.crashes}, nil
+			return &manifest.Server{Name: c.ID, Pool: req.Pool.Name, Address: c.Address}, &permit{t}, nil
 		}
 		if e := p.refusalAfterWait(req, verdict, now.Sub(began)); e != nil {
 			return nil, nil, e
@@ -154,32 +156,13 @@
 }
 
 // permit is a reservation on the placement board.
-type permit struct {
-	ticket  *placement.Reservation
-	req     *gateway.Request
-	srv     *manifest.Server
-	crashes *crashWatch
-	// answered is set once the first part of the response has arrived.
-	answered, released bool
-}
+type permit struct{ ticket *placement.Reservation }
 
 // Opened implements gateway.Permit.
-func (p *permit) Opened(time.Duration) {
-	p.answered = true
-	p.ticket.OnFirstOutput(time.Now())
-}
+func (p *permit) Opened(time.Duration) { p.ticket.OnFirstOutput(time.Now()) }
 
 // Release implements gateway.Permit.
-func (p *permit) Release(err error) {
-	if p.released {
-		return
-	}
-	p.released = true
-	p.ticket.Release(time.Now(), placementOutcome(err))
-	if !p.answered && err != nil {
-		p.crashes.onUnanswered(p.req, p.srv, err)
-	}
-}
+func (p *permit) Release(err error) { p.ticket.Release(time.Now(), placementOutcome(err)) }
 
 // placementOutcome classifies an error by what it indicates about the server.
 func placementOutcome(err error) placement.Outcome {
--- a/cmd/internal/edge/servers.go
+++ b/cmd/internal/edge/servers.go
@@ -98,6 +98,17 @@
 	v.mu.Unlock()
 }
 
+// incarnation returns the start time of a server as its entry states it, in Unix ms; 0 if
+// the server is not listed.
+func (v *view) incarnation(id fleet.ServerID) int64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if s := v.servers[id]; s != nil {
+		return s.StartMillis
+	}
+	return 0
+}
+
 // hasReadServers reports whether the server table has been read at least once.
 func (v *view) hasReadServers() bool {
 	v.mu.Lock()
--- /dev/null
+++ b/core/quarantine/evidence.go
@@ -0,0 +1,209 @@
+// Package quarantine finds prompt parts that crash the engines that answer them, and
+// keeps requests with such parts away from the engines. A Tracker belongs to one
+// instance; instances exchange their evidence, so that each of them reaches the same
+// verdicts. The package performs no I/O.
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/placement"
+)
+
+// PartKey identifies a prompt part within a pool: engines of another pool run another
+// model.
+type PartKey uint64
+
+// KeyOf returns the key of a prompt part.
+func KeyOf(pool fleet.PoolID, id uint64) PartKey {
+	return PartKey(fleet.Mix(fleet.HashID(string(pool)), id))
+}
+
+// Crash identifies the end of one incarnation of a server. All instances whose requests
+// it ended use the same value.
+type Crash uint64
+
+// CrashOf returns the crash that ends an incarnation of a server.
+func CrashOf(id fleet.ServerID, incarnation int64) Crash {
+	return Crash(fleet.Mix(fleet.HashID(string(id)), uint64(incarnation)))
+}
+
+// Strike is a crash at which a request with a part was in progress without an answer.
+type Strike struct {
+	Crash Crash
+	// Account is the hash of the client account whose request it was; 0 for none.
+	Account uint64
+	// Age is the time since the crash.
+	Age time.Duration
+}
+
+// Evidence is what is known about one part, as exchanged between instances and stored.
+type Evidence struct {
+	Part PartKey
+	// Depth is the position of the part in the prompts.
+	Depth int
+	// Proven is set if an engine answered a request with the part before the first strike.
+	Proven bool
+	// Stored is set once the store has the evidence.
+	Stored  bool
+	Strikes []Strike
+	// Cleared is set if an engine has answered a request with the part since a strike;
+	// ClearedAge is the time since the last such answer. Older strikes do not count.
+	Cleared    bool
+	ClearedAge time.Duration
+}
+
+// Limits of the evidence. Parts are chosen by callers, so all of them bound what one
+// caller can make an instance keep or send.
+const (
+	// maxRecords limits the parts under suspicion, maxRecordsPerAccount those that one
+	// account brought up.
+	maxRecords           = 1024
+	maxRecordsPerAccount = 256
+	// maxStrikes limits the strikes kept for one part, the newest ones.
+	maxStrikes = 64
+	// maxPartsPerRequest limits the parts of one request that a crash puts under suspicion.
+	maxPartsPerRequest = 64
+	// evidenceTTL is how long strikes count after the last one.
+	evidenceTTL = time.Hour
+)
+
+// record is the evidence about a part with times instead of ages.
+type record struct {
+	part    PartKey
+	depth   int
+	proven  bool
+	stored  bool
+	strikes []strike // oldest first
+	// firstAt is the time of the first strike that counts, which may no longer be kept.
+	firstAt   time.Time
+	clearedAt time.Time
+	// changedAt is when the evidence last changed, which is then reported at once.
+	changedAt time.Time
+	// owner is the account of the first strike, whose share of the table it takes.
+	owner uint64
+
+	// The verdict, which follows from the evidence.
+	blocked      bool
+	blockedSince time.Time
+	trial        trial
+}
+
+type strike struct {
+	crash   Crash
+	account uint64
+	at      time.Time
+}
+
+// addStrike adds a strike unless it is known or older than the last answer, and reports
+// whether it did.
+func (r *record) addStrike(s strike) bool {
+	if !s.at.After(r.clearedAt) {
+		return false
+	}
+	for i := range r.strikes {
+		if r.strikes[i].crash == s.crash {
+			return false
+		}
+	}
+	if len(r.strikes) == 0 || s.at.Before(r.firstAt) {
+		r.firstAt = s.at
+	}
+	r.strikes = append(r.strikes, s)
+	slices.SortFunc(r.strikes, func(a, b strike) int { return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.crash, b.crash)) })
+	r.strikes = r.strikes[max(0, len(r.strikes)-maxStrikes):]
+	return true
+}
+
+// clear records an answer to a request with the part and reports whether it changes
+// anything.
+func (r *record) clear(at time.Time) bool {
+	if !at.After(r.clearedAt) {
+		return false
+	}
+	r.clearedAt = at
+	before := len(r.strikes)
+	r.strikes = slices.DeleteFunc(r.strikes, func(s strike) bool { return !s.at.After(at) })
+	if len(r.strikes) > 0 {
+		r.firstAt = r.strikes[0].at
+	}
+	return len(r.strikes) != before
+}
+
+func (r *record) lastStrike() time.Time {
+	if len(r.strikes) == 0 {
+		return r.clearedAt
+	}
+	return r.strikes[len(r.strikes)-1].at
+}
+
+// sharedAccounts reports whether requests of several accounts struck, so that the part
+// is not one account's own matter.
+func (r *record) sharedAccounts() bool {
+	for _, s := range r.strikes {
+		if s.account != r.strikes[0].account {
+			return true
+		}
+	}
+	return false
+}
+
+// minIncidentGap is the time between two crashes that count as separate incidents. Servers
+// that fail together for another reason end the requests that they share at once.
+const minIncidentGap = 100 * time.Millisecond
+
+// incidents counts the separate incidents.
+func (r *record) incidents() int { return r.count(nil, minIncidentGap) }
+
+// count counts the crashes that no blocked part explains and that are at least gap after the
+// last one counted.
+func (r *record) count(explained *explanation, gap time.Duration) int {
+	n := 0
+	var last time.Time
+	for i := range r.strikes {
+		s := &r.strikes[i]
+		if explained.covers(s) || n > 0 && s.at.Sub(last) < gap {
+			continue
+		}
+		n, last = n+1, s.at
+	}
+	return n
+}
+
+func (r *record) evidence(now time.Time, most int) Evidence {
+	e := Evidence{Part: r.part, Depth: r.depth, Proven: r.proven, Stored: r.stored, Cleared: !r.clearedAt.IsZero()}
+	if e.Cleared {
+		e.ClearedAge = max(0, now.Sub(r.clearedAt))
+	}
+	for _, s := range r.strikes[max(0, len(r.strikes)-most):] {
+		e.Strikes = append(e.Strikes, Strike{Crash: s.crash, Account: s.account, Age: max(0, now.Sub(s.at))})
+	}
+	return e
+}
+
+// merge adds evidence of another instance and reports whether anything was new.
+func (r *record) merge(now time.Time, e *Evidence) bool {
+	changed := e.Proven && !r.proven || e.Stored && !r.stored
+	r.proven, r.stored = r.proven || e.Proven, r.stored || e.Stored
+	if e.Cleared && r.clear(now.Add(-max(0, e.ClearedAge))) {
+		changed = true
+	}
+	for _, s := range e.Strikes {
+		if s.Age >= 0 && s.Age < evidenceTTL && r.addStrike(strike{s.Crash, s.Account, now.Add(-s.Age)}) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+// suspectParts returns the parts of a prompt that may be at fault: all but the last one,
+// which no other request holds.
+func suspectParts(parts []placement.Part) []placement.Part {
+	if len(parts) == 0 {
+		return nil
+	}
+	return parts[:min(len(parts)-1, maxPartsPerRequest)]
+}
--- /dev/null
+++ b/core/quarantine/stored.go
@@ -0,0 +1,108 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"errors"
+	"slices"
+	"strconv"
+	"time"
+)
+
+// StoreAction is a write that this instance owes to the store.
+type StoreAction struct {
+	Part PartKey
+	// Key and Value are the row to write; a nil Value removes it.
+	Key   string
+	Value []byte
+}
+
+// removalTime is how long an instance tries to remove an obsolete row. One that stays does
+// not count for longer than evidenceTTL.
+const removalTime = 30 * time.Second
+
+// Pending returns the writes that this instance owes to the store: the evidence of blocked
+// parts that it has to store, and rows of parts that are no longer blocked.
+func (t *Tracker) Pending(now time.Time) ([]StoreAction, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []StoreAction
+	for key, since := range t.obsolete {
+		switch {
+		case now.Sub(since) > removalTime:
+			delete(t.obsolete, key)
+		case t.isEligible(key, 0):
+			out = append(out, StoreAction{Part: key, Key: key.String()})
+		}
+	}
+	for key, r := range t.records {
+		if !r.blocked || r.stored || !t.isEligible(key, now.Sub(r.blockedSince)) {
+			continue
+		}
+		value, err := encodeRow(now, r)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, StoreAction{Part: key, Key: key.String(), Value: value})
+	}
+	return out, nil
+}
+
+// Done records that a write of Pending has taken effect.
+func (t *Tracker) Done(now time.Time, a StoreAction) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if a.Value == nil {
+		delete(t.obsolete, a.Part)
+	} else if r := t.records[a.Part]; r != nil {
+		r.stored, r.changedAt = true, now
+	}
+}
+
+// row is the stored form of the evidence about a part. Times are Unix milliseconds.
+type row struct {
+	Depth   int         `json:"depth"`
+	Proven  bool        `json:"proven"`
+	Strikes []rowStrike `json:"strikes"`
+}
+
+type rowStrike struct {
+	Crash   Crash  `json:"crash"`
+	Account uint64 `json:"account"`
+	AtMs    int64  `json:"at_ms"`
+}
+
+func encodeRow(now time.Time, r *record) ([]byte, error) {
+	w := row{Depth: r.depth, Proven: r.proven}
+	for _, s := range r.strikes {
+		w.Strikes = append(w.Strikes, rowStrike{s.crash, s.account, now.Add(s.at.Sub(now)).UnixMilli()})
+	}
+	return json.Marshal(w)
+}
+
+var errNoStrikes = errors.New("row holds no strikes")
+
+// Expired reports whether all strikes are too old to count.
+func (e *Evidence) Expired() bool {
+	return !slices.ContainsFunc(e.Strikes, func(s Strike) bool { return s.Age < evidenceTTL })
+}
+
+// DecodeRow returns the evidence of a stored row. now is the time of day; clocks that
+// differ make the evidence older or newer by as much.
+func DecodeRow(now time.Time, key string, value []byte) (Evidence, error) {
+	part, err := strconv.ParseUint(key, 16, 64)
+	if err != nil {
+		return Evidence{}, err
+	}
+	var w row
+	if err := json.Unmarshal(value, &w); err != nil {
+		return Evidence{}, err
+	}
+	if len(w.Strikes) == 0 {
+		return Evidence{}, errNoStrikes
+	}
+	e := Evidence{Part: PartKey(part), Depth: w.Depth, Proven: w.Proven, Stored: true}
+	for _, s := range w.Strikes[max(0, len(w.Strikes)-maxStrikes):] {
+		e.Strikes = append(e.Strikes, Strike{s.Crash, s.Account, max(0, now.Sub(time.UnixMilli(s.AtMs)))})
+	}
+	return e, nil
+}
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -38,6 +38,7 @@
 	PoolForbidden         Code = 1009
 	IdempotencyKeyExpired Code = 1010
 	HeaderTooLarge        Code = 1011
+	PromptBlocked         Code = 1012
 
 	PoolAtBound       Code = 2001
 	AccountOverShare  Code = 2002
--- a/standins/userstore/userstore.go
+++ b/standins/userstore/userstore.go
@@ -104,6 +104,19 @@
 	return s.calls
 }
 
+// Count returns the number of rows of a table in the empty partition.
+func (s *Store) Count(table string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for k, row := range s.rows {
+		if k.table == table && k.part == "" && !row.Tombstone {
+			n++
+		}
+	}
+	return n
+}
+
 // Set writes a row in the empty partition, as an operator or a backend server does.
 func (s *Store) Set(table, name string, value []byte) {
 	s.mu.Lock()
