Let requests that have not run go on although their parts are suspect

Cause: the check of second runs looked at whether a server had been tried, not at whether one may have run the request. Change: the gateway states the latter in the request; and parts that were answered before need 3 separate incidents instead of 2 crashes, because engines that fail together end them at once.

Test: TestConnectFailureIsRetriedUnderSuspicion fails without the change.

--- a/cmd/internal/edge/crash_test.go
+++ b/cmd/internal/edge/crash_test.go
@@ -6,9 +6,11 @@
 	"testing"
 	"time"
 
+	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/manifest"
 	"cyclamenhitch/core/placement"
+	"cyclamenhitch/core/quarantine"
 	"cyclamenhitch/core/result"
 	"cyclamenhitch/platform"
 	"cyclamenhitch/standins/runner"
@@ -159,3 +161,22 @@
 		t.Errorf("%d parts are suspect after a crash, want 1", n)
 	}
 }
+
+// A request that was not run, because its server had already crashed, must go on to another
+// server although its parts were in progress at crashes.
+func TestConnectFailureIsRetriedUnderSuspicion(t *testing.T) {
+	f := startFleet(t, 1)
+	watch := f.edges[0].edge.crashes
+	parts := []placement.Part{{ID: 1}, {ID: 2}}
+	for c := range 2 {
+		watch.tracker.Crashed(time.Now(), "s", quarantine.Crash(c), 0, parts)
+	}
+	req := &gateway.Request{ID: "q", Pool: &manifest.Pool{Name: "s"}, Parts: parts, TriedServers: []fleet.ServerID{"a"}}
+	if e := watch.refusal(time.Now(), req); e != nil {
+		t.Errorf("after an attempt that has not run: %v", e)
+	}
+	req.MayHaveRun = true
+	if e := watch.refusal(time.Now(), req); e == nil {
+		t.Error("after an attempt at a crash: not refused")
+	}
+}
--- a/cmd/internal/edge/crashwatch.go
+++ b/cmd/internal/edge/crashwatch.go
@@ -65,7 +65,7 @@
 	if len(req.Parts) == 0 {
 		return nil
 	}
-	if len(req.TriedServers) > 0 && !w.tracker.MayRepeat(req.Pool.Name, req.Parts) {
+	if req.MayHaveRun && !w.tracker.MayRepeat(req.Pool.Name, req.Parts) {
 		return result.New(result.PromptBlocked, "servers crashed on requests with this prompt")
 	}
 	d := w.tracker.Check(now, req.Pool.Name, accountHash(req), fleet.HashID(req.ID), req.Parts)
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -272,6 +272,7 @@
 	if e.Outcome != result.NotRun {
 		t.unknownOutcome = e
 		t.runs++
+		t.req.MayHaveRun = true
 	}
 	if !retry.Eligible(t.req.Idempotent, e.Outcome) || t.runs >= t.maxRuns() || t.sends >= maxAttempts || t.ctx.Err() != nil {
 		return false
--- a/core/gateway/ports.go
+++ b/core/gateway/ports.go
@@ -84,6 +84,8 @@
 	Decisions []Decision
 	// TriedServers are the servers of earlier attempts.
 	TriedServers []fleet.ServerID
+	// MayHaveRun is set once an attempt has failed that may have run.
+	MayHaveRun bool
 	// Failover selects another server for a broken stream; nil if the stream must not
 	// be resumed. cause is the error that broke the stream at the previous server.
 	Failover func(cause error) (*manifest.Server, error)
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -126,7 +126,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, p := range suspectParts(parts) {
-		if r := t.records[KeyOf(pool, p.ID)]; r != nil && r.count(nil, 0) >= crashesAgainstRepeat {
+		if r := t.records[KeyOf(pool, p.ID)]; r != nil && r.isAgainstRepeat() {
 			return false
 		}
 	}
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -13,9 +13,10 @@
 const (
 	crashesToBlock   = 3
 	incidentsToBlock = 5
-	// crashesAgainstRepeat is the number of crashes from which a request that was in
-	// progress at a crash is not sent to another engine.
-	crashesAgainstRepeat = 2
+	// crashesAgainstRepeat and incidentsAgainstRepeat are the same for not sending a request
+	// that was in progress at a crash to another engine.
+	crashesAgainstRepeat   = 2
+	incidentsAgainstRepeat = 3
 )
 
 // Times after the last strike until a blocked part may be tried again. Each trial that
@@ -36,6 +37,15 @@
 	return r.count(explained, 0) - crashesToBlock
 }
 
+// isAgainstRepeat reports whether a request with the part that was in progress at a crash
+// must not be sent to another engine.
+func (r *record) isAgainstRepeat() bool {
+	if r.proven {
+		return r.incidents() >= incidentsAgainstRepeat
+	}
+	return r.count(nil, 0) >= crashesAgainstRepeat
+}
+
 // trialAt is when the part may be tried again.
 func (r *record) trialAt() time.Time {
 	d := firstTrialDelay
