Do not take a stale refusal for that of the next request

Callers were told 'not run, try again' of a request that ran, when a server wrote an earlier refusal once more on a kept connection.

Cause: statuses 421 and those with the statement 'not executed' were accepted before the check that a response on a used connection names its request. A refusal without an id therefore counted as that of the request in progress; one with the id of another request was already noticed.

Change: that check comes first.

--- a/adapters/engine/dialect.go
+++ b/adapters/engine/dialect.go
@@ -70,12 +70,13 @@
 	switch {
 	case r.idEchoed && string(id) != r.x.attemptID:
 		return result.New(result.AnswerCrossed, "server %s answered request %q, want %q", srv, id, r.x.attemptID)
+	case !r.idEchoed && r.conn.used:
+		// Also for a refusal: one of an earlier request says nothing about this one.
+		return result.New(result.AnswerCrossed, "server %s answered without a request id on a connection with earlier requests", srv)
 	case r.status == fasthttp.StatusMisdirectedRequest:
 		return result.New(result.ServerRefused, "address of server %s belongs to another server", srv).WithOutcome(result.NotRun)
 	case len(r.resp.Header.Peek(d.NotRun)) > 0:
 		return result.New(result.ServerRefused, "server %s refused the request with status %d", srv, r.status).WithOutcome(result.NotRun)
-	case !r.idEchoed && r.conn.used:
-		return result.New(result.AnswerCrossed, "server %s answered without a request id on a connection with earlier requests", srv)
 	case r.status < 200:
 		return result.New(result.AnswerInvalid, "server %s answered status %d", srv, r.status)
 	case r.status >= 500 && r.x.req.Idempotent && len(r.x.req.TriedServers) < r.x.req.MaxRuns:
