Do not forward a promise that the server did not make

Callers take 408, 421, 429 and 503 as the promise that their request has not run.

Change: such a response counts as an error of the server with outcome unknown, so that the caller gets 502 and no request that may not be repeated is sent again.

--- a/adapters/engine/dialect.go
+++ b/adapters/engine/dialect.go
@@ -79,6 +79,8 @@
 		return result.New(result.ServerRefused, "server %s refused the request with status %d", srv, r.status).WithOutcome(result.NotRun)
 	case r.status < 200:
 		return result.New(result.AnswerInvalid, "server %s answered status %d", srv, r.status)
+	case promisesNotRun(r.status):
+		return result.New(result.ServerError, "server %s answered status %d without stating that the request was not run", srv, r.status)
 	case r.status >= 500 && r.x.req.Idempotent && len(r.x.req.TriedServers) < r.x.req.MaxRuns:
 		return result.New(result.ServerError, "server %s answered status %d", srv, r.status)
 	case r.declared > r.limit:
@@ -88,6 +90,16 @@
 	return nil
 }
 
+// promisesNotRun reports whether callers take a status as the promise that their request
+// was not run. Only a server's own statement makes that known.
+func promisesNotRun(status int) bool {
+	switch status {
+	case fasthttp.StatusRequestTimeout, fasthttp.StatusMisdirectedRequest, fasthttp.StatusTooManyRequests, fasthttp.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 func (r *response) reportLoad(v []byte) {
 	if len(v) == 0 || r.x.client.OnLoad == nil {
 		return
--- a/adapters/engine/refusal_test.go
+++ b/adapters/engine/refusal_test.go
@@ -59,3 +59,18 @@
 		}
 	}
 }
+
+// Guards against a response that promises the caller that its request has not run, without
+// the server's statement that it has not.
+func TestRefusalWithoutStatement(t *testing.T) {
+	for _, status := range []int{408, 421, 429, 503} {
+		server := serveRaw(t, false, func(c net.Conn, _ int, id string) bool {
+			fmt.Fprintf(c, "HTTP/1.1 %d X\r\nX-Request-Id: %s\r\nContent-Length: 0\r\n\r\n", status, id)
+			return true
+		})
+		got := sendRequest(refusingClient(), server, "order", "r-1", time.Minute)
+		if status != 421 && !strings.Contains(got, "server_error unknown") || status == 421 && !strings.Contains(got, "not_run") {
+			t.Errorf("status %d: %s", status, got)
+		}
+	}
+}
