--- a/cmd/internal/edge/edge_test.go
+++ b/cmd/internal/edge/edge_test.go
@@ -198,6 +198,32 @@
 	})
 }
 
+// Odd entries of another writer among those of the servers must neither end an instance
+// nor stop it from following the list.
+func TestOddEntriesAmongServers(t *testing.T) {
+	a, b := &runner.Runner{ID: "a"}, &runner.Runner{ID: "b"}
+	f := startFleet(t, 3, a, b)
+	odd := func(field string) []byte {
+		return []byte(`{"service":"s","address":"127.0.0.1:9","zone":"z","slots":8,"state":"ready","cold_left_ms":0,"born":1,` + field + `}`)
+	}
+	for i, value := range [][]byte{
+		[]byte(strings.Repeat("[", 30_000)), odd(`"slots":1e999`), odd(`"address":"127.0.0.1:70000"`), odd(`"cold_left_ms":1e300`), odd(`"born":1e30`), {0xff, 0xfe}, {},
+	} {
+		f.store.Set("servers", fmt.Sprint("odd", i), value)
+	}
+	f.store.Remove("servers", "a")
+	for i := range f.edges {
+		f.eventually("only server b gets work", func() bool {
+			for range 10 {
+				if s, _, body := f.call(i, "/order/1", "k1"); s != 200 || body != "answer of b" {
+					return false
+				}
+			}
+			return true
+		})
+	}
+}
+
 // If the store has dropped its history and its full reads are stale, each table must wait
 // between two reads instead of retrying without delay.
 func TestReadsBehindArePaced(t *testing.T) {
