Do not send a request to a third server after two ended under it

The product's own form knows no prompt parts; a chat that ends its engine went to up to three of them for each request of its caller.

Change: after two attempts of one request that ended with the connection before a response, the gateway stops; a refused connection does not count, and streams that broke after their first part are resumed as before.

--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -20,6 +20,10 @@
 // maxAttempts limits the sends of one request, including the first one.
 const maxAttempts = 3
 
+// maxLostAttempts limits the attempts of one request that end with the connection before a
+// response. Two servers that end under a request are more likely its doing than chance.
+const maxLostAttempts = 2
+
 // maxStoredResponseBytes limits the response of a claimed request. The whole
 // response is read before it is forwarded, so that it can be stored.
 const maxStoredResponseBytes = 4 << 20
@@ -179,7 +183,11 @@
 			return permitted, nil
 		}
 		permitted.permit.Release(err)
-		if !t.shouldRetry(result.As(err)) {
+		e := result.As(err)
+		if e.Code == result.ConnectionLost || e.Code == result.AnswerTruncated {
+			t.lost++
+		}
+		if !t.shouldRetry(e) {
 			return nil, finalError(err, t.unknownOutcome)
 		}
 		if perr := g.waitBeforeRetry(ctx, &t.backoff); perr != nil {
@@ -226,7 +234,9 @@
 	ranked []*manifest.Server // servers left to try; unused with a Placer
 	sends  int
 	// runs counts the sends after which the request may have run.
-	runs           int
+	runs int
+	// lost counts the attempts whose connection ended before a response.
+	lost           int
 	unknownOutcome *result.Error // the last error of an attempt that may have run
 	backoff        retry.Backoff
 }
@@ -274,7 +284,7 @@
 		t.runs++
 		t.req.MayHaveRun = true
 	}
-	if !retry.Eligible(t.req.Idempotent, e.Outcome) || t.runs >= t.maxRuns() || t.sends >= maxAttempts || t.ctx.Err() != nil {
+	if t.lost >= maxLostAttempts || !retry.Eligible(t.req.Idempotent, e.Outcome) || t.runs >= t.maxRuns() || t.sends >= maxAttempts || t.ctx.Err() != nil {
 		return false
 	}
 	if t.g.Placer == nil && len(t.ranked) == 0 {
