Follow what servers announce: leaving and pauses

Change: the dialect decodes both with the head of a response, after the check that it answers this request and before any part is used; the placement keeps them as health of the server and no place is ranked or reserved at it. Leaving ends with a new start or address, or when the list has shown it and shows its end; a lapsed entry that returns does not end it. Peers hear of it as of a suspect, which ranks the server last. A pause is bounded by times.max_pause_ms, concerns this instance only, ends in a ramp of 2 s, and is no failure of the server; when all servers of a pool pause, callers are refused at once with the earliest end, spread by half. The load bound counts servers that take requests.

A fetch is sent to the server that runs the request; its source gets no request.

--- a/adapters/engine/dialect.go
+++ b/adapters/engine/dialect.go
@@ -34,6 +34,11 @@
 	FetchFrom string
 	// NotRun marks a response whose request was not executed.
 	NotRun string
+	// Leaving is "1" in the responses of a server that is about to leave.
+	Leaving string
+	// Pause carries, in a response with status 503, the time in seconds for which the server
+	// wants no requests.
+	Pause string
 	// Load carries the server's running requests, waiting requests and slots,
 	// separated by commas.
 	Load string
@@ -73,6 +78,9 @@
 	case !r.idEchoed && r.conn.used:
 		// Also for a refusal: one of an earlier request says nothing about this one.
 		return result.New(result.AnswerCrossed, "server %s answered without a request id on a connection with earlier requests", srv)
+	}
+	r.notify()
+	switch {
 	case r.status == fasthttp.StatusMisdirectedRequest:
 		return result.New(result.ServerRefused, "address of server %s belongs to another server", srv).WithOutcome(result.NotRun)
 	case len(r.resp.Header.Peek(d.NotRun)) > 0:
--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -40,6 +40,11 @@
 	Dialect *Dialect
 	// OnLoad, unless nil, receives the load that servers report. It must not block.
 	OnLoad func(pool fleet.PoolID, server fleet.ServerID, l ServerLoad)
+	// OnNotice, unless nil, receives what servers announce in their responses, before any
+	// part of the response is returned. It must not block.
+	OnNotice func(Notice)
+	// MaxPause limits the pause that a server may ask for; 0 selects the default.
+	MaxPause time.Duration
 	// Probes, SilentConnections and ResumedStreams count the probes sent, the
 	// connections that were given up as silent and the streams resumed.
 	Probes, SilentConnections, ResumedStreams atomic.Int64
--- /dev/null
+++ b/adapters/engine/notice.go
@@ -0,0 +1,77 @@
+package engine
+
+import (
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"cyclamenhitch/core/fleet"
+)
+
+// Notice is what a server announced in the header of a response.
+type Notice struct {
+	Server fleet.ServerID
+	Pool   fleet.PoolID
+	// Address is the host:port address that responded. Misdirected is set if the process
+	// there is another server than Server.
+	Address     string
+	Misdirected bool
+	// RequestID is the id of the request.
+	RequestID string
+	// Leaving is set if the server is about to leave.
+	Leaving bool
+	// Pause is how long the server wants no requests from this instance; 0 means that it
+	// did not say.
+	Pause time.Duration
+	// InvalidPause is the value of the field if it is not a usable time; empty otherwise.
+	InvalidPause string
+}
+
+// notify reports what the server announced, before any part of the response is used.
+func (r *response) notify() {
+	c := r.x.client
+	d := c.dialect()
+	if c.OnNotice == nil {
+		return
+	}
+	n := Notice{
+		Server: r.x.srv.Name, Pool: r.x.srv.Pool, Address: r.x.srv.Address, RequestID: r.x.req.ID,
+		Misdirected: r.status == fasthttp.StatusMisdirectedRequest,
+		Leaving:     d.Leaving != "" && string(r.resp.Header.Peek(d.Leaving)) == "1",
+	}
+	if d.Pause != "" && r.status == fasthttp.StatusServiceUnavailable {
+		if v := string(r.resp.Header.Peek(d.Pause)); v != "" {
+			n.Pause, n.InvalidPause = parsePause(v, c.maxPause())
+		}
+	}
+	if n.Leaving || n.Pause > 0 || n.InvalidPause != "" {
+		c.OnNotice(n)
+	}
+}
+
+// parsePause parses a number of seconds, which may have a fraction. A value that is too
+// long counts as the maximum, one that is no positive number as none; both are returned as
+// invalid.
+func parsePause(v string, most time.Duration) (pause time.Duration, invalid string) {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(v), 64)
+	switch {
+	case math.IsInf(seconds, 1), seconds > most.Seconds():
+		return most, v
+	case err != nil || math.IsNaN(seconds) || seconds < 0:
+		return 0, v
+	}
+	return time.Duration(seconds * float64(time.Second)), ""
+}
+
+// defaultMaxPause limits the pause that a server may ask for if the client sets no limit.
+const defaultMaxPause = 10 * time.Minute
+
+func (c *Client) maxPause() time.Duration {
+	if c.MaxPause > 0 {
+		return c.MaxPause
+	}
+	return defaultMaxPause
+}
--- a/adapters/settings/edge.go
+++ b/adapters/settings/edge.go
@@ -87,6 +87,8 @@
 	StopMillis int `toml:"stop_ms"`
 	// KeepMillis is how long callers may cache an address. Default 1000.
 	KeepMillis int `toml:"keep_ms"`
+	// MaxPauseMillis limits the pause that a backend server may ask for. Default 600000.
+	MaxPauseMillis int `toml:"max_pause_ms"`
 }
 
 // EdgeLimits limits the resources of the instance.
@@ -147,6 +149,7 @@
 	setDefault(&s.Times.RevokeMillis, 5000)
 	setDefault(&s.Times.StopMillis, 8000)
 	setDefault(&s.Times.KeepMillis, 1000)
+	setDefault(&s.Times.MaxPauseMillis, 600_000)
 	setDefault(&s.Limits.MemoryMegabytes, 256)
 	setDefault(&s.Limits.Descriptors, 4096)
 	setDefault(&s.Limits.RetryRatio, 0.1)
@@ -193,6 +196,7 @@
 		{"times.revoke_ms", s.Times.RevokeMillis, 500, 3600_000},
 		{"times.stop_ms", s.Times.StopMillis, 1000, 3600_000},
 		{"times.keep_ms", s.Times.KeepMillis, 100, 600_000},
+		{"times.max_pause_ms", s.Times.MaxPauseMillis, 100, 3600_000},
 		{"limits.memory_mb", s.Limits.MemoryMegabytes, 32, 1 << 20},
 		{"limits.descriptors", s.Limits.Descriptors, 256, 1 << 20},
 	} {
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -86,6 +86,8 @@
 		KeepAlive:   &serverKeepAlive,
 		UserTimeout: unackedTimeout,
 	}
+	client.OnNotice = (&noticeBoard{board: e.board, log: log}).apply
+	client.MaxPause = settings.Millis(set.Times.MaxPauseMillis)
 	e.crashes = &crashWatch{Upstream: client, tracker: tracker, incarnation: e.view.incarnation, meters: e.meters, log: log}
 	e.peers.onInstanceCount = func(instances int) {
 		budgets.SetAll(instanceRetryBudget(set, instances))
--- a/cmd/internal/edge/placer.go
+++ b/cmd/internal/edge/placer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"syscall"
 	"time"
@@ -71,6 +72,9 @@
 			p.recordDecision(req, c, len(ranked), now.Sub(began))
 			return &manifest.Server{Name: c.ID, Pool: req.Pool.Name, Address: c.Address}, &permit{t}, nil
 		}
+		if verdict == placement.AllPaused {
+			return nil, nil, p.pausedRefusal(now, req.Pool.Name)
+		}
 		if e := p.refusalAfterWait(req, verdict, now.Sub(began)); e != nil {
 			return nil, nil, e
 		}
@@ -110,6 +114,20 @@
 	return result.New(result.PoolAtBound, "all servers of pool %s are at the load bound", req.Pool.Name).WithRetryAfter(placementRetryAfter)
 }
 
+// pauseSpread is the fraction of a pause by which the Retry-After of refusals varies, so
+// that callers do not return together.
+const pauseSpread = 0.5
+
+// pausedRefusal returns the refusal while all servers of a pool asked for a pause.
+func (p *placer) pausedRefusal(now time.Time, pool fleet.PoolID) *result.Error {
+	after := placementRetryAfter
+	if end, ok := p.board.EarliestPauseEnd(now, pool); ok {
+		after = max(after, end.Sub(now))
+	}
+	after += time.Duration(rand.Float64() * pauseSpread * float64(after))
+	return result.New(result.NoServer, "all servers of pool %s asked for a pause", pool).WithRetryAfter(after)
+}
+
 func (p *placer) recordDecision(req *gateway.Request, c placement.Candidate, n int, waited time.Duration) {
 	p.meters.observePlacementWait(waited)
 	version, at, _ := p.view.lease.State()
--- a/cmd/internal/edge/servers.go
+++ b/cmd/internal/edge/servers.go
@@ -168,7 +168,7 @@
 		}
 		byPool[s.Pool] = append(byPool[s.Pool], placement.Server{
 			ID: s.ID, Address: s.Address, DataCentre: s.DataCentre, Slots: slots, Engine: p.Engine, CacheTokens: p.CacheTokens,
-			Out: s.Leaving || v.outOfService[s.DataCentre], ColdUntil: s.coldUntil, ColdRate: p.ColdRate, FetchTokensPerMs: p.FetchTokensPerMs, Incarnation: s.StartMillis,
+			Out: s.Leaving || v.outOfService[s.DataCentre], Draining: s.Leaving, ColdUntil: s.coldUntil, ColdRate: p.ColdRate, FetchTokensPerMs: p.FetchTokensPerMs, Incarnation: s.StartMillis,
 		})
 	}
 	for _, p := range c.Pools() {
--- a/core/placement/balancer.go
+++ b/core/placement/balancer.go
@@ -23,6 +23,8 @@
 	CacheTokens int
 	// Out excludes the server from new requests.
 	Out bool
+	// Draining is set while the list shows that the server leaves.
+	Draining bool
 	// ColdUntil is the end of the cold start; zero means that the server is not cold.
 	ColdUntil time.Time
 	// ColdRate is the number of requests per second that the server sustains while cold,
@@ -84,6 +86,8 @@
 	meanLatency time.Duration
 	readRate    readRate
 	policy      *Policy
+	// leaving holds the servers that announced their leaving.
+	leaving map[fleet.ServerID]leavingNote
 }
 
 // serverState is the state of one server, guarded by the lock of its pool.
@@ -97,6 +101,7 @@
 	cache      *prefixCache
 	speed      speed
 	failures   failures
+	notices    notices
 	errors     errorRate
 	// ownSuspectUntil is the end of the suspicion caused by this instance's own requests.
 	ownSuspectUntil time.Time
@@ -129,7 +134,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if p = b.pools[id]; p == nil {
-		p = &pool{servers: map[fleet.ServerID]*serverState{}, changed: make(chan struct{}), policy: &b.policy}
+		p = &pool{servers: map[fleet.ServerID]*serverState{}, changed: make(chan struct{}), policy: &b.policy, leaving: map[fleet.ServerID]leavingNote{}}
 		b.pools[id] = p
 	}
 	return p
@@ -146,9 +151,12 @@
 	p.list = p.list[:0]
 	for _, s := range servers {
 		st := old[s.ID]
+		before := st
 		if st == nil || st.Address != s.Address || st.Incarnation != s.Incarnation {
 			st = &serverState{hash: fleet.HashID(string(s.ID)), loadByPeer: map[fleet.InstanceID]Load{}, cache: newPrefixCache(cacheLimit(s.CacheTokens))}
+			before = nil
 		}
+		p.restoreNotices(st, before, s)
 		st.Server = s
 		st.cache.limit = cacheLimit(s.CacheTokens)
 		p.servers[s.ID] = st
@@ -243,6 +251,11 @@
 	for _, p := range b.pools {
 		p.mu.Lock()
 		for _, s := range p.list {
+			if s.notices.leaving {
+				// A hint for the other instances; their list decides.
+				out = append(out, Suspicion{s.ID, maxSuspicion})
+				continue
+			}
 			if rest := s.ownSuspectUntil.Sub(now); rest >= minSharedSuspicion && s.failures.suspect(now) {
 				out = append(out, Suspicion{s.ID, rest})
 			}
@@ -349,6 +362,9 @@
 // PoolSummary is the state of a pool in aggregate.
 type PoolSummary struct {
 	Servers, Out, Cold, Suspect int
+	// Leaving are the servers that announced their leaving to this instance, Paused those
+	// that asked it for a pause.
+	Leaving, Paused int
 	// TokensPerMilli is the prompt processing rate of the engines, 0 for plain services.
 	TokensPerMilli float64 `json:",omitempty"`
 	// Running is the number of known requests in progress, over all instances.
@@ -374,6 +390,12 @@
 			if s.cold(now) {
 				sum.Cold++
 			}
+			if s.notices.leaving {
+				sum.Leaving++
+			}
+			if s.paused(now) {
+				sum.Paused++
+			}
 			if s.failures.suspect(now) {
 				sum.Suspect++
 			}
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -89,6 +89,8 @@
 	ColdLimited
 	// AtLoadBound means that all servers have reached the load bound.
 	AtLoadBound
+	// AllPaused means that all servers that may receive work asked for a pause.
+	AllPaused
 )
 
 // Rank returns the servers that may run the request now, lowest cost first.
@@ -99,11 +101,14 @@
 	defer p.mu.Unlock()
 	eligible := make([]*serverState, 0, len(p.list))
 	status := NoServers
-	running := 0
+	// takers is the number of servers that take requests, running their load.
+	takers, running, paused := 0, 0, false
 	for _, s := range p.list {
-		if s.Out {
+		if !s.takesRequests(now) {
+			paused = paused || !s.Out && !s.notices.leaving
 			continue
 		}
+		takers++
 		running += s.load().Running
 		if exclude != nil && exclude(s.ID) {
 			continue
@@ -117,9 +122,12 @@
 		eligible = append(eligible, s)
 	}
 	if len(eligible) == 0 {
+		if status == NoServers && paused {
+			status = AllPaused
+		}
 		return nil, status
 	}
-	bound := loadBound(running, p.eligibleCount())
+	bound := loadBound(running, takers)
 	r := ranking{
 		now: now, req: req, policy: p.policy, bound: bound, meanErrors: meanErrorRate(now, eligible), readRate: p.tokensPerMs(),
 	}
@@ -165,7 +173,8 @@
 	try := func(i int) {
 		s := servers[i]
 		l := s.load()
-		if s.Engine && r.policy.On(LoadBound) && float64(l.Running+1) > r.bound {
+		share := s.rampShare(r.now)
+		if (s.Engine || share < 1) && r.policy.On(LoadBound) && l.Running > 0 && float64(l.Running+1) > share*r.bound {
 			return
 		}
 		c := s.candidate(r, l, r.order[i])
@@ -264,17 +273,6 @@
 	return loadFactor*float64(running+1)/float64(max(1, n)) + loadSlack
 }
 
-// eligibleCount is the number of servers that may receive work.
-func (p *pool) eligibleCount() int {
-	n := 0
-	for _, s := range p.list {
-		if !s.Out {
-			n++
-		}
-	}
-	return n
-}
-
 // candidate estimates the cost of running the request at the server with load l.
 func (s *serverState) candidate(r *ranking, l Load, rank int) Candidate {
 	now, req := r.now, r.req
--- a/core/placement/reservation.go
+++ b/core/placement/reservation.go
@@ -25,15 +25,15 @@
 	released         bool
 }
 
-// Reserve reserves a place at a server. It returns nil if the server is gone or out,
-// or if it is cold and this instance may not send to it yet.
+// Reserve reserves a place at a server. It returns nil if the server is gone, takes no
+// requests, or is cold and this instance may not send to it yet.
 func (b *Balancer) Reserve(now time.Time, id fleet.PoolID, c Candidate, req *Request) *Reservation {
 	p := b.pool(id)
 	share := b.coldLimiter()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	server := p.servers[c.ID]
-	if server == nil || server.Out {
+	if server == nil || !server.takesRequests(now) {
 		return nil
 	}
 	if p.policy.On(ColdRamp) && server.cold(now) {
@@ -144,6 +144,11 @@
 	if o == Refused {
 		t.server.cache.removeUnprocessed(t.parts, now)
 	}
+	if o == Refused && t.server.paused(now) {
+		// The pause covers this instance; it is no failure that concerns others.
+		t.pool.notifyWaiters()
+		return
+	}
 	switch o {
 	case Failed, Refused:
 		t.server.failures.failed(now, failureBackoffBase)
--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"net"
 	"slices"
@@ -53,6 +54,10 @@
 	closed      bool
 	runs        []Run
 	crashes     int
+	renamed     string
+	leaving     bool
+	pause       string
+	refusals    []time.Time
 	disconnects int
 	lists       int
 }
@@ -125,6 +130,59 @@
 // restartRetryDelay is the time between two attempts to listen on the old port.
 const restartRetryDelay = 5 * time.Millisecond
 
+// Rename makes the process at the runner's address another server.
+func (r *Runner) Rename(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.renamed = id
+}
+
+// id returns the ID of the server at the address.
+func (r *Runner) id() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return cmp.Or(r.renamed, r.ID)
+}
+
+// SetLeaving sets whether responses announce that the runner is leaving.
+func (r *Runner) SetLeaving(leaving bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.leaving = leaving
+}
+
+// SetPause makes the runner refuse all requests with a Retry-After of the given value; ""
+// ends that.
+func (r *Runner) SetPause(retryAfter string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pause = retryAfter
+}
+
+// Refusals returns when requests were refused because of SetPause.
+func (r *Runner) Refusals() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]time.Time(nil), r.refusals...)
+}
+
+// refuses writes what the runner announces and reports whether it refuses the request.
+func (r *Runner) refuses(ctx *fasthttp.RequestCtx) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leaving {
+		ctx.Response.Header.Set("Server-Leaving", "1")
+	}
+	if r.pause == "" {
+		return false
+	}
+	r.refusals = append(r.refusals, time.Now())
+	ctx.Response.Header.Set("Retry-After", r.pause)
+	ctx.Response.Header.Set("Not-Executed", "1")
+	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+	return true
+}
+
 // Crashes returns how often the runner crashed.
 func (r *Runner) Crashes() int {
 	r.mu.Lock()
@@ -178,10 +236,14 @@
 		r.list(ctx)
 		return
 	}
-	if want := string(h.Peek("Expect-Instance")); want != "" && want != r.ID {
+	refused := r.refuses(ctx)
+	if want := string(h.Peek("Expect-Instance")); want != "" && want != r.id() {
 		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
 		return
 	}
+	if refused {
+		return
+	}
 	if r.AtCapacity {
 		ctx.Response.Header.Set("Not-Executed", "1")
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -196,9 +258,9 @@
 		r.Crash()
 		return
 	}
-	ctx.Response.Header.Set("Response-Seal", r.ID+"."+id)
+	ctx.Response.Header.Set("Response-Seal", r.id()+"."+id)
 	if !strings.HasPrefix(string(ctx.Path()), "/stream/") {
-		ctx.SetBodyString("answer of " + r.ID)
+		ctx.SetBodyString("answer of " + r.id())
 		return
 	}
 	ctx.SetContentType("text/event-stream")
