Count crashes of a server whose new start is not known yet

Cause: strikes were told apart by server and start time as listed. A server that crashed again before the instances knew of its new start, in an outage of the store for as long as that lasts, added nothing to the evidence, and a trial that crashed it did not lengthen the time to the next one.

Change: strikes of one incarnation are the same crash only within a second. Test: TestCrashesOfStaleIncarnationCount, red before.

--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -98,6 +98,15 @@
 	at      time.Time
 }
 
+// sameCrashTime is the time within which strikes of one incarnation of a server are the same
+// crash. A server that starts again may be known by its former incarnation for a while, in
+// an outage of the store for long.
+const sameCrashTime = time.Second
+
+func (s *strike) isSameCrash(o *strike) bool {
+	return s.crash == o.crash && s.at.Sub(o.at).Abs() < sameCrashTime
+}
+
 // addStrike adds a strike unless it is known or older than the last answer, and reports
 // whether it did.
 func (r *record) addStrike(s strike) bool {
@@ -105,7 +114,7 @@
 		return false
 	}
 	for i := range r.strikes {
-		if r.strikes[i].crash == s.crash {
+		if r.strikes[i].isSameCrash(&s) {
 			return false
 		}
 	}
--- a/core/quarantine/property_test.go
+++ b/core/quarantine/property_test.go
@@ -152,6 +152,21 @@
 	}
 }
 
+// Guards against crashes that count once because the list still shows the former start of
+// the server, as it does in an outage of the store.
+func TestCrashesOfStaleIncarnationCount(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	tr := New("i")
+	for range crashesToBlock {
+		tr.Crashed(now, testPool, CrashOf("s", 1), 1, testParts("deadly"))
+		tr.Crashed(now.Add(50*time.Millisecond), testPool, CrashOf("s", 1), 1, testParts("deadly"))
+		now = now.Add(3 * time.Second)
+	}
+	if !isBlocked(tr, "deadly") {
+		t.Errorf("not blocked after %d crashes of one server", crashesToBlock)
+	}
+}
+
 // In a storm of crashes the table keeps only the newest ones of the deadly part; the older
 // ones must still explain what stood beside it.
 func TestStormExplainsBystanders(t *testing.T) {
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -66,7 +66,7 @@
 		}
 	}
 	blocked := map[PartKey]*record{}
-	explained := &explanation{crashes: map[Crash]bool{}}
+	explained := &explanation{crashes: map[Crash][]strike{}}
 	for len(open) > 0 {
 		best := slices.MinFunc(open, func(a, b *record) int {
 			return cmp.Or(
@@ -85,7 +85,7 @@
 
 // explanation holds the crashes that blocked parts account for.
 type explanation struct {
-	crashes map[Crash]bool
+	crashes map[Crash][]strike
 	// dropped are the times from which blocked parts have strikes that are no longer kept.
 	dropped []period
 }
@@ -94,7 +94,7 @@
 
 func (e *explanation) add(r *record) {
 	for _, s := range r.strikes {
-		e.crashes[s.crash] = true
+		e.crashes[s.crash] = append(e.crashes[s.crash], s)
 	}
 	if oldest := r.strikes[0].at; r.firstAt.Before(oldest) {
 		e.dropped = append(e.dropped, period{r.firstAt, oldest})
@@ -105,7 +105,7 @@
 	if e == nil {
 		return false
 	}
-	return e.crashes[s.crash] || slices.ContainsFunc(e.dropped, func(p period) bool { return !s.at.Before(p.from) && s.at.Before(p.to) })
+	return slices.ContainsFunc(e.crashes[s.crash], func(o strike) bool { return s.isSameCrash(&o) }) || slices.ContainsFunc(e.dropped, func(p period) bool { return !s.at.Before(p.from) && s.at.Before(p.to) })
 }
 
 func compareBool(a, b bool) int {
