Play crashing prompts, announced leavings and pauses in the soak

One stream in twelve has a prompt part on which its server crashes (the way to it then refuses connections for 0.4 s); servers announce their leaving and start again, and refuse with Retry-After. Disturbed instances and ways are not held to what they must have heard.

--- a/cmd/internal/edge/notices_test.go
+++ b/cmd/internal/edge/notices_test.go
@@ -74,7 +74,7 @@
 	f := startFleet(t, 2, a, b)
 	a.SetPause("2")
 	f.eventually("a has refused the first instance", func() bool { f.call(0, "/order/1", "k1"); return len(a.Refusals()) > 0 })
-	first := a.Refusals()[0]
+	first := a.Refusals()[0].At
 	for time.Since(first) < pause-200*time.Millisecond {
 		if s, _, body := f.call(0, "/order/1", "k1"); s != 200 || body != "answer of b" {
 			t.Fatalf("status %d %q in the pause", s, body)
--- a/cmd/internal/soak/callers_test.go
+++ b/cmd/internal/soak/callers_test.go
@@ -19,6 +19,7 @@
 	status                  int    // 0 when no answer began
 	violation               string // the violated guarantee, empty if none
 	complete                bool
+	deadly                  bool // the prompt holds the part that crashes servers
 }
 
 // callers send requests and record the results.
@@ -34,6 +35,9 @@
 	// fixedInstanceDeadline is the deadline of callers that use only one instance.
 	fixedInstanceDeadline = time.Second
 	callTimeoutMargin     = 200 * time.Millisecond
+	// One in deadlyOneIn streams has the prompt part deadlyPart.
+	deadlyOneIn = 12
+	deadlyPart  = "dead"
 )
 
 // run sends requests sequentially over keep-alive connections until ctx ends. The first
@@ -65,6 +69,7 @@
 		if number < len(c.f.instances) {
 			k.instance = c.f.instances[number].caller
 		}
+		k.deadly = k.kind == "stream" && rnd.IntN(deadlyOneIn) == 0
 		c.send(client, k, deadline)
 		c.mu.Lock()
 		c.calls = append(c.calls, k)
@@ -88,6 +93,13 @@
 	req.Header.Set("Request-Id", k.id)
 	req.Header.Set("Authorization", "Bearer "+k.key)
 	req.Header.Set("Deadline-Remaining", fmt.Sprint(deadline.Milliseconds()))
+	if k.kind == "stream" {
+		part := "b2"
+		if k.deadly {
+			part = deadlyPart
+		}
+		req.Header.Set("Prefix-Hash", fmt.Sprintf("a1:100,%s:50,%s:10", part, k.id))
+	}
 	k.sent = time.Now()
 	defer func() { k.ended = time.Now() }()
 	resp, err := client.Do(req)
--- a/cmd/internal/soak/fleet_test.go
+++ b/cmd/internal/soak/fleet_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -25,7 +26,12 @@
 	// revokeTime is the time after which a removed key must not run any request.
 	revokeTime = 3 * time.Second
 	stopTime   = 4 * time.Second
-	events     = 12
+	// contactTime is the time after a disturbance in which an instance is not held to what
+	// it must have heard.
+	contactTime = 3 * time.Second
+	// serverRestartTime is how long a crashed server refuses connections.
+	serverRestartTime = 400 * time.Millisecond
+	events            = 12
 	// logTailBytes is the size of the log excerpt that a failed wait prints.
 	logTailBytes = 2000
 )
@@ -39,6 +45,32 @@
 
 	mu      sync.Mutex
 	configs []config
+	// harmed holds the periods in which an instance or the way to a server was disturbed, by
+	// caller address or server ID.
+	harmed map[string][]interval
+}
+
+// harm records a disturbance that begins now and returns the function that ends it.
+func (f *fleet) harm(id string) (end func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := len(f.harmed[id])
+	f.harmed[id] = append(f.harmed[id], interval{begin: time.Now()})
+	return func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.harmed[id][i].end = time.Now()
+	}
+}
+
+// wasHarmed reports whether an instance or the way to a server was disturbed in a period,
+// or shortly before.
+func (f *fleet) wasHarmed(id string, from, to time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.ContainsFunc(f.harmed[id], func(h interval) bool {
+		return h.begin.Before(to) && (h.end.IsZero() || h.end.Add(contactTime).After(from))
+	})
 }
 
 // config is a configuration version and the time at which the store acknowledged it.
@@ -68,6 +100,17 @@
 
 	mu     sync.Mutex
 	drains []interval
+	// born is the start time in the server's entry, lives when it started again.
+	born  int
+	lives []time.Time
+}
+
+// startAgain makes the server's next entry that of a new start.
+func (s *server) startAgain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.born++
+	s.lives = append(s.lives, time.Now())
 }
 
 // interval is a period of time; end is zero while it lasts.
@@ -108,11 +151,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fleet{t: t, store: store}
+	f := &fleet{t: t, store: store, harmed: map[string][]interval{}}
 	t.Cleanup(f.end)
 	f.configure(1, true)
 	for i := range 6 {
-		s := &server{Runner: &runner.Runner{ID: fmt.Sprint("s", i), Events: events, EventInterval: 15 * time.Millisecond, ProcessingTime: 30 * time.Millisecond}, pool: []string{"chat", "orders"}[i%2]}
+		s := &server{Runner: &runner.Runner{ID: fmt.Sprint("s", i), Events: events, EventInterval: 15 * time.Millisecond, ProcessingTime: 30 * time.Millisecond, CrashParts: []string{deadlyPart}, RestartTime: serverRestartTime}, pool: []string{"chat", "orders"}[i%2], born: 1}
+		s.OnCrash = func() { s.proxy.refuse(serverRestartTime) }
 		if err := s.Start(); err != nil {
 			t.Fatal(err)
 		}
@@ -206,7 +250,7 @@
 	if second {
 		keys += `,{"name":"t2","api_keys":["k2"]}`
 	}
-	body := fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s],"services":[{"name":"chat","max_conns":200},{"name":"orders","max_conns":200}],"tenants":[%s]}`, version,
+	body := fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s],"services":[{"name":"chat","max_conns":200,"engine":{"slots":64,"kv_capacity_tokens":300000}},{"name":"orders","max_conns":200}],"tenants":[%s]}`, version,
 		route("read", "idempotent", "orders", ""), route("order", "non_idempotent", "orders", ""),
 		route("stream", "streaming", "chat", `,"can_resume":true`), route(fmt.Sprint("v", version), "idempotent", "orders", ""), keys)
 	f.store.Set("op", "config", []byte(body))
@@ -216,8 +260,11 @@
 }
 
 func (f *fleet) register(s *server, state string) {
+	s.mu.Lock()
+	born := s.born
+	s.mu.Unlock()
 	f.store.Set("servers", s.ID, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"z","slots":64,"state":%q,"cold_left_ms":0,"sequence":1,"born":1}`, s.pool, s.proxy.address(), state))
+		`{"service":%q,"address":%q,"zone":"z","slots":64,"state":%q,"cold_left_ms":0,"sequence":1,"born":%d}`, s.pool, s.proxy.address(), state, born))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
--- a/cmd/internal/soak/proxy_test.go
+++ b/cmd/internal/soak/proxy_test.go
@@ -8,10 +8,11 @@
 
 // proxy forwards TCP connections on loopback and injects faults into them.
 type proxy struct {
-	ln     net.Listener
-	target string
+	addr, target string
 
 	mu      sync.Mutex
+	ln      net.Listener
+	closed  bool
 	changed chan struct{}
 	delay   time.Duration
 	// holdIn and holdOut block the bytes to and from the target while they are set.
@@ -31,21 +32,47 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{ln: ln, target: target, changed: make(chan struct{}), connections: map[*connection]bool{}}
-	go p.accept()
+	p := &proxy{addr: ln.Addr().String(), ln: ln, target: target, changed: make(chan struct{}), connections: map[*connection]bool{}}
+	go p.accept(ln)
 	return p, nil
 }
 
-func (p *proxy) address() string { return p.ln.Addr().String() }
+func (p *proxy) address() string { return p.addr }
 
 func (p *proxy) close() {
+	p.mu.Lock()
+	p.closed = true
 	_ = p.ln.Close()
+	p.mu.Unlock()
 	p.reset()
 }
 
-func (p *proxy) accept() {
+// refuse refuses connections for a time, as the host of a crashed process does.
+func (p *proxy) refuse(d time.Duration) {
+	p.mu.Lock()
+	_ = p.ln.Close()
+	p.mu.Unlock()
+	time.AfterFunc(d, p.listenAgain)
+}
+
+func (p *proxy) listenAgain() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed {
+		return
+	}
+	ln, err := net.Listen("tcp", p.addr)
+	if err != nil { // the port may still be in use
+		time.AfterFunc(pollInterval, p.listenAgain)
+		return
+	}
+	p.ln = ln
+	go p.accept(ln)
+}
+
+func (p *proxy) accept(ln net.Listener) {
 	for {
-		c, err := p.ln.Accept()
+		c, err := ln.Accept()
 		if err != nil {
 			return
 		}
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -74,6 +74,8 @@
 	wg.Wait()
 	f.checkConfiguration()
 	f.checkCalls(c.calls, recoveredAt)
+	f.checkAnnouncements(c.calls)
+	f.checkCrashes(c.calls)
 	f.checkStop()
 	if t.Failed() && os.Getenv("SOAK_KEEP") != "" {
 		f.keepLogs(os.Getenv("SOAK_KEEP"))
@@ -96,7 +98,7 @@
 	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(time.Duration(100+rnd.IntN(600)) * time.Millisecond) {
 		n, s := f.instances[rnd.IntN(len(f.instances))], f.servers[rnd.IntN(len(f.servers))]
 		duration := time.Duration(200+rnd.IntN(int((maxFaultDuration-200*time.Millisecond)/time.Millisecond))) * time.Millisecond
-		kind := rnd.IntN(12)
+		kind := rnd.IntN(14)
 		var key string
 		var act func()
 		withFault := func(p *proxy, set func(on bool)) func() {
@@ -114,19 +116,19 @@
 			}
 			continue
 		case 2:
-			key, act = n.name, func() { n.restart(f.t, syscall.SIGKILL) }
+			key, act = n.name, f.harming(n.caller, func() { n.restart(f.t, syscall.SIGKILL) })
 		case 3:
-			key, act = n.name, func() { n.restart(f.t, syscall.SIGTERM) }
+			key, act = n.name, f.harming(n.caller, func() { n.restart(f.t, syscall.SIGTERM) })
 		case 4:
 			// The key is removed while the instance is suspended.
 			duration = maxFaultDuration - duration/4
 			step := 1 + rnd.IntN(3)
-			key, act = n.name, func() {
+			key, act = n.name, f.harming(n.caller, func() {
 				n.signal(syscall.SIGSTOP)
 				configure(step, false)
 				time.Sleep(duration)
 				n.signal(syscall.SIGCONT)
-			}
+			})
 		case 5:
 			p := n.toStore
 			key, act = n.name+"/store", withFault(p, func(on bool) { p.holdOut = on })
@@ -137,14 +139,14 @@
 			key, act = n.name+"/store", func() { n.toStore.stallOpen() }
 		case 8:
 			p := s.proxy
-			key, act = s.ID, withFault(p, func(on bool) { p.holdIn = on })
+			key, act = s.ID, f.harming(s.ID, withFault(p, func(on bool) { p.holdIn = on }))
 		case 9:
-			key, act = s.ID, func() {
+			key, act = s.ID, f.harming(s.ID, func() {
 				for range 5 {
 					s.proxy.reset()
 					time.Sleep(duration / 5)
 				}
-			}
+			})
 		case 10:
 			key, act = "store", func() {
 				f.store.SetDown(true)
@@ -158,6 +160,20 @@
 				time.Sleep(drainNoticeTime + time.Second)
 				f.register(s, "ready")
 			}
+		case 12:
+			key, act = s.pool, func() {
+				s.SetLeaving(true)
+				time.Sleep(drainNoticeTime + time.Second)
+				s.SetLeaving(false)
+				s.startAgain()
+				f.register(s, "ready")
+			}
+		case 13:
+			key, act = s.pool, func() {
+				s.SetPause(pauseSeconds)
+				time.Sleep(duration)
+				s.SetPause("")
+			}
 		}
 		mu.Lock()
 		taken := busy[key]
@@ -176,6 +192,14 @@
 	}
 }
 
+// harming wraps a fault that disturbs an instance or the way to a server.
+func (f *fleet) harming(id string, act func()) func() {
+	return func() {
+		defer f.harm(id)()
+		act()
+	}
+}
+
 // checkCalls compares the callers' results with the requests that the servers ran.
 func (f *fleet) checkCalls(calls []*call, recoveredAt time.Time) {
 	f.t.Helper()
@@ -215,7 +239,10 @@
 		if k.key == "k2" && len(runs) > 0 && !f.allowed(k.sent) {
 			f.t.Errorf("request %s ran although its key had been removed %v before it was sent", k.id, revokeTime)
 		}
-		if k.sent.After(recoveredAt) && k.key == "k1" {
+		if k.deadly && k.status == http.StatusServiceUnavailable && len(runs) > 0 {
+			f.t.Errorf("request %s was refused and ran", k.id)
+		}
+		if k.sent.After(recoveredAt) && k.key == "k1" && !k.deadly {
 			asked++
 			if k.status == http.StatusOK && k.complete {
 				served++
--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -22,7 +22,9 @@
 	ID, Method, Path, Body, Tenant, LastEventID string
 	// PromptParts is the Prefix-Hash header.
 	PromptParts string
-	StartedAt   time.Time
+	// Leaving is set if the response announced that the runner was leaving.
+	Leaving   bool
+	StartedAt time.Time
 }
 
 // Runner is a backend server. Set the exported fields before Start.
@@ -46,6 +48,8 @@
 	// is about to respond. It listens again after RestartTime.
 	CrashParts  []string
 	RestartTime time.Duration
+	// OnCrash, unless nil, is called when the runner crashes, before its connections end.
+	OnCrash func()
 
 	mu          sync.Mutex
 	ln          net.Listener
@@ -57,7 +61,7 @@
 	renamed     string
 	leaving     bool
 	pause       string
-	refusals    []time.Time
+	refusals    []Refusal
 	disconnects int
 	lists       int
 }
@@ -113,6 +117,9 @@
 // Crash closes the listener and all connections. The runner listens again after
 // RestartTime.
 func (r *Runner) Crash() {
+	if r.OnCrash != nil {
+		r.OnCrash()
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.crashes++
@@ -159,11 +166,18 @@
 	r.pause = retryAfter
 }
 
-// Refusals returns when requests were refused because of SetPause.
-func (r *Runner) Refusals() []time.Time {
+// Refusal records a request that was refused because of SetPause.
+type Refusal struct {
+	// ID is the id of the request, RetryAfter the value sent.
+	ID, RetryAfter string
+	At             time.Time
+}
+
+// Refusals returns the requests refused because of SetPause.
+func (r *Runner) Refusals() []Refusal {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return append([]time.Time(nil), r.refusals...)
+	return append([]Refusal(nil), r.refusals...)
 }
 
 // refuses writes what the runner announces and reports whether it refuses the request.
@@ -176,7 +190,7 @@
 	if r.pause == "" {
 		return false
 	}
-	r.refusals = append(r.refusals, time.Now())
+	r.refusals = append(r.refusals, Refusal{string(ctx.Request.Header.Peek("Request-Id")), r.pause, time.Now()})
 	ctx.Response.Header.Set("Retry-After", r.pause)
 	ctx.Response.Header.Set("Not-Executed", "1")
 	ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -251,7 +265,7 @@
 	}
 	last := string(h.Peek("Last-Event-Id"))
 	r.mu.Lock()
-	r.runs = append(r.runs, Run{id, string(h.Method()), string(h.RequestURI()), string(ctx.PostBody()), string(h.Peek("Tenant")), last, string(h.Peek("Prefix-Hash")), time.Now()})
+	r.runs = append(r.runs, Run{id, string(h.Method()), string(h.RequestURI()), string(ctx.PostBody()), string(h.Peek("Tenant")), last, string(h.Peek("Prefix-Hash")), r.leaving, time.Now()})
 	r.mu.Unlock()
 	time.Sleep(r.ProcessingTime)
 	if r.crashesOn(string(h.Peek("Prefix-Hash"))) {
