Bound the standing evidence in reports; show blocked parts and announcements

A report named up to four blocked parts with 32 strikes each as long as they stood: some 2.4 KB in each of up to 160 datagrams a second (worked out), where control may take 22 KB/s.

--- a/adapters/gossip/size_test.go
+++ b/adapters/gossip/size_test.go
@@ -1,12 +1,15 @@
 package gossip
 
 import (
+	"reflect"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/placement"
+	"cyclamenhitch/core/quarantine"
 )
 
 // Guards against reports that do not fit into a datagram: the size that is counted for a
@@ -25,3 +28,36 @@
 		}
 	})
 }
+
+// Evidence must survive the encoding.
+func TestEvidenceRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		age := rapid.Custom(func(t *rapid.T) time.Duration {
+			return time.Duration(rapid.IntRange(0, 3_600_000).Draw(t, "ms")) * time.Millisecond
+		})
+		var list []quarantine.Evidence
+		for range rapid.IntRange(0, 5).Draw(t, "parts") {
+			e := quarantine.Evidence{
+				Part: quarantine.PartKey(rapid.Uint64().Draw(t, "part")), Depth: rapid.IntRange(0, 64).Draw(t, "depth"),
+				Proven: rapid.Bool().Draw(t, "proven"), Stored: rapid.Bool().Draw(t, "stored"), Cleared: rapid.Bool().Draw(t, "cleared"),
+			}
+			if e.Cleared {
+				e.ClearedAge = age.Draw(t, "cleared age")
+			}
+			for range rapid.IntRange(0, 40).Draw(t, "strikes") {
+				e.Strikes = append(e.Strikes, quarantine.Strike{
+					Crash: quarantine.Crash(rapid.Uint64().Draw(t, "crash")), Account: rapid.Uint64().Draw(t, "account"), Age: age.Draw(t, "age"),
+				})
+			}
+			list = append(list, e)
+		}
+		b, err := Marshal(&Report{Evidence: list})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := Unmarshal(b)
+		if err != nil || !reflect.DeepEqual(r.Evidence, list) {
+			t.Fatalf("got %+v, %v, want %+v", r.Evidence, err, list)
+		}
+	})
+}
--- a/cmd/internal/operator/entrystatus.go
+++ b/cmd/internal/operator/entrystatus.go
@@ -37,6 +37,15 @@
 	Readers []string `json:"store_readers"`
 	// Servers counts the servers of each pool as the instance sees them.
 	Servers map[string]poolServers `json:"servers"`
+	// PromptParts counts the prompt parts that may crash engines.
+	PromptParts promptParts `json:"prompt_parts"`
+}
+
+// promptParts counts parts that stood in crashes, and those of them that are kept away from
+// the engines.
+type promptParts struct {
+	Suspect int `json:"Suspect"`
+	Blocked int `json:"Blocked"`
 }
 
 // poolServers counts the servers of a pool.
@@ -47,6 +56,10 @@
 	Out     int `json:"Out"`
 	Cold    int `json:"Cold"`
 	Suspect int `json:"Suspect"`
+	// Leaving counts servers that announced their leaving to the instance, Paused those that
+	// asked it for a pause.
+	Leaving int `json:"Leaving"`
+	Paused  int `json:"Paused"`
 	// Running is the number of running requests of all instances, as far as known.
 	Running int `json:"Running"`
 }
@@ -116,18 +129,18 @@
 
 func (e *env) printMetricsStatus(a metricsStatusResult) {
 	w := tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "ADDRESS\tINSTANCE\tDATA CENTRE\tVERSION\tCONFIRMED\tSERVING\tRELAY\tRUNNING\tPEERS\tSERVERS")
+	fmt.Fprintln(w, "ADDRESS\tINSTANCE\tDATA CENTRE\tVERSION\tCONFIRMED\tSERVING\tRELAY\tRUNNING\tPEERS\tBLOCKED PARTS\tSERVERS")
 	for _, s := range a.Instances {
 		if !s.Reached {
-			fmt.Fprintf(w, "%s\t-\t-\t-\t-\t-\t-\t-\t-\t%s\n", s.Address, s.Error)
+			fmt.Fprintf(w, "%s\t-\t-\t-\t-\t-\t-\t-\t-\t-\t%s\n", s.Address, s.Error)
 			continue
 		}
 		confirmed := "never"
 		if s.ConfigAgeMillis != nil {
 			confirmed = (time.Duration(*s.ConfigAgeMillis) * time.Millisecond).String() + " ago"
 		}
-		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%s\t%d\t%d\t%s\n", s.Address, s.Instance, s.DataCentre, s.Version, confirmed,
-			yesNo(s.Serving), yesNo(s.Relaying), s.Running, s.Peers, poolsText(s.Servers))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%s\t%d\t%d\t%d\t%s\n", s.Address, s.Instance, s.DataCentre, s.Version, confirmed,
+			yesNo(s.Serving), yesNo(s.Relaying), s.Running, s.Peers, s.PromptParts.Blocked, poolsText(s.Servers))
 	}
 	_ = w.Flush()
 }
@@ -140,7 +153,7 @@
 }
 
 // poolsText lists the pools with their server counts. Counts of servers that are out,
-// cold or suspect are left out if zero.
+// cold, suspect, leaving or paused are left out if zero.
 func poolsText(pools map[string]poolServers) string {
 	var out []string
 	for _, name := range slices.Sorted(maps.Keys(pools)) {
@@ -149,7 +162,7 @@
 		for _, x := range []struct {
 			count int
 			state string
-		}{{p.Out, "out"}, {p.Cold, "cold"}, {p.Suspect, "suspect"}} {
+		}{{p.Out, "out"}, {p.Cold, "cold"}, {p.Suspect, "suspect"}, {p.Leaving, "leaving"}, {p.Paused, "paused"}} {
 			if x.count > 0 {
 				text += fmt.Sprintf(", %d %s", x.count, x.state)
 			}
--- a/cmd/internal/operator/entrystatus_test.go
+++ b/cmd/internal/operator/entrystatus_test.go
@@ -25,7 +25,7 @@
 		return strings.TrimPrefix(srv.URL, "http://")
 	}
 	good := serve(`{"cyclamenhitch":{"instance":"r1","data_centre":"a","config_version":7,"config_age_ms":840,"serving":true,"relaying":true,
-		"running":3,"peers_live":70,"store_readers":["r1"],"servers":{"engines":{"Servers":90,"Out":2,"Cold":0,"Suspect":1,"Running":40}}}}`)
+		"running":3,"peers_live":70,"store_readers":["r1"],"servers":{"engines":{"Servers":90,"Out":2,"Cold":0,"Suspect":1,"Leaving":1,"Paused":3,"Running":40}},"prompt_parts":{"Suspect":4,"Blocked":2}}}`)
 	stale := serve(`{"cyclamenhitch":{"instance":"r2","data_centre":"b","config_version":0,"config_age_ms":null,"serving":false}}`)
 	otherProcess := serve(`{"memstats":{}}`)
 	notJSON := serve(`<html>`)
@@ -34,7 +34,7 @@
 		code      int
 		want      []string
 	}{
-		{[]string{good}, ExitOK, []string{"r1", "840ms ago", "engines 90, 2 out, 1 suspect"}},
+		{[]string{good}, ExitOK, []string{"r1", "840ms ago", "engines 90, 2 out, 1 suspect, 1 leaving, 3 paused"}},
 		{[]string{good, stale}, ExitOK, []string{"r2", "never"}},
 		{[]string{good, otherProcess, notJSON}, ExitIncomplete, []string{"serves no metrics of cyclamenhitchd", "cannot be read"}},
 		{[]string{"127.0.0.1:1"}, ExitFailed, []string{"127.0.0.1:1"}},
@@ -54,7 +54,7 @@
 		t.Fatalf("exit code %d: %s", code, &errOut)
 	}
 	var a metricsStatusResult
-	if err := json.Unmarshal(out.Bytes(), &a); err != nil || a.Reached != 2 || a.Versions[7] != 1 || a.Instances[0].Servers["engines"].Suspect != 1 {
+	if err := json.Unmarshal(out.Bytes(), &a); err != nil || a.Reached != 2 || a.Versions[7] != 1 || a.Instances[0].Servers["engines"].Suspect != 1 || a.Instances[0].PromptParts.Blocked != 2 {
 		t.Errorf("%+v, %v", a, err)
 	}
 }
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -187,12 +187,45 @@
 	if e.Cleared {
 		e.ClearedAge = max(0, now.Sub(r.clearedAt))
 	}
-	for _, s := range r.strikes[max(0, len(r.strikes)-most):] {
+	for _, s := range r.selectStrikes(most) {
 		e.Strikes = append(e.Strikes, Strike{Crash: s.crash, Account: s.account, Age: max(0, now.Sub(s.at))})
 	}
 	return e
 }
 
+// selectStrikes returns up to most strikes, oldest first: the newest of separate incidents,
+// and then the newest others, so that the receiver reaches the same verdict.
+func (r *record) selectStrikes(most int) []strike {
+	if len(r.strikes) <= most {
+		return r.strikes
+	}
+	taken := make([]bool, len(r.strikes))
+	n := 0
+	take := func(mayTake func(s *strike) bool) {
+		for i := len(r.strikes) - 1; i >= 0 && n < most; i-- {
+			if !taken[i] && mayTake(&r.strikes[i]) {
+				taken[i], n = true, n+1
+			}
+		}
+	}
+	var last time.Time
+	take(func(s *strike) bool {
+		separate := last.IsZero() || last.Sub(s.at) >= minIncidentGap
+		if separate {
+			last = s.at
+		}
+		return separate
+	})
+	take(func(*strike) bool { return true })
+	out := make([]strike, 0, n)
+	for i, s := range r.strikes {
+		if taken[i] {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 // merge adds evidence of another instance and reports whether anything was new.
 func (r *record) merge(now time.Time, e *Evidence) bool {
 	changed := e.Proven && !r.proven || e.Stored && !r.stored
--- a/core/quarantine/property_test.go
+++ b/core/quarantine/property_test.go
@@ -185,6 +185,35 @@
 	}
 }
 
+// An instance that starts after a storm must judge as the others do, from the few strikes
+// that their reports name by turns.
+func TestStandingEvidenceGivesSameVerdict(t *testing.T) {
+	for _, answeredBefore := range []bool{false, true} {
+		now := time.Unix(1_000_000, 0)
+		tr, started := New("i"), New("new")
+		if answeredBefore {
+			tr.Answered(now, testPool, testParts("deadly"))
+		}
+		for c := range 3 * maxStrikes {
+			now = now.Add(15 * time.Millisecond)
+			tr.Crashed(now, testPool, Crash(c), uint64(c%2), testParts("deadly"))
+		}
+		now = now.Add(reportTime)
+		report := tr.Report(now)
+		if len(report) != 1 || len(report[0].Strikes) > maxStandingStrikes {
+			t.Fatalf("standing report %+v", report)
+		}
+		started.Merge(now, report)
+		if !isBlocked(tr, "deadly") || !isBlocked(started, "deadly") {
+			t.Fatalf("answered before %v: blocked %v and %v", answeredBefore, isBlocked(tr, "deadly"), isBlocked(started, "deadly"))
+		}
+		key := KeyOf(testPool, fleet.HashID("deadly"))
+		if a, b := tr.records[key].trialAt(), started.records[key].trialAt(); !a.Equal(b) {
+			t.Errorf("answered before %v: tried again at %v and %v", answeredBefore, a, b)
+		}
+	}
+}
+
 func BenchmarkCheck(b *testing.B) {
 	now := time.Unix(1_000_000, 0)
 	for _, blocked := range []int{0, 1, 100} {
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -23,8 +23,10 @@
 	self    fleet.InstanceID
 	live    []fleet.InstanceID
 	records map[PartKey]*record
-	// nextReported is the position in the blocked parts from which the next report goes on.
+	// nextReported is the position in the blocked parts from which the next report goes on;
+	// standingAt is when a report last named one that has not changed.
 	nextReported int
+	standingAt   time.Time
 	// obsolete are the parts whose stored evidence is obsolete, with the time since when.
 	obsolete map[PartKey]time.Time
 	changes  []Change
@@ -230,14 +232,15 @@
 	// reportTime is how long changed evidence is sent with each report, so that lost
 	// datagrams do no harm.
 	reportTime = 2 * time.Second
-	// maxReported limits the parts in one report, of them maxReportedAgain blocked ones that
-	// have not changed, for instances that have just started.
-	maxReported      = 16
-	maxReportedAgain = 4
-	// maxReportedStrikes limits the strikes of a part in one report, the newest ones, and
-	// maxReportStrikes those of all parts in it.
+	// maxReported limits the parts with changed evidence in one report, maxReportedStrikes the
+	// strikes of each and maxReportStrikes those of all.
+	maxReported        = 12
 	maxReportedStrikes = 32
 	maxReportStrikes   = 256
+	// A report in each standingInterval names a blocked part without changes, by turns, with
+	// up to maxStandingStrikes strikes, for instances that have just started.
+	standingInterval   = time.Second
+	maxStandingStrikes = 8
 )
 
 // Report returns the evidence for the next report to other instances.
@@ -261,19 +264,17 @@
 	})
 	slices.SortFunc(standing, func(a, b *record) int { return cmp.Compare(a.part, b.part) })
 	var out []Evidence
-	room := maxReportStrikes
-	add := func(r *record) {
+	if len(standing) > 0 && now.Sub(t.standingAt) >= standingInterval {
+		t.standingAt = now
+		t.nextReported = (t.nextReported + 1) % len(standing)
+		out = append(out, standing[t.nextReported].evidence(now, maxStandingStrikes))
+	}
+	room := maxReportStrikes - maxStandingStrikes
+	for _, r := range changed[:min(len(changed), maxReported)] {
 		e := r.evidence(now, min(room, maxReportedStrikes))
 		room -= len(e.Strikes)
 		out = append(out, e)
 	}
-	for range min(len(standing), maxReportedAgain) {
-		t.nextReported = (t.nextReported + 1) % len(standing)
-		add(standing[t.nextReported])
-	}
-	for _, r := range changed[:min(len(changed), maxReported-maxReportedAgain)] {
-		add(r)
-	}
 	if len(t.records) > len(changed)+len(standing) {
 		t.update(now) // drops what has been reported long enough
 	}
