Blame no part while its pool answers nothing; try blocked parts soon

Parts that all prompts share would be blocked after five crashes, and the time to their first trial grew with the crashes before: six minutes of refusals or more after the pool had been mended. And the stored row did not learn of later trials, so that each restart of all instances led to another one. A verdict's line named a hash that an operator could not find in requests.

Change: a part is blocked only if an engine of the pool has answered some other request since its first strike; instances tell each other so. The time to a trial depends on the trials that failed: 10 s for the first, whatever led to the verdict. The row is written again after a failed trial. Parts are named by pool and id.

TestDeadlyPartIsBlockedEverywhere found a first form wrong in which only instances that had seen a crash themselves noted answers of the pool. The scenarios get an answer to another request, and times to the next trial in two of them are the new ones.

--- a/adapters/gossip/codec.go
+++ b/adapters/gossip/codec.go
@@ -109,7 +109,7 @@
 
 func encodeEvidence(e *quarantine.Evidence) *gossippb.Evidence {
 	m := &gossippb.Evidence{
-		Part: uint64(e.Part), Depth: uint32(max(0, e.Depth)), Proven: e.Proven, Stored: e.Stored, Cleared: e.Cleared, ClearedAgeMs: encodeAge(e.ClearedAge),
+		Part: e.Part.ID, Pool: e.Part.Pool, Depth: uint32(max(0, e.Depth)), Proven: e.Proven, Contrasted: e.Contrasted, StoredLevel: uint32(max(0, e.StoredLevel)), Cleared: e.Cleared, ClearedAgeMs: encodeAge(e.ClearedAge),
 	}
 	for _, s := range e.Strikes {
 		m.Crash = append(m.Crash, uint64(s.Crash))
@@ -125,7 +125,7 @@
 
 func decodeEvidence(m *gossippb.Evidence) quarantine.Evidence {
 	e := quarantine.Evidence{
-		Part: quarantine.PartKey(m.Part), Depth: int(m.Depth), Proven: m.Proven, Stored: m.Stored,
+		Part: quarantine.PartKey{Pool: m.Pool, ID: m.Part}, Depth: int(m.Depth), Proven: m.Proven, Contrasted: m.Contrasted, StoredLevel: int(m.StoredLevel),
 		Cleared: m.Cleared, ClearedAge: time.Duration(m.ClearedAgeMs) * time.Millisecond,
 	}
 	for i := range m.Crash {
--- a/cmd/internal/edge/crash_test.go
+++ b/cmd/internal/edge/crash_test.go
@@ -91,6 +91,10 @@
 	for i := range crashesToLearn {
 		f.callWithPrompt(i%crashFleet, "/r/1", "k1", prompt(soundPart, deadlyPart))
 	}
+	f.eventually("a sound request is answered", func() bool {
+		s, _, _ := f.callWithPrompt(0, "/r/1", "k1", prompt(soundPart))
+		return s == 200
+	})
 	f.eventually("all instances block the part", func() bool {
 		for _, e := range f.edges {
 			if e.edge.crashes.tracker.Summary().Blocked == 0 {
--- a/cmd/internal/edge/crashwatch.go
+++ b/cmd/internal/edge/crashwatch.go
@@ -70,13 +70,13 @@
 	}
 	d := w.tracker.Check(now, req.Pool.Name, accountHash(req), fleet.HashID(req.ID), req.Parts)
 	if d.Trial {
-		w.log.Info("trying a blocked prompt part", zap.String(logging.FieldRequest, req.ID), zap.Stringer("part", d.Part))
+		w.log.Info("trying a blocked prompt part", zap.String(logging.FieldRequest, req.ID), zap.String("part", strconv.FormatUint(d.Part.ID, 16)))
 	}
 	if !d.Blocked {
 		return nil
 	}
 	w.meters.promptsBlocked.Add(string(req.Pool.Name), 1)
-	return result.New(result.PromptBlocked, "servers crashed on requests with part %v", d.Part).WithRetryAfter(d.RetryAfter)
+	return result.New(result.PromptBlocked, "servers crashed on requests with prompt part %x", d.Part.ID).WithRetryAfter(d.RetryAfter)
 }
 
 // isConnectionEnd reports whether err is the end of a connection on which a request was
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -197,7 +198,7 @@
 		if c.Blocked {
 			msg = "prompt part blocked"
 		}
-		p.log.Warn(msg, zap.Stringer("part", c.Part), zap.Int("incidents", c.Incidents), zap.Bool("all_accounts", c.AllAccounts), zap.Bool("answered_before", c.Proven))
+		p.log.Warn(msg, zap.String("part", strconv.FormatUint(c.Part.ID, 16)), zap.Int("incidents", c.Incidents), zap.Bool("all_accounts", c.AllAccounts), zap.Bool("answered_before", c.Proven))
 	}
 }
 
--- a/core/quarantine/admit.go
+++ b/core/quarantine/admit.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"fmt"
 	"slices"
 	"time"
 
@@ -112,15 +111,13 @@
 // for a time: the instance that ranks first for the part, and twice as many after each
 // trialWidenInterval. The caller holds mu.
 func (t *Tracker) isEligible(part PartKey, due time.Duration) bool {
-	own := fleet.Mix(uint64(part), fleet.HashID(string(t.self)))
+	key := fleet.Mix(part.Pool, part.ID)
+	own := fleet.Mix(key, fleet.HashID(string(t.self)))
 	before := 0
 	for _, id := range t.live {
-		if id != t.self && fleet.Mix(uint64(part), fleet.HashID(string(id))) > own {
+		if id != t.self && fleet.Mix(key, fleet.HashID(string(id))) > own {
 			before++
 		}
 	}
 	return before < 1<<min(due/trialWidenInterval, 20)
 }
-
-// String formats the key in hexadecimal.
-func (k PartKey) String() string { return fmt.Sprintf("%016x", uint64(k)) }
--- a/core/quarantine/answered.go
+++ b/core/quarantine/answered.go
@@ -18,7 +18,7 @@
 }
 
 func (a *answeredParts) add(key PartKey) {
-	s := &a.shards[key%answeredShards]
+	s := &a.shards[key.ID%answeredShards]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, ok := s.new[key]; ok {
@@ -31,7 +31,7 @@
 }
 
 func (a *answeredParts) has(key PartKey) bool {
-	s := &a.shards[key%answeredShards]
+	s := &a.shards[key.ID%answeredShards]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	_, ok := s.new[key]
--- a/core/quarantine/evidence.go
+++ b/core/quarantine/evidence.go
@@ -6,7 +6,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"cyclamenhitch/core/fleet"
@@ -15,11 +18,32 @@
 
 // PartKey identifies a prompt part within a pool: engines of another pool run another
 // model.
-type PartKey uint64
+type PartKey struct {
+	// Pool is the hash of the pool's ID, ID the part's ID as parsed.
+	Pool, ID uint64
+}
 
 // KeyOf returns the key of a prompt part.
 func KeyOf(pool fleet.PoolID, id uint64) PartKey {
-	return PartKey(fleet.Mix(fleet.HashID(string(pool)), id))
+	return PartKey{fleet.HashID(string(pool)), id}
+}
+
+// String formats the key in hexadecimal.
+func (k PartKey) String() string { return fmt.Sprintf("%016x-%016x", k.Pool, k.ID) }
+
+// parsePartKey parses the result of String.
+func parsePartKey(s string) (PartKey, error) {
+	pool, id, _ := strings.Cut(s, "-")
+	p, err := strconv.ParseUint(pool, 16, 64)
+	if err != nil {
+		return PartKey{}, err
+	}
+	n, err := strconv.ParseUint(id, 16, 64)
+	return PartKey{p, n}, err
+}
+
+func compareKeys(a, b PartKey) int {
+	return cmp.Or(cmp.Compare(a.Pool, b.Pool), cmp.Compare(a.ID, b.ID))
 }
 
 // Crash identifies the end of one incarnation of a server. All instances whose requests
@@ -47,9 +71,13 @@
 	Depth int
 	// Proven is set if an engine answered a request with the part before the first strike.
 	Proven bool
-	// Stored is set once the store has the evidence.
-	Stored  bool
-	Strikes []Strike
+	// Contrasted is set if an engine of the pool answered any request since the first strike.
+	// Without that the pool may be at fault and not the part.
+	Contrasted bool
+	// StoredLevel is above the number of failed trials that the store knows of; 0 if it has
+	// no evidence.
+	StoredLevel int
+	Strikes     []Strike
 	// Cleared is set if an engine has answered a request with the part since a strike;
 	// ClearedAge is the time since the last such answer. Older strikes do not count.
 	Cleared    bool
@@ -73,11 +101,12 @@
 
 // record is the evidence about a part with times instead of ages.
 type record struct {
-	part    PartKey
-	depth   int
-	proven  bool
-	stored  bool
-	strikes []strike // oldest first
+	part        PartKey
+	depth       int
+	proven      bool
+	contrasted  bool
+	storedLevel int
+	strikes     []strike // oldest first
 	// firstAt is the time of the first strike that counts, which may no longer be kept.
 	firstAt   time.Time
 	clearedAt time.Time
@@ -183,7 +212,7 @@
 }
 
 func (r *record) evidence(now time.Time, most int) Evidence {
-	e := Evidence{Part: r.part, Depth: r.depth, Proven: r.proven, Stored: r.stored, Cleared: !r.clearedAt.IsZero()}
+	e := Evidence{Part: r.part, Depth: r.depth, Proven: r.proven, Contrasted: r.contrasted, StoredLevel: r.storedLevel, Cleared: !r.clearedAt.IsZero()}
 	if e.Cleared {
 		e.ClearedAge = max(0, now.Sub(r.clearedAt))
 	}
@@ -228,8 +257,8 @@
 
 // merge adds evidence of another instance and reports whether anything was new.
 func (r *record) merge(now time.Time, e *Evidence) bool {
-	changed := e.Proven && !r.proven || e.Stored && !r.stored
-	r.proven, r.stored = r.proven || e.Proven, r.stored || e.Stored
+	changed := e.Proven && !r.proven || e.Contrasted && !r.contrasted || e.StoredLevel > r.storedLevel
+	r.proven, r.contrasted, r.storedLevel = r.proven || e.Proven, r.contrasted || e.Contrasted, max(r.storedLevel, e.StoredLevel)
 	if e.Cleared && r.clear(now.Add(-max(0, e.ClearedAge))) {
 		changed = true
 	}
--- a/core/quarantine/stored.go
+++ b/core/quarantine/stored.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"slices"
-	"strconv"
 	"time"
 )
 
@@ -35,7 +34,11 @@
 		}
 	}
 	for key, r := range t.records {
-		if !r.blocked || r.stored || !t.isEligible(key, now.Sub(r.blockedSince)) {
+		since := r.blockedSince
+		if last := r.lastStrike(); last.After(since) {
+			since = last
+		}
+		if !r.blocked || r.storedLevel > r.failedTrials() || !t.isEligible(key, now.Sub(since)) {
 			continue
 		}
 		value, err := encodeRow(now, r)
@@ -54,14 +57,16 @@
 	if a.Value == nil {
 		delete(t.obsolete, a.Part)
 	} else if r := t.records[a.Part]; r != nil {
-		r.stored, r.changedAt = true, now
+		r.storedLevel, r.changedAt = r.failedTrials()+1, now
 	}
 }
 
 // row is the stored form of the evidence about a part. Times are Unix milliseconds.
 type row struct {
-	Depth   int         `json:"depth"`
-	Proven  bool        `json:"proven"`
+	Depth  int  `json:"depth"`
+	Proven bool `json:"proven"`
+	// Level is Evidence.StoredLevel.
+	Level   int         `json:"level"`
 	Strikes []rowStrike `json:"strikes"`
 }
 
@@ -72,7 +77,7 @@
 }
 
 func encodeRow(now time.Time, r *record) ([]byte, error) {
-	w := row{Depth: r.depth, Proven: r.proven}
+	w := row{Depth: r.depth, Proven: r.proven, Level: r.failedTrials() + 1}
 	for _, s := range r.strikes {
 		w.Strikes = append(w.Strikes, rowStrike{s.crash, s.account, now.Add(s.at.Sub(now)).UnixMilli()})
 	}
@@ -89,7 +94,7 @@
 // DecodeRow returns the evidence of a stored row. now is the time of day; clocks that
 // differ make the evidence older or newer by as much.
 func DecodeRow(now time.Time, key string, value []byte) (Evidence, error) {
-	part, err := strconv.ParseUint(key, 16, 64)
+	part, err := parsePartKey(key)
 	if err != nil {
 		return Evidence{}, err
 	}
@@ -100,7 +105,8 @@
 	if len(w.Strikes) == 0 {
 		return Evidence{}, errNoStrikes
 	}
-	e := Evidence{Part: PartKey(part), Depth: w.Depth, Proven: w.Proven, Stored: true}
+	// Only evidence of blocked parts is stored.
+	e := Evidence{Part: part, Depth: w.Depth, Proven: w.Proven, Contrasted: true, StoredLevel: w.Level}
 	for _, s := range w.Strikes[max(0, len(w.Strikes)-maxStrikes):] {
 		e.Strikes = append(e.Strikes, Strike{s.Crash, s.Account, max(0, now.Sub(time.UnixMilli(s.AtMs)))})
 	}
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -23,6 +23,11 @@
 	self    fleet.InstanceID
 	live    []fleet.InstanceID
 	records map[PartKey]*record
+	// poolAnswered is when a request of the pool, by the hash of its ID, was last answered
+	// while there were records.
+	poolAnswered map[uint64]time.Time
+	// uncontrasted is set while a record waits for an answer of its pool.
+	uncontrasted bool
 	// nextReported is the position in the blocked parts from which the next report goes on;
 	// standingAt is when a report last named one that has not changed.
 	nextReported int
@@ -60,7 +65,7 @@
 
 // New returns a Tracker without evidence.
 func New(self fleet.InstanceID) *Tracker {
-	t := &Tracker{self: self, live: []fleet.InstanceID{self}, records: map[PartKey]*record{}, obsolete: map[PartKey]time.Time{}}
+	t := &Tracker{self: self, live: []fleet.InstanceID{self}, records: map[PartKey]*record{}, poolAnswered: map[uint64]time.Time{}, obsolete: map[PartKey]time.Time{}}
 	t.blocked.Store(&map[PartKey]*record{})
 	return t
 }
@@ -103,6 +108,19 @@
 			t.clear(now, key)
 		}
 	}
+	if suspects {
+		t.contrast(now, pool)
+	}
+}
+
+// contrast records that the pool answers requests.
+func (t *Tracker) contrast(now time.Time, pool fleet.PoolID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.poolAnswered[fleet.HashID(string(pool))] = now
+	if t.uncontrasted {
+		t.update(now)
+	}
 }
 
 func (t *Tracker) clear(now time.Time, key PartKey) {
@@ -176,6 +194,16 @@
 
 // update drops outdated records and publishes the verdict. The caller holds mu.
 func (t *Tracker) update(now time.Time) {
+	t.uncontrasted = false
+	for _, r := range t.records {
+		if r.contrasted || len(r.strikes) == 0 {
+			continue
+		}
+		if t.poolAnswered[r.part.Pool].After(r.firstAt) {
+			r.contrasted, r.changedAt = true, now
+		}
+		t.uncontrasted = t.uncontrasted || !r.contrasted
+	}
 	blocked := judge(t.records)
 	for key, r := range t.records {
 		was := r.blocked
@@ -188,8 +216,8 @@
 		}
 		if was && !r.blocked {
 			r.changedAt = now
-			if r.stored {
-				r.stored, t.obsolete[key] = false, now
+			if r.storedLevel > 0 {
+				r.storedLevel, t.obsolete[key] = 0, now
 			}
 		}
 		// Answers are reported for a while, so that no instance keeps the strikes.
@@ -260,9 +288,9 @@
 		}
 	}
 	slices.SortFunc(changed, func(a, b *record) int {
-		return cmp.Or(-compareBool(a.blocked, b.blocked), cmp.Compare(b.incidents(), a.incidents()), b.changedAt.Compare(a.changedAt), cmp.Compare(a.part, b.part))
+		return cmp.Or(-compareBool(a.blocked, b.blocked), cmp.Compare(b.incidents(), a.incidents()), b.changedAt.Compare(a.changedAt), compareKeys(a.part, b.part))
 	})
-	slices.SortFunc(standing, func(a, b *record) int { return cmp.Compare(a.part, b.part) })
+	slices.SortFunc(standing, func(a, b *record) int { return compareKeys(a.part, b.part) })
 	var out []Evidence
 	if len(standing) > 0 && now.Sub(t.standingAt) >= standingInterval {
 		t.standingAt = now
--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -46,22 +46,43 @@
 	return r.count(nil, 0) >= crashesAgainstRepeat
 }
 
+// minTrialGap is below firstTrialDelay, because the times of strikes that others report are
+// only known to within some ms.
+const minTrialGap = firstTrialDelay * 9 / 10
+
+// failedTrials counts the trials that crashed a server: a blocked part gets no strikes but
+// through them.
+func (r *record) failedTrials() int {
+	n := 0
+	first := crashesToBlock
+	if r.proven {
+		first = incidentsToBlock
+	}
+	for i := max(1, first); i < len(r.strikes); i++ {
+		if r.strikes[i].at.Sub(r.strikes[i-1].at) >= minTrialGap {
+			n++
+		}
+	}
+	return n
+}
+
 // trialAt is when the part may be tried again.
 func (r *record) trialAt() time.Time {
 	d := firstTrialDelay
-	for n := r.incidents(); n > crashesToBlock && d < maxTrialDelay; n-- {
+	for n := r.failedTrials(); n > 0 && d < maxTrialDelay; n-- {
 		d *= trialDelayFactor
 	}
 	return r.lastStrike().Add(min(d, maxTrialDelay))
 }
 
-// judge decides which parts are blocked. The part with the most crashes beyond what
+// judge decides which parts are blocked, among those beside which the pool answers other
+// requests. The part with the most crashes beyond what
 // blocks it comes first and explains the crashes that it was part of; what stood
 // beside it in these crashes is then judged by the other ones.
 func judge(records map[PartKey]*record) map[PartKey]*record {
 	var open []*record
 	for _, r := range records {
-		if r.excess(nil) >= 0 {
+		if r.contrasted && r.excess(nil) >= 0 {
 			open = append(open, r)
 		}
 	}
@@ -73,7 +94,7 @@
 				cmp.Compare(b.excess(explained), a.excess(explained)),
 				-compareBool(a.blocked, b.blocked),
 				cmp.Compare(b.depth, a.depth), // deeper parts stand in fewer prompts
-				cmp.Compare(a.part, b.part),
+				compareKeys(a.part, b.part),
 			)
 		})
 		blocked[best.part] = best
