Let the load bound count servers out of service

Cause: the bound was taken from the mean of the servers that take requests. The users' mean is that of the pool; with a third of it out, 1.85 times the one is 2.8 times the other.

Change: servers that operators took out count as members, with their load; draining, leaving and paused ones do not. Where most of a pool is out the bound cannot be kept, and 1.25 times the mean of the others holds instead.

Test: TestLoadBoundWithThirdOutOfService, red without the members (6 requests at a mean of 1.3).

--- a/core/placement/notice_test.go
+++ b/core/placement/notice_test.go
@@ -173,7 +173,7 @@
 				total += n
 			}
 			for id, n := range running {
-				if bound := loadBound(total-1, servers-servers/3); float64(n) > bound {
+				if bound := loadBound(total-1, servers-servers/3, servers-servers/3); float64(n) > bound {
 					t.Fatalf("%s: %s runs %d requests, bound %.1f", away, id, n, bound)
 				}
 			}
@@ -192,9 +192,34 @@
 		}
 		for i := range servers / 3 {
 			id := fleet.ServerID(fmt.Sprint("s", i))
-			if n, most := running[id], 0.1*loadBound(2*requests, servers)+1; float64(n) > most {
+			if n, most := running[id], 0.1*loadBound(2*requests, servers, servers)+1; float64(n) > most {
 				t.Errorf("%s got %d requests right after its pause, want at most %.1f", id, n, most)
 			}
 		}
 	}
 }
+
+// With a third of a pool taken out of service, the mean of the users' bound still counts its
+// servers: no other server may hold more than twice that mean and 3.
+func TestLoadBoundWithThirdOutOfService(t *testing.T) {
+	const servers, requests = 12, 150
+	now := time.Unix(1_000_000, 0)
+	list := noticeServers(servers)
+	for i := range servers / 3 {
+		list[i].Out = true
+	}
+	b := noticeBoard(list)
+	running, total := map[fleet.ServerID]int{}, 0
+	for key := range requests {
+		req := &Request{Key: uint64(key), Parts: []Part{{ID: 1, Tokens: 9000}, {ID: uint64(1000 + key), Tokens: 10}}, PromptTokens: 9010}
+		ranked, _ := b.Rank(now, noticePool, req, nil)
+		if len(ranked) == 0 || b.Reserve(now, noticePool, ranked[0], req) == nil {
+			t.Fatalf("request %d finds no place", key)
+		}
+		running[ranked[0].ID]++
+		total++
+		if n, mean := running[ranked[0].ID], float64(total)/servers; float64(n) > 2*mean+3 {
+			t.Fatalf("%s holds %d requests, the mean of the pool is %.1f", ranked[0].ID, n, mean)
+		}
+	}
+}
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -41,6 +41,9 @@
 	// because peer reports are about 100 ms old.
 	loadFactor = 1.85
 	loadSlack  = 2.5
+	// evenFactor bounds the load relative to the mean of the servers that take requests when
+	// loadFactor leaves them no room.
+	evenFactor = 1.25
 )
 
 // Candidate is a server that may run a request.
@@ -101,9 +104,14 @@
 	defer p.mu.Unlock()
 	eligible := make([]*serverState, 0, len(p.list))
 	status := NoServers
-	// takers is the number of servers that take requests, running their load.
-	takers, running, paused := 0, 0, false
+	// takers is the number of servers that take requests, outOfService that of servers which
+	// operators took out but which still belong to the pool; running is the load of both.
+	takers, outOfService, running, paused := 0, 0, 0, false
 	for _, s := range p.list {
+		if s.Out && !s.Draining {
+			outOfService++
+			running += s.load().Running
+		}
 		if !s.takesRequests(now) {
 			paused = paused || !s.Out && !s.notices.leaving
 			continue
@@ -127,7 +135,7 @@
 		}
 		return nil, status
 	}
-	bound := loadBound(running, takers)
+	bound := loadBound(running, takers, takers+outOfService)
 	r := ranking{
 		now: now, req: req, policy: p.policy, bound: bound, meanErrors: meanErrorRate(now, eligible), readRate: p.tokensPerMs(),
 	}
@@ -267,10 +275,12 @@
 	c.Cost += errorCost * excess * float64(objective) / float64(time.Millisecond)
 }
 
-// loadBound is the maximum load of a server when n servers run the given number of
-// requests.
-func loadBound(running, n int) float64 {
-	return loadFactor*float64(running+1)/float64(max(1, n)) + loadSlack
+// loadBound is the maximum load of a server when the members of a pool run the given number
+// of requests and takers of them take new ones. The users' bound refers to the mean of all
+// members; if most of them take nothing it cannot be kept, and load is spread evenly.
+func loadBound(running, takers, members int) float64 {
+	load := float64(running + 1)
+	return max(loadFactor*load/float64(max(1, members)), evenFactor*load/float64(max(1, takers))) + loadSlack
 }
 
 // candidate estimates the cost of running the request at the server with load l.
