Keep the end of a server's draining in the soak

The trace: fault 11 drained the server from second 22.7 to 33.2, the request came at 35.4, and fault 12 registered the server as started again at 45.0, which moved the end of the draining that was already over. The recorded interval was wrong, not the request.

Change: a registration ends only a draining that lasts. The check and its bound stay.

--- a/cmd/internal/soak/fleet_test.go
+++ b/cmd/internal/soak/fleet_test.go
@@ -270,7 +270,7 @@
 	switch {
 	case state != "ready":
 		s.drains = append(s.drains, interval{begin: time.Now()})
-	case len(s.drains) > 0:
+	case len(s.drains) > 0 && s.drains[len(s.drains)-1].end.IsZero():
 		s.drains[len(s.drains)-1].end = time.Now()
 	}
 }
