Let operators switch the quarantine off to measure it

Like the other mechanisms of the platform's form: policy.disabled takes prompt_quarantine. Crashes and verdicts are still recorded and logged, requests are let through.

--- a/cmd/internal/edge/crashwatch.go
+++ b/cmd/internal/edge/crashwatch.go
@@ -27,6 +27,8 @@
 type crashWatch struct {
 	gateway.Upstream
 	tracker *quarantine.Tracker
+	// off lets all requests through; crashes are recorded all the same.
+	off bool
 	// incarnation returns the start time of a server.
 	incarnation func(fleet.ServerID) int64
 	meters      *meters
@@ -62,7 +64,7 @@
 // attempt of one that may. The outcome is that of an attempt that was not made; if an
 // earlier one may have run, the gateway reports that one.
 func (w *crashWatch) refusal(now time.Time, req *gateway.Request) *result.Error {
-	if len(req.Parts) == 0 {
+	if len(req.Parts) == 0 || w.off {
 		return nil
 	}
 	if req.MayHaveRun && !w.tracker.MayRepeat(req.Pool.Name, req.Parts) {
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -88,7 +88,10 @@
 	}
 	client.OnNotice = (&noticeBoard{board: e.board, log: log}).apply
 	client.MaxPause = settings.Millis(set.Times.MaxPauseMillis)
-	e.crashes = &crashWatch{Upstream: client, tracker: tracker, incarnation: e.view.incarnation, meters: e.meters, log: log}
+	e.crashes = &crashWatch{
+		Upstream: client, tracker: tracker, off: !policy.On(placement.PromptQuarantine),
+		incarnation: e.view.incarnation, meters: e.meters, log: log,
+	}
 	e.peers.onInstanceCount = func(instances int) {
 		budgets.SetAll(instanceRetryBudget(set, instances))
 		client.MaxIdle.Store(int64(e.view.maxIdleConnections(instances)))
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -57,6 +57,7 @@
 	PlacementReports
 	PromptLearning
 	RequestUrgency
+	PromptQuarantine
 )
 
 // MechanismInfo describes a mechanism to operators.
@@ -83,6 +84,7 @@
 	{PlacementReports, "placement_reports", "tells the peers which prompts were sent where"},
 	{PromptLearning, "prompt_learning", "learns after a start what the engines cache"},
 	{RequestUrgency, "request_urgency", "tells engines which requests go first"},
+	{PromptQuarantine, "prompt_quarantine", "refuses requests with prompt parts that crash engines"},
 }
 
 // ListMechanisms returns all mechanisms.
