Count crashes under requests that were given up a moment before

Change: when a request that holds a suspect part is given up without an answer, by its caller or for another server, the server is checked 0.3 s later. Test: TestCrashAfterRequestWasAbandoned.

--- a/cmd/internal/edge/crash_test.go
+++ b/cmd/internal/edge/crash_test.go
@@ -184,3 +184,23 @@
 		t.Error("after an attempt at a crash: not refused")
 	}
 }
+
+// Guards against crashes that no instance counts: a request that was given up for another
+// server, or by its caller, still crashes the first server a moment later.
+func TestCrashAfterRequestWasAbandoned(t *testing.T) {
+	f := startFleet(t, 1)
+	watch := f.edges[0].edge.crashes
+	parts := []placement.Part{{ID: 1}, {ID: 2}}
+	req := &gateway.Request{ID: "q", Pool: &manifest.Pool{Name: "s"}, Parts: parts}
+	gone := &manifest.Server{Name: "b", Pool: "s", Address: freeAddress(t)}
+	for _, code := range []result.Code{result.ConnectionSilent, result.CallerGone, result.DeadlineExceeded} {
+		watch.tracker = quarantine.New("i")
+		watch.onUnanswered(req, gone, result.New(code, "given up"))
+		watch.tracker.Crashed(time.Now(), "s", quarantine.CrashOf("a", 0), 0, parts)
+		if !watch.tracker.MayRepeat("s", parts) {
+			t.Fatalf("%v: one crash is enough", code)
+		}
+		watch.onUnanswered(req, gone, result.New(code, "given up"))
+		f.eventually("the second crash counts", func() bool { return !watch.tracker.MayRepeat("s", parts) })
+	}
+}
--- a/cmd/internal/edge/crashwatch.go
+++ b/cmd/internal/edge/crashwatch.go
@@ -22,6 +22,10 @@
 // connection. The host of a crashed process refuses within a round trip.
 const crashCheckTimeout = 100 * time.Millisecond
 
+// abandonedCheckDelay is the time after which a server is checked on which a request with a
+// suspect part was abandoned. It is below the time in which servers start again.
+const abandonedCheckDelay = 300 * time.Millisecond
+
 // crashWatch sends requests and records under which of them servers crash. Requests that
 // are known to crash servers are refused.
 type crashWatch struct {
@@ -50,7 +54,18 @@
 }
 
 func (w *crashWatch) onUnanswered(req *gateway.Request, srv *manifest.Server, err error) {
-	if !isConnectionEnd(err) || !engine.RefusesConnections(srv.Address, crashCheckTimeout) {
+	switch {
+	case isConnectionEnd(err):
+		w.checkCrash(req, srv)
+	case isAbandoned(err) && w.tracker.HasSuspect(srv.Pool, req.Parts):
+		// The server may still work on it.
+		time.AfterFunc(abandonedCheckDelay, func() { w.checkCrash(req, srv) })
+	}
+}
+
+// checkCrash records a crash of the server under the request if the server has crashed.
+func (w *crashWatch) checkCrash(req *gateway.Request, srv *manifest.Server) {
+	if !engine.RefusesConnections(srv.Address, crashCheckTimeout) {
 		return
 	}
 	w.tracker.Crashed(time.Now(), srv.Pool, quarantine.CrashOf(srv.Name, w.incarnation(srv.Name)), accountHash(req), req.Parts)
@@ -88,6 +103,13 @@
 	return e.Outcome != result.NotRun && (e.Code == result.ConnectionLost || e.Code == result.AnswerTruncated)
 }
 
+// isAbandoned reports whether err ended a request that the server had not answered yet,
+// because the caller left or another server was to be tried.
+func isAbandoned(err error) bool {
+	e := result.As(err)
+	return e.Outcome != result.NotRun && (e.Code == result.CallerGone || e.Code == result.ConnectionSilent || e.Code == result.DeadlineExceeded)
+}
+
 func accountName(req *gateway.Request) string {
 	if req.Account == nil {
 		return ""
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -153,6 +153,16 @@
 	return true
 }
 
+// HasSuspect reports whether the prompt holds a part with strikes.
+func (t *Tracker) HasSuspect(pool fleet.PoolID, parts []placement.Part) bool {
+	if t.suspects.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hasOtherSuspect(pool, nil, parts)
+}
+
 // insert adds a record. If the account of its first strike has brought up too many parts,
 // one of its own goes, and in a full table one of the account with the most. The caller
 // holds mu.
