--- a/core/quarantine/verdict.go
+++ b/core/quarantine/verdict.go
@@ -76,9 +76,8 @@
 }
 
 // judge decides which parts are blocked, among those beside which the pool answers other
-// requests. The part with the most crashes beyond what
-// blocks it comes first and explains the crashes that it was part of; what stood
-// beside it in these crashes is then judged by the other ones.
+// requests. The part with the most crashes beyond what blocks it comes first and explains the
+// crashes that it was part of; what stood beside it in these is judged by the other ones.
 func judge(records map[PartKey]*record) map[PartKey]*record {
 	var open []*record
 	for _, r := range records {
@@ -126,7 +125,10 @@
 	if e == nil {
 		return false
 	}
-	return slices.ContainsFunc(e.crashes[s.crash], func(o strike) bool { return s.isSameCrash(&o) }) || slices.ContainsFunc(e.dropped, func(p period) bool { return !s.at.Before(p.from) && s.at.Before(p.to) })
+	if slices.ContainsFunc(e.crashes[s.crash], func(o strike) bool { return s.isSameCrash(&o) }) {
+		return true
+	}
+	return slices.ContainsFunc(e.dropped, func(p period) bool { return !s.at.Before(p.from) && s.at.Before(p.to) })
 }
 
 func compareBool(a, b bool) int {
