Let the stand-in of servers close a stream after the event is written

Cause: the stand-in wrote events into a pipe that the HTTP library copies to the connection in another goroutine, and closed the connection at once; beside load the client saw fewer events or no response at all.

Change: the stand-in waits until the last event has been written to the connection. The test is unchanged.

--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -85,7 +85,7 @@
 	}
 	r.ln, r.addr = ln, ln.Addr().String()
 	srv := &fasthttp.Server{Handler: r.handle, ConnState: r.trackConn}
-	go func() { _ = srv.Serve(ln) }() // ends when the listener is closed
+	go func() { _ = srv.Serve(recordingListener{ln}) }() // ends when the listener is closed
 	return nil
 }
 
@@ -300,10 +300,12 @@
 func (r *Runner) stream(w *bufio.Writer, conn net.Conn, after int) {
 	for i := after + 1; i <= r.Events; i++ {
 		if r.DisconnectAfter > 0 && i > r.DisconnectAfter {
+			// The server copies the stream to the connection in another goroutine.
+			conn.(*recordingConn).waitFor(event(i - 1))
 			_ = conn.Close()
 			return
 		}
-		fmt.Fprintf(w, "id: %d\ndata: %d\n\n", i, i)
+		_, _ = w.WriteString(event(i)) // Flush returns the error
 		if w.Flush() != nil {
 			r.mu.Lock()
 			r.disconnects++
@@ -313,3 +315,6 @@
 		time.Sleep(r.EventInterval)
 	}
 }
+
+// event returns the event with a number.
+func event(number int) string { return fmt.Sprintf("id: %d\ndata: %d\n\n", number, number) }
