Fix a data race of the stand-in that crashes

Two requests that crash it at once started two restarts, of which one tried to listen for good.

Change: the address is taken under the lock, and a server that is down does not crash again. Green under the race detector since: TestSoak, and the end-to-end tests of crashes.

--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -51,19 +51,19 @@
 	// OnCrash, unless nil, is called when the runner crashes, before its connections end.
 	OnCrash func()
 
-	mu          sync.Mutex
-	ln          net.Listener
-	addr        string
-	conns       map[net.Conn]bool
-	closed      bool
-	runs        []Run
-	crashes     int
-	renamed     string
-	leaving     bool
-	pause       string
-	refusals    []Refusal
-	disconnects int
-	lists       int
+	mu           sync.Mutex
+	ln           net.Listener
+	addr         string
+	conns        map[net.Conn]bool
+	closed, down bool
+	runs         []Run
+	crashes      int
+	renamed      string
+	leaving      bool
+	pause        string
+	refusals     []Refusal
+	disconnects  int
+	lists        int
 }
 
 // Start listens on a free loopback port. The exported fields must not change
@@ -83,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	r.ln, r.addr = ln, ln.Addr().String()
+	r.ln, r.addr, r.down = ln, ln.Addr().String(), false
 	srv := &fasthttp.Server{Handler: r.handle, ConnState: r.trackConn}
 	go func() { _ = srv.Serve(recordingListener{ln}) }() // ends when the listener is closed
 	return nil
@@ -122,13 +122,18 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.crashes++
-	_ = r.ln.Close()
 	for c := range r.conns {
 		_ = c.Close()
 	}
+	if r.down { // several requests may crash it at once
+		return
+	}
+	r.down = true
+	r.crashes++
+	_ = r.ln.Close()
+	addr := r.addr
 	time.AfterFunc(r.RestartTime, func() {
-		for r.listen(r.addr) != nil { // the port may still be in use
+		for r.listen(addr) != nil { // the port may still be in use
 			time.Sleep(restartRetryDelay)
 		}
 	})
