Take test ports below the ephemeral range; report instances that end

Cause, worked out and not seen: an instance that cannot bind one of its addresses ends, and the test dropped that error; the addresses were ephemeral ports that were free a moment before, which any outgoing connection of the machine could take. Change: the soak's choice of ports, moved to standins/loopback, serves both, and an instance that ends by itself fails its test with the reason, so that another cause would show.

--- a/cmd/internal/edge/fleet_test.go
+++ b/cmd/internal/edge/fleet_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -17,6 +16,7 @@
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/roster"
 	"cyclamenhitch/platform"
+	"cyclamenhitch/standins/loopback"
 	"cyclamenhitch/standins/runner"
 	"cyclamenhitch/standins/userstore"
 )
@@ -63,12 +63,11 @@
 
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := loopback.FreeAddress()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return addr
 }
 
 // start starts an instance of a fleet that starts for the first time.
@@ -117,7 +116,13 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	te := &testEdge{set: set, edge: e, stop: stop, done: make(chan error, 1)}
-	go func() { te.done <- e.Run(ctx, make(chan os.Signal)) }()
+	go func() {
+		err := e.Run(ctx, make(chan os.Signal))
+		if err != nil && ctx.Err() == nil {
+			f.t.Errorf("instance %s ended: %v", set.Instance, err)
+		}
+		te.done <- err
+	}()
 	f.edges = append(f.edges, te)
 }
 
--- a/cmd/internal/soak/fleet_test.go
+++ b/cmd/internal/soak/fleet_test.go
@@ -4,8 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -16,6 +14,7 @@
 	"testing"
 	"time"
 
+	"cyclamenhitch/standins/loopback"
 	"cyclamenhitch/standins/runner"
 	"cyclamenhitch/standins/userstore"
 )
@@ -210,34 +209,13 @@
 	return n
 }
 
-// Instance ports lie below the ephemeral port range: otherwise an outgoing connection could
-// take the port of an instance while it restarts.
-const (
-	lowestPort  = 10_000
-	highestPort = 30_000
-)
-
-// allocatedPorts holds the ports already returned by freeAddress; their instances may not
-// listen yet.
-var allocatedPorts sync.Map
-
-// freeAddress returns an unused loopback address; it never returns the same one twice.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	for range 1000 {
-		port := lowestPort + rand.IntN(highestPort-lowestPort)
-		if _, before := allocatedPorts.LoadOrStore(port, true); before {
-			continue
-		}
-		addr := fmt.Sprintf("127.0.0.1:%d", port)
-		ln, err := net.Listen("tcp", addr)
-		if err == nil {
-			_ = ln.Close()
-			return addr
-		}
+	addr, err := loopback.FreeAddress()
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no port is free")
-	return ""
+	return addr
 }
 
 // configure writes a configuration version that has a route named after the version.
