Show that running out of descriptors ends the process

review/1: 1.7 times the users for 3 s in one of three zones. Each instance that runs out of descriptors exits with status 1 at the first accept that fails, and its users take the next one along.

--- /dev/null
+++ b/review/standin/fleet.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+func check(err error) {
+	if err != nil {
+		notRun("%v", err)
+	}
+}
+
+// notRun ends the script: the case could not be played.
+func notRun(format string, args ...any) {
+	note("could not run: "+format, args...)
+	killAll()
+	os.Exit(2)
+}
+
+var (
+	recordMu sync.Mutex
+	record   *os.File
+	began    = time.Now()
+)
+
+// note writes a line to record.txt and to standard output.
+func note(format string, args ...any) {
+	recordMu.Lock()
+	defer recordMu.Unlock()
+	line := fmt.Sprintf("%7.3f %s\n", time.Since(began).Seconds(), fmt.Sprintf(format, args...))
+	fmt.Print(line)
+	if record != nil {
+		_, _ = record.WriteString(line)
+	}
+}
+
+// instance is a process of the project.
+type instance struct {
+	name                                    string
+	caller, ready, directory, peer, metrics string
+	cmd                                     *exec.Cmd
+	log                                     string
+	done                                    chan struct{}
+	state                                   *os.ProcessState
+}
+
+var (
+	instancesMu sync.Mutex
+	instances   []*instance
+	coreMu      sync.Mutex
+	nextCore    int
+)
+
+func killAll() {
+	instancesMu.Lock()
+	defer instancesMu.Unlock()
+	for _, in := range instances {
+		if in.cmd != nil && in.cmd.Process != nil {
+			_ = in.cmd.Process.Signal(syscall.SIGCONT)
+			_ = in.cmd.Process.Kill()
+			<-in.done
+		}
+	}
+}
+
+// freePort returns an address with a port that is free for TCP and UDP.
+func freePort() string {
+	for {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		check(err)
+		addr := ln.Addr().String()
+		pc, err := net.ListenPacket("udp", addr)
+		_ = ln.Close()
+		if err == nil {
+			_ = pc.Close()
+			return addr
+		}
+	}
+}
+
+var (
+	sectionPattern = regexp.MustCompile(`(?s)\{\{#([a-z_.]+)\}\}(.*?)\{\{/[a-z_.]+\}\}`)
+	valuePattern   = regexp.MustCompile(`\{\{([a-z_.0-9]+)(\|json)?\}\}`)
+)
+
+// fill fills the deploy template in as DEPLOY.md says, as far as the template uses it.
+func fill(template string, values map[string]string) string {
+	template = sectionPattern.ReplaceAllStringFunc(template, func(s string) string {
+		m := sectionPattern.FindStringSubmatch(s)
+		return strings.ReplaceAll(m[2], "{{.}}", values[m[1]])
+	})
+	return valuePattern.ReplaceAllStringFunc(template, func(s string) string {
+		m := valuePattern.FindStringSubmatch(s)
+		v, ok := values[m[1]]
+		if !ok {
+			notRun("the template asks for %s", m[1])
+		}
+		return v
+	})
+}
+
+// newInstance chooses the addresses of an instance.
+func newInstance(name string) *instance {
+	return &instance{name: name, caller: freePort(), ready: freePort(), directory: freePort(), peer: freePort(), metrics: freePort()}
+}
+
+// start starts the instance with the command of deploy/system.toml.
+func (in *instance) start(dir, storeAddr, zone string, first bool) {
+	tmpl, err := os.ReadFile("deploy/settings.toml.tmpl")
+	check(err)
+	_, peerPort, _ := net.SplitHostPort(in.peer)
+	_, metricsPort, _ := net.SplitHostPort(in.metrics)
+	text := fill(strings.ReplaceAll(string(tmpl), "9464", metricsPort), map[string]string{
+		"node_name": in.name, "zone": zone, "region": "montevideo", "platform.address": storeAddr, "bootstrap": strconv.FormatBool(first),
+		"listen.front": in.caller, "listen.ready": in.ready, "listen.directory": in.directory, "ip": "127.0.0.1", "internal_ports.0": peerPort,
+		"bounds.revoke_ms": "5000", "limits.memory_mb": "284", "limits.max_fds": "4100", "limits.link_mbps": "1000.0",
+		"bounds.budget_ratio": "0.2", "bounds.budget_slack": "58",
+	})
+	path := filepath.Join(dir, in.name+".toml")
+	check(os.WriteFile(path, []byte(text), 0o600))
+	in.log = filepath.Join(dir, in.name+".log")
+	out, err := os.OpenFile(in.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	check(err)
+	in.cmd = exec.Command("target/cyclamenhitchd", "--discover", path)
+	in.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "CYCLAMENHITCH_BOOT=" + path}
+	in.cmd.Stdout, in.cmd.Stderr = out, out
+	check(startOnOneCore(in.cmd))
+	_ = out.Close()
+	in.done = make(chan struct{})
+	cmd, done := in.cmd, in.done
+	go func() {
+		_ = cmd.Wait()
+		in.state = cmd.ProcessState
+		close(done)
+	}()
+	instancesMu.Lock()
+	instances = append(instances, in)
+	instancesMu.Unlock()
+}
+
+// isReady asks the instance as the platform does.
+func (in *instance) isReady() bool {
+	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := c.Get("http://" + in.ready + "/readiness")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (in *instance) awaitReady() {
+	for end := time.Now().Add(15 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if in.isReady() {
+			return
+		}
+	}
+	notRun("%s does not become ready", in.name)
+}
+
+// ended reports whether the process has ended by itself.
+func (in *instance) ended() bool {
+	select {
+	case <-in.done:
+		return true
+	default:
+		return false
+	}
+}
