--- a/review/standin/descriptors.go
+++ b/review/standin/descriptors.go
@@ -74,7 +74,9 @@
 				ends.Add(1)
 				note("%s ended by itself: %v", in.name, in.state)
 				time.Sleep(500 * time.Millisecond)
-				in.start(dir, s.addr, zones[i], false)
+				if !in.start(dir, s.addr, zones[i], false) {
+					return
+				}
 				_ = limitDescriptors(in.cmd.Process.Pid, maxDescriptors)
 			}
 		}()
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -25,10 +26,15 @@
 func notRun(format string, args ...any) {
 	note("could not run: "+format, args...)
 	killAll()
+	if workDir != "" {
+		_ = os.RemoveAll(workDir)
+	}
 	os.Exit(2)
 }
 
 var (
+	// workDir holds the settings and logs of the instances.
+	workDir  string
 	recordMu sync.Mutex
 	record   *os.File
 	began    = time.Now()
@@ -58,13 +64,16 @@
 var (
 	instancesMu sync.Mutex
 	instances   []*instance
-	coreMu      sync.Mutex
-	nextCore    int
+	// ending is set when no more processes may be started.
+	ending   bool
+	coreMu   sync.Mutex
+	nextCore int
 )
 
 func killAll() {
 	instancesMu.Lock()
 	defer instancesMu.Unlock()
+	ending = true
 	for _, in := range instances {
 		if in.cmd != nil && in.cmd.Process != nil {
 			_ = in.cmd.Process.Signal(syscall.SIGCONT)
@@ -74,19 +83,38 @@
 	}
 }
 
+// Ports of the instances are chosen below the range from which the system takes the ports of
+// outgoing connections, so that none of these takes one before its instance listens.
+const (
+	firstPort = 12000
+	portCount = 18000
+)
+
+var portsTaken = map[int]bool{}
+
 // freePort returns an address with a port that is free for TCP and UDP.
 func freePort() string {
-	for {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		check(err)
-		addr := ln.Addr().String()
-		pc, err := net.ListenPacket("udp", addr)
+	for range 10 * portCount {
+		port := firstPort + rand.IntN(portCount)
+		if portsTaken[port] {
+			continue
+		}
+		portsTaken[port] = true
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
 		_ = ln.Close()
-		if err == nil {
-			_ = pc.Close()
-			return addr
+		pc, err := net.ListenPacket("udp", addr)
+		if err != nil {
+			continue
 		}
+		_ = pc.Close()
+		return addr
 	}
+	notRun("no port is free")
+	return ""
 }
 
 var (
@@ -115,8 +143,9 @@
 	return &instance{name: name, caller: freePort(), ready: freePort(), directory: freePort(), peer: freePort(), metrics: freePort()}
 }
 
-// start starts the instance with the command of deploy/system.toml.
-func (in *instance) start(dir, storeAddr, zone string, first bool) {
+// start starts the instance with the command of deploy/system.toml. It returns false at the
+// end of the script, when no more processes are started.
+func (in *instance) start(dir, storeAddr, zone string, first bool) bool {
 	tmpl, err := os.ReadFile("deploy/settings.toml.tmpl")
 	check(err)
 	_, peerPort, _ := net.SplitHostPort(in.peer)
@@ -132,21 +161,28 @@
 	in.log = filepath.Join(dir, in.name+".log")
 	out, err := os.OpenFile(in.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	check(err)
-	in.cmd = exec.Command("target/cyclamenhitchd", "--discover", path)
-	in.cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "CYCLAMENHITCH_BOOT=" + path}
-	in.cmd.Stdout, in.cmd.Stderr = out, out
-	check(startOnOneCore(in.cmd))
+	cmd, done := exec.Command("target/cyclamenhitchd", "--discover", path), make(chan struct{})
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=" + os.Getenv("LANG"), "CYCLAMENHITCH_BOOT=" + path}
+	cmd.Stdout, cmd.Stderr = out, out
+	instancesMu.Lock()
+	if ending {
+		instancesMu.Unlock()
+		return false
+	}
+	err = startOnOneCore(cmd)
+	if err == nil {
+		in.cmd, in.done = cmd, done
+		instances = append(instances, in)
+	}
+	instancesMu.Unlock()
+	check(err)
 	_ = out.Close()
-	in.done = make(chan struct{})
-	cmd, done := in.cmd, in.done
 	go func() {
 		_ = cmd.Wait()
 		in.state = cmd.ProcessState
 		close(done)
 	}()
-	instancesMu.Lock()
-	instances = append(instances, in)
-	instancesMu.Unlock()
+	return true
 }
 
 // isReady asks the instance as the platform does.
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -22,6 +22,7 @@
 	check(err)
 	dir, err := os.MkdirTemp("", "review")
 	check(err)
+	workDir = dir
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -88,7 +88,9 @@
 				_ = in.cmd.Process.Kill()
 				<-in.done
 				time.Sleep(500 * time.Millisecond)
-				in.start(dir, s.addr, zones[i], false)
+				if !in.start(dir, s.addr, zones[i], false) {
+					return
+				}
 			}
 		}()
 	}
