--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -23,6 +24,8 @@
 	key         string
 	// body is sent with each request; the caller of send names its length in extra.
 	body string
+	// link, unless nil, is the network link of each instance.
+	link *links
 	// keepFactor is how many times ttl_s the client keeps an answer of the directory.
 	keepFactor int
 
@@ -38,6 +41,37 @@
 	seq    int
 }
 
+// pieceBytes is the part of a body that goes over a link at once.
+const pieceBytes = 64 << 10
+
+// links delays what clients send as the instances' links of linkMbps do.
+type links struct {
+	mu   sync.Mutex
+	free map[string]time.Time
+	// longest is the longest time that a piece waited for its link.
+	longest time.Duration
+}
+
+// linkMbps is link_mbps of DEPLOY.md.
+const linkMbps = 1000
+
+func (l *links) wait(instance string, n int) {
+	if l == nil {
+		return
+	}
+	now := time.Now()
+	l.mu.Lock()
+	start := l.free[instance]
+	if start.Before(now) {
+		start = now
+	}
+	l.longest = max(l.longest, start.Sub(now))
+	end := start.Add(time.Duration(n) * 8 * time.Microsecond / linkMbps)
+	l.free[instance] = end
+	l.mu.Unlock()
+	time.Sleep(time.Until(end))
+}
+
 // wire is a connection and its reader.
 type wire struct {
 	net.Conn
@@ -115,6 +149,8 @@
 type outcome struct {
 	id, instance string
 	sent, ended  time.Time
+	// deadline is the time that the client gave.
+	deadline time.Duration
 	// kept is set if the connection had carried a request before.
 	kept bool
 	// status is 0 if no head arrived; whole is set if the answer is complete.
@@ -143,13 +179,20 @@
 		}
 		c.front, c.frontAt, c.served = w, addr, 0
 	}
-	o := &outcome{id: fmt.Sprintf("%016x", uint64(requestCounter.Add(1))<<20|uint64(rand.IntN(1<<20))), instance: c.frontAt, kept: c.served > 0}
+	o := &outcome{id: fmt.Sprintf("%016x", uint64(requestCounter.Add(1))<<20|uint64(rand.IntN(1<<20))), instance: c.frontAt, kept: c.served > 0, deadline: deadline}
 	w := c.front
 	_ = w.SetDeadline(time.Now().Add(deadline + time.Second))
 	o.sent = time.Now()
 	fmt.Fprintf(w, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Remaining: %d\r\nAuthorization: Bearer %s\r\n%s\r\n",
 		method, path, c.host, o.id, deadline.Milliseconds(), c.key, extra)
-	_, _ = io.WriteString(w, c.body)
+	for rest := c.body; rest != ""; {
+		n := min(len(rest), pieceBytes)
+		c.link.wait(c.frontAt, n)
+		if _, err := io.WriteString(w, rest[:n]); err != nil {
+			break
+		}
+		rest = rest[n:]
+	}
 	resp, err := http.ReadResponse(w.br, nil)
 	if err == nil {
 		o.status, o.seal = resp.StatusCode, resp.Header.Get("Response-Seal")
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -58,7 +58,9 @@
 	cmd                                     *exec.Cmd
 	log                                     string
 	done                                    chan struct{}
-	state                                   *os.ProcessState
+	// starts are the times at which its processes were started.
+	starts []time.Time
+	state  *os.ProcessState
 }
 
 var (
@@ -172,6 +174,7 @@
 	err = startOnOneCore(cmd)
 	if err == nil {
 		in.cmd, in.done = cmd, done
+		in.starts = append(in.starts, time.Now())
 		instances = append(instances, in)
 	}
 	instancesMu.Unlock()
@@ -205,6 +208,22 @@
 	notRun("%s does not become ready", in.name)
 }
 
+// contact is contact_ms of the settings.
+const contact = 3 * time.Second
+
+// inTouch reports whether no process of the instance was started within contact before at.
+// Nothing else of what RULES.md lists befalls an instance in the scripts that ask this.
+func (in *instance) inTouch(at time.Time) bool {
+	instancesMu.Lock()
+	defer instancesMu.Unlock()
+	for _, t := range in.starts {
+		if t.Before(at) && at.Sub(t) < contact {
+			return false
+		}
+	}
+	return true
+}
+
 // ended reports whether the process has ended by itself.
 func (in *instance) ended() bool {
 	select {
