--- a/review/standin/ids.go
+++ b/review/standin/ids.go
@@ -88,27 +88,45 @@
 
 	noteRequests(outcomes, runs)
 	whole, refused, other := 0, 0, 0
-	// Requests that ended, and those cut off, near a configuration and at other times.
-	var ended, cut [2]int
+	// Requests that ended and those cut off at each instance, at other times (0) and near a
+	// configuration (1).
+	type rate struct{ ended, cut [2]int }
+	byCaller := map[string]*rate{}
+	for _, in := range fleet {
+		byCaller[in.caller] = &rate{}
+	}
 	for _, o := range outcomes {
 		at := 0
 		if o.ended.After(sent) && o.ended.Before(end) {
 			at = 1
 		}
-		ended[at]++
+		r := byCaller[o.instance]
+		r.ended[at]++
 		switch ran := runs.of(o.id); {
 		case o.whole && o.status == 200:
 			whole++
 		case o.whole && o.status == 503:
 			refused++
-		case len(ran) > 0:
-			cut[at]++
-			note("cut: request %s to %s ran at %s, the connection ended inside the answer (status %d): %v", o.id, o.instance, ran[0].runner, o.status, o.err)
+		case len(ran) > 0 && o.ended.Sub(o.sent) < o.deadline*7/10:
+			r.cut[at]++
+			note("cut: request %s to %s ran at %s, the connection ended inside the answer (status %d) %.3f s after it was sent: %v",
+				o.id, o.instance, ran[0].runner, o.status, o.ended.Sub(o.sent).Seconds(), o.err)
 		default:
 			other++
 		}
 	}
 	note("%d requests: %d whole answers, %d refused with 503, %d others", len(outcomes), whole, refused, other)
-	note("near the configurations %d of %d were cut off, at other times %d of %d", cut[1], ended[1], cut[0], ended[0])
-	return cut[1] > 0 && float64(cut[1])/float64(ended[1]) > 3*float64(cut[0])/float64(ended[0])
+	broken := false
+	var all rate
+	for _, in := range fleet {
+		r := byCaller[in.caller]
+		for at := range all.cut {
+			all.ended[at], all.cut[at] = all.ended[at]+r.ended[at], all.cut[at]+r.cut[at]
+		}
+		note("%s: near the configurations %d of %d were cut off, at other times %d of %d", in.name, r.cut[1], r.ended[1], r.cut[0], r.ended[0])
+		// Over three times as often as at other times, as the rule asks for each machine.
+		broken = broken || r.cut[1] > 0 && r.cut[1]*r.ended[0] > 3*r.cut[0]*r.ended[1]
+	}
+	note("all: near the configurations %d of %d were cut off, at other times %d of %d", all.cut[1], all.ended[1], all.cut[0], all.ended[0])
+	return broken
 }
