--- a/cmd/internal/soak/fleet_test.go
+++ b/cmd/internal/soak/fleet_test.go
@@ -25,6 +25,8 @@
 	// revokeTime is the time after which a removed key must not run any request.
 	revokeTime = 3 * time.Second
 	stopTime   = 4 * time.Second
+	// keepTime is how long callers may keep an answer of the directory.
+	keepTime = 300 * time.Millisecond
 	// contactTime is the time after a disturbance in which an instance is not held to what
 	// it must have heard.
 	contactTime = 3 * time.Second
@@ -173,7 +175,7 @@
 		f.register(s, "ready")
 	}
 	for i := range instances {
-		f.instances = append(f.instances, f.instance(binary, i))
+		f.instances = append(f.instances, f.instance(binary, i, stopTime, keepTime))
 	}
 	for _, n := range f.instances {
 		n.start(t)
@@ -182,7 +184,7 @@
 	return f
 }
 
-func (f *fleet) instance(binary string, i int) *instance {
+func (f *fleet) instance(binary string, i int, stop, keep time.Duration) *instance {
 	f.t.Helper()
 	toStore, err := newProxy(f.store.Address())
 	if err != nil {
@@ -205,11 +207,11 @@
 [times]
 revoke_ms = %d
 stop_ms = %d
-keep_ms = 300
+keep_ms = %d
 [limits]
 retry_ratio = 0.5
 retry_burst = 100
-`, n.name, i%3, toStore.address(), n.caller, freeAddress(f.t), n.directory, freeAddress(f.t), revokeTime.Milliseconds(), stopTime.Milliseconds())
+`, n.name, i%3, toStore.address(), n.caller, freeAddress(f.t), n.directory, freeAddress(f.t), revokeTime.Milliseconds(), stop.Milliseconds(), keep.Milliseconds())
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		f.t.Fatal(err)
 	}
--- a/cmd/internal/soak/memory_linux_test.go
+++ b/cmd/internal/soak/memory_linux_test.go
@@ -55,7 +55,7 @@
 	}
 	t.Cleanup(large.Close)
 	f.store.Set("servers", large.ID, large.RegistryEntry("orders", "z", "ready"))
-	n := f.instance(binary, 0)
+	n := f.instance(binary, 0, stopTime, keepTime)
 	text, err := os.ReadFile(n.settings)
 	if err != nil {
 		t.Fatal(err)
