Judge streams in a stop by what the fleet knows of long ones

Cause: the stop accepted a stream if none of the latest 512 of its kind at this instance took longer than what was left. An instance sees a few hundred streams of a kind, so that one in a thousand is unknown to it, and each accepted stream was judged alone.

Change: core/servicetime counts times in histograms of up to 20 minutes and estimates the risk that a stream outlasts a limit, from whole times and, where the request states its number of output tokens, from the pace of output; it allows for servers that have become slower. At the start of a stop an instance reads the counts of up to 8 peers. lifecycle accepts a stream after the first 3 s only at a risk of at most 0.5%, and the risks of all such streams together at most 0.02 cuts. Earlier streams are accepted as before, or at a risk of 1%. Decisions in a stop are logged with the time left and the risk. The rest of a stream that broke at another server is always accepted, and not counted as a whole time.

--- a/adapters/httpapi/log.go
+++ b/adapters/httpapi/log.go
@@ -85,6 +85,10 @@
 	enc.AddInt("candidates", d.Candidates)
 	enc.AddUint64(logging.FieldVersion, d.ConfigVersion)
 	enc.AddDuration("view_age", d.ConfigAge)
+	if d.Stopping {
+		enc.AddDuration("stop_left", d.StopLeft)
+		enc.AddFloat64("stop_risk", d.StopRisk)
+	}
 	if d.EndReason != "" {
 		enc.AddString("ended", d.EndReason)
 	}
--- a/cmd/internal/daemon/admission.go
+++ b/cmd/internal/daemon/admission.go
@@ -243,6 +243,9 @@
 		zap.Duration("first_token", took))
 }
 
+// Part implements gateway.Permit.
+func (p *attemptPermit) Part() {}
+
 // Release implements gateway.Permit.
 func (p *attemptPermit) Release(err error) {
 	if p.released.Swap(true) {
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -105,12 +105,13 @@
 		client.MaxIdle.Store(int64(e.view.maxIdleConnections(instances)))
 	}
 	times := &servicetime.Tracker{}
+	e.peers.times = times
 	e.stop = &stopper{
 		limit: settings.Millis(set.Times.StopMillis), addressTTL: settings.Millis(set.Times.KeepMillis), peers: e.peers, times: times, log: log,
 	}
 	e.caller = &httpapi.Server{
 		Opener: &gateway.Gateway{
-			Placer:   &placer{board: e.board, view: e.view, meters: e.meters, crashes: e.crashes, times: times, stopRefusal: e.stop.refusal},
+			Placer:   &placer{board: e.board, view: e.view, meters: e.meters, crashes: e.crashes, times: times, acceptInStop: e.stop.accept},
 			Upstream: e.crashes, Budget: retryBudget(policy, budgets), Memory: memory, Now: time.Now,
 			AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
 		},
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -20,6 +20,7 @@
 	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/quarantine"
 	"cyclamenhitch/core/roster"
+	"cyclamenhitch/core/servicetime"
 	"cyclamenhitch/platform"
 )
 
@@ -37,9 +38,11 @@
 	board  *placement.Balancer
 	// tracker holds the evidence on prompt parts that crash engines.
 	tracker *quarantine.Tracker
-	log     *zap.Logger
-	roster  *roster.Roster
-	relay   *relay
+	// times are the times of requests, which peers read.
+	times  *servicetime.Tracker
+	log    *zap.Logger
+	roster *roster.Roster
+	relay  *relay
 
 	// onInstanceCount is called with the number of instances that share the fleet's budgets.
 	onInstanceCount func(instances int)
--- /dev/null
+++ b/cmd/internal/edge/peertimes_test.go
@@ -0,0 +1,31 @@
+package edge
+
+import (
+	"testing"
+	"time"
+
+	"cyclamenhitch/core/servicetime"
+)
+
+// In a planned stop an instance must judge streams by what its peers know of their kind: one
+// that has just started, or gets few of them, has not seen the long ones.
+func TestStopLearnsTimesOfPeers(t *testing.T) {
+	f := startFleet(t, 2)
+	stopping, peer := f.edges[0].edge, f.edges[1].edge
+	kind := servicetime.Kind{Pool: "s", Name: "once"}
+	record := func(times *servicetime.Tracker, n int, took time.Duration) {
+		now := time.Now()
+		for range n {
+			times.Begin(now.Add(-took), kind, 0).End(now, true)
+		}
+	}
+	record(stopping.stop.times, 20, 100*time.Millisecond)
+	record(peer.stop.times, 980, 100*time.Millisecond)
+	record(peer.stop.times, 20, 3*time.Second)
+	risk := func() float64 { return stopping.stop.times.Risk(time.Now(), kind, 0, time.Second) }
+	if r := risk(); r > 0.001 {
+		t.Fatalf("risk %v before the stop", r)
+	}
+	f.edges[0].stop()
+	f.eventually("the times of the peer are known", func() bool { return risk() > 0.02 })
+}
--- a/cmd/internal/edge/placer.go
+++ b/cmd/internal/edge/placer.go
@@ -25,8 +25,8 @@
 	meters  *meters
 	crashes *crashWatch
 	times   *servicetime.Tracker
-	// stopRefusal returns an error for a request that would outlast a planned stop.
-	stopRefusal func(now time.Time, req *gateway.Request) *result.Error
+	// acceptInStop returns an error for a request that would outlast a planned stop.
+	acceptInStop func(now time.Time, req *gateway.Request) (stopAcceptance, *result.Error)
 }
 
 var _ gateway.Placer = (*placer)(nil)
@@ -49,7 +49,8 @@
 			}
 		}
 		now := time.Now()
-		if e := p.stopRefusal(now, req); e != nil {
+		acceptance, e := p.acceptInStop(now, req)
+		if e != nil {
 			return nil, nil, e
 		}
 		if !now.Before(req.Deadline) {
@@ -73,7 +74,8 @@
 			req.FetchFrom = c.Source
 			req.FirstPartTimeout = firstPartTimeout(c.Wait)
 			p.recordDecision(req, c, len(ranked), now.Sub(began))
-			return &manifest.Server{Name: c.ID, Pool: req.Pool.Name, Address: c.Address}, &permit{t, p.times.Begin(now, requestKind(req))}, nil
+			acceptance.sent(&req.Decisions[len(req.Decisions)-1])
+			return &manifest.Server{Name: c.ID, Pool: req.Pool.Name, Address: c.Address}, p.permit(now, req, t), nil
 		}
 		if verdict == placement.AllPaused {
 			return nil, nil, p.pausedRefusal(now, req.Pool.Name)
@@ -180,16 +182,30 @@
 type permit struct {
 	ticket *placement.Reservation
 	run    *servicetime.Run
+	// remainder is set for the rest of a response that began elsewhere.
+	remainder bool
+}
+
+func (p *placer) permit(now time.Time, req *gateway.Request, t *placement.Reservation) *permit {
+	return &permit{t, p.times.Begin(now, requestKind(req), req.OutputTokens), req.Resuming || req.LastEventID != ""}
 }
 
 // Opened implements gateway.Permit.
-func (p *permit) Opened(time.Duration) { p.ticket.OnFirstOutput(time.Now()) }
+func (p *permit) Opened(time.Duration) {
+	now := time.Now()
+	p.ticket.OnFirstOutput(now)
+	p.run.Opened(now)
+}
+
+// Part implements gateway.Permit.
+func (p *permit) Part() { p.run.Part(time.Now()) }
 
 // Release implements gateway.Permit.
 func (p *permit) Release(err error) {
 	now := time.Now()
 	p.ticket.Release(now, placementOutcome(err))
-	p.run.End(now, err == io.EOF || err != nil && result.As(err).Code == result.DeadlineExceeded)
+	whole := err == io.EOF || err != nil && result.As(err).Code == result.DeadlineExceeded
+	p.run.End(now, whole && !p.remainder)
 }
 
 // placementOutcome classifies an error by what it indicates about the server.
--- a/cmd/internal/edge/prompts.go
+++ b/cmd/internal/edge/prompts.go
@@ -256,10 +256,13 @@
 // servePeer handles calls of other instances.
 func (p *peers) servePeer(feeds fasthttp.RequestHandler) fasthttp.RequestHandler {
 	return func(ctx *fasthttp.RequestCtx) {
-		if string(ctx.Path()) == pathPrompts {
+		switch string(ctx.Path()) {
+		case pathPrompts:
 			p.servePrompts(ctx)
-			return
+		case pathTimes:
+			p.serveTimes(ctx)
+		default:
+			feeds(ctx)
 		}
-		feeds(ctx)
 	}
 }
--- a/cmd/internal/edge/stop.go
+++ b/cmd/internal/edge/stop.go
@@ -8,9 +8,7 @@
 	"go.uber.org/zap"
 
 	"cyclamenhitch/adapters/httpapi"
-	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/lifecycle"
-	"cyclamenhitch/core/result"
 	"cyclamenhitch/core/servicetime"
 )
 
@@ -33,32 +31,11 @@
 	stop atomic.Pointer[lifecycle.Stop]
 }
 
-// refusal refuses requests that would outlast the stop.
-func (s *stopper) refusal(now time.Time, req *gateway.Request) *result.Error {
-	stop := s.stop.Load()
-	if stop == nil {
-		return nil
-	}
-	kind := requestKind(req)
-	if stop.MayFinish(now, lifecycle.Request{
-		Deadline: req.Deadline, Repeatable: req.Idempotent, Stream: req.Stream,
-		Over:   func(d time.Duration) (over, total int) { return s.times.Over(now, kind, d) },
-		Spread: func() (median, longest time.Duration) { return s.times.Spread(now, kind) },
-	}) {
-		return nil
-	}
-	return result.New(result.Stopping, "the instance is stopping and the request might not end in time").WithRetryAfter(notReadyRetryAfter)
-}
-
-// requestKind returns the kind of a request whose times are recorded together.
-func requestKind(req *gateway.Request) servicetime.Kind {
-	return servicetime.Kind{Pool: req.Pool.Name, Name: req.RouteName}
-}
-
 func (s *stopper) run(ctx context.Context) error {
 	began := time.Now()
 	stop := lifecycle.BeginSelective(began, s.limit, s.addressTTL)
 	s.stop.Store(stop)
+	s.peers.learnTimes(s.times)
 	s.log.Info("stop begins", zap.Int("running", s.caller.Running()), zap.Duration("limit", s.limit))
 	for {
 		for _, a := range stop.Step(time.Now(), lifecycle.Status{Running: s.caller.Running(), HandedOver: true}) {
--- a/core/gateway/claim_test.go
+++ b/core/gateway/claim_test.go
@@ -47,6 +47,7 @@
 }
 
 func (p *ports) Opened(time.Duration) {}
+func (p *ports) Part()                {}
 func (p *ports) Release(error)        { p.released++ }
 
 func (p *ports) Claim(context.Context, *Request) (Claim, Response, error) {
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -264,7 +264,9 @@
 	if !t.shouldRetry(e) {
 		return nil, e
 	}
+	t.req.Resuming = true
 	srv, permit, err := t.placeNext()
+	t.req.Resuming = false
 	if err != nil {
 		return nil, err
 	}
--- a/core/gateway/placer_test.go
+++ b/core/gateway/placer_test.go
@@ -67,6 +67,7 @@
 }
 
 func (p *placerPermit) Opened(time.Duration) {}
+func (p *placerPermit) Part()                {}
 func (p *placerPermit) Release(error) {
 	if !p.released {
 		p.released = true
--- a/core/gateway/ports.go
+++ b/core/gateway/ports.go
@@ -87,6 +87,8 @@
 	Decisions []Decision
 	// TriedServers are the servers of earlier attempts.
 	TriedServers []fleet.ServerID
+	// Resuming is set while a response that has begun is to be continued at another server.
+	Resuming bool
 	// MayHaveRun is set once an attempt has failed that may have run.
 	MayHaveRun bool
 	// Failover selects another server for a broken stream; nil if the stream must not
@@ -112,6 +114,11 @@
 	// since the start of the read that confirmed it.
 	ConfigVersion uint64
 	ConfigAge     time.Duration
+	// Stopping is set for a request that was accepted in a planned stop. StopLeft was the time
+	// until the stop would cut it, StopRisk the probability that a stream takes longer.
+	Stopping bool
+	StopLeft time.Duration
+	StopRisk float64
 	// EndReason is why the attempt failed; empty for the last one.
 	EndReason string
 }
@@ -150,6 +157,8 @@
 	// Opened records the time from the send to the first part of the
 	// response, which is the first token of a stream.
 	Opened(took time.Duration)
+	// Part records a further part of the response.
+	Part()
 	// Release returns the reserved capacity. It may be called more than once. err is
 	// the result of the attempt: nil or io.EOF for a response that was complete or
 	// was closed by the caller.
--- a/core/gateway/response.go
+++ b/core/gateway/response.go
@@ -73,6 +73,8 @@
 	part, err := a.Response.Next()
 	if err != nil {
 		a.permit.Release(a.attemptError(err))
+	} else {
+		a.permit.Part()
 	}
 	return part, err
 }
--- a/core/gateway/retry_property_test.go
+++ b/core/gateway/retry_property_test.go
@@ -35,6 +35,7 @@
 }
 
 func (p *retryPermit) Opened(time.Duration) {}
+func (p *retryPermit) Part()                {}
 
 func (p *retryPermit) Release(error) {
 	if !p.released {
--- a/core/lifecycle/lifecycle.go
+++ b/core/lifecycle/lifecycle.go
@@ -36,17 +36,6 @@
 	maxExitTime = 250 * time.Millisecond
 )
 
-const (
-	// finishFactor and finishMargin are added to the time that a request is expected to
-	// take: servers get slower as instances leave, and the response has to be written.
-	finishFactor = 1.05
-	finishMargin = 100 * time.Millisecond
-	// maxCutShare is the share of the requests accepted in a shutdown that may be aborted at
-	// its end. maxCutShareRepeatable applies to requests that their callers may repeat.
-	maxCutShare           = 0.01
-	maxCutShareRepeatable = 0.1
-)
-
 // Stop is a graceful shutdown in progress.
 type Stop struct {
 	startedAt, refuseAt, abortAt, exitAt time.Time
@@ -54,6 +43,7 @@
 	aborted                              bool
 	// selective makes Refuse wait until no request runs.
 	selective bool
+	cuts      expectedCuts
 }
 
 // Status is the state of the instance at a step.
@@ -84,52 +74,6 @@
 	return s
 }
 
-// Request is what is known of a request that may be accepted in a shutdown.
-type Request struct {
-	// Deadline is when it ends at the latest.
-	Deadline time.Time
-	// Repeatable is set if its caller may repeat it after it was aborted.
-	Repeatable bool
-	// Stream is set if the response begins before its end is known: an abort then cuts it
-	// without an answer.
-	Stream bool
-	// Over returns how many of total requests of its kind took longer than d, Spread the
-	// median and the longest of their times.
-	Over   func(d time.Duration) (over, total int)
-	Spread func() (median, longest time.Duration)
-}
-
-// MayFinish reports whether a request that is sent now is expected to end before Abort. A
-// request of a kind without known times is accepted only if its deadline is earlier or, if it
-// is repeatable and no stream, in the first half of the limit. It may be called concurrently
-// with Step.
-func (s *Stop) MayFinish(now time.Time, r Request) bool {
-	if !r.Deadline.After(s.abortAt) {
-		return true
-	}
-	left := s.abortAt.Sub(now)
-	most := time.Duration(float64(left-finishMargin) / finishFactor)
-	over, total := r.Over(most)
-	switch {
-	case left <= finishMargin:
-		return false
-	case r.Stream:
-		return total > 0 && over == 0 && longestExpected(r, total) <= most
-	case total == 0:
-		return r.Repeatable && left >= s.abortAt.Sub(s.startedAt)/2
-	case r.Repeatable:
-		return float64(over) <= maxCutShareRepeatable*float64(total)
-	}
-	return float64(over) <= maxCutShare*float64(total)
-}
-
-// longestExpected returns a time that a stream hardly exceeds: the longest known one and its
-// distance from the median, or a share of it that is larger the fewer times are known.
-func longestExpected(r Request, total int) time.Duration {
-	median, longest := r.Spread()
-	return longest + max(longest-median, longest/time.Duration(total))
-}
-
 // Step returns the actions that are due, in order. The caller must call it
 // periodically until it returns Exit.
 func (s *Stop) Step(now time.Time, st Status) []Action {
--- a/core/lifecycle/lifecycle_test.go
+++ b/core/lifecycle/lifecycle_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -83,73 +82,3 @@
 		}
 	})
 }
-
-// Guards against requests that are accepted in a shutdown and cannot end before its limit,
-// and against refusing those that can. The limit is 8 s, requests are aborted after 7.2 s.
-func TestMayFinish(t *testing.T) {
-	t0 := time.Unix(0, 0)
-	s := BeginSelective(t0, 8*time.Second, time.Second)
-	// times returns a history with a number of requests for each duration in seconds.
-	times := func(counts map[float64]int) func(time.Duration) (int, int) {
-		return func(d time.Duration) (over, total int) {
-			for took, n := range counts {
-				total += n
-				if time.Duration(took*float64(time.Second)) > d {
-					over += n
-				}
-			}
-			return over, total
-		}
-	}
-	spread := func(counts map[float64]int) func() (median, longest time.Duration) {
-		return func() (time.Duration, time.Duration) {
-			var all []float64
-			for took, n := range counts {
-				all = append(all, slices.Repeat([]float64{took}, n)...)
-			}
-			slices.Sort(all)
-			if len(all) == 0 {
-				return 0, 0
-			}
-			return time.Duration(all[len(all)/2] * float64(time.Second)), time.Duration(all[len(all)-1] * float64(time.Second))
-		}
-	}
-	for name, row := range map[string]struct {
-		history map[float64]int
-		// until, untilRepeatable and untilStream are the last times, in tenths of a second
-		// after the start, at which a request is accepted; -1 for none.
-		until, untilRepeatable, untilStream int
-	}{
-		"short requests to the end":              {map[float64]int{0.3: 100}, 67, 67, 67},
-		"long requests at the start only":        {map[float64]int{6.5: 100}, 2, 2, 2},
-		"none that outlasts the limit":           {map[float64]int{10: 100}, -1, -1, -1},
-		"few long requests among short ones":     {map[float64]int{0.3: 95, 5.5: 5}, 13, 67, -1},
-		"one long request among many short ones": {map[float64]int{0.3: 199, 20: 1}, 67, 67, -1},
-		"different times":                        {map[float64]int{0.5: 10, 1: 20, 2: 10, 3: 2}, 39, 50, 18},
-		"one known time":                         {map[float64]int{1: 1}, 60, 60, 50},
-		"unknown kind":                           {nil, -1, 36, -1},
-	} {
-		for tenth := range 80 {
-			at := t0.Add(time.Duration(tenth) * 100 * time.Millisecond)
-			r := Request{Deadline: at.Add(time.Minute), Over: times(row.history), Spread: spread(row.history)}
-			if got, want := s.MayFinish(at, r), tenth <= row.until; got != want {
-				t.Errorf("%s after %d tenths: accepted %v, want %v", name, tenth, got, want)
-			}
-			r.Repeatable = true
-			if got, want := s.MayFinish(at, r), tenth <= row.untilRepeatable; got != want {
-				t.Errorf("%s, repeatable, after %d tenths: accepted %v, want %v", name, tenth, got, want)
-			}
-			r.Stream = true
-			for _, repeatable := range []bool{false, true} {
-				r.Repeatable = repeatable
-				if got, want := s.MayFinish(at, r), tenth <= row.untilStream; got != want {
-					t.Errorf("%s, stream, after %d tenths: accepted %v, want %v", name, tenth, got, want)
-				}
-			}
-			r.Deadline = t0.Add(7200 * time.Millisecond)
-			if !s.MayFinish(at, r) {
-				t.Errorf("%s after %d tenths: a request whose deadline is before the abort was refused", name, tenth)
-			}
-		}
-	}
-}
--- a/core/servicetime/servicetime.go
+++ b/core/servicetime/servicetime.go
@@ -1,5 +1,6 @@
-// Package servicetime records how long requests take at servers. A Tracker has one record
-// with its own lock for each kind of request; the instance owns the Tracker.
+// Package servicetime records how long requests take at servers and estimates how long the
+// next ones take. A Tracker has one record with its own lock for each kind of request; the
+// instance owns the Tracker.
 package servicetime
 
 import (
@@ -11,8 +12,11 @@
 )
 
 const (
-	// window is the number of the latest requests that a record holds.
+	// window is the number of the latest requests that Over considers.
 	window = 512
+	// generationTime is the time after which the counts of a record are those of the previous
+	// generation, and after which that one is dropped.
+	generationTime = 10 * time.Minute
 	// maxKinds is the number of records above which those that are not in use are dropped.
 	maxKinds = 1024
 	// idleTime is how long a record without requests counts as in use.
@@ -39,23 +43,59 @@
 	// when it is full.
 	ended   []time.Duration
 	next    int
-	running map[*Run]time.Time
+	running map[*Run]bool
 	usedAt  time.Time
+
+	generations
+	// peers counts the times that other instances recorded.
+	peers generation
+	pace  pace
 }
 
 // Run is a request under way. It is used by one goroutine.
-type Run struct{ record *record }
+type Run struct {
+	record *record
+	// tokens is the largest number of output tokens, 0 if unknown.
+	tokens                int
+	began, opened, partAt time.Time
+	firstPart             bool
+}
 
-// Begin records the start of a request.
-func (t *Tracker) Begin(now time.Time, k Kind) *Run {
+// Begin records the start of a request. tokens is the largest number of its output tokens, 0
+// if unknown.
+func (t *Tracker) Begin(now time.Time, k Kind, tokens int) *Run {
 	r := t.record(now, k)
-	run := &Run{r}
+	run := &Run{record: r, tokens: tokens, began: now}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.running[run], r.usedAt = now, now
+	r.running[run], r.usedAt = true, now
 	return run
 }
 
+// Opened records the first part of the response.
+func (run *Run) Opened(now time.Time) {
+	r := run.record
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.running[run] || run.firstPart {
+		return
+	}
+	run.firstPart, run.opened, run.partAt = true, now, now
+	r.rotate(now)
+	r.current.first.add(bucketOf(now.Sub(run.began)), 1)
+}
+
+// Part records a further part of the response.
+func (run *Run) Part(now time.Time) {
+	r := run.record
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if run.firstPart && r.running[run] {
+		r.pace.add(now, now.Sub(run.partAt))
+		run.partAt = now
+	}
+}
+
 // End records the end of a request. took tells whether its time is that of a whole request
 // or of one that reached its deadline; it is false if the request was given up or failed.
 // Only the first call has an effect.
@@ -63,19 +103,29 @@
 	r := run.record
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	began, ok := r.running[run]
-	if !ok {
+	if !r.running[run] {
 		return
 	}
 	delete(r.running, run)
-	switch d := now.Sub(began); {
-	case !took:
-	case len(r.ended) < window:
+	r.rotate(now)
+	d := now.Sub(run.began)
+	if !took {
+		// Callers that give up long requests would hide how long these are.
+		if r.tail(d, wholeTimes).over == 0 {
+			r.current.whole.add(bucketOf(d), 1)
+		}
+		return
+	}
+	if len(r.ended) < window {
 		r.ended = append(r.ended, d)
-	default:
+	} else {
 		r.ended[r.next] = d
 		r.next = (r.next + 1) % window
 	}
+	r.current.whole.add(bucketOf(d), 1)
+	if run.firstPart && run.tokens > 0 {
+		r.current.tokens.add(bucketOf(perKiloToken(now.Sub(run.opened), run.tokens)), 1)
+	}
 }
 
 // Over returns how many of the latest requests of a kind took longer than d or have already
@@ -94,8 +144,8 @@
 			over++
 		}
 	}
-	for _, began := range r.running {
-		if now.Sub(began) > d {
+	for run := range r.running {
+		if now.Sub(run.began) > d {
 			over, total = over+1, total+1
 		}
 	}
@@ -115,8 +165,8 @@
 		sorted := slices.Sorted(slices.Values(r.ended))
 		median, longest = sorted[n/2], sorted[n-1]
 	}
-	for _, began := range r.running {
-		longest = max(longest, now.Sub(began))
+	for run := range r.running {
+		longest = max(longest, now.Sub(run.began))
 	}
 	return median, longest
 }
@@ -145,7 +195,7 @@
 	if len(t.kinds) >= maxKinds {
 		t.dropIdle(now)
 	}
-	r = &record{running: map[*Run]time.Time{}, usedAt: now}
+	r = &record{running: map[*Run]bool{}, usedAt: now}
 	t.kinds[k] = r
 	return r
 }
--- a/core/servicetime/servicetime_test.go
+++ b/core/servicetime/servicetime_test.go
@@ -27,7 +27,7 @@
 			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "ms")) * time.Millisecond)
 			if len(running) == 0 || rapid.Bool().Draw(t, "begin") {
 				k := rapid.SampledFrom(kinds).Draw(t, "kind")
-				running = append(running, open{tr.Begin(now, k), k, now})
+				running = append(running, open{tr.Begin(now, k, 0), k, now})
 				continue
 			}
 			i := rapid.IntRange(0, len(running)-1).Draw(t, "which")
@@ -80,7 +80,7 @@
 	var tr Tracker
 	now := time.Unix(1000, 0)
 	for i := range 3 * maxKinds {
-		run := tr.Begin(now, Kind{"p", fmt.Sprint(i)})
+		run := tr.Begin(now, Kind{"p", fmt.Sprint(i)}, 0)
 		if i > 0 {
 			run.End(now, true)
 		}
--- a/measure/proxy/rig_test.go
+++ b/measure/proxy/rig_test.go
@@ -37,6 +37,7 @@
 type noopPermit struct{}
 
 func (noopPermit) Opened(time.Duration) {}
+func (noopPermit) Part()                {}
 func (noopPermit) Release(error)        {}
 
 func (p *stubPorts) Admit(context.Context, *gateway.Request, []*manifest.Server, bool) (int, gateway.Permit, error) {
