Do not extrapolate from few known lengths of streams

Cause: beyond the longest known time the risk fell with the square of the distance, however few times were known. With 300 known streams a long mode of 4 in 1,000 is unseen in one of three cases.

Change: the risk falls with the distance from 500 known times on, or 50 for the pace of output. Below, it is that of the rule of succession.

--- a/core/servicetime/histogram.go
+++ b/core/servicetime/histogram.go
@@ -14,6 +14,11 @@
 	// tailIndex is the exponent with which the share of longer times falls beyond the longest
 	// known one: times twice as long are at least four times as rare.
 	tailIndex = 2
+	// minTailTimes is the number of known times from which this holds for whole requests: a
+	// few in a thousand may take many times as long as the others. minTailPaces is that for
+	// the pace of output, which servers bound.
+	minTailTimes = 500
+	minTailPaces = 50
 )
 
 // Counts are numbers of times by bucket, without the empty buckets.
@@ -60,6 +65,8 @@
 	over, total uint64
 	// longest is an upper bound of the longest time that is not over.
 	longest time.Duration
+	// minKnown is the number of known times from which tailIndex applies.
+	minKnown uint64
 }
 
 // count adds the times of h to t. A time that may be longer than d counts as over.
@@ -77,8 +84,8 @@
 }
 
 // risk returns the probability that the next time is longer than d: by the rule of succession
-// up to the longest known time, and falling with tailIndex beyond it. It is 1 if nothing is
-// known.
+// up to the longest known time, and falling with tailIndex beyond it if enough times are known.
+// It is 1 if none is.
 func (t *tail) risk(d time.Duration) float64 {
 	switch {
 	case t.total == 0 || d <= 0:
@@ -86,5 +93,9 @@
 	case t.over > 0:
 		return float64(t.over+1) / float64(t.total+2)
 	}
-	return math.Pow(float64(t.longest)/float64(d), tailIndex) / float64(t.total+1)
+	risk := 1 / float64(t.total+1)
+	if t.total >= t.minKnown {
+		risk *= math.Pow(float64(t.longest)/float64(d), tailIndex)
+	}
+	return risk
 }
--- a/core/servicetime/risk.go
+++ b/core/servicetime/risk.go
@@ -62,7 +62,7 @@
 
 // riskByTime estimates the risk from the times of whole requests and of those under way.
 func (r *record) riskByTime(now time.Time, d time.Duration) float64 {
-	known := r.tail(d, wholeTimes)
+	known := r.tail(d, wholeTimes, minTailTimes)
 	for run := range r.running {
 		switch age := now.Sub(run.began); {
 		case age > d:
@@ -77,15 +77,15 @@
 // riskByTokens estimates the risk from the time to the first part and that for each token.
 func (r *record) riskByTokens(tokens int, d time.Duration) float64 {
 	toFirst := time.Duration(firstPartShare * float64(d))
-	first := r.tail(toFirst, firstTimes)
+	first := r.tail(toFirst, firstTimes, minTailPaces)
 	each := perKiloToken(d-toFirst, tokens)
-	output := r.tail(each, tokenTimes)
+	output := r.tail(each, tokenTimes, minTailPaces)
 	return min(1, first.risk(toFirst)+output.risk(each))
 }
 
 // tail returns what all counts of one sort tell about times longer than d.
-func (r *record) tail(d time.Duration, of func(*generation) *histogram) *tail {
-	t := &tail{}
+func (r *record) tail(d time.Duration, of func(*generation) *histogram, minKnown uint64) *tail {
+	t := &tail{minKnown: minKnown}
 	for _, g := range []*generation{&r.current, &r.previous, &r.peers} {
 		of(g).count(t, d)
 	}
--- a/core/servicetime/servicetime.go
+++ b/core/servicetime/servicetime.go
@@ -111,7 +111,7 @@
 	d := now.Sub(run.began)
 	if !took {
 		// Callers that give up long requests would hide how long these are.
-		if r.tail(d, wholeTimes).over == 0 {
+		if r.tail(d, wholeTimes, minTailTimes).over == 0 {
 			r.current.whole.add(bucketOf(d), 1)
 		}
 		return
