Count a response as running until it is written

Callers that read slowly got a 200 cut off in a planned stop, after their server had sent the whole answer: the process exited with the rest of it unwritten. A response ceased to count as running when its last part was read from the server, or when its body was set for writing, so that the stop found nothing running; it then waited 500 ms for connections that were still open and exited. No line of the log named the request.

A call now counts from its handler's start until the HTTP server has flushed its response or its connection is closed, for streams, bodies in memory or passed on as they arrive, errors, refusals and requests that are not HTTP. Shutdown waits for these until its context is done, and 500 ms at most for connections without a call, such as idle ones and those with half of a request. A response that the server completed and the caller did not get is logged, also when the stop cuts it off.

FuzzConnection serves a connection of the listener, since only those are counted; it checks the count as before. The stand-in writes its large answers faster: with the race detector they took longer than the 500 ms after which another server is tried.

--- /dev/null
+++ b/adapters/httpapi/calls_test.go
@@ -0,0 +1,191 @@
+package httpapi
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+
+	"cyclamenhitch/core/gateway"
+	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/result"
+)
+
+// pipeListener accepts connections without a buffer: a write ends when it has been read.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, io.EOF
+	}
+}
+
+func (l *pipeListener) Close() error   { close(l.closed); return nil }
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// servePipes serves s and returns a function that connects to it.
+func servePipes(t *testing.T, s *Server) func() net.Conn {
+	t.Helper()
+	ln := &pipeListener{make(chan net.Conn), make(chan struct{})}
+	served := make(chan struct{})
+	go func() { _ = s.Serve(ln, testLimits()); close(served) }()
+	t.Cleanup(func() { ln.Close(); <-served })
+	return func() net.Conn {
+		client, server := net.Pipe()
+		t.Cleanup(func() { client.Close() })
+		ln.conns <- server
+		return client
+	}
+}
+
+// byteReader reads single bytes and counts the reads within a response at which no call ran.
+type byteReader struct {
+	net.Conn
+	s          *Server
+	begun      bool
+	notRunning int
+}
+
+func (r *byteReader) Read(p []byte) (int, error) {
+	if r.begun && r.s.Running() == 0 {
+		r.notRunning++
+	}
+	n, err := r.Conn.Read(p[:1])
+	r.begun = true
+	return n, err
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(testTimeout); !ok(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within %v: %s", testTimeout, what)
+		}
+	}
+}
+
+// refusingFrontend refuses every call.
+type refusingFrontend struct{ testFrontend }
+
+func (refusingFrontend) Parse(*fasthttp.RequestCtx) (*gateway.Request, *result.Error) {
+	return nil, result.New(result.UnknownRoute, "test")
+}
+
+// Guards against a planned stop that ends the process while a response is written: it must
+// count as running until its caller's connection has taken the last byte.
+func TestResponseRunsUntilWritten(t *testing.T) {
+	stream := func(_ context.Context, req *gateway.Request) (gateway.Response, error) {
+		return &scriptedResponse{parts: []string{"id: 1\n\n", "id: 2\n\n"}, err: io.EOF, closed: make(chan struct{})}, nil
+	}
+	stored := func(context.Context, *gateway.Request) (gateway.Response, error) {
+		return gateway.NewStoredResponse(200, nil, []byte(strings.Repeat("x", 20_000))), nil
+	}
+	withLength := func(_ context.Context, req *gateway.Request) (gateway.Response, error) {
+		resp, err := stream(context.Background(), req)
+		return withFields{resp, []gateway.Field{{Name: "Content-Length", Value: "14"}}}, err
+	}
+	failing := func(context.Context, *gateway.Request) (gateway.Response, error) {
+		return nil, result.New(result.ConnectFailed, "test")
+	}
+	const valid = "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"
+	for _, row := range []struct {
+		name     string
+		open     func(context.Context, *gateway.Request) (gateway.Response, error)
+		frontend Frontend
+		raw      string
+		refuse   bool
+	}{
+		{name: "stream", open: stream, frontend: testFrontend{true}, raw: valid},
+		{name: "response in memory", open: stored, frontend: testFrontend{}, raw: valid},
+		{name: "response passed on as it arrives", open: withLength, frontend: testFrontend{}, raw: valid},
+		{name: "error", open: failing, frontend: testFrontend{}, raw: valid},
+		{name: "refusal by the frontend", frontend: refusingFrontend{}, raw: valid},
+		{name: "refusal in a stop", frontend: testFrontend{}, raw: valid, refuse: true},
+		{name: "bad framing", frontend: testFrontend{}, raw: "POST /x HTTP/1.1\r\nHost: h\r\nX : 1\r\n\r\n"},
+		{name: "not HTTP", frontend: testFrontend{}, raw: "POST /x HTTP/1.1\r\nX\r\n\r\n"},
+		{name: "built-in stream", open: stream, raw: rawRequest("POST", pathChat, "", chat)},
+		{name: "built-in error", open: failing, raw: rawRequest("POST", pathChat, "", chat)},
+		{name: "built-in refusal", raw: rawRequest("POST", "/none", "", "")},
+	} {
+		for _, drain := range []bool{false, true} {
+			x := testIndex(t)
+			s := &Server{
+				Config: func() *manifest.Index { return x }, Opener: &fakeOpener{open: row.open}, Admission: allowAll{}, Frontend: row.frontend,
+				Log: zap.NewNop(), NewID: func() string { return "i" },
+			}
+			if drain {
+				s.Drain()
+			}
+			if row.refuse {
+				s.Refuse()
+			}
+			r := &byteReader{Conn: servePipes(t, s)(), s: s}
+			_, _ = io.WriteString(r, row.raw)
+			resp, err := http.ReadResponse(bufio.NewReader(r), nil)
+			if err == nil {
+				_, err = io.Copy(io.Discard, resp.Body)
+			}
+			if err != nil {
+				t.Errorf("%s: %v", row.name, err)
+			}
+			if r.notRunning > 0 {
+				t.Errorf("%s, draining %v: not running before %d bytes of the response", row.name, drain, r.notRunning)
+			}
+			eventually(t, row.name+" has ended", func() bool { return s.Running() == 0 })
+		}
+	}
+}
+
+// Guards against a response that its server completed and its caller did not get, without a
+// line in the log; and against such a line for a response that was delivered.
+func TestUndeliveredResponseIsLogged(t *testing.T) {
+	core, lines := observer.New(zapcore.InfoLevel)
+	s := &Server{
+		Opener: &fakeOpener{open: func(context.Context, *gateway.Request) (gateway.Response, error) {
+			return gateway.NewStoredResponse(200, nil, []byte(strings.Repeat("x", 20_000))), nil
+		}},
+		Admission: allowAll{}, Frontend: testFrontend{}, Log: zap.New(core),
+	}
+	dial := servePipes(t, s)
+	for _, leave := range []bool{false, true} {
+		c := dial()
+		_, _ = io.WriteString(c, "POST /x HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+		if leave {
+			_, _ = io.ReadFull(c, make([]byte, 1000))
+			if n := s.LogUndelivered(); n != 1 {
+				t.Errorf("%d responses under way, want 1", n)
+			}
+			c.Close()
+		} else if n, _ := io.Copy(io.Discard, c); n < 20_000 {
+			t.Errorf("%d bytes", n)
+		}
+		eventually(t, "the request has ended", func() bool { return s.Running() == 0 })
+		want := map[string]int{"response could not be written to its caller": 0, "response is cut off by the end of the process": 0}
+		if leave {
+			for msg := range want {
+				want[msg] = 1
+			}
+		}
+		for msg, n := range want {
+			logged := lines.FilterMessage(msg).FilterField(zap.String("request_id", "i")).FilterField(zap.Bool("server_completed", true))
+			if logged.Len() != n {
+				t.Errorf("caller left early %v: %d lines %q, want %d", leave, logged.Len(), msg, n)
+			}
+		}
+	}
+}
--- a/adapters/httpapi/conns.go
+++ b/adapters/httpapi/conns.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,20 +17,23 @@
 // and watches the accepted ones for disconnects.
 type callerListener struct {
 	net.Listener
+	srv         *Server
 	limits      Limits
 	disconnects *disconnectWatcher
 
 	mu    sync.Mutex
-	open  int
+	open  map[*callerConn]struct{}
 	perIP map[netip.Addr]int
 }
 
-func newCallerListener(ln net.Listener, l Limits) (*callerListener, error) {
+func newCallerListener(srv *Server, ln net.Listener, l Limits) (*callerListener, error) {
 	w, err := newDisconnectWatcher()
 	if err != nil {
 		return nil, err
 	}
-	return &callerListener{Listener: ln, limits: l, disconnects: w, perIP: map[netip.Addr]int{}}, nil
+	return &callerListener{
+		Listener: ln, srv: srv, limits: l, disconnects: w, open: map[*callerConn]struct{}{}, perIP: map[netip.Addr]int{},
+	}, nil
 }
 
 func (l *callerListener) stop() { l.disconnects.stop() }
@@ -47,7 +52,7 @@
 		if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
 			c.ip = a.AddrPort().Addr()
 		}
-		if !l.acquireSlot(c.ip) {
+		if !l.acquireSlot(c) {
 			refuseConnection(nc)
 			continue
 		}
@@ -56,27 +61,34 @@
 	}
 }
 
-func (l *callerListener) acquireSlot(ip netip.Addr) bool {
+func (l *callerListener) acquireSlot(c *callerConn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	perIP := l.limits.MaxConnectionsPerIP
-	if l.open >= l.limits.MaxConnections || perIP > 0 && l.perIP[ip] >= perIP {
+	if len(l.open) >= l.limits.MaxConnections || perIP > 0 && l.perIP[c.ip] >= perIP {
 		return false
 	}
-	l.open++
-	l.perIP[ip]++
+	l.open[c] = struct{}{}
+	l.perIP[c.ip]++
 	return true
 }
 
-func (l *callerListener) releaseSlot(ip netip.Addr) {
+func (l *callerListener) releaseSlot(c *callerConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.open--
-	if l.perIP[ip]--; l.perIP[ip] == 0 {
-		delete(l.perIP, ip)
+	delete(l.open, c)
+	if l.perIP[c.ip]--; l.perIP[c.ip] == 0 {
+		delete(l.perIP, c.ip)
 	}
 }
 
+// all returns the open connections.
+func (l *callerListener) all() []*callerConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Collect(maps.Keys(l.open))
+}
+
 func refuseConnection(c net.Conn) {
 	body := encodeError(result.New(result.ConnectionLimit, "too many open connections").WithRetryAfter(time.Second))
 	_ = c.SetDeadline(time.Now().Add(refusalWriteTimeout))
@@ -96,6 +108,7 @@
 	disconnected bool
 	closed       bool
 	cancel       context.CancelFunc
+	call         call
 }
 
 // Write implements net.Conn. It sets a deadline for each write, because one deadline for
@@ -106,7 +119,9 @@
 			return 0, err
 		}
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.countWritten(n, err)
+	return n, err
 }
 
 // Close implements net.Conn.
@@ -116,8 +131,9 @@
 	c.closed = true
 	c.mu.Unlock()
 	if first {
+		c.endCall()
 		c.l.disconnects.remove(c)
-		c.l.releaseSlot(c.ip)
+		c.l.releaseSlot(c)
 	}
 	return c.Conn.Close()
 }
--- a/adapters/httpapi/fuzz_test.go
+++ b/adapters/httpapi/fuzz_test.go
@@ -98,13 +98,19 @@
 	l := testLimits()
 	l.ReadTimeout, l.IdleTimeout = 50*time.Millisecond, 50*time.Millisecond
 	srv := s.newHTTP(l)
+	conns, err := newCallerListener(s, nil, l)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Cleanup(conns.stop)
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		if len(raw) == 0 {
 			return // net.Pipe turns an empty write into an empty read, which TCP never does
 		}
 		client, server := net.Pipe()
 		done := make(chan error, 1)
-		go func() { done <- srv.ServeConn(server); server.Close() }()
+		conn := &callerConn{Conn: server, l: conns}
+		go func() { done <- srv.ServeConn(conn); conn.Close() }()
 		go func() { _, _ = client.Write(raw) }()
 		br := bufio.NewReader(client)
 		for {
--- a/adapters/httpapi/relay.go
+++ b/adapters/httpapi/relay.go
@@ -19,6 +19,7 @@
 	ans gateway.Response
 	// release stops the disconnect detection and cancels the request's context.
 	release  func()
+	conn     *callerConn
 	obs      Observation
 	start    time.Time
 	lastPart time.Time
@@ -83,6 +84,7 @@
 	part, err = r.ans.Next()
 	switch {
 	case err == io.EOF:
+		r.conn.setCompleted()
 		r.finish(nil)
 		return nil, io.EOF
 	case err != nil:
--- a/adapters/httpapi/run.go
+++ b/adapters/httpapi/run.go
@@ -20,7 +20,8 @@
 	if req.Account != nil {
 		obs.Account = req.Account.Name
 	}
-	s.running.Add(1)
+	conn := callerOf(ctx)
+	conn.setRequest(req.ID)
 	if err := s.Admission.Check(); err != nil {
 		e := result.As(err)
 		if !req.Idempotent && s.Frontend == nil { // the idempotency key's claim was not looked up
@@ -31,7 +32,6 @@
 	}
 	// A streamed request outlives the handler, so it must not use ctx.
 	work, cancel := context.WithCancel(s.baseContext())
-	conn, _ := ctx.Conn().(*callerConn)
 	if conn != nil {
 		conn.setOnDisconnect(cancel)
 	}
@@ -73,7 +73,7 @@
 	if stream {
 		// Otherwise a body that breaks off early would end the connection without a response.
 		ctx.Response.ImmediateHeaderFlush = length >= 0
-		ctx.SetBodyStream(&relay{srv: s, req: req, ans: ans, obs: obs, start: start, release: end}, length)
+		ctx.SetBodyStream(&relay{srv: s, req: req, ans: ans, obs: obs, start: start, release: end, conn: conn}, length)
 		return
 	}
 	s.writeBuffered(ctx, req, ans, obs, start)
@@ -120,6 +120,7 @@
 		held.release()
 	}
 	obs.Parts, obs.FirstPart = 1, time.Since(start)
+	callerOf(ctx).setCompleted()
 	s.finish(ctx, req, obs, start, nil)
 }
 
@@ -135,7 +136,6 @@
 }
 
 func (s *Server) record(req *gateway.Request, obs Observation, start time.Time, e *result.Error) {
-	s.running.Add(-1)
 	obs.Total = time.Since(start)
 	obs.Outcome = result.Ran
 	if req.Server != nil {
--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -82,14 +82,16 @@
 	NewID func() string
 
 	// srv is set when Serve begins; Shutdown may run on another goroutine.
-	srv      atomic.Pointer[fasthttp.Server]
-	running  atomic.Int64
-	served   atomic.Uint64
-	baseOnce sync.Once
-	base     context.Context
-	abort    context.CancelCauseFunc
-	draining atomic.Bool
-	stopping atomic.Bool
+	srv   atomic.Pointer[fasthttp.Server]
+	conns atomic.Pointer[callerListener]
+	// unanswered and responding count the calls in these phases.
+	unanswered, responding atomic.Int64
+	served                 atomic.Uint64
+	baseOnce               sync.Once
+	base                   context.Context
+	abort                  context.CancelCauseFunc
+	draining               atomic.Bool
+	stopping               atomic.Bool
 }
 
 // Observation holds the result and timing of a finished request.
@@ -117,11 +119,12 @@
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(ln net.Listener, l Limits) error {
 	srv := s.newHTTP(l)
-	conns, err := newCallerListener(ln, l)
+	conns, err := newCallerListener(s, ln, l)
 	if err != nil {
 		return err
 	}
 	defer conns.stop()
+	s.conns.Store(conns)
 	s.srv.Store(srv)
 	return srv.Serve(conns)
 }
@@ -147,6 +150,7 @@
 		SecureErrorLogMessage: true,
 		Logger:                debugLogger{s.Log},
 		ErrorHandler:          s.handleProtocolError,
+		ConnState:             s.trackConnection,
 	}
 }
 
@@ -176,20 +180,55 @@
 	return s.base
 }
 
-// Running returns the number of unfinished requests, including streams.
-func (s *Server) Running() int { return int(s.running.Load()) }
+// Running returns the number of calls whose response is not fully written, including streams
+// and error responses.
+func (s *Server) Running() int {
+	n := s.unanswered.Load() // first, as beginResponse counts a call twice rather than not at all
+	return int(n + s.responding.Load())
+}
 
-// Shutdown stops accepting connections and waits for running requests until ctx is done.
+const (
+	// closeIdleTime limits how long Shutdown waits for connections without a call, such as
+	// those with half of a request.
+	closeIdleTime = 500 * time.Millisecond
+	// shutdownPollInterval is the interval at which Shutdown checks for running calls.
+	shutdownPollInterval = 20 * time.Millisecond
+)
+
+// Shutdown stops accepting connections and waits until all responses are written or ctx is
+// done, in which case it returns an error.
 func (s *Server) Shutdown(ctx context.Context) error {
-	if srv := s.srv.Load(); srv != nil {
-		return srv.ShutdownWithContext(ctx)
+	srv := s.srv.Load()
+	if srv == nil {
+		return nil
+	}
+	wait, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		for d := closeIdleTime; ; d = shutdownPollInterval {
+			select {
+			case <-wait.Done():
+				return
+			case <-time.After(d):
+			}
+			if s.Running() == 0 {
+				cancel()
+			}
+		}
+	}()
+	err := srv.ShutdownWithContext(wait)
+	if errors.Is(err, context.Canceled) && ctx.Err() == nil {
+		s.Log.Info("connections without a call were open at the shutdown", zap.Int("connections", len(s.conns.Load().all())))
+		return nil
 	}
-	return nil
+	return err
 }
 
 // handleProtocolError responds to a request that cannot be read. The library's error
 // message is not included, because it may quote the header.
 func (s *Server) handleProtocolError(ctx *fasthttp.RequestCtx, err error) {
+	callerOf(ctx).beginCall()
+	defer callerOf(ctx).beginResponse()
 	var small *fasthttp.ErrSmallBuffer
 	var ne net.Error
 	e := result.New(result.BadRequest, "request is not valid HTTP")
@@ -238,6 +277,8 @@
 )
 
 func (s *Server) handle(ctx *fasthttp.RequestCtx) {
+	callerOf(ctx).beginCall()
+	defer callerOf(ctx).beginResponse()
 	defer func() {
 		if p := recover(); p != nil {
 			s.Log.Error("request handler panicked", zap.Any("panic", p), zap.Stack("stack"))
--- a/cmd/internal/edge/stop.go
+++ b/cmd/internal/edge/stop.go
@@ -14,13 +14,8 @@
 	"cyclamenhitch/core/servicetime"
 )
 
-const (
-	// stopPollInterval is the interval at which the steps of a stop are checked.
-	stopPollInterval = 50 * time.Millisecond
-	// lastAnswersTime limits how long a stop that has ended all requests waits until their
-	// answers are written. A connection with half of a request must not delay it further.
-	lastAnswersTime = 500 * time.Millisecond
-)
+// stopPollInterval is the interval at which the steps of a stop are checked.
+const stopPollInterval = 50 * time.Millisecond
 
 // stopper carries out a planned stop.
 type stopper struct {
@@ -72,7 +67,7 @@
 				s.log.Warn("stop ends running requests", zap.Int("running", s.caller.Running()))
 				s.caller.Abort()
 			case lifecycle.Exit:
-				s.writeLastAnswers(ctx, stop.ExitBy())
+				s.closeCallers(ctx, stop.ExitBy())
 				s.log.Info("stopped", zap.Duration("took", time.Since(began)), zap.Bool("complete", stop.Complete()))
 				return nil
 			}
@@ -81,13 +76,11 @@
 	}
 }
 
-// writeLastAnswers closes the caller listener and waits until the answers of requests that
-// have ended are written.
-func (s *stopper) writeLastAnswers(ctx context.Context, exitBy time.Time) {
-	limit := min(lastAnswersTime, max(stopPollInterval, time.Until(exitBy)))
-	ctx, cancel := context.WithTimeout(ctx, limit)
+// closeCallers closes the caller listener and waits until the last responses are written.
+func (s *stopper) closeCallers(ctx context.Context, exitBy time.Time) {
+	ctx, cancel := context.WithDeadline(ctx, exitBy)
 	defer cancel()
 	if err := s.caller.Shutdown(ctx); err != nil {
-		s.log.Info("caller connections were open at the exit", zap.Error(err))
+		s.log.Warn("caller connections were open at the exit", zap.Int("responses_cut_off", s.caller.LogUndelivered()), zap.Error(err))
 	}
 }
--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -305,8 +305,9 @@
 type endlessText struct{}
 
 func (endlessText) Read(p []byte) (int, error) {
-	for i := range p {
-		p[i] = 'a'
+	n := copy(p, "a")
+	for ; n > 0 && n < len(p); n *= 2 {
+		copy(p[n:], p[:n])
 	}
 	return len(p), nil
 }
