Leave responses under way alone when a stop aborts requests

The abort cancelled all running requests, so that those without a response get an error before the exit; the callers' protocol has no error event, so that for a response that has begun the abort is the cut itself. An abort between the server's first part and the caller's header ended the connection without any response.

An abort now ends only requests whose response has not begun, also in that moment; it is not performed if all that runs are responses. Those run on until the latest exit. The built-in API still ends its streams with an error event. What is cut off at the latest exit makes the stop incomplete.

TestAbortOfFrontendCalls failed before: unexpected EOF in a response under way and in place of a response that was about to begin. Its rows of an unanswered request and a body in memory passed. Two streams that end 9.35 s after the start of a stop of 10 s were cut at 9.1 s in TestStopLeavesStreamsUntilItsExit. Both tests pass, the former 20 times in a row with the race detector.

--- a/adapters/httpapi/calls_test.go
+++ b/adapters/httpapi/calls_test.go
@@ -189,3 +189,82 @@
 		}
 	}
 }
+
+// Guards against an abort that breaks off a response for which there is no other answer, that
+// replaces a response in memory, or that leaves a request without its error response.
+func TestAbortOfFrontendCalls(t *testing.T) {
+	part, next := "id: 1\n\n", make(chan struct{})
+	var s *Server
+	for _, row := range []struct {
+		name, path, body string
+		status           int
+		open             func(context.Context) (gateway.Response, error)
+	}{
+		{"unanswered", "/unanswered", "", 503, func(ctx context.Context) (gateway.Response, error) {
+			s.Abort()
+			<-ctx.Done()
+			return nil, context.Cause(ctx)
+		}},
+		{"aborted before the response begins", "/late", "", 503, func(ctx context.Context) (gateway.Response, error) {
+			s.Abort()
+			return &heldResponse{ctx: ctx, parts: []string{part, part}, next: next}, nil
+		}},
+		{"in memory", "/stored", part + part, 200, func(context.Context) (gateway.Response, error) {
+			s.Abort()
+			return gateway.NewStoredResponse(200, nil, []byte(part+part)), nil
+		}},
+		{"under way", "/begun", part + part, 200, func(ctx context.Context) (gateway.Response, error) {
+			return &heldResponse{ctx: ctx, parts: []string{part, part}, next: next}, nil
+		}},
+	} {
+		s = &Server{
+			Opener:    &fakeOpener{open: func(ctx context.Context, _ *gateway.Request) (gateway.Response, error) { return row.open(ctx) }},
+			Admission: allowAll{}, Frontend: testFrontend{true}, Log: zap.NewNop(),
+		}
+		c := servePipes(t, s)()
+		_, _ = io.WriteString(c, "POST "+row.path+" HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Errorf("%s: %v", row.name, err)
+			continue
+		}
+		if row.name == "under way" {
+			_, _ = io.ReadFull(resp.Body, make([]byte, len(part)))
+			s.Abort()
+			close(next)
+			row.body = part
+		}
+		body, err := io.ReadAll(resp.Body)
+		if err != nil || resp.StatusCode != row.status || row.status == 200 && string(body) != row.body {
+			t.Errorf("%s: status %d, body %q, %v", row.name, resp.StatusCode, body, err)
+		}
+	}
+}
+
+// heldResponse sends its first part at once and the others after next is closed, unless ctx ends.
+type heldResponse struct {
+	ctx   context.Context
+	parts []string
+	sent  int
+	next  chan struct{}
+}
+
+func (r *heldResponse) Status() int             { return 200 }
+func (r *heldResponse) Fields() []gateway.Field { return nil }
+func (r *heldResponse) Close()                  {}
+func (r *heldResponse) Next() ([]byte, error) {
+	if r.sent > 0 {
+		select {
+		case <-r.ctx.Done():
+		case <-r.next:
+		}
+	}
+	if r.ctx.Err() != nil {
+		return nil, context.Cause(r.ctx)
+	}
+	if r.sent == len(r.parts) {
+		return nil, io.EOF
+	}
+	r.sent++
+	return []byte(r.parts[r.sent-1]), nil
+}
--- a/adapters/httpapi/run.go
+++ b/adapters/httpapi/run.go
@@ -31,7 +31,9 @@
 		return
 	}
 	// A streamed request outlives the handler, so it must not use ctx.
-	work, cancel := context.WithCancel(s.baseContext())
+	work, cancelWith := context.WithCancelCause(context.Background())
+	cancel := func() { cancelWith(nil) }
+	ignoreAbort := context.AfterFunc(s.baseContext(), func() { cancelWith(context.Cause(s.base)) })
 	if conn != nil {
 		conn.setOnDisconnect(cancel)
 	}
@@ -39,6 +41,7 @@
 		if conn != nil {
 			conn.setOnDisconnect(nil)
 		}
+		ignoreAbort()
 		cancel()
 	}
 	ans, err := s.Opener.Open(work, req)
@@ -52,6 +55,13 @@
 	if stream && !req.Stream {
 		s.logUnbuffered(req)
 	}
+	// An aborted response could only break off, since the API of a Frontend has no error event.
+	if stream && !ignoreAbort() {
+		ans.Close()
+		end()
+		s.finish(ctx, req, obs, start, result.As(context.Cause(s.base)))
+		return
+	}
 	obs.Status = ans.Status()
 	ctx.SetStatusCode(obs.Status)
 	for _, f := range ans.Fields() {
--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -168,7 +168,8 @@
 // Refuse makes the server refuse new requests with code 2006.
 func (s *Server) Refuse() { s.stopping.Store(true) }
 
-// Abort ends the running requests with code 2006; streams end with an error event.
+// Abort ends the running requests with code 2006; streams of the built-in API end with an error
+// event. Responses to callers of a Frontend that have begun run on.
 func (s *Server) Abort() {
 	s.baseContext()
 	s.abort(result.New(result.Stopping, "instance is stopping and the request did not finish in time").WithOutcome(result.Unknown))
@@ -187,6 +188,9 @@
 	return int(n + s.responding.Load())
 }
 
+// Responding returns the number of running calls whose response has begun.
+func (s *Server) Responding() int { return int(s.responding.Load()) }
+
 const (
 	// closeIdleTime limits how long Shutdown waits for connections without a call, such as
 	// those with half of a request.
--- a/cmd/internal/edge/stop.go
+++ b/cmd/internal/edge/stop.go
@@ -56,7 +56,8 @@
 	s.stop.Store(stop)
 	s.log.Info("stop begins", zap.Int("running", s.caller.Running()), zap.Duration("limit", s.limit))
 	for {
-		for _, a := range stop.Step(time.Now(), lifecycle.Status{Running: s.caller.Running(), HandedOver: true}) {
+		status := lifecycle.Status{Responding: s.caller.Responding(), Running: s.caller.Running(), HandedOver: true}
+		for _, a := range stop.Step(time.Now(), status) {
 			switch a {
 			case lifecycle.Announce:
 				s.caller.Drain()
@@ -64,7 +65,7 @@
 			case lifecycle.Refuse:
 				s.caller.Refuse()
 			case lifecycle.Abort:
-				s.log.Warn("stop ends running requests", zap.Int("running", s.caller.Running()))
+				s.log.Warn("stop ends running requests", zap.Int("running", status.Running), zap.Int("responding", status.Responding))
 				s.caller.Abort()
 			case lifecycle.Exit:
 				s.closeCallers(ctx, stop.ExitBy())
@@ -72,7 +73,7 @@
 				return nil
 			}
 		}
-		time.Sleep(stopPollInterval)
+		time.Sleep(min(stopPollInterval, time.Until(stop.ExitBy())))
 	}
 }
 
--- a/cmd/internal/edge/stopdelivery_test.go
+++ b/cmd/internal/edge/stopdelivery_test.go
@@ -121,9 +121,10 @@
 
 // startProcess starts an instance whose end closes its connections, as that of the daemon
 // does. log must not be read before the process has ended.
-func (f *testFleet) startProcess(name string) (set *settings.Edge, log *strings.Builder) {
+func (f *testFleet) startProcess(name string, limit time.Duration) (set *settings.Edge, log *strings.Builder) {
 	f.t.Helper()
 	set = f.settings(name, "z0", true)
+	set.Times.StopMillis = int(limit.Milliseconds())
 	encoded, err := json.Marshal(set)
 	if err != nil {
 		f.t.Fatal(err)
@@ -145,10 +146,10 @@
 
 // stopWithCallers runs callers against an instance, stops it once all responses have begun,
 // and returns its log. It fails unless every response is whole.
-func stopWithCallers(t *testing.T, r *runner.Runner, callers ...*pacedCaller) string {
+func stopWithCallers(t *testing.T, limit time.Duration, r *runner.Runner, callers ...*pacedCaller) string {
 	t.Helper()
 	f := startFleet(t, 0, r)
-	set, log := f.startProcess("i0")
+	set, log := f.startProcess("i0", limit)
 	var wg sync.WaitGroup
 	for i, c := range callers {
 		c.id = fmt.Sprint("r-", i)
@@ -183,7 +184,17 @@
 	const size, rate = 8_200_000, 1_600_000
 	for _, path := range []string{"/order/1", "/read/1"} {
 		t.Run(strings.Trim(path, "/1"), func(t *testing.T) {
-			stopWithCallers(t, &runner.Runner{ID: "a", AnswerBytes: size}, &pacedCaller{path: path, rate: rate}, &pacedCaller{path: path, rate: rate})
+			stopWithCallers(t, 4*time.Second, &runner.Runner{ID: "a", AnswerBytes: size}, &pacedCaller{path: path, rate: rate}, &pacedCaller{path: path, rate: rate})
 		})
 	}
 }
+
+// A planned stop must not cut streams off when it ends requests that have no answer yet: a
+// stream has no other answer, and it may end before the process has to.
+func TestStopLeavesStreamsUntilItsExit(t *testing.T) {
+	t.Parallel()
+	// Requests are aborted 1 s before the limit, the process exits 250 ms before it.
+	const limit, events, interval = 10 * time.Second, 17, 550 * time.Millisecond
+	r := &runner.Runner{ID: "a", Events: events, EventInterval: interval}
+	stopWithCallers(t, limit, r, &pacedCaller{path: "/stream/once/1", rate: 1 << 20}, &pacedCaller{path: "/stream/go-on/1", rate: 1 << 20})
+}
--- a/core/lifecycle/lifecycle.go
+++ b/core/lifecycle/lifecycle.go
@@ -17,7 +17,7 @@
 	HandOver
 	// Refuse rejects new requests with an error with outcome not_run.
 	Refuse
-	// Abort ends the running requests with an error.
+	// Abort ends the running requests with an error, except responses under way.
 	Abort
 	// Exit closes the listeners and terminates the process.
 	Exit
@@ -51,15 +51,17 @@
 type Stop struct {
 	startedAt, refuseAt, abortAt, exitAt time.Time
 	next                                 Action
-	aborted                              bool
+	// incomplete is set at Abort, and at an Exit with responses under way.
+	incomplete bool
 	// selective makes Refuse wait until no request runs.
 	selective bool
 }
 
 // Status is the state of the instance at a step.
 type Status struct {
-	// Running is the number of running requests.
-	Running int
+	// Running is the number of running requests, Responding that of them whose response has
+	// begun and is not ended by Abort, since no other answer can be given.
+	Running, Responding int
 	// HandedOver is set if all handovers have completed.
 	HandedOver bool
 }
@@ -141,7 +143,7 @@
 			s.next++
 			return out
 		}
-		s.aborted = s.aborted || s.next == Abort
+		s.incomplete = s.incomplete || s.next == Abort || st.Running > 0 && s.next == Exit
 		s.next++
 	}
 	return out
@@ -155,20 +157,27 @@
 	case Refuse:
 		return late || !now.Before(s.refuseAt) && (!s.selective || st.Running == 0 && st.HandedOver)
 	case Abort:
-		if st.Running == 0 && st.HandedOver {
+		if late && (st.Running > st.Responding || !st.HandedOver) {
+			return true
+		}
+		if s.mayExit(now, st) {
 			s.next = Exit
 			return true
 		}
-		return late
+		return false
 	case Exit:
 		// Aborted requests have to be answered before the process ends.
-		return !s.aborted || st.Running == 0 && st.HandedOver || !now.Before(s.exitAt)
+		return s.mayExit(now, st)
 	}
 	return false
 }
 
-// Complete reports whether the shutdown has aborted no request.
-func (s *Stop) Complete() bool { return !s.aborted }
+func (s *Stop) mayExit(now time.Time, st Status) bool {
+	return st.Running == 0 && st.HandedOver || !now.Before(s.exitAt)
+}
+
+// Complete reports whether the shutdown has aborted no request and cut off no response.
+func (s *Stop) Complete() bool { return !s.incomplete }
 
 // ExitBy returns the time at which the process has to exit.
 func (s *Stop) ExitBy() time.Time { return s.exitAt }
--- a/core/lifecycle/lifecycle_test.go
+++ b/core/lifecycle/lifecycle_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -30,6 +31,13 @@
 		for _, line := range strings.Split(d.Input, "\n") {
 			var at float64
 			var st Status
+			line, responding, found := strings.Cut(line, " responding=")
+			if found {
+				var err error
+				if st.Responding, err = strconv.Atoi(responding); err != nil {
+					d.Fatalf(t, "line %q: %v", line, err)
+				}
+			}
 			if _, err := fmt.Sscanf(line, "%f running=%d handed=%t", &at, &st.Running, &st.HandedOver); err != nil {
 				d.Fatalf(t, "line %q: %v", line, err)
 			}
@@ -44,7 +52,8 @@
 	})
 }
 
-// Guards against an order of actions that can interrupt a running request.
+// Guards against an order of actions that can interrupt a running request, and against an
+// abort while all that runs are responses under way, which have no other answer.
 func TestOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		t0 := time.Unix(0, 0)
@@ -58,6 +67,7 @@
 				t.Fatalf("no exit after %v", limit)
 			}
 			st := Status{Running: rapid.IntRange(0, 2).Draw(t, "running"), HandedOver: rapid.Bool().Draw(t, "handed")}
+			st.Responding = rapid.IntRange(0, st.Running).Draw(t, "responding")
 			for _, a := range s.Step(now, st) {
 				if a <= last {
 					t.Fatalf("%s after %s", names[a], names[last])
@@ -72,6 +82,9 @@
 				if a == Abort && now.Sub(t0) < limit-maxAbortTime {
 					t.Fatalf("aborted after %v of %v", now.Sub(t0), limit)
 				}
+				if a == Abort && st.Running == st.Responding && st.HandedOver {
+					t.Fatalf("aborted with %+v", st)
+				}
 				if a == Exit && st.Running > 0 && now.Before(s.ExitBy()) {
 					t.Fatalf("%d requests had no answer at the exit after %v of %v", st.Running, now.Sub(t0), limit)
 				}
