Limit the wait for the log at the end of a process

A process whose log is not read, so that its pipe is full, did not end after a planned stop: Sync waited without a limit for the goroutine that writes the queued lines. It now gives up after 50 ms, which fits between the latest exit of a stop of 8 s and its limit.

--- a/adapters/logging/async.go
+++ b/adapters/logging/async.go
@@ -1,8 +1,10 @@
 package logging
 
 import (
+	"errors"
 	"io"
 	"sync/atomic"
+	"time"
 
 	"go.uber.org/zap/zapcore"
 )
@@ -13,6 +15,8 @@
 	lines   chan []byte
 	flush   chan chan struct{}
 	Dropped atomic.Int64
+	// syncLimit limits the duration of Sync.
+	syncLimit time.Duration
 }
 
 var _ zapcore.WriteSyncer = (*Queue)(nil)
@@ -21,9 +25,16 @@
 // 400 KB.
 const queueLines = 1024
 
+// maxSyncTime limits the duration of Sync, so that a full pipe does not keep a stopped process
+// beyond the limit of its stop.
+const maxSyncTime = 50 * time.Millisecond
+
+// errSyncTimeout is returned if the queued lines were not written within the limit.
+var errSyncTimeout = errors.New("log lines were not written in time")
+
 // NewQueue returns a queue and starts the goroutine that writes its lines to w.
 func NewQueue(w io.Writer) *Queue {
-	q := &Queue{lines: make(chan []byte, queueLines), flush: make(chan chan struct{})}
+	q := &Queue{lines: make(chan []byte, queueLines), flush: make(chan chan struct{}), syncLimit: maxSyncTime}
 	go q.run(w)
 	return q
 }
@@ -52,10 +63,20 @@
 	return len(b), nil
 }
 
-// Sync implements zapcore.WriteSyncer. It returns after all queued lines are written.
+// Sync implements zapcore.WriteSyncer. It returns after all queued lines are written, or with
+// an error after 50 ms.
 func (q *Queue) Sync() error {
+	timeout := time.After(q.syncLimit)
 	done := make(chan struct{})
-	q.flush <- done
-	<-done
-	return nil
+	select {
+	case q.flush <- done:
+	case <-timeout:
+		return errSyncTimeout
+	}
+	select {
+	case <-done:
+		return nil
+	case <-timeout:
+		return errSyncTimeout
+	}
 }
--- a/adapters/logging/logging_test.go
+++ b/adapters/logging/logging_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"errors"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"go.uber.org/zap"
 )
@@ -29,6 +31,7 @@
 func TestQueueNeverBlocks(t *testing.T) {
 	w := &blockingWriter{release: make(chan struct{})}
 	q := NewQueue(w)
+	q.syncLimit = time.Minute
 	const lines = 3 * queueLines
 	for range lines {
 		if n, err := q.Write([]byte("line\n")); n != 5 || err != nil {
@@ -49,6 +52,24 @@
 	}
 }
 
+// Guards against a process that does not end because nobody reads its log.
+func TestSyncOfBlockedLogEnds(t *testing.T) {
+	w := &blockingWriter{release: make(chan struct{})}
+	defer close(w.release)
+	q := NewQueue(w)
+	_, _ = q.Write([]byte("line\n"))
+	synced := make(chan error)
+	go func() { synced <- q.Sync() }()
+	select {
+	case err := <-synced:
+		if !errors.Is(err, errSyncTimeout) {
+			t.Error(err)
+		}
+	case <-time.After(time.Minute):
+		t.Error("the log was not given up")
+	}
+}
+
 // Guards against a log volume that grows with the load.
 func TestSampledLinesAreBounded(t *testing.T) {
 	var buf bytes.Buffer
