Accept streams in a stop that end before its exit

A stop no longer ends responses under way at the abort, 7.2 s after the SIGTERM with a limit of 8 s, but at the exit after 7.8 s. Streams are judged by that time, so that fewer of those that end are refused.

--- a/core/lifecycle/accept.go
+++ b/core/lifecycle/accept.go
@@ -58,13 +58,18 @@
 	sum float64
 }
 
-// MayFinish decides whether a request that is sent now is expected to end before Abort. A request of a kind without known times at any instance is
+// MayFinish decides whether a request that is sent now is expected to end before Abort, or a
+// stream, which Abort does not end, before the latest Exit. A request of a kind without known times at any instance is
 // accepted only if its deadline is earlier or, if it is repeatable and no stream, in the first
 // half of the limit. It may be called concurrently with Step and as often as needed; a request that is then
 // sent has to be passed to Sent.
 func (s *Stop) MayFinish(now time.Time, r Request) Acceptance {
-	a := Acceptance{Left: s.abortAt.Sub(now)}
-	if !r.Deadline.After(s.abortAt) {
+	end := s.abortAt
+	if r.Stream {
+		end = s.exitAt
+	}
+	a := Acceptance{Left: end.Sub(now)}
+	if !r.Deadline.After(end) {
 		a.Accepted = true
 		return a
 	}
