Let the tail of known lengths count the more, the more are known

Cause: at 500 known times the risk beyond the longest one changed at once from 1 in 500 to 1 in 7,000, while a long mode of 4 in 1,000 is still unseen in one of seven cases.

Change: the fall of the risk with the distance sets in gradually between 500 and 1,000 known times. A late stream may have a risk of 0.3%, all of them together 0.01 expected cuts.

--- a/core/lifecycle/accept.go
+++ b/core/lifecycle/accept.go
@@ -19,8 +19,8 @@
 	// risk to be cut is at most maxLateRisk, and if the number of such streams that the
 	// shutdown is expected to cut remains at most maxExpectedCuts.
 	noticeTime      = 3 * time.Second
-	maxLateRisk     = 0.005
-	maxExpectedCuts = 0.02
+	maxLateRisk     = 0.003
+	maxExpectedCuts = 0.01
 )
 
 // Request is what is known of a request that may be accepted in a shutdown.
--- a/core/lifecycle/accept_test.go
+++ b/core/lifecycle/accept_test.go
@@ -125,7 +125,7 @@
 		rare     = 6600 * time.Millisecond
 		rareOnes = 0.004
 		// maxLateCuts is maxExpectedCuts for all stops, with three times its standard deviation.
-		maxLateCuts = 8 + 3*3
+		maxLateCuts = 4 + 3*2
 	)
 	rnd := rand.New(rand.NewPCG(1, 2))
 	length := func() time.Duration {
--- a/core/servicetime/histogram.go
+++ b/core/servicetime/histogram.go
@@ -14,9 +14,9 @@
 	// tailIndex is the exponent with which the share of longer times falls beyond the longest
 	// known one: times twice as long are at least four times as rare.
 	tailIndex = 2
-	// minTailTimes is the number of known times from which this holds for whole requests: a
-	// few in a thousand may take many times as long as the others. minTailPaces is that for
-	// the pace of output, which servers bound.
+	// minTailTimes is the number of known times of whole requests above which this begins to
+	// hold, and twice of which it holds fully: a few in a thousand may take many times as long
+	// as the others. minTailPaces is that for the pace of output, which servers bound.
 	minTailTimes = 500
 	minTailPaces = 50
 )
@@ -65,7 +65,7 @@
 	over, total uint64
 	// longest is an upper bound of the longest time that is not over.
 	longest time.Duration
-	// minKnown is the number of known times from which tailIndex applies.
+	// minKnown is the number of known times above which tailIndex begins to apply.
 	minKnown uint64
 }
 
@@ -93,9 +93,6 @@
 	case t.over > 0:
 		return float64(t.over+1) / float64(t.total+2)
 	}
-	risk := 1 / float64(t.total+1)
-	if t.total >= t.minKnown {
-		risk *= math.Pow(float64(t.longest)/float64(d), tailIndex)
-	}
-	return risk
+	index := tailIndex * min(1, max(0, float64(t.total)/float64(t.minKnown)-1))
+	return math.Pow(float64(t.longest)/float64(d), index) / float64(t.total+1)
 }
