Read the caller's input before closing a connection after its response

Callers that had sent more than one request, or sent the next one while they still read, got the response cut off by a reset when the instance closed the connection, as a stop does after each response: the kernel resets a connection that is closed with unread input and drops what is left to send.

A connection that is closed after a whole response now ends its output and discards input until the caller closes or 500 ms have passed.

--- a/adapters/httpapi/calls_test.go
+++ b/adapters/httpapi/calls_test.go
@@ -268,3 +268,34 @@
 	r.sent++
 	return []byte(r.parts[r.sent-1]), nil
 }
+
+// Guards against a reset that loses the end of a response which is closed while its caller has
+// sent more than the request, such as the next one.
+func TestCloseDeliversResponseToPipeliningCaller(t *testing.T) {
+	const size = 300_000
+	s := &Server{
+		Opener: &fakeOpener{open: func(context.Context, *gateway.Request) (gateway.Response, error) {
+			return gateway.NewStoredResponse(200, nil, []byte(strings.Repeat("x", size))), nil
+		}},
+		Admission: allowAll{}, Frontend: testFrontend{}, Log: zap.NewNop(),
+	}
+	s.Drain()
+	conn, err := net.Dial("tcp", serve(t, s, testLimits()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_ = conn.(*net.TCPConn).SetReadBuffer(16 << 10)
+	_ = conn.SetDeadline(time.Now().Add(testTimeout))
+	_, _ = io.WriteString(conn, strings.Repeat("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", 2000))
+	br := bufio.NewReader(conn)
+	_, _ = br.Peek(1)
+	eventually(t, "the response is written", func() bool { return s.Running() == 0 })
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, resp.Body); n != size || err != nil || !resp.Close {
+		t.Errorf("%d of %d bytes, %v", n, size, err)
+	}
+}
--- a/adapters/httpapi/conns.go
+++ b/adapters/httpapi/conns.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"maps"
 	"net"
 	"net/netip"
@@ -131,13 +132,29 @@
 	c.closed = true
 	c.mu.Unlock()
 	if first {
-		c.endCall()
+		if c.endCall() {
+			c.discardInput()
+		}
 		c.l.disconnects.remove(c)
 		c.l.releaseSlot(c)
 	}
 	return c.Conn.Close()
 }
 
+// lingerTime limits how long a connection that was closed after a response is read.
+const lingerTime = 500 * time.Millisecond
+
+// discardInput ends the connection's output and reads what the caller has sent after its
+// request. The kernel resets a connection that is closed with unread input, which loses the
+// part of the response that the caller has not received.
+func (c *callerConn) discardInput() {
+	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok || w.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, struct{ io.Reader }{c.Conn}) // ends with the input, a reset or the deadline
+}
+
 // setOnDisconnect sets the function to call when the caller disconnects. It is called
 // immediately if the caller has already disconnected; nil removes it.
 func (c *callerConn) setOnDisconnect(cancel context.CancelFunc) {
