Leave time to save the daemon's state after its last responses

A caller connection with half of a request, or one whose caller did not read, kept the daemon until the limit of its stop. The ends of attempts were then flushed with a context that was done, so that the outcomes of idempotency keys became unknown, and the stop counted as one that had ended requests.

What is cut off is logged.

--- a/cmd/internal/daemon/stop.go
+++ b/cmd/internal/daemon/stop.go
@@ -98,11 +98,23 @@
 	wg.Wait()
 }
 
+// closeCallers closes the caller listener and waits until the last responses are written. It
+// leaves the rest of the limit to what follows.
+func (s *stopper) closeCallers(ctx context.Context, exitBy time.Time) error {
+	ctx, cancel := context.WithDeadline(ctx, exitBy)
+	defer cancel()
+	err := s.d.callers.Shutdown(ctx)
+	if err != nil {
+		s.d.log.Warn("caller connections were open at the exit", zap.Int("responses_cut_off", s.d.callers.LogUndelivered()), zap.Error(err))
+	}
+	return err
+}
+
 // finish closes the caller listener after its last responses are written, saves
 // the remaining state and closes the other listeners.
 func (s *stopper) finish(ctx context.Context, stop *lifecycle.Stop, aborted int, handedOver bool) error {
 	d := s.d
-	err := d.callers.Shutdown(ctx)
+	err := s.closeCallers(ctx, stop.ExitBy())
 	if n := d.claims.flush(ctx); n > 0 {
 		d.log.Warn("ends of attempts were not recorded; the outcome of their idempotency keys becomes unknown", zap.Int("count", n))
 	}
--- a/cmd/internal/daemon/stop_test.go
+++ b/cmd/internal/daemon/stop_test.go
@@ -1,10 +1,12 @@
 package daemon
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -51,3 +53,28 @@
 		t.Errorf("stop: %v", err)
 	}
 }
+
+// A connection that holds half of a request must not delay a stop until its limit, after which
+// nothing can be saved, nor count as a request that the stop ended.
+func TestStopDoesNotWaitForHalfRequests(t *testing.T) {
+	f := newFixture(t)
+	f.applyManifest()
+	conn, err := net.Dial("tcp", f.daemon.CallerAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	// The second request of a connection, since the first one is waited for less.
+	lookup := "GET /v1/lookup?model=m HTTP/1.1\r\nHost: r\r\n\r\n"
+	_, _ = io.WriteString(conn, lookup)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_, _ = io.WriteString(conn, lookup[:len(lookup)/2])
+	f.daemon.set.Times.StopSeconds = 3
+	if err := f.daemon.stopper.run(); err != nil {
+		t.Errorf("stop: %v", err)
+	}
+}
