Hand responses under way to the kernel before the latest exit

A caller that reads less than some 0.5 MB/s did not get an answer of 8 MB that was complete in memory: at the latest exit of a stop the process ended with the part that the kernel's buffer had not taken.

200 ms before the latest exit, the kernel's buffer of each connection with a response under way is set to 8 MB, and the kernel goes on sending after the process has ended. It is not done earlier: under a low limit of the system the buffer would be smaller than the kernel's own choice. Reading ahead from servers is left out, since only streams and bodies beyond the memory budget are not in memory already.

TestHandToKernelTakesTheRest failed without the call (not written within 3 s) and passes with it, 20 times with the race detector.

--- a/adapters/httpapi/calls.go
+++ b/adapters/httpapi/calls.go
@@ -128,6 +128,31 @@
 	}
 }
 
+// maxWriteBuffer is requested for the kernel buffer of a response that is handed to the kernel.
+// It holds the largest response that is not streamed; the system's limit may be lower.
+const maxWriteBuffer = 8 << 20
+
+// HandToKernel lets the kernel take more of the responses under way. It delivers what it has
+// taken after the end of the process.
+func (s *Server) HandToKernel() {
+	conns := s.conns.Load()
+	if conns == nil {
+		return
+	}
+	for _, c := range conns.all() {
+		c.mu.Lock()
+		current := c.call
+		c.mu.Unlock()
+		b, ok := c.Conn.(interface{ SetWriteBuffer(bytes int) error })
+		if !ok || current.phase != responding {
+			continue
+		}
+		if err := b.SetWriteBuffer(maxWriteBuffer); err != nil {
+			s.Log.Info("the write buffer of a caller connection cannot grow", zap.String(logging.FieldRequest, current.id), zap.Error(err))
+		}
+	}
+}
+
 // LogUndelivered logs the responses that are not fully written, before the process ends. It
 // returns their number.
 func (s *Server) LogUndelivered() int {
--- a/adapters/httpapi/calls_test.go
+++ b/adapters/httpapi/calls_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -299,3 +300,52 @@
 		t.Errorf("%d of %d bytes, %v", n, size, err)
 	}
 }
+
+// smallBufferListener accepts connections whose kernel buffer is small.
+type smallBufferListener struct{ net.Listener }
+
+func (l smallBufferListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		err = c.(*net.TCPConn).SetWriteBuffer(4 << 10)
+	}
+	return c, err
+}
+
+// Guards against a response that is lost at the end of the process although the kernel could
+// have taken the rest of it.
+func TestHandToKernelTakesTheRest(t *testing.T) {
+	const size = 200_000
+	s := &Server{
+		Opener: &fakeOpener{open: func(context.Context, *gateway.Request) (gateway.Response, error) {
+			return gateway.NewStoredResponse(200, nil, []byte(strings.Repeat("x", size))), nil
+		}},
+		Admission: allowAll{}, Frontend: testFrontend{}, Log: zap.NewNop(),
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan struct{})
+	go func() { _ = s.Serve(smallBufferListener{ln}, testLimits()); close(served) }()
+	defer func() { ln.Close(); <-served }()
+	dialer := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		return c.Control(func(fd uintptr) { _ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) })
+	}}
+	conn, err := dialer.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	_, _ = io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+	eventually(t, "the response has begun", func() bool { return s.Responding() == 1 })
+	s.HandToKernel()
+	eventually(t, "the kernel has taken the response", func() bool { return s.Running() == 0 })
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n, err := io.Copy(io.Discard, resp.Body); n != size || err != nil {
+		t.Errorf("%d of %d bytes, %v", n, size, err)
+	}
+}
--- a/cmd/internal/edge/stop.go
+++ b/cmd/internal/edge/stop.go
@@ -17,6 +17,10 @@
 // stopPollInterval is the interval at which the steps of a stop are checked.
 const stopPollInterval = 50 * time.Millisecond
 
+// handToKernelTime is the time before the latest exit at which the kernel is given what it can
+// take of the responses under way.
+const handToKernelTime = 200 * time.Millisecond
+
 // stopper carries out a planned stop.
 type stopper struct {
 	limit, addressTTL time.Duration
@@ -55,7 +59,7 @@
 	stop := lifecycle.BeginSelective(began, s.limit, s.addressTTL)
 	s.stop.Store(stop)
 	s.log.Info("stop begins", zap.Int("running", s.caller.Running()), zap.Duration("limit", s.limit))
-	for {
+	for handed := false; ; {
 		status := lifecycle.Status{Responding: s.caller.Responding(), Running: s.caller.Running(), HandedOver: true}
 		for _, a := range stop.Step(time.Now(), status) {
 			switch a {
@@ -73,6 +77,10 @@
 				return nil
 			}
 		}
+		if !handed && time.Until(stop.ExitBy()) <= handToKernelTime {
+			handed = true
+			s.caller.HandToKernel()
+		}
 		time.Sleep(min(stopPollInterval, time.Until(stop.ExitBy())))
 	}
 }
