--- a/cmd/internal/edge/stop.go
+++ b/cmd/internal/edge/stop.go
@@ -15,6 +15,10 @@
 // stopPollInterval is the interval at which the steps of a stop are checked.
 const stopPollInterval = 50 * time.Millisecond
 
+// handToKernelTime is the time before the latest exit at which the kernel is given what it can
+// take of the responses under way.
+const handToKernelTime = 200 * time.Millisecond
+
 // stopper carries out a planned stop.
 type stopper struct {
 	limit, addressTTL time.Duration
@@ -32,7 +36,7 @@
 	s.stop.Store(stop)
 	s.peers.learnTimes(s.times)
 	s.log.Info("stop begins", zap.Int("running", s.caller.Running()), zap.Duration("limit", s.limit))
-	for {
+	for handed := false; ; {
 		status := lifecycle.Status{Responding: s.caller.Responding(), Running: s.caller.Running(), HandedOver: true}
 		for _, a := range stop.Step(time.Now(), status) {
 			switch a {
@@ -50,6 +54,10 @@
 				return nil
 			}
 		}
+		if !handed && time.Until(stop.ExitBy()) <= handToKernelTime {
+			handed = true
+			s.caller.HandToKernel()
+		}
 		time.Sleep(min(stopPollInterval, time.Until(stop.ExitBy())))
 	}
 }
