Check the server again right before a request is sent

Callers saw: an order could reach a data centre more than 4 s after operators had taken it out of service.

Cause: the daemon checked that a server may receive work when it asked for the permit. The claim of the request (2 s at most) and a new connection (1 s) come after that; with the time until all instances know of the change the sum exceeds the bound.

Change: the permit sets the request's recheck, which the engine client calls with an open connection before it writes. A refused attempt has the outcome not_run, so the request goes to another server with the same claim. A stream is still resumed on its server.

--- a/cmd/internal/daemon/admission.go
+++ b/cmd/internal/daemon/admission.go
@@ -226,11 +226,23 @@
 	id       uint64
 	limited  bool
 	warm     bool // the chat's prefix was expected in the server's cache
+	opened   atomic.Bool
 	released atomic.Bool
 }
 
+// recheck returns an error if the server may no longer receive new work. The claim of the
+// request and a new connection can take seconds after the permit was granted. It allows a
+// stream to be resumed on its server, because running requests may end there.
+func (p *attemptPermit) recheck() *result.Error {
+	if st := p.c.current(); p.opened.Load() || eligible(st.view, st.table.Index, p.server.Name) {
+		return nil
+	}
+	return result.New(result.NoServer, "server %s was taken out of service before the request was sent", p.server.Name).WithRetryAfter(time.Second)
+}
+
 // Opened implements gateway.Permit.
 func (p *attemptPermit) Opened(took time.Duration) {
+	p.opened.Store(true)
 	if !p.warm || !p.req.Stream || p.req.Route != nil {
 		return
 	}
@@ -341,7 +353,9 @@
 		}
 		return 0, nil, v.Err(ranked[0].Name, c.ledger.RetryAfter(ranked[0].Name))
 	}
-	return i, &attemptPermit{c: c, req: req, server: ranked[i], id: id, limited: limited, warm: lastRequest.Warm()}, nil
+	p := &attemptPermit{c: c, req: req, server: ranked[i], id: id, limited: limited, warm: lastRequest.Warm()}
+	req.Recheck = p.recheck
+	return i, p, nil
 }
 
 // candidateVerdict is one candidate in the log of a routing decision.
--- a/cmd/internal/daemon/daemon_test.go
+++ b/cmd/internal/daemon/daemon_test.go
@@ -37,6 +37,8 @@
 	daemon           *Daemon
 	log              *zap.Logger
 	extraDataCentres []string // in addition to cordon; the next instance is in the last one
+	// engineDataCentres are the data centres of the engines; nil puts all into cordon.
+	engineDataCentres []string
 }
 
 func sha256Hex(s string) string {
@@ -140,7 +142,11 @@
 	}
 	b.WriteString("[[pool]]\nname = \"taller-modelo\"\n")
 	for i, e := range f.engines {
-		fmt.Fprintf(&b, "[[server]]\nname = \"engine-%d\"\npool = \"taller-modelo\"\ndata_centre = \"cordon\"\naddress = %q\n", i, e.Address())
+		dc := "cordon"
+		if f.engineDataCentres != nil {
+			dc = f.engineDataCentres[i]
+		}
+		fmt.Fprintf(&b, "[[server]]\nname = \"engine-%d\"\npool = \"taller-modelo\"\ndata_centre = %q\naddress = %q\n", i, dc, e.Address())
 	}
 	fmt.Fprintf(&b, "[[account]]\nname = \"workshops\"\nkey_sha256 = [%q]\n", sha256Hex(testAccountKey))
 	return b.String()
