Keep connections to the store open while a response is read

Callers saw: a call of the table service failed now and then with "use of closed network connection" behind status 200, long before its deadline, and counted as refused by the service (TestStoreFaults).

Cause: smithy-go closes the body of a request as soon as it has the response headers. Its body type has a WriteTo method that returns io.EOF once closed. After the announced length net/http checks that the body has no further bytes; io.Copy calls WriteTo and returns that io.EOF, writeLoop takes it for a failed write and closes the connection. Most responses fit into the read buffer by then and only cost a connection; a page of a query does not. It happens if the response arrives before the check, so on a busy machine.

Change: a RoundTripper hides WriteTo of request bodies; Read of a closed body returns the end of data, which the check expects.

--- a/adapters/platform/table.go
+++ b/adapters/platform/table.go
@@ -61,7 +61,7 @@
 			return aws.Credentials{AccessKeyID: cfg.AccessKeyID, SecretAccessKey: string(cfg.SecretKey()), Source: "key file"}, nil
 		})
 	}
-	hc := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: cfg.MaxConcurrent, IdleConnTimeout: 30 * time.Second}}
+	hc := &http.Client{Transport: newTransport(cfg.MaxConcurrent)}
 	return &Store{
 		cfg: cfg,
 		table: dynamodb.New(dynamodb.Options{
