Count in TestStoreFaults only calls past their deadline as slow

Seen: beside load, once in 254 runs, "failures by reason: objects map[slow:2]", want 1.

Cause: a fault of the test. The Store was made with a call timeout of 300 ms, from which the breakers take the time above which a successful call counts as slow; the test raised the timeout to 30 s only afterwards. A read of the missing object that took over 300 ms was counted beside the delayed call.

Change: the Store is made with the long timeout; the delayed call still has 300 ms. All checks stay as they were. TestBreakerTreatsSlowAsDown covers slow successful calls.

--- a/adapters/platform/platform_test.go
+++ b/adapters/platform/platform_test.go
@@ -28,6 +28,11 @@
 )
 
 func newStore(t *testing.T, secret func() []byte) (*Store, *fake.Server) {
+	t.Helper()
+	return newStoreWithTimeout(t, secret, shortTimeout)
+}
+
+func newStoreWithTimeout(t *testing.T, secret func() []byte, callTimeout time.Duration) (*Store, *fake.Server) {
 	t.Helper()
 	srv, err := fake.Start("127.0.0.1:0")
 	if err != nil {
@@ -36,7 +41,7 @@
 	t.Cleanup(srv.Close)
 	return NewStore(Config{
 		TableURL: srv.URL(), TableName: "t", ObjectsURL: srv.URL(), Bucket: "b", AccessKeyID: "router", SecretKey: secret,
-		CallTimeout: shortTimeout, MaxConcurrent: 4,
+		CallTimeout: callTimeout, MaxConcurrent: 4,
 	}), srv
 }
 
@@ -54,8 +59,8 @@
 // failures counted without their reason, and queries that stop after the first page.
 func TestStoreFaults(t *testing.T) {
 	ctx := context.Background()
-	s, srv := newStore(t, testSecret)
-	s.cfg.CallTimeout = longTimeout
+	// The breakers count successful calls as slow by the timeout at the start.
+	s, srv := newStoreWithTimeout(t, testSecret, longTimeout)
 	row := store.Row{Partition: "p", Sort: "0000", Version: 1, Writer: "n1", Data: []byte("x")}
 	srv.SetFault(fake.Fault{DropReplies: 1})
 	if err := s.Put(ctx, row, 0); resultCode(err) != result.StoreUnavailable {
