Decide in one place what the end of an attempt indicates

What an attempt says about its server, the request and the parts of its prompt was decided by result code in five places: placementOutcome, the crash watch, the gateway's count of lost attempts, the resumption of streams and the permits of the daemon. A new code, or a form of failure that one of them missed, was found only by the traffic that went on to the server.

core/verdict holds one table of all result codes; Judge adds what is known of the attempt (ran or not, begun or not, host silent, port refuses). The five callers ask it. Behaviour is unchanged.

--- a/adapters/engine/events.go
+++ b/adapters/engine/events.go
@@ -8,6 +8,7 @@
 
 	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/result"
+	"cyclamenhitch/core/verdict"
 )
 
 const (
@@ -292,8 +293,7 @@
 
 // tryResume continues a broken stream, if it can be resumed, and reports whether it did.
 func (s *eventStream) tryResume(cause *result.Error) bool {
-	lost := cause.Code == result.ConnectionSilent || cause.Code == result.AnswerTruncated
-	return lost && s.resumable() && s.resumes < maxResumes && s.resume(cause)
+	return verdict.Judge(verdict.Of(cause)).Resumable && s.resumable() && s.resumes < maxResumes && s.resume(cause)
 }
 
 func (s *eventStream) opaque() bool { return s.x.client.dialect().Opaque }
--- a/cmd/internal/daemon/admission.go
+++ b/cmd/internal/daemon/admission.go
@@ -21,6 +21,7 @@
 	"cyclamenhitch/core/result"
 	"cyclamenhitch/core/retry"
 	"cyclamenhitch/core/routing"
+	"cyclamenhitch/core/verdict"
 )
 
 // permitTimeout bounds a permit call within a region.
@@ -264,8 +265,7 @@
 		c.recent.Record(p.req.Chat, p.server.Name, p.req.PromptTokens+p.req.OutputTokens, now)
 		return
 	}
-	switch result.As(err).Code {
-	case result.ConnectFailed, result.ConnectionLost, result.AnswerTruncated:
+	if verdict.Judge(verdict.Of(result.As(err))).Down {
 		c.engineFailed(now, p.server.Name)
 	}
 	c.recent.Forget(p.req.Chat)
--- a/cmd/internal/edge/crashwatch.go
+++ b/cmd/internal/edge/crashwatch.go
@@ -16,6 +16,7 @@
 	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/quarantine"
 	"cyclamenhitch/core/result"
+	"cyclamenhitch/core/verdict"
 )
 
 // crashCheckTimeout limits the connect that tells a crashed server from a lost
@@ -47,25 +48,28 @@
 	case len(req.Parts) == 0:
 	case err != nil:
 		w.onUnanswered(req, srv, err)
-	case resp.Status() < 300:
+	case verdict.Judge(verdict.Attempt{Begun: true, Status: resp.Status()}).Parts == verdict.PartsAnswered:
 		w.tracker.Answered(time.Now(), srv.Pool, req.Parts)
 	}
 	return resp, err
 }
 
 func (w *crashWatch) onUnanswered(req *gateway.Request, srv *manifest.Server, err error) {
-	switch {
-	case isConnectionEnd(err):
-		w.checkCrash(req, srv)
-	case isAbandoned(err) && w.tracker.HasSuspect(srv.Pool, req.Parts):
-		// The server may still work on it.
-		time.AfterFunc(abandonedCheckDelay, func() { w.checkCrash(req, srv) })
+	a := verdict.Of(result.As(err))
+	switch verdict.Judge(a).Check {
+	case verdict.CheckNow:
+		w.checkCrash(req, srv, a)
+	case verdict.CheckLater:
+		if w.tracker.HasSuspect(srv.Pool, req.Parts) {
+			time.AfterFunc(abandonedCheckDelay, func() { w.checkCrash(req, srv, a) })
+		}
 	}
 }
 
 // checkCrash records a crash of the server under the request if the server has crashed.
-func (w *crashWatch) checkCrash(req *gateway.Request, srv *manifest.Server) {
-	if !engine.RefusesConnections(srv.Address, crashCheckTimeout) {
+func (w *crashWatch) checkCrash(req *gateway.Request, srv *manifest.Server, a verdict.Attempt) {
+	a.PortRefuses = engine.RefusesConnections(srv.Address, crashCheckTimeout)
+	if verdict.Judge(a).Parts != verdict.PartsStruck {
 		return
 	}
 	w.tracker.Crashed(time.Now(), srv.Pool, quarantine.CrashOf(srv.Name, w.incarnation(srv.Name)), accountHash(req), req.Parts)
@@ -96,20 +100,6 @@
 	return result.New(result.PromptBlocked, "servers crashed on requests with prompt part %x", d.Part.ID).WithRetryAfter(d.RetryAfter)
 }
 
-// isConnectionEnd reports whether err is the end of a connection on which a request was
-// sent, as opposed to silence, a refusal or an invalid response.
-func isConnectionEnd(err error) bool {
-	e := result.As(err)
-	return e.Outcome != result.NotRun && (e.Code == result.ConnectionLost || e.Code == result.AnswerTruncated)
-}
-
-// isAbandoned reports whether err ended a request that the server had not answered yet,
-// because the caller left or another server was to be tried.
-func isAbandoned(err error) bool {
-	e := result.As(err)
-	return e.Outcome != result.NotRun && (e.Code == result.CallerGone || e.Code == result.ConnectionSilent || e.Code == result.DeadlineExceeded)
-}
-
 func accountName(req *gateway.Request) string {
 	if req.Account == nil {
 		return ""
--- a/cmd/internal/edge/placer.go
+++ b/cmd/internal/edge/placer.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
-	"net"
-	"syscall"
 	"time"
 
 	"cyclamenhitch/adapters/clock"
@@ -191,28 +188,3 @@
 	p.ticket.Release(now, placementOutcome(err))
 	p.run.End(now, err == io.EOF || err != nil && result.As(err).Code == result.DeadlineExceeded)
 }
-
-// placementOutcome classifies an error by what it indicates about the server.
-func placementOutcome(err error) placement.Outcome {
-	e := result.As(err)
-	if e == nil {
-		return placement.Ended
-	}
-	var ne net.Error
-	switch {
-	case errors.Is(err, syscall.ETIMEDOUT), e.Code == result.ConnectFailed && errors.As(err, &ne) && ne.Timeout():
-		return placement.Unreachable
-	}
-	switch e.Code {
-	case result.ServerRefused:
-		return placement.Refused
-	case result.ConnectFailed, result.ConnectionLost, result.ConnectionSilent, result.AnswerTruncated, result.AnswerCrossed,
-		result.AnswerInvalid:
-		return placement.Failed
-	case result.ServerError:
-		return placement.Errored
-	case result.AnswerTooLarge:
-		return placement.Oversized
-	}
-	return placement.Ended
-}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"cyclamenhitch/core/manifest"
 	"cyclamenhitch/core/result"
 	"cyclamenhitch/core/retry"
+	"cyclamenhitch/core/verdict"
 )
 
 // maxCandidates limits the servers for which one request seeks a permit. The
@@ -150,7 +151,7 @@
 		}
 		permitted.permit.Release(err)
 		e := result.As(err)
-		if e.Code == result.ConnectionLost || e.Code == result.AnswerTruncated {
+		if verdict.Judge(verdict.Of(e)).RequestSuspect {
 			t.lost++
 		}
 		if !t.shouldRetry(e) {
@@ -247,7 +248,7 @@
 	}
 	// With a Placer, a retry after a failed connect takes nothing from the budget: no
 	// server has received the request.
-	return t.g.Placer != nil && e.Code == result.ConnectFailed || t.g.Budget.TryRetry(t.req.Pool.Name)
+	return t.g.Placer != nil && verdict.Judge(verdict.Of(e)).Unreceived || t.g.Budget.TryRetry(t.req.Pool.Name)
 }
 
 func (t *attemptRun) maxRuns() int {
