Report new evidence of crashes early

A caller that repeated a request that crashes engines at other instances, faster than their reports travel, ended a fourth engine. Instances reported each 180 to 220 ms, whatever they had to say: the third instance knew nothing of the crashes at the others (timeline in docs/incidents/2026-12-05-repeated-requests-that-crash-engines.md).

New evidence now goes out after a quarter of the report interval at the latest, 50 ms in a small fleet, so that a series of crashes makes at most four times the reports; relays pass it on as early. What is left is named: repeats within that time.

--- a/cmd/internal/edge/crash_test.go
+++ b/cmd/internal/edge/crash_test.go
@@ -31,10 +31,10 @@
 
 // startCrashFleet starts a fleet whose engines crash on deadlyPart and start again after a
 // time.
-func startCrashFleet(t *testing.T, restart time.Duration) (*testFleet, []*runner.Runner) {
+func startCrashFleet(t *testing.T, engines int, restart time.Duration) (*testFleet, []*runner.Runner) {
 	t.Helper()
 	var runners []*runner.Runner
-	for i := range crashEngines {
+	for i := range engines {
 		runners = append(runners, &runner.Runner{ID: fmt.Sprint("e", i), CrashParts: []string{deadlyPart}, RestartTime: restart})
 	}
 	f := startFleet(t, crashFleet, runners...)
@@ -69,7 +69,7 @@
 // Guards against requests with one prompt part that crash engine after engine, and against
 // the refusal of sound requests of the same account that share the other parts.
 func TestPromptPartThatCrashesEngines(t *testing.T) {
-	f, runners := startCrashFleet(t, crashRestart)
+	f, runners := startCrashFleet(t, crashEngines, crashRestart)
 	for i := range crashesToLearn {
 		f.callWithPrompt(i%crashFleet, "/r/1", "k1", prompt(soundPart, deadlyPart))
 		f.callWithPrompt(i%crashFleet, "/r/1", "k1", prompt(soundPart, "b2"))
@@ -90,8 +90,9 @@
 const (
 	// maxServersPerRequest is the users' bound of the servers that may end under one request.
 	maxServersPerRequest = 3
-	// reportsTravel is the time in which the evidence of one instance reaches the others.
-	reportsTravel = 300 * time.Millisecond
+	// reportsTravel is the time in which the evidence of one instance reaches the others. It is
+	// below the interval of their reports.
+	reportsTravel = 60 * time.Millisecond
 )
 
 // Guards against a request that crashes engines by what belongs to it alone: its caller
@@ -99,8 +100,8 @@
 // requests of the account are not blocked.
 func TestRepeatedRequestThatCrashesEngines(t *testing.T) {
 	// The stand-ins start again under the same incarnation, so that two ends of one engine
-	// within a second would count as a single crash.
-	f, runners := startCrashFleet(t, 1500*time.Millisecond)
+	// within a second would count as a single crash. Enough engines are left to take each repeat.
+	f, runners := startCrashFleet(t, 2*crashEngines, 1500*time.Millisecond)
 	request := soundPart + ":100," + deadlyPart + ":100"
 	for i := range 20 {
 		f.callWithPrompt(i%crashFleet, "/r/1", "k1", request)
@@ -142,7 +143,7 @@
 // A request that is known to crash engines is refused at once with its own result code and
 // a time to return, and the refusal says truly that it has not run.
 func TestKnownCrashIsRefusedAsNotRun(t *testing.T) {
-	f, runners := startCrashFleet(t, crashRestart)
+	f, runners := startCrashFleet(t, crashEngines, crashRestart)
 	f.learnDeadlyPart()
 	before := runsWith(runners, deadlyPart)
 	status, header, body := f.callWithPrompt(1, "/r/1", "k1", prompt(soundPart, deadlyPart))
@@ -156,7 +157,7 @@
 
 // Guards against a fleet that forgets what crashes engines when all its instances restart.
 func TestBlockedPartOutlastsRestartOfAll(t *testing.T) {
-	f, runners := startCrashFleet(t, crashRestart)
+	f, runners := startCrashFleet(t, crashEngines, crashRestart)
 	f.learnDeadlyPart()
 	f.eventually("the store has the evidence", func() bool { return f.store.Count(platform.QuarantineTable) == 1 })
 	f.end()
--- a/cmd/internal/edge/crashwatch.go
+++ b/cmd/internal/edge/crashwatch.go
@@ -36,8 +36,10 @@
 	off bool
 	// incarnation returns the start time of a server.
 	incarnation func(fleet.ServerID) int64
-	meters      *meters
-	log         *zap.Logger
+	// onEvidence is called after new evidence. It must not block.
+	onEvidence func()
+	meters     *meters
+	log        *zap.Logger
 }
 
 // Open implements gateway.Upstream. After a crash it returns once the crash is recorded,
@@ -72,7 +74,10 @@
 	if verdict.Judge(a).Parts != verdict.PartsStruck {
 		return
 	}
-	w.tracker.Crashed(time.Now(), srv.Pool, quarantine.CrashOf(srv.Name, w.incarnation(srv.Name)), accountHash(req), req.Parts)
+	isNew := w.tracker.Crashed(time.Now(), srv.Pool, quarantine.CrashOf(srv.Name, w.incarnation(srv.Name)), accountHash(req), req.Parts)
+	if isNew {
+		w.onEvidence()
+	}
 	w.meters.serverCrashes.Add(string(srv.Pool), 1)
 	w.log.Warn("server crashed before it answered a request", zap.String(logging.FieldRequest, req.ID), zap.String(logging.FieldAccount, accountName(req)),
 		zap.String(logging.FieldPool, string(srv.Pool)), zap.String(logging.FieldServer, string(srv.Name)), zap.String(logging.FieldAddress, srv.Address),
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -98,7 +98,7 @@
 	client.MaxPause = settings.Millis(set.Times.MaxPauseMillis)
 	e.crashes = &crashWatch{
 		Upstream: client, tracker: tracker, off: !policy.On(placement.PromptQuarantine),
-		incarnation: e.view.incarnation, meters: e.meters, log: log,
+		incarnation: e.view.incarnation, onEvidence: e.peers.reportSoon, meters: e.meters, log: log,
 	}
 	e.peers.onInstanceCount = func(instances int) {
 		budgets.SetAll(instanceRetryBudget(set, instances))
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -27,6 +27,9 @@
 	// minBudgetInstances is the least number of instances assumed to share a budget: an
 	// instance that hears no peers may be partitioned from peers that also send requests.
 	minBudgetInstances = 3
+	// earlyReportShare is the fraction of the report interval after which a report with new
+	// evidence is sent early.
+	earlyReportShare = 0.25
 )
 
 // peers exchanges reports with the other instances.
@@ -53,6 +56,9 @@
 
 	paces map[fleet.PoolID]float64 // as last logged
 
+	// evidence holds a value while new evidence waits for the next report.
+	evidence chan struct{}
+
 	mu sync.Mutex
 	// learned holds the cache contents that this instance learned from engines.
 	learned       []placement.Placement
@@ -66,6 +72,7 @@
 		set: set, socket: socket, view: v, board: b, tracker: tracker, log: log, roster: roster.New(set.Instance),
 		incarnation: uint64(time.Now().UnixNano()), echo: map[fleet.InstanceID]freshness.Instant{},
 		live: map[fleet.InstanceID]bool{}, paces: map[fleet.PoolID]float64{},
+		evidence: make(chan struct{}, 1),
 	}
 	p.relay = newRelay(p.roster, b, set.DataCentre, p.incarnation)
 	return p
@@ -78,11 +85,34 @@
 	}
 	for ctx.Err() == nil {
 		gap := p.sendReports()
-		sleep(ctx, gap-gap/10+rand.N(gap/5))
+		p.waitForRound(ctx, gap)
 	}
 	_ = p.socket.Close()
 }
 
+// waitForRound waits for the time of the next reports: the interval, or a part of it if there
+// is new evidence. A caller may repeat a request that crashes servers at other instances
+// within the interval.
+func (p *peers) waitForRound(ctx context.Context, interval time.Duration) {
+	early := time.Duration(earlyReportShare * float64(interval))
+	sleep(ctx, early)
+	rest := time.NewTimer(interval - interval/10 + rand.N(interval/5) - early)
+	defer rest.Stop()
+	select {
+	case <-ctx.Done():
+	case <-p.evidence:
+	case <-rest.C:
+	}
+}
+
+// reportSoon has the next reports sent early.
+func (p *peers) reportSoon() {
+	select {
+	case p.evidence <- struct{}{}:
+	default:
+	}
+}
+
 // serving reports whether callers may be sent to this instance.
 func (p *peers) serving() bool { return !p.leaving.Load() && p.view.fresh() }
 
@@ -213,7 +243,9 @@
 	p.mu.Unlock()
 	p.roster.RecordListRequest(now, r.From.ID, r.HeldList, r.WantsDigest, r.HasOtherLoadSource)
 	p.board.ApplyPeerReadRates(r.From.ID, r.ReadRates)
-	p.tracker.Merge(now, r.Evidence)
+	if p.tracker.Merge(now, r.Evidence) && p.relaying.Load() {
+		p.reportSoon() // to those who hear of other instances only through this one
+	}
 	p.relay.applyReport(now, r)
 	p.confirmFromPeer(r, boot)
 }
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -78,8 +78,8 @@
 }
 
 // Crashed records that a server crashed while a request of the account with these parts
-// was in progress and not answered.
-func (t *Tracker) Crashed(now time.Time, pool fleet.PoolID, crash Crash, account uint64, parts []placement.Part) {
+// was in progress and not answered. It reports whether the evidence is new.
+func (t *Tracker) Crashed(now time.Time, pool fleet.PoolID, crash Crash, account uint64, parts []placement.Part) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	changed := false
@@ -96,6 +96,7 @@
 	if changed {
 		t.update(now)
 	}
+	return changed
 }
 
 // Answered records that a server began to answer a request with these parts.
@@ -240,10 +241,11 @@
 	t.blocked.Store(&blocked)
 }
 
-// Merge adds the evidence of another instance, or of the store.
-func (t *Tracker) Merge(now time.Time, list []Evidence) {
+// Merge adds the evidence of another instance, or of the store. It reports whether any of it
+// is new.
+func (t *Tracker) Merge(now time.Time, list []Evidence) bool {
 	if len(list) == 0 {
-		return
+		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -264,6 +266,7 @@
 	if changed {
 		t.update(now)
 	}
+	return changed
 }
 
 const (
