--- a/cmd/internal/edge/crashwatch.go
+++ b/cmd/internal/edge/crashwatch.go
@@ -16,6 +16,7 @@
 	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/quarantine"
 	"cyclamenhitch/core/result"
+	"cyclamenhitch/core/verdict"
 )
 
 // crashCheckTimeout limits the connect that tells a crashed server from a lost
@@ -35,8 +36,10 @@
 	off bool
 	// incarnation returns the start time of a server.
 	incarnation func(fleet.ServerID) int64
-	meters      *meters
-	log         *zap.Logger
+	// onEvidence is called after new evidence. It must not block.
+	onEvidence func()
+	meters     *meters
+	log        *zap.Logger
 }
 
 // Open implements gateway.Upstream. After a crash it returns once the crash is recorded,
@@ -47,28 +50,34 @@
 	case len(req.Parts) == 0:
 	case err != nil:
 		w.onUnanswered(req, srv, err)
-	case resp.Status() < 300:
+	case verdict.Judge(verdict.Attempt{Begun: true, Status: resp.Status()}).Parts == verdict.PartsAnswered:
 		w.tracker.Answered(time.Now(), srv.Pool, req.Parts)
 	}
 	return resp, err
 }
 
 func (w *crashWatch) onUnanswered(req *gateway.Request, srv *manifest.Server, err error) {
-	switch {
-	case isConnectionEnd(err):
-		w.checkCrash(req, srv)
-	case isAbandoned(err) && w.tracker.HasSuspect(srv.Pool, req.Parts):
-		// The server may still work on it.
-		time.AfterFunc(abandonedCheckDelay, func() { w.checkCrash(req, srv) })
+	a := verdict.Of(result.As(err))
+	switch verdict.Judge(a).Check {
+	case verdict.CheckNow:
+		w.checkCrash(req, srv, a)
+	case verdict.CheckLater:
+		if w.tracker.HasSuspect(srv.Pool, req.Parts) {
+			time.AfterFunc(abandonedCheckDelay, func() { w.checkCrash(req, srv, a) })
+		}
 	}
 }
 
 // checkCrash records a crash of the server under the request if the server has crashed.
-func (w *crashWatch) checkCrash(req *gateway.Request, srv *manifest.Server) {
-	if !engine.RefusesConnections(srv.Address, crashCheckTimeout) {
+func (w *crashWatch) checkCrash(req *gateway.Request, srv *manifest.Server, a verdict.Attempt) {
+	a.PortRefuses = engine.RefusesConnections(srv.Address, crashCheckTimeout)
+	if verdict.Judge(a).Parts != verdict.PartsStruck {
 		return
 	}
-	w.tracker.Crashed(time.Now(), srv.Pool, quarantine.CrashOf(srv.Name, w.incarnation(srv.Name)), accountHash(req), req.Parts)
+	isNew := w.tracker.Crashed(time.Now(), srv.Pool, quarantine.CrashOf(srv.Name, w.incarnation(srv.Name)), accountHash(req), req.Parts)
+	if isNew {
+		w.onEvidence()
+	}
 	w.meters.serverCrashes.Add(string(srv.Pool), 1)
 	w.log.Warn("server crashed before it answered a request", zap.String(logging.FieldRequest, req.ID), zap.String(logging.FieldAccount, accountName(req)),
 		zap.String(logging.FieldPool, string(srv.Pool)), zap.String(logging.FieldServer, string(srv.Name)), zap.String(logging.FieldAddress, srv.Address),
@@ -96,20 +105,6 @@
 	return result.New(result.PromptBlocked, "servers crashed on requests with prompt part %x", d.Part.ID).WithRetryAfter(d.RetryAfter)
 }
 
-// isConnectionEnd reports whether err is the end of a connection on which a request was
-// sent, as opposed to silence, a refusal or an invalid response.
-func isConnectionEnd(err error) bool {
-	e := result.As(err)
-	return e.Outcome != result.NotRun && (e.Code == result.ConnectionLost || e.Code == result.AnswerTruncated)
-}
-
-// isAbandoned reports whether err ended a request that the server had not answered yet,
-// because the caller left or another server was to be tried.
-func isAbandoned(err error) bool {
-	e := result.As(err)
-	return e.Outcome != result.NotRun && (e.Code == result.CallerGone || e.Code == result.ConnectionSilent || e.Code == result.DeadlineExceeded)
-}
-
 func accountName(req *gateway.Request) string {
 	if req.Account == nil {
 		return ""
