Log streams accepted in a stop; describe how they are judged

A stream that outlasts the process has no line of its own end, so that nothing showed why it was accepted. The line has the time left and the risk.

--- a/cmd/internal/edge/acceptance.go
+++ b/cmd/internal/edge/acceptance.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
+	"cyclamenhitch/adapters/logging"
 	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/lifecycle"
 	"cyclamenhitch/core/result"
@@ -12,6 +15,7 @@
 // stopAcceptance is the acceptance of a request in a planned stop; stop is nil otherwise.
 type stopAcceptance struct {
 	stop *lifecycle.Stop
+	log  *zap.Logger
 	lifecycle.Acceptance
 }
 
@@ -30,19 +34,25 @@
 		Risk:   func(d time.Duration) float64 { return s.times.Risk(now, kind, req.OutputTokens, d) },
 	})
 	if a.Accepted {
-		return stopAcceptance{stop, a}, nil
+		return stopAcceptance{stop, s.log, a}, nil
 	}
 	return stopAcceptance{}, result.New(result.Stopping, "the instance is stopping and the request might not end in time (%v left, risk %.4f)",
 		a.Left.Round(time.Millisecond), a.Risk).WithRetryAfter(notReadyRetryAfter)
 }
 
-// sent records that the request is sent.
-func (a stopAcceptance) sent(d *gateway.Decision) {
+// sent records that the request is sent to the server of its last decision.
+func (a stopAcceptance) sent(req *gateway.Request) {
 	if a.stop == nil {
 		return
 	}
 	a.stop.Sent(a.Acceptance)
+	d := &req.Decisions[len(req.Decisions)-1]
 	d.Stopping, d.StopLeft, d.StopRisk = true, a.Left, a.Risk
+	if req.Stream {
+		// The line of a stream that outlasts the process is never written.
+		a.log.Info("stream accepted in a stop", zap.String(logging.FieldRequest, req.ID), zap.String(logging.FieldServer, string(d.Server)),
+			zap.Duration("stop_left", a.Left), zap.Float64("stop_risk", a.Risk))
+	}
 }
 
 // requestKind returns the kind of a request whose times are recorded together.
--- a/cmd/internal/edge/placer.go
+++ b/cmd/internal/edge/placer.go
@@ -71,7 +71,7 @@
 			req.FetchFrom = c.Source
 			req.FirstPartTimeout = firstPartTimeout(c.Wait)
 			p.recordDecision(req, c, len(ranked), now.Sub(began))
-			acceptance.sent(&req.Decisions[len(req.Decisions)-1])
+			acceptance.sent(req)
 			return &manifest.Server{Name: c.ID, Pool: req.Pool.Name, Address: c.Address}, p.permit(now, req, t), nil
 		}
 		if verdict == placement.AllPaused {
