--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -343,6 +343,10 @@
 
 // keepLogs copies the instances' logs into a directory.
 func (f *fleet) keepLogs(dir string) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		f.t.Log(err)
+		return
+	}
 	for _, n := range f.instances {
 		b, err := os.ReadFile(n.log)
 		if err == nil {
--- a/cmd/internal/soak/stopplay_test.go
+++ b/cmd/internal/soak/stopplay_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -74,6 +75,8 @@
 	// stopped is the number of instances that are stopped, gap the time between two stops.
 	stopped int
 	gap     time.Duration
+	// again, unless 0, is the time after its restart at which an instance is stopped again.
+	again time.Duration
 	// slowness is how slow servers become at the first stop, in percent.
 	slowness int64
 	// during, unless nil, disturbs the fleet from the first stop on.
@@ -200,11 +203,23 @@
 	n.start(f.t)
 }
 
+// stopAndAgain stops an instance as often as the play says.
+func (f *stopFleet) stopAndAgain(n *instance) {
+	f.stop(n)
+	if f.play.again > 0 {
+		time.Sleep(f.play.again)
+		f.stop(n)
+	}
+}
+
 // run plays the stops and returns when all callers have ended.
 func (f *stopFleet) run(seed uint64) {
 	f.begin = time.Now()
 	warmUp := cmp.Or(f.play.warmUp, stopWarmUp)
 	ends := f.begin.Add(warmUp + time.Duration(f.play.stopped)*f.play.gap + grace + 3*time.Second)
+	if f.play.again > 0 {
+		ends = ends.Add(restartDelay + f.play.again + grace)
+	}
 	var wg sync.WaitGroup
 	number := uint64(0)
 	caller := func(n *instance) {
@@ -228,7 +243,7 @@
 		wg.Go(func() { f.play.during(f) })
 	}
 	for _, n := range f.instances[:f.play.stopped] {
-		wg.Go(func() { f.stop(n) })
+		wg.Go(func() { f.stopAndAgain(n) })
 		time.Sleep(f.play.gap)
 	}
 	wg.Wait()
@@ -388,6 +403,10 @@
 	{name: "one-length", kinds: []string{kindOnce}, length: fixed(time.Second), interval: 200 * ms, eventBytes: 45, callers: 25, stopped: 6, gap: time.Second},
 	{name: "spread", kinds: []string{kindOnce}, length: logNormal(1500*ms, 0.7, 12*time.Second), interval: 100 * ms, eventBytes: 45, callers: 25, stopped: 6, gap: time.Second},
 	{name: "rare", kinds: []string{kindOnce}, length: withRare(1200*ms, 0.004, 5.5), interval: 200 * ms, eventBytes: 45, callers: 80, stopped: 6, gap: time.Second},
+	{name: "rare-fresh", kinds: []string{kindOnce}, length: withRare(1200*ms, 0.004, 6), interval: 200 * ms, eventBytes: 45, callers: 45, stopped: 6, gap: 400 * ms, warmUp: 1500 * ms, again: 1500 * ms},
+	{name: "rare-fresh-100ms", kinds: []string{kindOnce}, length: withRare(1500*ms, 0.005, 5), interval: 100 * ms, eventBytes: 45, callers: 45, stopped: 6, gap: time.Second, warmUp: 3 * time.Second, again: 2500 * ms},
+	{name: "rare-few", kinds: []string{kindOnce}, length: withRare(1500*ms, 0.005, 6), interval: 200 * ms, eventBytes: 45, callers: 25, stopped: 6, gap: 400 * ms, warmUp: 4 * time.Second},
+	{name: "long-tail-fresh", kinds: []string{kindOnce}, length: logNormal(1000*ms, 0.6, 12*time.Second), interval: 100 * ms, eventBytes: 45, callers: 40, stopped: 6, gap: 400 * ms, warmUp: 1500 * ms, again: 1500 * ms},
 	{name: "few-known", kinds: []string{kindOnce}, length: logNormal(1500*ms, 0.7, 8*time.Second), interval: 100 * ms, eventBytes: 45, callers: 20, stopped: 6, gap: 2500 * ms, warmUp: 1500 * ms},
 	{name: "few-known-tokens", kinds: []string{kindOnce}, length: logNormal(1500*ms, 0.7, 8*time.Second), interval: 100 * ms, eventBytes: 45, callers: 20, stopped: 6, gap: 2500 * ms, warmUp: 1500 * ms, tokens: true},
 	{name: "slow-readers", kinds: []string{kindOnce}, length: fixed(2 * time.Second), interval: 10 * ms, eventBytes: 20_000, callers: 4, slow: 1, slowBytes: 900_000, stopped: 6, gap: time.Second},
@@ -409,7 +428,7 @@
 				f.run(*first + uint64(seed))
 				f.check()
 				if dir := os.Getenv("SOAK_KEEP"); t.Failed() && dir != "" {
-					f.keepLogs(dir)
+					f.keepLogs(filepath.Join(dir, t.Name()))
 				}
 			})
 		}
