Overlap series of stops with changes, kills and reloads in the soak

The soak stops all instances in series, with a change of configuration before each next stop, SIGHUPs to the stopping processes and one SIGKILL; it may overlap all other faults. Every second caller that follows the directory keeps to its instance and connection until it gets no answer. SIGHUPs excuse nothing.

--- a/cmd/internal/soak/callers_test.go
+++ b/cmd/internal/soak/callers_test.go
@@ -44,7 +44,8 @@
 )
 
 // run sends requests sequentially over keep-alive connections until ctx ends. The first
-// callers use one fixed instance each and ignore the directory's addresses.
+// callers use one fixed instance each and ignore the directory's addresses; every second
+// other one keeps to an instance until it gets no answer.
 func (c *callers) run(ctx context.Context, seed uint64, number int) {
 	rnd := rand.New(rand.NewPCG(seed, uint64(number)))
 	deadline := callDeadline
@@ -55,6 +56,7 @@
 	defer client.CloseIdleConnections()
 	var addresses []string
 	var resolved time.Time
+	kept := ""
 	for i := 0; ctx.Err() == nil; i++ {
 		if time.Since(resolved) > 300*time.Millisecond || len(addresses) == 0 {
 			if named := c.f.resolve(c.f.instances[rnd.IntN(len(c.f.instances))]); len(named) > 0 {
@@ -69,11 +71,17 @@
 			id: fmt.Sprintf("%x-%d-%d", seed, number, i), kind: []string{"read", "order", "stream"}[rnd.IntN(3)],
 			key: []string{"k1", "k1", "k2"}[rnd.IntN(3)], instance: addresses[rnd.IntN(len(addresses))],
 		}
-		if number < len(c.f.instances) {
+		switch {
+		case number < len(c.f.instances):
 			k.instance = c.f.instances[number].caller
+		case number%2 == 0 && kept != "":
+			k.instance = kept
 		}
 		k.deadly = k.kind == "stream" && rnd.IntN(deadlyOneIn) == 0
 		c.send(client, k, deadline)
+		if kept = k.instance; k.cut || k.status == 0 {
+			kept = ""
+		}
 		c.mu.Lock()
 		c.calls = append(c.calls, k)
 		c.mu.Unlock()
--- a/cmd/internal/soak/fleet_test.go
+++ b/cmd/internal/soak/fleet_test.go
@@ -95,7 +95,7 @@
 	// startedAt is when the process was started.
 	startedAt time.Time
 	// stops holds the periods from a SIGTERM to the exit, kills the times of the other
-	// signals.
+	// signals but SIGHUP.
 	stops  []interval
 	kills  []time.Time
 	exited chan struct{}
@@ -293,7 +293,7 @@
 func (n *instance) signal(s syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if s != syscall.SIGTERM {
+	if s != syscall.SIGTERM && s != syscall.SIGHUP {
 		n.kills = append(n.kills, time.Now())
 	}
 	_ = n.process.Signal(s) // the process may have exited
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -33,6 +33,8 @@
 	callerCount = 10
 	// rollGap is the time between two stops when all instances are stopped in turn.
 	rollGap = 400 * time.Millisecond
+	// seriesGap is the time between the stops of a series.
+	seriesGap = 250 * time.Millisecond
 	// drainNoticeTime is the time after which a draining server must receive no more
 	// requests, under any fault: 2 s for instances to learn of the change, plus the longest
 	// fault and 3 s to regain contact after it.
@@ -101,7 +103,7 @@
 	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(time.Duration(100+rnd.IntN(600)) * time.Millisecond) {
 		n, s := f.instances[rnd.IntN(len(f.instances))], f.servers[rnd.IntN(len(f.servers))]
 		duration := time.Duration(200+rnd.IntN(int((maxFaultDuration-200*time.Millisecond)/time.Millisecond))) * time.Millisecond
-		kind := rnd.IntN(15)
+		kind := rnd.IntN(16)
 		var key string
 		var act func()
 		withFault := func(p *proxy, set func(on bool)) func() {
@@ -132,6 +134,8 @@
 					time.Sleep(rollGap)
 				}
 			}
+		case 15:
+			key, act = "roll", f.seriesOfStops(rnd.Perm(len(f.instances)), rnd.IntN(len(f.instances)), configure)
 		case 4:
 			// The key is removed while the instance is suspended.
 			duration = maxFaultDuration - duration/4
@@ -205,6 +209,27 @@
 	}
 }
 
+// seriesOfStops stops all instances in the given order and the first one again, while the
+// configuration changes and the stopped instances are told to reload; the one at killed is
+// killed in its stop.
+func (f *fleet) seriesOfStops(order []int, killed int, configure func(step int, second bool)) func() {
+	return func() {
+		var stops sync.WaitGroup
+		defer stops.Wait()
+		for i, at := range append(order, order[0]) {
+			n := f.instances[at]
+			stops.Go(f.harming(n.caller, func() { n.restart(f.t, syscall.SIGTERM) }))
+			configure(1, i%2 == 0)
+			time.Sleep(seriesGap)
+			if i == killed {
+				n.signal(syscall.SIGKILL)
+			} else {
+				n.signal(syscall.SIGHUP)
+			}
+		}
+	}
+}
+
 // harming wraps a fault that disturbs an instance or the way to a server.
 func (f *fleet) harming(id string, act func()) func() {
 	return func() {
