Take descriptors from one budget and go on accepting when they are short

Callers saw: a burst of users made each instance run out of descriptors.

Cause: fasthttp returns every error of accept that is no timeout, and an instance returned at the first error of any listener. Only callers had a limit of connections; the directory kept each idle connection for 60 s.

Each accept and dial takes from its share (adapters/sockets). When one is short, the connection that has been idle for longest is closed, a caller's where another listener's is not idle; a request that crosses the close is not passed on. Shortages and aborted connections pause accepting and never end it. Without a descriptor for a server a request is refused as not run.

--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -7,6 +7,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"net"
 	"strconv"
 	"sync"
@@ -15,6 +16,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cyclamenhitch/adapters/sockets"
 	"cyclamenhitch/core/budget"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
@@ -46,6 +48,11 @@
 	OnNotice func(Notice)
 	// MaxPause limits the pause that a server may ask for; 0 selects the default.
 	MaxPause time.Duration
+	// Descriptors is taken by each connection to a server; nil means no limit.
+	Descriptors *budget.Share
+	// Relieve, unless nil, frees a descriptor elsewhere if Descriptors is short because of
+	// what others hold, and reports whether it did.
+	Relieve func() bool
 	// Memory is taken by response bodies that are read whole; nil means no limit.
 	Memory *budget.Bytes
 	// Probes, SilentConnections and ResumedStreams count the probes sent, the
@@ -107,6 +114,9 @@
 		if x.ctx.Err() != nil {
 			return nil, result.Wrap(result.CallerGone, err, "caller disconnected before the request was sent").WithOutcome(result.NotRun)
 		}
+		if errors.Is(err, sockets.ErrNoDescriptor) {
+			return nil, result.Wrap(result.ConnectionLimit, err, "no connection to server %s", x.srv.Name).WithRetryAfter(time.Second)
+		}
 		return nil, result.Wrap(result.ConnectFailed, err, "server %s", x.srv.Name)
 	}
 	if x.req.Recheck != nil {
--- a/adapters/engine/pool.go
+++ b/adapters/engine/pool.go
@@ -4,11 +4,13 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
+	"cyclamenhitch/adapters/sockets"
 	"cyclamenhitch/core/liveness"
 	"cyclamenhitch/core/result"
 )
@@ -100,7 +102,7 @@
 	if c.UserTimeout > 0 {
 		d.Control = func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, c.UserTimeout) }
 	}
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := sockets.Dial(c.Descriptors, c.freeDescriptor, func() (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) })
 	if err != nil {
 		return nil, err
 	}
@@ -116,6 +118,40 @@
 	return cn, nil
 }
 
+func (c *Client) freeDescriptor() bool {
+	if c.Relieve != nil && !c.Descriptors.IsFull() && c.Relieve() {
+		return true
+	}
+	return c.CloseOldestIdle()
+}
+
+// CloseOldestIdle closes the connection to any server that has been idle for longest. It
+// reports false if none is idle.
+func (c *Client) CloseOldestIdle() bool {
+	var oldest *host
+	var since time.Time
+	c.hosts.Range(func(_, v any) bool {
+		h := v.(*host)
+		h.mu.Lock()
+		if len(h.idle) > 0 && (oldest == nil || h.idle[0].idleSince.Before(since)) {
+			oldest, since = h, h.idle[0].idleSince
+		}
+		h.mu.Unlock()
+		return true
+	})
+	if oldest == nil {
+		return false
+	}
+	oldest.mu.Lock()
+	defer oldest.mu.Unlock()
+	if len(oldest.idle) == 0 { // taken meanwhile
+		return false
+	}
+	_ = oldest.idle[0].Conn.Close()
+	oldest.idle = slices.Delete(oldest.idle, 0, 1)
+	return true
+}
+
 func (c *Client) host(addr string) *host {
 	if h, ok := c.hosts.Load(addr); ok {
 		return h.(*host)
--- a/adapters/engine/probe.go
+++ b/adapters/engine/probe.go
@@ -7,6 +7,9 @@
 	"net"
 	"syscall"
 	"time"
+
+	"cyclamenhitch/adapters/sockets"
+	"cyclamenhitch/core/budget"
 )
 
 const (
@@ -33,7 +36,7 @@
 		return known, alive
 	}
 	c.Probes.Add(1)
-	alive = isResponsive(addr)
+	alive = isResponsive(addr, c.Descriptors)
 	c.budgetMu.Lock()
 	c.budget.Record(time.Now(), addr, alive)
 	c.budgetMu.Unlock()
@@ -41,8 +44,8 @@
 }
 
 // isResponsive reports whether a server responds to HTTP on a new connection.
-func isResponsive(addr string) bool {
-	conn, err := net.DialTimeout("tcp", addr, probeTimeout)
+func isResponsive(addr string, share *budget.Share) bool {
+	conn, err := sockets.Dial(share, nil, func() (net.Conn, error) { return net.DialTimeout("tcp", addr, probeTimeout) })
 	if err != nil {
 		return false
 	}
@@ -61,8 +64,8 @@
 // RefusesConnections reports whether the host at addr answers and no process listens
 // there. It returns false if that cannot be told within the timeout, for example because
 // the host is down or unreachable.
-func RefusesConnections(addr string, timeout time.Duration) bool {
-	conn, err := net.DialTimeout("tcp", addr, timeout)
+func RefusesConnections(addr string, timeout time.Duration, share *budget.Share) bool {
+	conn, err := sockets.Dial(share, nil, func() (net.Conn, error) { return net.DialTimeout("tcp", addr, timeout) })
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
--- a/adapters/feed/feed.go
+++ b/adapters/feed/feed.go
@@ -13,6 +13,7 @@
 
 	"cyclamenhitch/adapters/feed/feedpb"
 	"cyclamenhitch/adapters/httpcall"
+	"cyclamenhitch/core/budget"
 	"cyclamenhitch/core/feedlog"
 	"cyclamenhitch/core/freshness"
 	"cyclamenhitch/core/result"
@@ -136,6 +137,9 @@
 	return &Pool{httpcall.New(maxResponseBytes, callTimeout)}
 }
 
+// SetDescriptors makes each new connection take a descriptor of share.
+func (p *Pool) SetDescriptors(share *budget.Share) { p.http.SetDescriptors(share) }
+
 // NewClient returns a client for the instance at a host:port address.
 func (p *Pool) NewClient(address string) *Client { return &Client{Address: address, http: p.http} }
 
--- a/adapters/httpapi/conns.go
+++ b/adapters/httpapi/conns.go
@@ -8,13 +8,17 @@
 	"sync"
 	"time"
 
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"cyclamenhitch/adapters/sockets"
 	"cyclamenhitch/core/result"
 )
 
 // callerListener limits the number of caller connections, in total and per address,
 // and watches the accepted ones for disconnects.
 type callerListener struct {
-	net.Listener
+	*sockets.Listener
 	limits      Limits
 	disconnects *disconnectWatcher
 
@@ -23,12 +27,13 @@
 	perIP map[netip.Addr]int
 }
 
-func newCallerListener(ln net.Listener, l Limits) (*callerListener, error) {
+func newCallerListener(ln net.Listener, l Limits, log *zap.Logger) (*callerListener, error) {
 	w, err := newDisconnectWatcher()
 	if err != nil {
 		return nil, err
 	}
-	return &callerListener{Listener: ln, limits: l, disconnects: w, perIP: map[netip.Addr]int{}}, nil
+	accepting := &sockets.Listener{Listener: ln, Share: l.Descriptors, Relieve: l.Relieve, Full: refuseConnection, Log: log}
+	return &callerListener{Listener: accepting, limits: l, disconnects: w, perIP: map[netip.Addr]int{}}, nil
 }
 
 func (l *callerListener) stop() { l.disconnects.stop() }
@@ -60,7 +65,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	perIP := l.limits.MaxConnectionsPerIP
-	if l.open >= l.limits.MaxConnections || perIP > 0 && l.perIP[ip] >= perIP {
+	if l.limits.MaxConnections > 0 && l.open >= l.limits.MaxConnections || perIP > 0 && l.perIP[ip] >= perIP {
 		return false
 	}
 	l.open++
@@ -91,6 +96,9 @@
 	l  *callerListener
 	ip netip.Addr
 	id uint64
+	// evicted is set if the connection was closed for being idle before the request that is
+	// being served was read. It belongs to the goroutine that serves the connection.
+	evicted bool
 
 	mu           sync.Mutex
 	disconnected bool
@@ -122,6 +130,18 @@
 	return c.Conn.Close()
 }
 
+// trackCaller tells the listener whether the connection waits for a request.
+func trackCaller(nc net.Conn, state fasthttp.ConnState) {
+	if state != fasthttp.StateActive && state != fasthttp.StateIdle {
+		return
+	}
+	if c, ok := nc.(*callerConn); ok {
+		if accepted, ok := c.Conn.(*sockets.Conn); ok {
+			c.evicted = !accepted.SetIdle(state == fasthttp.StateIdle)
+		}
+	}
+}
+
 // setOnDisconnect sets the function to call when the caller disconnects. It is called
 // immediately if the caller has already disconnected; nil removes it.
 func (c *callerConn) setOnDisconnect(cancel context.CancelFunc) {
--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -59,6 +59,13 @@
 type Limits struct {
 	MaxBodyBytes, MaxHeaderBytes, MaxConnections, MaxConnectionsPerIP int
 	ReadTimeout, WriteTimeout, IdleTimeout                            time.Duration
+	// Descriptors is taken by each connection; nil means no limit besides MaxConnections,
+	// which is not limited if 0. The connection that has been idle for longest is closed
+	// for a new one.
+	Descriptors *budget.Share
+	// Relieve, unless nil, closes an idle connection to a server if no caller's is idle, and
+	// reports whether it did.
+	Relieve func() bool
 }
 
 // Server serves callers.
@@ -83,6 +90,7 @@
 
 	// srv is set when Serve begins; Shutdown may run on another goroutine.
 	srv      atomic.Pointer[fasthttp.Server]
+	conns    atomic.Pointer[callerListener]
 	running  atomic.Int64
 	served   atomic.Uint64
 	baseOnce sync.Once
@@ -117,22 +125,28 @@
 // Serve accepts connections until Shutdown.
 func (s *Server) Serve(ln net.Listener, l Limits) error {
 	srv := s.newHTTP(l)
-	conns, err := newCallerListener(ln, l)
+	conns, err := newCallerListener(ln, l, s.Log)
 	if err != nil {
 		return err
 	}
 	defer conns.stop()
+	s.conns.Store(conns)
 	s.srv.Store(srv)
 	return srv.Serve(conns)
 }
 
 func (s *Server) newHTTP(l Limits) *fasthttp.Server {
+	concurrency := 0 // the library's default
+	if l.MaxConnections > 0 {
+		concurrency = l.MaxConnections + 1 // the listener refuses earlier, with an error code
+	}
 	return &fasthttp.Server{
 		Handler:            s.handle,
+		ConnState:          trackCaller,
 		Name:               "cyclamenhitch",
 		ReadTimeout:        l.ReadTimeout,
 		IdleTimeout:        l.IdleTimeout,
-		Concurrency:        l.MaxConnections + 1, // the listener refuses earlier, with an error code
+		Concurrency:        concurrency,
 		MaxRequestBodySize: l.MaxBodyBytes,
 		ReadBufferSize:     l.MaxHeaderBytes,
 		// Returns the read buffer of max_header_bytes to a pool while a request
@@ -150,6 +164,13 @@
 	}
 }
 
+// CloseOldestIdle closes the caller connection that has been idle for longest. It reports
+// false if none is idle.
+func (s *Server) CloseOldestIdle() bool {
+	conns := s.conns.Load()
+	return conns != nil && conns.CloseOldestIdle()
+}
+
 // debugLogger logs the library's messages at level debug.
 type debugLogger struct{ log *zap.Logger }
 
@@ -249,6 +270,11 @@
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
+	if c, ok := ctx.Conn().(*callerConn); ok && c.evicted {
+		s.writeError(ctx, result.New(result.ConnectionLimit, "the connection was closed for being idle").WithRetryAfter(time.Second))
+		ctx.SetConnectionClose()
+		return
+	}
 	if s.stopping.Load() {
 		e := result.New(result.Stopping, "the instance is stopping")
 		s.logRefused(ctx, e)
--- a/adapters/httpcall/httpcall.go
+++ b/adapters/httpcall/httpcall.go
@@ -5,26 +5,40 @@
 import (
 	"bytes"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"cyclamenhitch/adapters/sockets"
+	"cyclamenhitch/core/budget"
 )
 
 // idleTimeout limits the idle time of a connection.
 const idleTimeout = 10 * time.Second
 
 // Client is a client for GET calls. It is safe for concurrent use.
-type Client struct{ http *fasthttp.Client }
+type Client struct {
+	http        *fasthttp.Client
+	descriptors atomic.Pointer[budget.Share]
+}
 
 // New returns a client. maxResponse limits the body of a response in bytes, connectTimeout
 // a connect. It opens no connections.
 func New(maxResponse int, connectTimeout time.Duration) *Client {
-	return &Client{&fasthttp.Client{
+	c := &Client{}
+	c.http = &fasthttp.Client{
 		MaxIdleConnDuration: idleTimeout, MaxResponseBodySize: maxResponse, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
-		Dial: func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, connectTimeout) },
-	}}
+		Dial: func(addr string) (net.Conn, error) {
+			return sockets.Dial(c.descriptors.Load(), nil, func() (net.Conn, error) { return fasthttp.DialTimeout(addr, connectTimeout) })
+		},
+	}
+	return c
 }
 
+// SetDescriptors makes each new connection take a descriptor of share.
+func (c *Client) SetDescriptors(share *budget.Share) { c.descriptors.Store(share) }
+
 // Get returns the status and the body of a response that is complete within timeout. When
 // it returns, nothing is read any more: the library's own Get goes on after a timeout until
 // the response ends.
--- a/cmd/internal/edge/crashwatch.go
+++ b/cmd/internal/edge/crashwatch.go
@@ -10,6 +10,7 @@
 
 	"cyclamenhitch/adapters/engine"
 	"cyclamenhitch/adapters/logging"
+	"cyclamenhitch/core/budget"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/manifest"
@@ -35,8 +36,10 @@
 	off bool
 	// incarnation returns the start time of a server.
 	incarnation func(fleet.ServerID) int64
-	meters      *meters
-	log         *zap.Logger
+	// calls is taken by the connect that tells a crashed server from a lost connection.
+	calls  *budget.Share
+	meters *meters
+	log    *zap.Logger
 }
 
 // Open implements gateway.Upstream. After a crash it returns once the crash is recorded,
@@ -65,7 +68,7 @@
 
 // checkCrash records a crash of the server under the request if the server has crashed.
 func (w *crashWatch) checkCrash(req *gateway.Request, srv *manifest.Server) {
-	if !engine.RefusesConnections(srv.Address, crashCheckTimeout) {
+	if !engine.RefusesConnections(srv.Address, crashCheckTimeout, w.calls) {
 		return
 	}
 	w.tracker.Crashed(time.Now(), srv.Pool, quarantine.CrashOf(srv.Name, w.incarnation(srv.Name)), accountHash(req), req.Parts)
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -19,6 +19,7 @@
 	"cyclamenhitch/adapters/httpapi"
 	"cyclamenhitch/adapters/logging"
 	"cyclamenhitch/adapters/settings"
+	"cyclamenhitch/adapters/sockets"
 	"cyclamenhitch/core/budget"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
@@ -48,6 +49,10 @@
 	writeTimeout = 10 * time.Second
 	// callerIdleTimeout exceeds the time for which callers keep idle connections.
 	callerIdleTimeout = 60 * time.Second
+	// auxiliaryIdleTimeout and auxiliaryReadTimeout are those of the listeners beside that of
+	// callers, whose calls are short and which few connections need to outlive.
+	auxiliaryIdleTimeout = 15 * time.Second
+	auxiliaryReadTimeout = 3 * time.Second
 )
 
 // serverKeepAlive detects a server whose machine fails while a response is pending.
@@ -65,6 +70,10 @@
 	caller *httpapi.Server
 	stop   *stopper
 	meters *meters
+	// descriptors is what the process may open.
+	descriptors *budget.Descriptors
+	// closeIdleServer closes an idle connection to a server.
+	closeIdleServer func() bool
 	// crashes keeps requests that crash servers away from them.
 	crashes *crashWatch
 }
@@ -75,8 +84,10 @@
 	if err != nil {
 		return nil, result.Wrap(result.SettingsInvalid, err, "the policy is invalid")
 	}
-	e := &Edge{set: set, log: log, board: placement.NewBalancer(policy), meters: newMeters()}
+	e := &Edge{set: set, log: log, board: placement.NewBalancer(policy), meters: newMeters(), descriptors: budget.NewDescriptors(set.Limits.Descriptors)}
 	e.store = platform.NewStore(set.Store)
+	e.store.Descriptors = e.descriptors.Store
+	e.store.Relieve = func() bool { return e.caller.CloseOldestIdle() }
 	e.store.OnCall = e.meters.observeStoreCall
 	e.view = newView(set, e.store, e.board, log)
 	socket, err := gossip.Listen(set.Listen.Peer)
@@ -92,13 +103,19 @@
 		KeepAlive:   &serverKeepAlive,
 		UserTimeout: unackedTimeout,
 	}
+	client.Descriptors = e.descriptors.Servers
+	client.Relieve = func() bool { return e.caller.CloseOldestIdle() }
+	e.closeIdleServer = client.CloseOldestIdle
+	platform.LimitCalls(e.descriptors.Calls)
+	promptCalls.SetDescriptors(e.descriptors.Calls)
+	e.view.feeds.SetDescriptors(e.descriptors.Calls)
 	memory := budget.NewBytes(int64(responseMemoryShare * float64(set.Limits.MemoryMegabytes<<20)))
 	client.Memory = memory
 	client.OnNotice = (&noticeBoard{board: e.board, log: log}).apply
 	client.MaxPause = settings.Millis(set.Times.MaxPauseMillis)
 	e.crashes = &crashWatch{
 		Upstream: client, tracker: tracker, off: !policy.On(placement.PromptQuarantine),
-		incarnation: e.view.incarnation, meters: e.meters, log: log,
+		calls: e.descriptors.Calls, incarnation: e.view.incarnation, meters: e.meters, log: log,
 	}
 	e.peers.onInstanceCount = func(instances int) {
 		budgets.SetAll(instanceRetryBudget(set, instances))
@@ -152,6 +169,13 @@
 		return ids
 	})
 	e.meters.gauge("prompt_parts", func() any { return e.crashes.tracker.Summary() })
+	e.meters.gauge("descriptors", func() any {
+		shares := map[string]map[string]int64{}
+		for _, s := range e.descriptors.Shares() {
+			shares[s.Name] = map[string]int64{"limit": s.Limit(), "used": s.Used(), "highest": s.Highest(), "refused": s.Refused()}
+		}
+		return shares
+	})
 	e.meters.gauge("servers", func() any { return e.board.Summary(time.Now()) })
 }
 
@@ -199,10 +223,10 @@
 		fn   func(net.Listener) error
 	}{
 		{e.set.Listen.Caller, func(ln net.Listener) error { return e.caller.Serve(ln, e.callerLimits()) }},
-		{e.set.Listen.Ready, auxiliaryServer(platform.ReadinessHandler(e.peers.ready))},
-		{e.set.Listen.Directory, auxiliaryServer(directory.Handle)},
-		{e.set.Listen.Peer, auxiliaryServer(e.peers.servePeer((&feed.Server{Log: e.view.sharedLog, ReadStart: e.view.sharedReadStart, Now: clock.SinceBoot}).Handle))},
-		{e.set.Listen.Metrics, auxiliaryServer(e.meters.handle)},
+		{e.set.Listen.Ready, e.auxiliaryServer(e.descriptors.Readiness, platform.ReadinessHandler(e.peers.ready))},
+		{e.set.Listen.Directory, e.auxiliaryServer(e.descriptors.Directory, directory.Handle)},
+		{e.set.Listen.Peer, e.auxiliaryServer(e.descriptors.Peers, e.peers.servePeer((&feed.Server{Log: e.view.sharedLog, ReadStart: e.view.sharedReadStart, Now: clock.SinceBoot}).Handle))},
+		{e.set.Listen.Metrics, e.auxiliaryServer(e.descriptors.Metrics, e.meters.handle)},
 	} {
 		if l.addr == "" {
 			continue
@@ -228,20 +252,22 @@
 	}
 }
 
-// auxiliaryServer returns a serve function for endpoints with few and short calls.
-func auxiliaryServer(h fasthttp.RequestHandler) func(net.Listener) error {
+// auxiliaryServer returns a serve function for endpoints with short calls, whose connections
+// take descriptors of share.
+func (e *Edge) auxiliaryServer(share *budget.Share, h fasthttp.RequestHandler) func(net.Listener) error {
 	srv := &fasthttp.Server{
-		Handler: h, NoDefaultServerHeader: true, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
-		IdleTimeout: callerIdleTimeout, ReduceMemoryUsage: true, CloseOnShutdown: true,
+		Handler: h, NoDefaultServerHeader: true, ReadTimeout: auxiliaryReadTimeout, WriteTimeout: writeTimeout,
+		IdleTimeout: auxiliaryIdleTimeout, ReduceMemoryUsage: true, CloseOnShutdown: true, ConnState: sockets.TrackIdle,
+	}
+	return func(ln net.Listener) error {
+		return srv.Serve(&sockets.Listener{Listener: ln, Share: share, Relieve: e.caller.CloseOldestIdle, Log: e.log})
 	}
-	return srv.Serve
 }
 
 func (e *Edge) callerLimits() httpapi.Limits {
 	return httpapi.Limits{
 		MaxBodyBytes: 4 << 20, MaxHeaderBytes: 16 << 10,
-		// A request may hold one connection to the caller and one to a server.
-		MaxConnections: e.set.Limits.Descriptors * 2 / 5,
-		ReadTimeout:    readTimeout, WriteTimeout: writeTimeout, IdleTimeout: callerIdleTimeout,
+		Descriptors: e.descriptors.Callers, Relieve: e.closeIdleServer,
+		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: callerIdleTimeout,
 	}
 }
--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -4,27 +4,30 @@
 
 import "sync/atomic"
 
-// Bytes is an amount of memory that is shared. A nil Bytes has no limit.
-type Bytes struct {
+// amount is a limited amount of a resource.
+type amount struct {
 	limit                  int64
 	used, highest, refused atomic.Int64
 }
 
-// NewBytes returns a budget of limit bytes.
-func NewBytes(limit int64) *Bytes { return &Bytes{limit: limit} }
+// Limit returns the size of the budget.
+func (b *amount) Limit() int64 { return b.limit }
 
-// Limit returns the size of the budget in bytes.
-func (b *Bytes) Limit() int64 { return b.limit }
+// Used and Highest return what is taken now and the most that was taken at once.
+func (b *amount) Used() int64    { return b.used.Load() }
+func (b *amount) Highest() int64 { return b.highest.Load() }
 
-// Used and Highest return the bytes taken now and the most that were taken at once.
-func (b *Bytes) Used() int64    { return b.used.Load() }
-func (b *Bytes) Highest() int64 { return b.highest.Load() }
+// Refused returns how often a part was refused more.
+func (b *amount) Refused() int64 { return b.refused.Load() }
 
-// Refused returns how often a part was refused more bytes.
-func (b *Bytes) Refused() int64 { return b.refused.Load() }
+// Bytes is an amount of memory that is shared. A nil Bytes has no limit.
+type Bytes struct{ amount }
+
+// NewBytes returns a budget of limit bytes.
+func NewBytes(limit int64) *Bytes { return &Bytes{amount{limit: limit}} }
 
-// take takes n bytes unless that exceeds the limit.
-func (b *Bytes) take(n int64) bool {
+// take takes n unless that exceeds the limit.
+func (b *amount) take(n int64) bool {
 	for {
 		used := b.used.Load()
 		if used+n > b.limit {
@@ -38,7 +41,7 @@
 	}
 }
 
-func (b *Bytes) raiseHighest(used int64) {
+func (b *amount) raiseHighest(used int64) {
 	for {
 		highest := b.highest.Load()
 		if used <= highest || b.highest.CompareAndSwap(highest, used) {
--- /dev/null
+++ b/core/budget/descriptors_test.go
@@ -0,0 +1,61 @@
+package budget
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Guards against shares that together exceed the limit, or that leave a purpose nothing.
+func TestDescriptorShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(256, 20_000).Draw(t, "limit")
+		sum := int64(fixedDescriptors + min(reservedDescriptors, limit/4))
+		d := NewDescriptors(limit)
+		for _, s := range d.Shares() {
+			if s.Limit() < 1 {
+				t.Fatalf("share %s has %d", s.Name, s.Limit())
+			}
+			if s.common == nil {
+				sum += s.Limit()
+			}
+		}
+		for range rapid.IntRange(0, 1000).Draw(t, "servers") {
+			d.Servers.Take()
+		}
+		for d.Callers.Take() {
+			continue
+		}
+		for d.Servers.Take() {
+			continue
+		}
+		if d.Callers.Used() < d.Servers.Limit() && d.Servers.Used() < d.Servers.Limit() {
+			t.Fatalf("%d callers and %d servers", d.Callers.Used(), d.Servers.Used())
+		}
+		sum += d.Callers.Used() + d.Servers.Used()
+		if sum > int64(limit) {
+			t.Fatalf("shares of %d descriptors add up to %d", limit, sum)
+		}
+	})
+}
+
+// Guards against a share that grants more than it has or does not get back what is given.
+func TestShare(t *testing.T) {
+	s := NewDescriptors(256).Readiness
+	for range s.Limit() {
+		if !s.Take() {
+			t.Fatal("refused below the limit")
+		}
+	}
+	if s.Take() {
+		t.Fatal("granted above the limit")
+	}
+	s.Give()
+	if !s.Take() || s.Refused() != 1 || s.Highest() != s.Limit() {
+		t.Errorf("after one was given back: refused %d, highest %d", s.Refused(), s.Highest())
+	}
+	var none *Share
+	if none.Give(); !none.Take() {
+		t.Error("a share without a limit refused")
+	}
+}
