Read a request body once there is room for it in the memory of the instance

Cause: the HTTP server reads the whole body of every connection before the handler, and nothing adds the bodies up. memory_mb was used for responses only.

Change: core/budget.Process divides memory_mb beside descriptors. When the header of a request with more than 16 KB of body has been read, its connection takes the size of the buffer from the budget of bodies; a body in chunks takes it as it grows. Without room the body stays unread for up to 1 s and is then refused as not run (code 3012, 503, Retry-After); the rest of what the caller sends is dropped for up to 2 s so that the refusal arrives. Long bodies (over 256 KB) may take three quarters, so that short requests go on being served, and a quarter of that is kept for accounts that hold less. A body from 256 KB on whose request no second server may run is released once it is sent.

--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -210,7 +210,11 @@
 	if _, err := w.Write(x.req.Body); err != nil {
 		return err
 	}
-	return w.Flush()
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	x.req.BodySent()
+	return nil
 }
 
 // isSafeTarget reports whether path contains no byte that could terminate the request
--- a/adapters/httpapi/conns.go
+++ b/adapters/httpapi/conns.go
@@ -99,6 +99,7 @@
 	// evicted is set if the connection was closed for being idle before the request that is
 	// being served was read. It belongs to the goroutine that serves the connection.
 	evicted bool
+	room    bodyRoom
 
 	mu           sync.Mutex
 	disconnected bool
@@ -124,21 +125,30 @@
 	c.closed = true
 	c.mu.Unlock()
 	if first {
+		if c.room.refused.Load() {
+			c.linger()
+		}
 		c.l.disconnects.remove(c)
 		c.l.releaseSlot(c.ip)
 	}
 	return c.Conn.Close()
 }
 
-// trackCaller tells the listener whether the connection waits for a request.
+// trackCaller tells the listener whether the connection waits for a request, and gives the
+// memory of the last request's body back.
 func trackCaller(nc net.Conn, state fasthttp.ConnState) {
-	if state != fasthttp.StateActive && state != fasthttp.StateIdle {
+	c, ok := nc.(*callerConn)
+	if !ok {
 		return
 	}
-	if c, ok := nc.(*callerConn); ok {
+	switch state {
+	case fasthttp.StateActive, fasthttp.StateIdle:
+		c.releaseRoom()
 		if accepted, ok := c.Conn.(*sockets.Conn); ok {
 			c.evicted = !accepted.SetIdle(state == fasthttp.StateIdle)
 		}
+	case fasthttp.StateClosed:
+		c.releaseRoom()
 	}
 }
 
--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -63,6 +63,10 @@
 	// which is not limited if 0. The connection that has been idle for longest is closed
 	// for a new one.
 	Descriptors *budget.Share
+	// Bodies is taken by the bodies of requests; nil means no limit. A body for which there
+	// is no room waits unread for up to BodyWait and is refused then.
+	Bodies   *budget.Bodies
+	BodyWait time.Duration
 	// Relieve, unless nil, closes an idle connection to a server if no caller's is idle, and
 	// reports whether it did.
 	Relieve func() bool
@@ -96,6 +100,9 @@
 	baseOnce sync.Once
 	base     context.Context
 	abort    context.CancelCauseFunc
+	// roomLogged is when a body was last logged as refused, in ns since 1970.
+	roomLogged atomic.Int64
+
 	draining atomic.Bool
 	stopping atomic.Bool
 }
@@ -147,6 +154,7 @@
 		ReadTimeout:        l.ReadTimeout,
 		IdleTimeout:        l.IdleTimeout,
 		Concurrency:        concurrency,
+		HeaderReceived:     s.onHeader,
 		MaxRequestBodySize: l.MaxBodyBytes,
 		ReadBufferSize:     l.MaxHeaderBytes,
 		// Returns the read buffer of max_header_bytes to a pool while a request
@@ -214,7 +222,11 @@
 	var small *fasthttp.ErrSmallBuffer
 	var ne net.Error
 	e := result.New(result.BadRequest, "request is not valid HTTP")
+	c, _ := ctx.Conn().(*callerConn)
 	switch {
+	case c != nil && c.room.refused.Load():
+		e = noRoom()
+		s.logNoRoom(c)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		e = result.New(result.BodyTooLarge, "request body is over the size limit")
 	case errors.As(err, &small):
@@ -249,6 +261,12 @@
 		s.writeError(ctx, e)
 		return
 	}
+	if c, ok := ctx.Conn().(*callerConn); ok {
+		req.ReleaseBody = func() {
+			ctx.Request.ResetBody()
+			c.releaseRoom()
+		}
+	}
 	s.run(ctx, req)
 }
 
@@ -270,6 +288,7 @@
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
+	keepFromPool(&ctx.Request)
 	if c, ok := ctx.Conn().(*callerConn); ok && c.evicted {
 		s.writeError(ctx, result.New(result.ConnectionLimit, "the connection was closed for being idle").WithRetryAfter(time.Second))
 		ctx.SetConnectionClose()
--- a/adapters/sockets/listener.go
+++ b/adapters/sockets/listener.go
@@ -214,5 +214,13 @@
 	return err
 }
 
+// CloseWrite ends the sending side of the connection.
+func (c *Conn) CloseWrite() error {
+	if w, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return w.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
--- a/cmd/cyclamenhitchd/main.go
+++ b/cmd/cyclamenhitchd/main.go
@@ -71,6 +71,9 @@
 	}
 	if cli.Check {
 		fmt.Println("settings are valid")
+		for _, line := range edge.Shares(set) {
+			fmt.Println(line)
+		}
 		return 0
 	}
 	heap.SetLimit(int64(set.Limits.MemoryMegabytes) << 20)
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -40,10 +40,8 @@
 	unackedTimeout = 1500 * time.Millisecond
 	// maxResponseBytes limits a response that is not streamed.
 	maxResponseBytes = 8 << 20
-	// responseMemoryShare is the fraction of the process's memory for the bodies of
-	// responses under way. The collector may let the heap grow to twice what is in use, and
-	// requests, connections and the tables of the fleet need the rest.
-	responseMemoryShare = 0.25
+	// bodyWait is how long a body may wait unread until there is room for it.
+	bodyWait = time.Second
 	// readTimeout limits reading one request, writeTimeout each write to a caller.
 	readTimeout  = 10 * time.Second
 	writeTimeout = 10 * time.Second
@@ -70,8 +68,8 @@
 	caller *httpapi.Server
 	stop   *stopper
 	meters *meters
-	// descriptors is what the process may open.
-	descriptors *budget.Descriptors
+	// budget is what the process may hold.
+	budget *budget.Process
 	// closeIdleServer closes an idle connection to a server.
 	closeIdleServer func() bool
 	// crashes keeps requests that crash servers away from them.
@@ -84,9 +82,9 @@
 	if err != nil {
 		return nil, result.Wrap(result.SettingsInvalid, err, "the policy is invalid")
 	}
-	e := &Edge{set: set, log: log, board: placement.NewBalancer(policy), meters: newMeters(), descriptors: budget.NewDescriptors(set.Limits.Descriptors)}
+	e := &Edge{set: set, log: log, board: placement.NewBalancer(policy), meters: newMeters(), budget: newBudget(set)}
 	e.store = platform.NewStore(set.Store)
-	e.store.Descriptors = e.descriptors.Store
+	e.store.Descriptors = e.budget.Store
 	e.store.Relieve = func() bool { return e.caller.CloseOldestIdle() }
 	e.store.OnCall = e.meters.observeStoreCall
 	e.view = newView(set, e.store, e.board, log)
@@ -103,19 +101,19 @@
 		KeepAlive:   &serverKeepAlive,
 		UserTimeout: unackedTimeout,
 	}
-	client.Descriptors = e.descriptors.Servers
+	client.Descriptors = e.budget.Servers
 	client.Relieve = func() bool { return e.caller.CloseOldestIdle() }
 	e.closeIdleServer = client.CloseOldestIdle
-	platform.LimitCalls(e.descriptors.Calls)
-	promptCalls.SetDescriptors(e.descriptors.Calls)
-	e.view.feeds.SetDescriptors(e.descriptors.Calls)
-	memory := budget.NewBytes(int64(responseMemoryShare * float64(set.Limits.MemoryMegabytes<<20)))
+	platform.LimitCalls(e.budget.Calls)
+	promptCalls.SetDescriptors(e.budget.Calls)
+	e.view.feeds.SetDescriptors(e.budget.Calls)
+	memory := e.budget.Responses
 	client.Memory = memory
 	client.OnNotice = (&noticeBoard{board: e.board, log: log}).apply
 	client.MaxPause = settings.Millis(set.Times.MaxPauseMillis)
 	e.crashes = &crashWatch{
 		Upstream: client, tracker: tracker, off: !policy.On(placement.PromptQuarantine),
-		calls: e.descriptors.Calls, incarnation: e.view.incarnation, meters: e.meters, log: log,
+		calls: e.budget.Calls, incarnation: e.view.incarnation, meters: e.meters, log: log,
 	}
 	e.peers.onInstanceCount = func(instances int) {
 		budgets.SetAll(instanceRetryBudget(set, instances))
@@ -145,6 +143,13 @@
 	return e, nil
 }
 
+func newBudget(set *settings.Edge) *budget.Process {
+	return budget.NewProcess(set.Limits.Descriptors, int64(set.Limits.MemoryMegabytes)<<20)
+}
+
+// Shares describes what an instance with these settings may hold, one share a line.
+func Shares(set *settings.Edge) []string { return newBudget(set).Lines() }
+
 // publishGauges publishes the state of the instance as metrics.
 func (e *Edge) publishGauges() {
 	e.meters.gauge("instance", func() any { return e.set.Instance })
@@ -169,9 +174,14 @@
 		return ids
 	})
 	e.meters.gauge("prompt_parts", func() any { return e.crashes.tracker.Summary() })
+	e.meters.gauge("request_memory", func() any {
+		return map[string]int64{
+			"limit_bytes": e.budget.Bodies.Limit(), "used_bytes": e.budget.Bodies.Used(), "highest_bytes": e.budget.Bodies.Highest(), "refused": e.budget.Bodies.Refused(),
+		}
+	})
 	e.meters.gauge("descriptors", func() any {
 		shares := map[string]map[string]int64{}
-		for _, s := range e.descriptors.Shares() {
+		for _, s := range e.budget.Shares() {
 			shares[s.Name] = map[string]int64{"limit": s.Limit(), "used": s.Used(), "highest": s.Highest(), "refused": s.Refused()}
 		}
 		return shares
@@ -223,10 +233,10 @@
 		fn   func(net.Listener) error
 	}{
 		{e.set.Listen.Caller, func(ln net.Listener) error { return e.caller.Serve(ln, e.callerLimits()) }},
-		{e.set.Listen.Ready, e.auxiliaryServer(e.descriptors.Readiness, platform.ReadinessHandler(e.peers.ready))},
-		{e.set.Listen.Directory, e.auxiliaryServer(e.descriptors.Directory, directory.Handle)},
-		{e.set.Listen.Peer, e.auxiliaryServer(e.descriptors.Peers, e.peers.servePeer((&feed.Server{Log: e.view.sharedLog, ReadStart: e.view.sharedReadStart, Now: clock.SinceBoot}).Handle))},
-		{e.set.Listen.Metrics, e.auxiliaryServer(e.descriptors.Metrics, e.meters.handle)},
+		{e.set.Listen.Ready, e.auxiliaryServer(e.budget.Readiness, platform.ReadinessHandler(e.peers.ready))},
+		{e.set.Listen.Directory, e.auxiliaryServer(e.budget.Directory, directory.Handle)},
+		{e.set.Listen.Peer, e.auxiliaryServer(e.budget.Peers, e.peers.servePeer((&feed.Server{Log: e.view.sharedLog, ReadStart: e.view.sharedReadStart, Now: clock.SinceBoot}).Handle))},
+		{e.set.Listen.Metrics, e.auxiliaryServer(e.budget.Metrics, e.meters.handle)},
 	} {
 		if l.addr == "" {
 			continue
@@ -267,7 +277,7 @@
 func (e *Edge) callerLimits() httpapi.Limits {
 	return httpapi.Limits{
 		MaxBodyBytes: 4 << 20, MaxHeaderBytes: 16 << 10,
-		Descriptors: e.descriptors.Callers, Relieve: e.closeIdleServer,
+		Bodies: e.budget.Bodies, BodyWait: bodyWait, Descriptors: e.budget.Callers, Relieve: e.closeIdleServer,
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: callerIdleTimeout,
 	}
 }
--- a/core/budget/descriptors_test.go
+++ b/core/budget/descriptors_test.go
@@ -59,3 +59,20 @@
 		t.Error("a share without a limit refused")
 	}
 }
+
+// Guards against shares of the memory that together exceed it, or leave no room for the
+// largest request.
+func TestProcessMemory(t *testing.T) {
+	for _, megabytes := range []int64{128, 256, 284, 4096} {
+		p := NewProcess(4100, megabytes<<20)
+		if sum := baseBytes + p.Bodies.Limit() + p.Responses.Limit(); sum > megabytes<<20 {
+			t.Errorf("%d MB: shares add up to %d", megabytes, sum)
+		}
+		if ok, _ := p.Bodies.Take(1, 8<<20); !ok {
+			t.Errorf("%d MB: no room for a body of 4 MB in chunks", megabytes)
+		}
+		if got := len(p.Lines()); got != len(p.Shares())+3 {
+			t.Errorf("%d lines", got)
+		}
+	}
+}
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -239,7 +239,7 @@
 		t.runs++
 		t.req.MayHaveRun = true
 	}
-	if t.lost >= maxLostAttempts || !retry.Eligible(t.req.Idempotent, e.Outcome) || t.runs >= t.maxRuns() || t.sends >= maxAttempts || t.ctx.Err() != nil {
+	if t.req.bodyReleased || t.lost >= maxLostAttempts || !retry.Eligible(t.req.Idempotent, e.Outcome) || t.runs >= t.maxRuns() || t.sends >= maxAttempts || t.ctx.Err() != nil {
 		return false
 	}
 	if t.g.Placer == nil && len(t.ranked) == 0 {
--- a/core/gateway/ports.go
+++ b/core/gateway/ports.go
@@ -36,6 +36,10 @@
 	Path   string
 	Fields []Field
 	Body   []byte
+	// ReleaseBody, unless nil, is called once a large body has been sent and no other server
+	// may run the request. Body is empty from then on.
+	ReleaseBody  func()
+	bodyReleased bool
 	// Stream requests server-sent events.
 	Stream bool
 	// Idempotent allows retries after bytes may have reached a server.
@@ -200,3 +204,15 @@
 
 // Clock returns the current time.
 type Clock func() time.Time
+
+// releasableBytes is the size in bytes from which a body is released once it is sent.
+const releasableBytes = 256 << 10
+
+// BodySent tells that the whole body has been handed to the connection to a server.
+func (r *Request) BodySent() {
+	if r.ReleaseBody == nil || len(r.Body) < releasableBytes || r.Idempotent || r.Resumable || r.MaxRuns != 1 {
+		return
+	}
+	r.Body, r.bodyReleased = nil, true
+	r.ReleaseBody()
+}
