--- a/adapters/httpapi/bodyroom.go
+++ b/adapters/httpapi/bodyroom.go
@@ -46,6 +46,8 @@
 	chunked bool
 	read    int64
 	refused atomic.Bool
+	// waited is how long the body waited unread, which counts towards the caller's deadline.
+	waited time.Duration
 }
 
 // bufferSize returns the size of the buffer that the HTTP server uses for a body.
@@ -91,6 +93,7 @@
 	ok, freed := bodies.Take(c.room.account, more)
 	if !ok && c.l.limits.BodyWait > 0 && bodies.Wait() {
 		defer bodies.Waited()
+		begin := time.Now()
 		limit := time.NewTimer(c.l.limits.BodyWait)
 		defer limit.Stop()
 		for expired := false; !ok && !expired; {
@@ -101,6 +104,7 @@
 				expired = true
 			}
 		}
+		c.room.waited += time.Since(begin)
 	}
 	if !ok {
 		c.room.refused.Store(true)
@@ -116,7 +120,7 @@
 		c.l.limits.Bodies.Give(c.room.account, n)
 	}
 	c.room.parts, c.room.taken = c.room.parts[:0], 0
-	c.room.chunked, c.room.read = false, 0
+	c.room.chunked, c.room.read, c.room.waited = false, 0, 0
 }
 
 // Read implements net.Conn. It takes room for a body of unknown length as the body comes in.
--- a/adapters/httpapi/bodyroom_test.go
+++ b/adapters/httpapi/bodyroom_test.go
@@ -25,10 +25,11 @@
 )
 
 // startWithBodies starts a server whose requests run until finish is called for each.
-func startWithBodies(t *testing.T, wait time.Duration) (addr string, bodies *budget.Bodies, started chan int, finish chan struct{}) {
+func startWithBodies(t *testing.T, wait time.Duration) (addr string, bodies *budget.Bodies, started chan int, remaining chan time.Duration, finish chan struct{}) {
 	t.Helper()
-	started, finish = make(chan int, 100), make(chan struct{}, 100)
+	started, remaining, finish = make(chan int, 100), make(chan time.Duration, 100), make(chan struct{}, 100)
 	o := &fakeOpener{open: func(ctx context.Context, req *gateway.Request) (gateway.Response, error) {
+		remaining <- time.Until(req.Deadline)
 		started <- len(req.Body)
 		if len(req.Body) >= longBodyBytes {
 			<-finish
@@ -38,7 +39,7 @@
 	bodies = budget.NewBodies(bodyBudget)
 	l := testLimits()
 	l.MaxBodyBytes, l.Bodies, l.BodyWait = 4<<20, bodies, wait
-	return serve(t, &Server{Opener: o, Admission: allowAll{}, Log: zap.NewNop(), Frontend: testFrontend{}}, l), bodies, started, finish
+	return serve(t, &Server{Opener: o, Admission: allowAll{}, Log: zap.NewNop(), Frontend: testFrontend{}}, l), bodies, started, remaining, finish
 }
 
 // post sends a request and returns its status. Whether all of the body could be sent does not
@@ -72,7 +73,7 @@
 // the caller as a reset or after the request ran, and against short requests that are refused
 // with them.
 func TestBodiesWithoutRoom(t *testing.T) {
-	addr, bodies, started, finish := startWithBodies(t, 0)
+	addr, bodies, started, _, finish := startWithBodies(t, 0)
 	first := make(chan int)
 	go func() { first <- post(t, addr, longBodyBytes, false) }()
 	<-started
@@ -109,15 +110,24 @@
 	}
 }
 
-// Guards against a body that is refused although room is freed while it waits.
+// Guards against a body that is refused although room is freed while it waits, and against a
+// deadline that is extended by the wait.
 func TestBodyWaitsForRoom(t *testing.T) {
-	addr, bodies, started, finish := startWithBodies(t, testTimeout)
+	addr, bodies, started, remaining, finish := startWithBodies(t, testTimeout)
+	const pause = 100 * time.Millisecond
 	results := make(chan int)
 	for range 3 {
 		go func() { results <- post(t, addr, longBodyBytes, false) }()
 	}
-	for range 3 {
+	for i := range 3 {
 		<-started
+		if left := <-remaining; left > testTimeout-time.Duration(i)*time.Millisecond {
+			t.Errorf("request %d has %v left", i, left)
+		}
+		for bodies.Refused() < 2 { // until the others wait
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(pause)
 		finish <- struct{}{}
 	}
 	for range 3 {
@@ -133,7 +143,7 @@
 
 // Guards against room that is lost when a caller leaves within its body.
 func TestRoomOfAbandonedBody(t *testing.T) {
-	addr, bodies, _, _ := startWithBodies(t, 0)
+	addr, bodies, _, _, _ := startWithBodies(t, 0)
 	for _, head := range []string{"Content-Length: 1000000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\nfffff\r\n"} {
 		c, err := net.Dial("tcp", addr)
 		if err != nil {
--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -262,6 +262,7 @@
 		return
 	}
 	if c, ok := ctx.Conn().(*callerConn); ok {
+		req.Deadline = req.Deadline.Add(-c.room.waited)
 		req.ReleaseBody = func() {
 			ctx.Request.ResetBody()
 			c.releaseRoom()
