--- a/adapters/httpapi/calls.go
+++ b/adapters/httpapi/calls.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"cyclamenhitch/adapters/logging"
+	"cyclamenhitch/adapters/sockets"
 )
 
 // callPhase is the progress of the call that a caller connection carries.
@@ -121,11 +122,21 @@
 }
 
 // trackConnection is called by the HTTP server. A connection becomes idle after the response
-// was flushed; callerConn.Close covers connections that end with their response.
+// was flushed; callerConn.Close covers connections that end with their response. The listener
+// is told which connections wait for a request, and the memory of the last request's body is
+// given back.
 func (s *Server) trackConnection(nc net.Conn, state fasthttp.ConnState) {
-	if c, ok := nc.(*callerConn); ok && state == fasthttp.StateIdle {
+	c, ok := nc.(*callerConn)
+	if !ok || state == fasthttp.StateNew {
+		return
+	}
+	if state == fasthttp.StateIdle {
 		c.endCall()
 	}
+	c.releaseRoom()
+	if accepted, ok := c.Conn.(*sockets.Conn); ok && state != fasthttp.StateClosed {
+		c.evicted = !accepted.SetIdle(state == fasthttp.StateIdle)
+	}
 }
 
 // maxWriteBuffer is requested for the kernel buffer of a response that is handed to the kernel.
--- a/adapters/httpapi/conns.go
+++ b/adapters/httpapi/conns.go
@@ -11,13 +11,14 @@
 	"sync"
 	"time"
 
+	"cyclamenhitch/adapters/sockets"
 	"cyclamenhitch/core/result"
 )
 
 // callerListener limits the number of caller connections, in total and per address,
 // and watches the accepted ones for disconnects.
 type callerListener struct {
-	net.Listener
+	*sockets.Listener
 	srv         *Server
 	limits      Limits
 	disconnects *disconnectWatcher
@@ -32,8 +33,9 @@
 	if err != nil {
 		return nil, err
 	}
+	accepting := &sockets.Listener{Listener: ln, Share: l.Descriptors, Relieve: l.Relieve, Full: refuseConnection, Log: srv.Log}
 	return &callerListener{
-		Listener: ln, srv: srv, limits: l, disconnects: w, open: map[*callerConn]struct{}{}, perIP: map[netip.Addr]int{},
+		Listener: accepting, srv: srv, limits: l, disconnects: w, open: map[*callerConn]struct{}{}, perIP: map[netip.Addr]int{},
 	}, nil
 }
 
@@ -66,7 +68,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	perIP := l.limits.MaxConnectionsPerIP
-	if len(l.open) >= l.limits.MaxConnections || perIP > 0 && l.perIP[c.ip] >= perIP {
+	if l.limits.MaxConnections > 0 && len(l.open) >= l.limits.MaxConnections || perIP > 0 && l.perIP[c.ip] >= perIP {
 		return false
 	}
 	l.open[c] = struct{}{}
@@ -104,6 +106,10 @@
 	l  *callerListener
 	ip netip.Addr
 	id uint64
+	// evicted is set if the connection was closed for being idle before the request that is
+	// being served was read. It belongs to the goroutine that serves the connection.
+	evicted bool
+	room    bodyRoom
 
 	mu           sync.Mutex
 	disconnected bool
@@ -132,8 +138,12 @@
 	c.closed = true
 	c.mu.Unlock()
 	if first {
-		if c.endCall() {
-			c.discardInput()
+		answered := c.endCall()
+		switch {
+		case c.room.refused.Load():
+			c.discardInput(bodyLingerTime)
+		case answered:
+			c.discardInput(lingerTime)
 		}
 		c.l.disconnects.remove(c)
 		c.l.releaseSlot(c)
@@ -144,15 +154,15 @@
 // lingerTime limits how long a connection that was closed after a response is read.
 const lingerTime = 500 * time.Millisecond
 
-// discardInput ends the connection's output and reads what the caller has sent after its
-// request. The kernel resets a connection that is closed with unread input, which loses the
-// part of the response that the caller has not received.
-func (c *callerConn) discardInput() {
+// discardInput ends the connection's output and reads for a time what the caller has sent after
+// its request, or of a body that was refused. The kernel resets a connection that is closed with
+// unread input, which loses the part of the response that the caller has not received.
+func (c *callerConn) discardInput(limit time.Duration) {
 	w, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok || w.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
+	if !ok || w.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(limit)) != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, struct{ io.Reader }{c.Conn}) // ends with the input, a reset or the deadline
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes)) // ends with the input, a reset or the deadline
 }
 
 // setOnDisconnect sets the function to call when the caller disconnects. It is called
--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -59,6 +59,17 @@
 type Limits struct {
 	MaxBodyBytes, MaxHeaderBytes, MaxConnections, MaxConnectionsPerIP int
 	ReadTimeout, WriteTimeout, IdleTimeout                            time.Duration
+	// Descriptors is taken by each connection; nil means no limit besides MaxConnections,
+	// which is not limited if 0. The connection that has been idle for longest is closed
+	// for a new one.
+	Descriptors *budget.Share
+	// Bodies is taken by the bodies of requests; nil means no limit. A body for which there
+	// is no room waits unread for up to BodyWait and is refused then.
+	Bodies   *budget.Bodies
+	BodyWait time.Duration
+	// Relieve, unless nil, closes an idle connection to a server if no caller's is idle, and
+	// reports whether it did.
+	Relieve func() bool
 }
 
 // Server serves callers.
@@ -90,8 +101,11 @@
 	baseOnce               sync.Once
 	base                   context.Context
 	abort                  context.CancelCauseFunc
-	draining               atomic.Bool
-	stopping               atomic.Bool
+	// roomLogged is when a body was last logged as refused, in ns since 1970.
+	roomLogged atomic.Int64
+
+	draining atomic.Bool
+	stopping atomic.Bool
 }
 
 // Observation holds the result and timing of a finished request.
@@ -130,12 +144,17 @@
 }
 
 func (s *Server) newHTTP(l Limits) *fasthttp.Server {
+	concurrency := 0 // the library's default
+	if l.MaxConnections > 0 {
+		concurrency = l.MaxConnections + 1 // the listener refuses earlier, with an error code
+	}
 	return &fasthttp.Server{
 		Handler:            s.handle,
 		Name:               "cyclamenhitch",
 		ReadTimeout:        l.ReadTimeout,
 		IdleTimeout:        l.IdleTimeout,
-		Concurrency:        l.MaxConnections + 1, // the listener refuses earlier, with an error code
+		Concurrency:        concurrency,
+		HeaderReceived:     s.onHeader,
 		MaxRequestBodySize: l.MaxBodyBytes,
 		ReadBufferSize:     l.MaxHeaderBytes,
 		// Returns the read buffer of max_header_bytes to a pool while a request
@@ -154,6 +173,13 @@
 	}
 }
 
+// CloseOldestIdle closes the caller connection that has been idle for longest. It reports
+// false if none is idle.
+func (s *Server) CloseOldestIdle() bool {
+	conns := s.conns.Load()
+	return conns != nil && conns.CloseOldestIdle()
+}
+
 // debugLogger logs the library's messages at level debug.
 type debugLogger struct{ log *zap.Logger }
 
@@ -236,7 +262,11 @@
 	var small *fasthttp.ErrSmallBuffer
 	var ne net.Error
 	e := result.New(result.BadRequest, "request is not valid HTTP")
+	c, _ := ctx.Conn().(*callerConn)
 	switch {
+	case c != nil && c.room.refused.Load():
+		e = noRoom()
+		s.logNoRoom(c)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		e = result.New(result.BodyTooLarge, "request body is over the size limit")
 	case errors.As(err, &small):
@@ -271,6 +301,13 @@
 		s.writeError(ctx, e)
 		return
 	}
+	if c, ok := ctx.Conn().(*callerConn); ok {
+		req.Deadline = req.Deadline.Add(-c.room.waited)
+		req.ReleaseBody = func() {
+			ctx.Request.ResetBody()
+			c.releaseRoom()
+		}
+	}
 	s.run(ctx, req)
 }
 
@@ -294,6 +331,12 @@
 	if s.draining.Load() {
 		ctx.SetConnectionClose()
 	}
+	keepFromPool(&ctx.Request)
+	if c, ok := ctx.Conn().(*callerConn); ok && c.evicted {
+		s.writeError(ctx, result.New(result.ConnectionLimit, "the connection was closed for being idle").WithRetryAfter(time.Second))
+		ctx.SetConnectionClose()
+		return
+	}
 	if s.stopping.Load() {
 		e := result.New(result.Stopping, "the instance is stopping")
 		s.logRefused(ctx, e)
--- a/cmd/internal/edge/crashwatch.go
+++ b/cmd/internal/edge/crashwatch.go
@@ -10,6 +10,7 @@
 
 	"cyclamenhitch/adapters/engine"
 	"cyclamenhitch/adapters/logging"
+	"cyclamenhitch/core/budget"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/manifest"
@@ -38,8 +39,10 @@
 	incarnation func(fleet.ServerID) int64
 	// onEvidence is called after new evidence. It must not block.
 	onEvidence func()
-	meters     *meters
-	log        *zap.Logger
+	// calls is taken by the connect that tells a crashed server from a lost connection.
+	calls  *budget.Share
+	meters *meters
+	log    *zap.Logger
 }
 
 // Open implements gateway.Upstream. After a crash it returns once the crash is recorded,
@@ -70,7 +73,7 @@
 
 // checkCrash records a crash of the server under the request if the server has crashed.
 func (w *crashWatch) checkCrash(req *gateway.Request, srv *manifest.Server, a verdict.Attempt) {
-	a.PortRefuses = engine.RefusesConnections(srv.Address, crashCheckTimeout)
+	a.PortRefuses = engine.RefusesConnections(srv.Address, crashCheckTimeout, w.calls)
 	if verdict.Judge(a).Parts != verdict.PartsStruck {
 		return
 	}
