Tell started instances all blocked parts at once

An instance that started again while the store was silent learned blocked parts by turns, one a second from each peer. With twenty parts at fault its requests went on to servers: six servers ended under one repeated request (bound three).

An instance that hears of a new incarnation of a peer now reports all blocked parts again, and does so early.

TestFleetStaysWithinServersPerRequest plays requests that crash servers in virtual time, at 9 and 60 instances with reports that take 200 to 500 ms: alone, two kinds, crashes with other causes, restarts with the store silent, all together, and twenty kinds with restarts. Evidence that no other instance has heard when its instance ends is lost; the test counts these crashes apart. Callers repeat after 500 ms and more there.

--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -61,8 +61,10 @@
 
 	mu sync.Mutex
 	// learned holds the cache contents that this instance learned from engines.
-	learned       []placement.Placement
-	echo          map[fleet.InstanceID]freshness.Instant
+	learned []placement.Placement
+	echo    map[fleet.InstanceID]freshness.Instant
+	// incarnations are those that the peers last reported.
+	incarnations  map[fleet.InstanceID]uint64
 	live          map[fleet.InstanceID]bool
 	loggedServing bool // whether the last report said serving
 }
@@ -72,7 +74,7 @@
 		set: set, socket: socket, view: v, board: b, tracker: tracker, log: log, roster: roster.New(set.Instance),
 		incarnation: uint64(time.Now().UnixNano()), echo: map[fleet.InstanceID]freshness.Instant{},
 		live: map[fleet.InstanceID]bool{}, paces: map[fleet.PoolID]float64{},
-		evidence: make(chan struct{}, 1),
+		evidence: make(chan struct{}, 1), incarnations: map[fleet.InstanceID]uint64{},
 	}
 	p.relay = newRelay(p.roster, b, set.DataCentre, p.incarnation)
 	return p
@@ -240,7 +242,12 @@
 	}
 	p.mu.Lock()
 	p.echo[r.From.ID] = r.Sent
+	started := p.incarnations[r.From.ID] != r.From.Incarnation
+	p.incarnations[r.From.ID] = r.From.Incarnation
 	p.mu.Unlock()
+	if started && p.tracker.ReportAgain(now) {
+		p.reportSoon()
+	}
 	p.roster.RecordListRequest(now, r.From.ID, r.HeldList, r.WantsDigest, r.HasOtherLoadSource)
 	p.board.ApplyPeerReadRates(r.From.ID, r.ReadRates)
 	if p.tracker.Merge(now, r.Evidence) && p.relaying.Load() {
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -327,6 +327,23 @@
 	return out
 }
 
+// ReportAgain has the parts that are kept from engines reported like changed ones, for an
+// instance that has just started. It reports whether there are any.
+func (t *Tracker) ReportAgain(now time.Time) bool {
+	if t.suspects.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	found := false
+	for _, r := range t.records {
+		if r.blocked || r.isAgainstRepeat() {
+			r.changedAt, found = now, true
+		}
+	}
+	return found
+}
+
 // Summary counts the parts for operators.
 type Summary struct {
 	// Suspect are the parts with evidence, Blocked those kept away from the engines.
