Give the processes of the soak a loopback host of their own

A restarted instance ended with "address already in use" (play mixed-kinds, the short list with -race): another test process had taken its port between the exit and the start. Ports were unique in one test process only. Each test process now uses a host of 127.0.0.0/8 after its process id.

--- a/cmd/internal/soak/fleet_test.go
+++ b/cmd/internal/soak/fleet_test.go
@@ -4,17 +4,18 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
-	"cyclamenhitch/standins/loopback"
 	"cyclamenhitch/standins/runner"
 	"cyclamenhitch/standins/userstore"
 )
@@ -33,6 +34,7 @@
 	// serverRestartTime is how long a crashed server refuses connections.
 	serverRestartTime = 400 * time.Millisecond
 	events            = 12
+	firstPort         = 10_000
 	// logTailBytes is the size of the log excerpt that a failed wait prints.
 	logTailBytes = 2000
 )
@@ -220,12 +222,19 @@
 	return n
 }
 
+var lastPort atomic.Int32
+
+// freeAddress returns an address on a loopback host of this test process, so that no other
+// process takes the port of an instance that is being restarted.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	addr, err := loopback.FreeAddress()
+	pid := os.Getpid()
+	addr := fmt.Sprintf("127.%d.%d.%d:%d", 64+pid>>16&63, pid>>8&255, pid&255, firstPort+lastPort.Add(1))
+	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		t.Fatal(err)
 	}
+	_ = ln.Close()
 	return addr
 }
 
