--- a/cmd/internal/soak/stopcaller_test.go
+++ b/cmd/internal/soak/stopcaller_test.go
@@ -34,7 +34,8 @@
 // stopCall is a request as its caller saw it.
 type stopCall struct {
 	id, kind, instance string
-	// length is the time that the caller asked for, events the number of events.
+	// length is the time that the caller asked for and needs to read, events the number of
+	// events.
 	length time.Duration
 	events int
 	body   int64
@@ -166,7 +167,7 @@
 	k := &stopCall{id: fmt.Sprintf("%016x", stopCallIDs.Add(1)), kind: p.kinds[rnd.IntN(len(p.kinds))], instance: c.address, slow: c.slow}
 	interval := p.scaled(p.interval)
 	k.events = max(1, int(p.scaled(p.length(rnd))/interval))
-	k.length = time.Duration(k.events) * interval * time.Duration(c.f.slowness.Load()) / 100
+	k.length = c.readTime(k, time.Duration(k.events)*interval*time.Duration(c.f.slowness.Load())/100)
 	head := ""
 	if p.tokens || p.prefix {
 		head = fmt.Sprintf("Token-Count: 160,%d\r\n", 3*k.events)
@@ -194,6 +195,27 @@
 	return k
 }
 
+// size returns the size of the answer in bytes, without the format of events.
+func (c *stopCaller) size(k *stopCall) int {
+	if isStream(k.kind) {
+		return k.events * c.f.play.eventBytes
+	}
+	return c.f.play.eventBytes
+}
+
+// readTime returns the time that the caller needs for an answer that the server sends in
+// length.
+func (c *stopCaller) readTime(k *stopCall, length time.Duration) time.Duration {
+	p := c.f.play
+	switch {
+	case !c.slow:
+		return length
+	case p.slowBytes > 0:
+		return max(length, p.scaled(time.Duration(c.size(k))*time.Second/time.Duration(p.slowBytes)))
+	}
+	return length + p.scaled(p.slowPause)
+}
+
 // write sends the request, its body in pieces if the caller does so.
 func (c *stopCaller) write(k *stopCall, head string) error {
 	if !c.pieces {
@@ -227,11 +249,7 @@
 	k.status, k.seal = resp.StatusCode, resp.Header.Get("Response-Seal")
 	body := io.Reader(resp.Body)
 	if pause := c.f.play.scaled(c.f.play.slowPause); c.slow && pause > 0 {
-		size := c.f.play.eventBytes
-		if isStream(k.kind) {
-			size *= k.events
-		}
-		body = &pausingReader{resp.Body, c.rnd.IntN(size), pause}
+		body = &pausingReader{resp.Body, c.rnd.IntN(c.size(k)), pause}
 	}
 	wrong, err := "", error(nil)
 	switch {
--- a/cmd/internal/soak/stopcheck_test.go
+++ b/cmd/internal/soak/stopcheck_test.go
@@ -146,7 +146,7 @@
 		c.unread++ // as a whole, or left to a process that ended
 	case stop == nil:
 		f.t.Errorf("%s %s at %s ran and ended without an answer outside of a stop: %v", k.kind, k.id, k.instance, k.err)
-	case k.sent.Sub(stop.term) <= f.play.scaled(excusedSend) && run.end.After(stop.term.Add(f.play.scaled(grace)*5/6)):
+	case k.sent.Sub(stop.term) <= excusedSend && run.end.After(stop.term.Add(f.play.scaled(grace)*5/6)):
 		c.excused++
 	default:
 		c.lost++
--- a/cmd/internal/soak/stopplay_test.go
+++ b/cmd/internal/soak/stopplay_test.go
@@ -245,46 +245,62 @@
 // slots bounds the number of plays that run at the same time.
 var slots = make(chan struct{}, 3)
 
-// shortStopPlays are the plays that run without a flag, at half of the times.
-var shortStopPlays = []string{
-	"rare-fresh", "slow-large-answers", "mixed-kinds", "eager-pieces", "pausing-readers", "everything", "terms-and-hups",
-}
-
 const (
 	shortPercent   = 50
 	shortInstances = 3
 	stopInstances  = 6
 )
 
-// selectedStopPlays returns the plays to run and their number of instances.
-func selectedStopPlays() (list []stopPlay, instances int) {
-	names := strings.Split(*stopPlays, ",")
+// Plays that run without a flag, with shortInstances. excusedSend does not scale, so that
+// only plays at their full times show requests that are sent late in a stop.
+var (
+	// halfStopPlays run at shortPercent of their times.
+	halfStopPlays = []string{
+		"slow-large-answers", "mixed-kinds", "slower-servers", "eager-pieces", "together", "everything", "terms-and-hups",
+	}
+	lateStopPlays = []string{"rare-fresh", "rare-few", "pausing-large"}
+)
+
+// stopPlaysNamed returns the plays with the given names, or all.
+func stopPlaysNamed(names []string, percent int64, instances int) []stopPlay {
+	var out []stopPlay
 	for _, p := range stopPlayList {
-		switch {
-		case *stopPlays == "all", slices.Contains(names, p.name):
-			list = append(list, p)
-		case *stopPlays == "" && slices.Contains(shortStopPlays, p.name):
-			p.percent, p.stopped = shortPercent, min(p.stopped, shortInstances)
-			list = append(list, p)
+		if slices.Contains(names, p.name) || slices.Contains(names, "all") {
+			p.percent, p.stopped = percent, min(p.stopped, instances)
+			out = append(out, p)
 		}
 	}
-	if *stopPlays == "" {
-		return list, shortInstances
-	}
-	return list, stopInstances
+	return out
 }
 
 // A planned stop must not end a request without an answer that it has accepted, unless its
 // server is at work until the end, nor keep the process beyond its grace.
 func TestStopPlays(t *testing.T) {
-	list, instances := selectedStopPlays()
+	if *stopPlays != "" {
+		runStopPlays(t, stopPlaysNamed(strings.Split(*stopPlays, ","), 100, stopInstances), stopInstances, false)
+		return
+	}
+	runStopPlays(t, stopPlaysNamed(halfStopPlays, shortPercent, shortInstances), shortInstances, true)
+}
+
+// A request that is accepted late in a stop must end, and be delivered, before the process.
+func TestLateRequestsInStops(t *testing.T) {
+	runStopPlays(t, stopPlaysNamed(lateStopPlays, 100, shortInstances), shortInstances, true)
+}
+
+// A SIGHUP must not end a process that starts.
+func TestReloadAtStart(t *testing.T) {
+	runStopPlays(t, stopPlaysNamed([]string{"hups-at-start"}, shortPercent, shortInstances), shortInstances, true)
+}
+
+func runStopPlays(t *testing.T, list []stopPlay, instances int, parallel bool) {
 	if len(list) == 0 {
 		t.Fatalf("no play is named %q", *stopPlays)
 	}
 	for _, p := range list {
 		for seed := range *stopSeeds {
 			t.Run(fmt.Sprint(p.name, "/", *first+uint64(seed)), func(t *testing.T) {
-				if *stopPlays == "" {
+				if parallel {
 					t.Parallel()
 					slots <- struct{}{}
 					defer func() { <-slots }()
