Leave streams out that began too late to tell of long ones

Cause: of the streams that began in the last seconds only the short ones have ended, so that hundreds of known times said nothing of those over 5 s, and the risk took them for short ones.

Change: servicetime counts by second of begin and leaves out of an estimate for times over d what began less than d ago, also in the counts of peers. The estimate is the least one for d, d/2, d/4 and d/8, since a stream over d is over those, too.

--- a/cmd/internal/edge/peertimes.go
+++ b/cmd/internal/edge/peertimes.go
@@ -52,7 +52,7 @@
 
 // serveTimes sends the request times that this instance recorded.
 func (p *peers) serveTimes(ctx *fasthttp.RequestCtx) {
-	b, err := json.Marshal(p.times.Export())
+	b, err := json.Marshal(p.times.Export(time.Now()))
 	if err != nil {
 		p.log.Error("cannot encode request times", zap.Error(err))
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
--- a/core/servicetime/exchange.go
+++ b/core/servicetime/exchange.go
@@ -15,10 +15,12 @@
 	Whole  Counts `json:"whole"`
 	First  Counts `json:"first,omitempty"`
 	Tokens Counts `json:"tokens,omitempty"`
+	// Recent counts the latest whole requests by the seconds since they began.
+	Recent [recentSeconds]uint32 `json:"recent"`
 }
 
 // Export returns the times that this instance recorded itself.
-func (t *Tracker) Export() []KindCounts {
+func (t *Tracker) Export(now time.Time) []KindCounts {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
 	out := make([]KindCounts, 0, len(t.kinds))
@@ -30,6 +32,7 @@
 			g.first.mergeInto(c.First)
 			g.tokens.mergeInto(c.Tokens)
 		}
+		c.Recent = r.recent.byAge(now)
 		r.mu.Unlock()
 		out = append(out, c)
 	}
@@ -51,6 +54,9 @@
 				to.add(bucket, n)
 			}
 		}
+		for age, n := range c.Recent {
+			r.recent.peers[age] += n
+		}
 		r.mu.Unlock()
 	}
 }
--- a/core/servicetime/histogram.go
+++ b/core/servicetime/histogram.go
@@ -83,9 +83,12 @@
 	}
 }
 
-// risk returns the probability that the next time is longer than d: by the rule of succession
-// up to the longest known time, and falling with tailIndex beyond it if enough times are known.
-// It is 1 if none is.
+// leaveOut removes n times that are not over.
+func (t *tail) leaveOut(n uint64) { t.total -= min(n, t.total-t.over) }
+
+// risk returns the probability that the next time is longer than d, which is at least the time
+// that was counted: by the rule of succession up to the longest known time, and falling with
+// tailIndex beyond it if enough times are known. It is 1 if none is.
 func (t *tail) risk(d time.Duration) float64 {
 	switch {
 	case t.total == 0 || d <= 0:
--- a/core/servicetime/risk.go
+++ b/core/servicetime/risk.go
@@ -2,6 +2,10 @@
 
 import "time"
 
+// limitShares are the shares of a limit at which times are compared: what is longer than the limit
+// is longer than a part of it, too, and more requests are old enough to tell about a part.
+var limitShares = [...]float64{1, 0.5, 0.25, 0.125}
+
 // firstPartShare is the share of a time limit that a response may take until its first part
 // where the rest is estimated from the number of tokens.
 const firstPartShare = 0.25
@@ -44,7 +48,8 @@
 // than d. tokens is the largest number of its output tokens, 0 if unknown. It is estimated from
 // the times of whole requests and, if tokens is known, from the pace of output; the lower one
 // counts, since the number of tokens only bounds the time from above. Both are adjusted to how
-// much slower responses come in at present. Without known times it is 1.
+// much slower responses come in at present, and leave out requests that began less than d ago.
+// Without known times it is 1.
 func (t *Tracker) Risk(now time.Time, k Kind, tokens int, d time.Duration) float64 {
 	r := t.lookup(k)
 	if r == nil {
@@ -52,17 +57,24 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	d = time.Duration(float64(d) / r.pace.slowdown(now))
-	risk := r.riskByTime(now, d)
-	if tokens > 0 {
-		risk = min(risk, r.riskByTokens(tokens, d))
+	slowdown, risk := r.pace.slowdown(now), 1.0
+	limit := time.Duration(float64(d) / slowdown)
+	for _, share := range limitShares {
+		early := r.recent.within(now, time.Duration(share*float64(d)))
+		known := time.Duration(share * float64(limit))
+		risk = min(risk, r.riskByTime(now, early, known, limit))
+		if tokens > 0 {
+			risk = min(risk, r.riskByTokens(tokens, early, known, limit))
+		}
 	}
 	return risk
 }
 
-// riskByTime estimates the risk from the times of whole requests and of those under way.
-func (r *record) riskByTime(now time.Time, d time.Duration) float64 {
+// riskByTime estimates the risk of times over limit from those over d, which is at most limit, of
+// whole requests and of those under way. early requests are left out.
+func (r *record) riskByTime(now time.Time, early uint64, d, limit time.Duration) float64 {
 	known := r.tail(d, wholeTimes, minTailTimes)
+	known.leaveOut(early)
 	for run := range r.running {
 		switch age := now.Sub(run.began); {
 		case age > d:
@@ -71,16 +83,18 @@
 			known.longest = max(known.longest, age)
 		}
 	}
-	return known.risk(d)
+	return known.risk(limit)
 }
 
-// riskByTokens estimates the risk from the time to the first part and that for each token.
-func (r *record) riskByTokens(tokens int, d time.Duration) float64 {
+// riskByTokens is like riskByTime with the time to the first part and that for each token.
+func (r *record) riskByTokens(tokens int, early uint64, d, limit time.Duration) float64 {
 	toFirst := time.Duration(firstPartShare * float64(d))
 	first := r.tail(toFirst, firstTimes, minTailPaces)
 	each := perKiloToken(d-toFirst, tokens)
 	output := r.tail(each, tokenTimes, minTailPaces)
-	return min(1, first.risk(toFirst)+output.risk(each))
+	output.leaveOut(early)
+	share := float64(limit) / float64(d)
+	return first.risk(time.Duration(share*float64(toFirst))) + output.risk(time.Duration(share*float64(each)))
 }
 
 // tail returns what all counts of one sort tell about times longer than d.
--- a/core/servicetime/servicetime.go
+++ b/core/servicetime/servicetime.go
@@ -48,8 +48,9 @@
 
 	generations
 	// peers counts the times that other instances recorded.
-	peers generation
-	pace  pace
+	peers  generation
+	recent recent
+	pace   pace
 }
 
 // Run is a request under way. It is used by one goroutine.
@@ -123,6 +124,7 @@
 		r.next = (r.next + 1) % window
 	}
 	r.current.whole.add(bucketOf(d), 1)
+	r.recent.add(run.began)
 	if run.firstPart && run.tokens > 0 {
 		r.current.tokens.add(bucketOf(perKiloToken(now.Sub(run.opened), run.tokens)), 1)
 	}
