Ignore SIGHUP from the start of the daemon

Cause: the signal was registered after the instance had been set up; until then its default action holds.

Change: the initialisation of a package ignores the signal, and the handler replaces that.

--- a/cmd/cyclamenhitchd/main.go
+++ b/cmd/cyclamenhitchd/main.go
@@ -12,6 +12,7 @@
 	"github.com/alecthomas/kong"
 	"go.uber.org/zap"
 
+	"cyclamenhitch/adapters/hangup"
 	"cyclamenhitch/adapters/heap"
 	"cyclamenhitch/adapters/logging"
 	"cyclamenhitch/adapters/settings"
@@ -90,7 +91,7 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
+	hangup.Notify(reload)
 	if err := e.Run(ctx, reload); err != nil {
 		log.Error("instance failed", zap.Error(err))
 		return exitFailed
