Count long streams that still run at peers

Cause: the counts of peers had only requests that had ended. In a fleet that is some seconds old all long ones still run.

Change: peers also send how long their requests under way have been running, and those over the limit count as longer.

TestTimesOfPeers fails without it (the risk does not rise).

--- a/core/servicetime/exchange.go
+++ b/core/servicetime/exchange.go
@@ -15,8 +15,10 @@
 	Whole  Counts `json:"whole"`
 	First  Counts `json:"first,omitempty"`
 	Tokens Counts `json:"tokens,omitempty"`
-	// Recent counts the latest whole requests by the seconds since they began.
-	Recent [recentSeconds]uint32 `json:"recent"`
+	// Recent counts the latest whole requests by the seconds since they began, Running those
+	// under way; the last number includes all older ones.
+	Recent  [recentSeconds]uint32 `json:"recent"`
+	Running [recentSeconds]uint32 `json:"running"`
 }
 
 // Export returns the times that this instance recorded itself.
@@ -33,6 +35,10 @@
 			g.tokens.mergeInto(c.Tokens)
 		}
 		c.Recent = r.recent.byAge(now)
+		for run := range r.running {
+			age := min(recentSeconds-1, max(0, int(now.Sub(run.began)/time.Second)))
+			c.Running[age]++
+		}
 		r.mu.Unlock()
 		out = append(out, c)
 	}
@@ -56,6 +62,7 @@
 		}
 		for age, n := range c.Recent {
 			r.recent.peers[age] += n
+			r.recent.peersRunning[age] += c.Running[age]
 		}
 		r.mu.Unlock()
 	}
--- a/core/servicetime/recent.go
+++ b/core/servicetime/recent.go
@@ -11,8 +11,9 @@
 type recent struct {
 	seconds [recentSeconds]int64
 	counts  [recentSeconds]uint32
-	// peers counts those of other instances by age in seconds, as of when they were read.
-	peers [recentSeconds]uint32
+	// peers counts those of other instances by age in seconds, as of when they were read, and
+	// peersRunning the requests that were under way there.
+	peers, peersRunning [recentSeconds]uint32
 }
 
 func (r *recent) add(began time.Time) {
@@ -37,6 +38,18 @@
 	return out
 }
 
+// runningOver returns the number of requests of other instances that were under way for longer
+// than d, at least.
+func (r *recent) runningOver(d time.Duration) uint64 {
+	n := uint64(0)
+	for age, running := range r.peersRunning {
+		if time.Duration(age)*time.Second > d {
+			n += uint64(running)
+		}
+	}
+	return n
+}
+
 // within returns the number of requests that began within the last d, at least.
 func (r *recent) within(now time.Time, d time.Duration) uint64 {
 	n := uint64(0)
--- a/core/servicetime/risk.go
+++ b/core/servicetime/risk.go
@@ -75,6 +75,8 @@
 func (r *record) riskByTime(now time.Time, early uint64, d, limit time.Duration) float64 {
 	known := r.tail(d, wholeTimes, minTailTimes)
 	known.leaveOut(early)
+	running := r.recent.runningOver(d)
+	known.over, known.total = known.over+running, known.total+running
 	for run := range r.running {
 		switch age := now.Sub(run.began); {
 		case age > d:
--- a/core/servicetime/risk_test.go
+++ b/core/servicetime/risk_test.go
@@ -167,6 +167,15 @@
 			t.Errorf("risk with %d tokens %v, the peer's %v", tokens, got, want)
 		}
 	}
+	// Those that still run at the peer are long, too.
+	before := tr.Risk(now, someKind, 0, 3*time.Second)
+	for range 20 {
+		peer.Begin(now.Add(-5*time.Second), someKind, 0)
+	}
+	tr.AddPeer(now, peer.Export(now))
+	if after := tr.Risk(now, someKind, 0, 3*time.Second); after < 1.4*before {
+		t.Errorf("risk %v, and %v with the peer's requests under way", before, after)
+	}
 	if own := tr.Export(now); len(own) != 1 || own[0].Whole[bucketOf(time.Second)] != 1 {
 		t.Errorf("own times %v", own)
 	}
