Accept late streams at a risk of one in a thousand

Cause: a fleet that is 6 s old has seen no stream of 9 s end. With 400 to 700 known ones a risk of 0.2% is the most that can be said, and it is below the limit of 0.3%.

Change: the limit is 0.1%, so that some thousand known times are needed.

--- a/core/lifecycle/accept.go
+++ b/core/lifecycle/accept.go
@@ -19,7 +19,7 @@
 	// risk to be cut is at most maxLateRisk, and if the number of such streams that the
 	// shutdown is expected to cut remains at most maxExpectedCuts.
 	noticeTime      = 3 * time.Second
-	maxLateRisk     = 0.003
+	maxLateRisk     = 0.001
 	maxExpectedCuts = 0.01
 )
 
