Wait in a shutdown for connections whose input is discarded

Cause: the call ended before its connection had discarded the input, and the HTTP server no longer counts a connection that it closes.

TestShutdownWaitsForDiscardedInput failed before (1 connection).

--- a/adapters/httpapi/calls.go
+++ b/adapters/httpapi/calls.go
@@ -100,16 +100,22 @@
 	}
 }
 
-// endCall is called when the response has been written or could not be written. It reports
-// whether a whole response was passed to the kernel.
-func (c *callerConn) endCall() bool {
+// isAnswered reports whether a response was passed to the kernel without an error.
+func (c *callerConn) isAnswered() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.call.phase == responding && c.call.writeErr == nil
+}
+
+// endCall is called when the response has been written or could not be written.
+func (c *callerConn) endCall() {
 	c.mu.Lock()
 	ended := c.call
 	c.call = call{}
 	c.mu.Unlock()
 	switch ended.phase {
 	case noCall:
-		return false
+		return
 	case unanswered:
 		c.l.srv.unanswered.Add(-1)
 	case responding:
@@ -118,7 +124,6 @@
 	if ended.writeErr != nil && !ended.completedAt.IsZero() {
 		c.l.srv.logUndelivered("response could not be written to its caller", ended, zap.Error(ended.writeErr))
 	}
-	return ended.phase == responding && ended.writeErr == nil
 }
 
 // trackConnection is called by the HTTP server. A connection becomes idle after the response
--- a/adapters/httpapi/calls_test.go
+++ b/adapters/httpapi/calls_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -349,3 +350,27 @@
 		t.Errorf("%d of %d bytes, %v", n, size, err)
 	}
 }
+
+// Guards against a shutdown that returns while a closed connection still discards its caller's
+// input: the end of the process would reset it and lose the end of the response.
+func TestShutdownWaitsForDiscardedInput(t *testing.T) {
+	s, addr := startServer(t, &fakeOpener{open: respondOK}, testLimits(), zap.NewNop())
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	// A part of a body that is over the limit; the caller goes on sending.
+	fmt.Fprintf(c, "POST /svc/orders/ HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nContent-Length: 300000\r\n\r\n%s", testKey, strings.Repeat("x", 100_000))
+	if _, err = http.ReadResponse(bufio.NewReader(c), nil); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		t.Error(err)
+	}
+	if open := len(s.conns.Load().all()); open > 0 {
+		t.Errorf("the shutdown returned while %d connections discard input", open)
+	}
+}
--- a/adapters/httpapi/conns.go
+++ b/adapters/httpapi/conns.go
@@ -138,13 +138,14 @@
 	c.closed = true
 	c.mu.Unlock()
 	if first {
-		answered := c.endCall()
+		// The call counts as running until its input is discarded.
 		switch {
 		case c.room.refused.Load():
 			c.discardInput(bodyLingerTime)
-		case answered:
+		case c.isAnswered():
 			c.discardInput(lingerTime)
 		}
+		c.endCall()
 		c.l.disconnects.remove(c)
 		c.l.releaseSlot(c)
 	}
--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -251,6 +251,14 @@
 		s.Log.Info("connections without a call were open at the shutdown", zap.Int("connections", len(s.conns.Load().all())))
 		return nil
 	}
+	// The library does not count connections whose input is discarded.
+	for err == nil && s.Running() > 0 {
+		select {
+		case <-ctx.Done():
+			err = ctx.Err()
+		case <-time.After(shutdownPollInterval):
+		}
+	}
 	return err
 }
 
