--- a/cmd/internal/edge/peertimes.go
+++ b/cmd/internal/edge/peertimes.go
@@ -20,8 +20,8 @@
 	// timesTimeout limits a call to a peer. Requests that arrive before the answer are judged
 	// by the times of this instance only.
 	timesTimeout = 300 * time.Millisecond
-	// maxTimesBytes limits the answer of a peer. A kind takes some 600 bytes.
-	maxTimesBytes = 1 << 20
+	// maxTimesBytes limits the answer of a peer. A kind takes 1 KB and more.
+	maxTimesBytes = 4 << 20
 )
 
 var timesCalls = httpcall.New(maxTimesBytes, timesTimeout)
