Count silent streams and times cut short as evidence of long ones

Streams would be accepted late in a stop among silent engines, callers that give up, or short deadlines, and be cut.

Cause: the estimate from tokens left out requests under way, and a time that ended early counted as whole or not at all.

Change: requests under way without a first part, or slower than the pace that is compared, count as over. Times cut short by a deadline, a failure or the caller are kept apart: they count as over a limit that they had passed, and else not at all.

TestSilentStreamsCount and TestTimesCutShort have these cases.

--- a/cmd/internal/edge/peertimes_test.go
+++ b/cmd/internal/edge/peertimes_test.go
@@ -16,7 +16,7 @@
 	record := func(times *servicetime.Tracker, n int, took time.Duration) {
 		ended := time.Now().Add(-time.Minute)
 		for range n {
-			times.Begin(ended.Add(-took), kind, 0).End(ended, true)
+			times.Begin(ended.Add(-took), kind, 0).End(ended, servicetime.Whole)
 		}
 	}
 	record(stopping.stop.times, 600, 100*time.Millisecond)
--- a/cmd/internal/edge/placer.go
+++ b/cmd/internal/edge/placer.go
@@ -201,6 +201,13 @@
 func (p *permit) Release(err error) {
 	now := time.Now()
 	p.ticket.Release(now, placementOutcome(err))
-	whole := err == io.EOF || err != nil && result.As(err).Code == result.DeadlineExceeded
-	p.run.End(now, whole && !p.remainder)
+	end := servicetime.GivenUp
+	switch {
+	case p.remainder:
+	case err == io.EOF:
+		end = servicetime.Whole
+	case err != nil && result.As(err).Code == result.DeadlineExceeded:
+		end = servicetime.Expired
+	}
+	p.run.End(now, end)
 }
--- a/core/lifecycle/accept_test.go
+++ b/core/lifecycle/accept_test.go
@@ -17,7 +17,7 @@
 	now = now.Add(-time.Minute)
 	for took, n := range times {
 		for range n {
-			tr.Begin(now.Add(-time.Duration(took*float64(time.Second))), kind, 0).End(now, true)
+			tr.Begin(now.Add(-time.Duration(took*float64(time.Second))), kind, 0).End(now, servicetime.Whole)
 		}
 	}
 }
@@ -141,7 +141,7 @@
 		tr := &servicetime.Tracker{}
 		for range known {
 			before := t0.Add(-time.Minute)
-			tr.Begin(before.Add(-length()), kind, 0).End(before, true)
+			tr.Begin(before.Add(-length()), kind, 0).End(before, servicetime.Whole)
 		}
 		s := BeginSelective(t0, 8*time.Second, time.Second)
 		for i := range perStop {
--- a/core/servicetime/exchange.go
+++ b/core/servicetime/exchange.go
@@ -15,6 +15,10 @@
 	Whole  Counts `json:"whole"`
 	First  Counts `json:"first,omitempty"`
 	Tokens Counts `json:"tokens,omitempty"`
+	// Cut counts times of requests that ended before their response was whole, CutFirst those
+	// of them before its first part.
+	Cut      Counts `json:"cut,omitempty"`
+	CutFirst Counts `json:"cut_first,omitempty"`
 	// Recent counts the latest whole requests by the seconds since they began, Running those
 	// under way; the last number includes all older ones.
 	Recent  [recentSeconds]uint32 `json:"recent"`
@@ -27,12 +31,14 @@
 	defer t.mu.RUnlock()
 	out := make([]KindCounts, 0, len(t.kinds))
 	for k, r := range t.kinds {
-		c := KindCounts{Pool: k.Pool, Name: k.Name, Whole: Counts{}, First: Counts{}, Tokens: Counts{}}
+		c := KindCounts{Pool: k.Pool, Name: k.Name, Whole: Counts{}, First: Counts{}, Tokens: Counts{}, Cut: Counts{}, CutFirst: Counts{}}
 		r.mu.Lock()
 		for _, g := range []*generation{&r.current, &r.previous} {
 			g.whole.mergeInto(c.Whole)
 			g.first.mergeInto(c.First)
 			g.tokens.mergeInto(c.Tokens)
+			g.cut.mergeInto(c.Cut)
+			g.cutFirst.mergeInto(c.CutFirst)
 		}
 		c.Recent = r.recent.byAge(now)
 		for run := range r.running {
@@ -55,7 +61,9 @@
 		}
 		r := t.record(now, k)
 		r.mu.Lock()
-		for to, counts := range map[*histogram]Counts{&r.peers.whole: c.Whole, &r.peers.first: c.First, &r.peers.tokens: c.Tokens} {
+		for to, counts := range map[*histogram]Counts{
+			&r.peers.whole: c.Whole, &r.peers.first: c.First, &r.peers.tokens: c.Tokens, &r.peers.cut: c.Cut, &r.peers.cutFirst: c.CutFirst,
+		} {
 			for bucket, n := range counts {
 				to.add(bucket, n)
 			}
--- a/core/servicetime/histogram.go
+++ b/core/servicetime/histogram.go
@@ -83,6 +83,9 @@
 	}
 }
 
+// addOver adds n times that are over.
+func (t *tail) addOver(n uint64) { t.over, t.total = t.over+n, t.total+n }
+
 // leaveOut removes n times that are not over.
 func (t *tail) leaveOut(n uint64) { t.total -= min(n, t.total-t.over) }
 
--- a/core/servicetime/risk.go
+++ b/core/servicetime/risk.go
@@ -15,11 +15,16 @@
 	// whole counts times of whole requests, first those until the first part, tokens those
 	// after it for 1,000 of the largest number of output tokens.
 	whole, first, tokens histogram
+	// cut counts times of requests that ended before their response was whole, cutFirst those
+	// of them before its first part. They tell only that the times would have been longer.
+	cut, cutFirst histogram
 }
 
-func wholeTimes(g *generation) *histogram { return &g.whole }
-func firstTimes(g *generation) *histogram { return &g.first }
-func tokenTimes(g *generation) *histogram { return &g.tokens }
+func wholeTimes(g *generation) *histogram    { return &g.whole }
+func firstTimes(g *generation) *histogram    { return &g.first }
+func tokenTimes(g *generation) *histogram    { return &g.tokens }
+func cutTimes(g *generation) *histogram      { return &g.cut }
+func cutFirstTimes(g *generation) *histogram { return &g.cutFirst }
 
 // generations holds the counts of the latest one or two periods of generationTime.
 type generations struct {
@@ -64,7 +69,7 @@
 		known := time.Duration(share * float64(limit))
 		risk = min(risk, r.riskByTime(now, early, known, limit))
 		if tokens > 0 {
-			risk = min(risk, r.riskByTokens(tokens, early, known, limit))
+			risk = min(risk, r.riskByTokens(now, tokens, early, known, limit))
 		}
 	}
 	return risk
@@ -75,12 +80,11 @@
 func (r *record) riskByTime(now time.Time, early uint64, d, limit time.Duration) float64 {
 	known := r.tail(d, wholeTimes, minTailTimes)
 	known.leaveOut(early)
-	running := r.recent.runningOver(d)
-	known.over, known.total = known.over+running, known.total+running
+	known.addOver(r.recent.runningOver(d) + r.cutOver(d, cutTimes))
 	for run := range r.running {
 		switch age := now.Sub(run.began); {
 		case age > d:
-			known.over, known.total = known.over+1, known.total+1
+			known.addOver(1)
 		case known.total > 0:
 			known.longest = max(known.longest, age)
 		}
@@ -89,12 +93,23 @@
 }
 
 // riskByTokens is like riskByTime with the time to the first part and that for each token.
-func (r *record) riskByTokens(tokens int, early uint64, d, limit time.Duration) float64 {
+func (r *record) riskByTokens(now time.Time, tokens int, early uint64, d, limit time.Duration) float64 {
 	toFirst := time.Duration(firstPartShare * float64(d))
 	first := r.tail(toFirst, firstTimes, minTailPaces)
 	each := perKiloToken(d-toFirst, tokens)
 	output := r.tail(each, tokenTimes, minTailPaces)
 	output.leaveOut(early)
+	first.addOver(r.cutOver(toFirst, cutFirstTimes))
+	for run := range r.running {
+		switch {
+		case run.firstPart:
+			if run.tokens > 0 && perKiloToken(now.Sub(run.opened), run.tokens) > each {
+				output.addOver(1)
+			}
+		case now.Sub(run.began) > toFirst:
+			first.addOver(1)
+		}
+	}
 	share := float64(limit) / float64(d)
 	return first.risk(time.Duration(share*float64(toFirst))) + output.risk(time.Duration(share*float64(each)))
 }
@@ -107,3 +122,8 @@
 	}
 	return t
 }
+
+// cutOver returns how many requests that were cut short had already taken longer than d.
+func (r *record) cutOver(d time.Duration, of func(*generation) *histogram) uint64 {
+	return r.tail(d, of, 0).over
+}
--- a/core/servicetime/risk_test.go
+++ b/core/servicetime/risk_test.go
@@ -18,7 +18,7 @@
 	if tokens > 0 {
 		run.Opened(now.Add(first - d))
 	}
-	run.End(now, true)
+	run.End(now, Whole)
 }
 
 func milliseconds(t *rapid.T, most int, label string) time.Duration {
@@ -101,7 +101,7 @@
 	}
 	for range 50 {
 		for _, run := range play(50 * time.Millisecond) {
-			run.End(now, true)
+			run.End(now, Whole)
 		}
 	}
 	const left = 1500 * time.Millisecond
@@ -121,7 +121,7 @@
 		add(&tr, now, time.Second, 0, 0)
 	}
 	before := tr.Risk(now, someKind, 0, 3*time.Second)
-	tr.Begin(now.Add(-4*time.Second), someKind, 0).End(now, false)
+	tr.Begin(now.Add(-4*time.Second), someKind, 0).End(now, GivenUp)
 	if after := tr.Risk(now, someKind, 0, 3*time.Second); after <= before {
 		t.Errorf("risk %v before and %v after a request was given up after 4 s", before, after)
 	}
@@ -197,7 +197,7 @@
 	var tr Tracker
 	now := time.Unix(1000, 0)
 	for range 2000 {
-		tr.Begin(now, someKind, 0).End(now.Add(time.Second), true)
+		tr.Begin(now, someKind, 0).End(now.Add(time.Second), Whole)
 	}
 	for range 20 {
 		tr.Begin(now, someKind, 0)
@@ -207,7 +207,77 @@
 			t.Errorf("risk %v after %v", risk, after)
 		}
 	}
-	if risk := tr.Risk(now.Add(2500*time.Millisecond), someKind, 0, 1500*time.Millisecond); risk < 0.005 || risk > 0.05 {
+	if risk := tr.Risk(now.Add(3500*time.Millisecond), someKind, 0, 1500*time.Millisecond); risk < 0.005 || risk > 0.05 {
 		t.Errorf("risk %v of streams over 1.5 s, of which 1 in 100 is known", risk)
 	}
 }
+
+// Guards against streams that are accepted by their number of tokens while servers are silent:
+// before the first part, in the middle, or up to the deadline.
+func TestSilentStreamsCount(t *testing.T) {
+	const tokens = 400
+	for name, silent := range map[string]func(tr *Tracker, now time.Time){
+		"before the first part": func(tr *Tracker, now time.Time) { tr.Begin(now.Add(-6*time.Second), someKind, tokens) },
+		"after the first part": func(tr *Tracker, now time.Time) {
+			tr.Begin(now.Add(-6*time.Second), someKind, tokens).Opened(now.Add(-5900 * time.Millisecond))
+		},
+		"up to the deadline": func(tr *Tracker, now time.Time) {
+			ended := now.Add(-time.Minute)
+			tr.Begin(ended.Add(-6*time.Second), someKind, tokens).End(ended, Expired)
+		},
+	} {
+		var tr Tracker
+		now := time.Unix(1000, 0)
+		for range 1000 {
+			add(&tr, now, time.Second, 100*time.Millisecond, tokens)
+		}
+		for range 300 {
+			silent(&tr, now)
+		}
+		if risk := tr.Risk(now, someKind, tokens, 4*time.Second); risk < 0.1 {
+			t.Errorf("%s: risk %v", name, risk)
+		}
+	}
+}
+
+// Guards against times that are cut short, by callers or deadlines, and taken for whole ones.
+func TestTimesCutShort(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var givenUp, expired Tracker
+	for i := range 1000 {
+		add(&givenUp, now, time.Second, 0, 0)
+		ended := now.Add(-time.Minute)
+		if i%10 == 0 {
+			givenUp.Begin(ended.Add(-5*time.Second), someKind, 0).End(ended, GivenUp)
+		}
+		expired.Begin(ended.Add(-900*time.Millisecond), someKind, 0).End(ended, Expired)
+	}
+	if risk := givenUp.Risk(now, someKind, 0, 4*time.Second); risk < 0.05 {
+		t.Errorf("risk %v where 1 in 10 is given up after 5 s", risk)
+	}
+	if risk := expired.Risk(now, someKind, 0, 3*time.Second); risk < 0.5 {
+		t.Errorf("risk %v where all end at a deadline of 0.9 s", risk)
+	}
+}
+
+// Guards against requests that are younger than a limit and count as evidence on it.
+func TestRecentIsAtLeast(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var r recent
+		start := time.Unix(1000, 0).Add(milliseconds(t, 5000, "start"))
+		begins := rapid.SliceOfN(rapid.IntRange(0, 12_000), 1, 100).Draw(t, "begins")
+		now := start.Add(12 * time.Second)
+		d := milliseconds(t, 12_000, "d")
+		want := uint64(0)
+		for _, ms := range begins {
+			began := start.Add(time.Duration(ms) * time.Millisecond)
+			r.add(began)
+			if now.Sub(began) < d {
+				want++
+			}
+		}
+		if got := r.within(now, d); got < want {
+			t.Fatalf("%d within %v, want at least %d", got, d, want)
+		}
+	})
+}
--- a/core/servicetime/servicetime.go
+++ b/core/servicetime/servicetime.go
@@ -97,10 +97,20 @@
 	}
 }
 
-// End records the end of a request. took tells whether its time is that of a whole request
-// or of one that reached its deadline; it is false if the request was given up or failed.
-// Only the first call has an effect.
-func (run *Run) End(now time.Time, took bool) {
+// End is how a request ended.
+type End int
+
+const (
+	// Whole is the end of a whole response.
+	Whole End = iota
+	// Expired is the end at the deadline. Over counts the time like that of a whole response.
+	Expired
+	// GivenUp is an earlier end: the caller left, or the response failed.
+	GivenUp
+)
+
+// End records the end of a request. Only the first call has an effect.
+func (run *Run) End(now time.Time, end End) {
 	r := run.record
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -110,11 +120,13 @@
 	delete(r.running, run)
 	r.rotate(now)
 	d := now.Sub(run.began)
-	if !took {
-		// Callers that give up long requests would hide how long these are.
-		if r.tail(d, wholeTimes, minTailTimes).over == 0 {
-			r.current.whole.add(bucketOf(d), 1)
+	if end != Whole {
+		r.current.cut.add(bucketOf(d), 1)
+		if !run.firstPart {
+			r.current.cutFirst.add(bucketOf(d), 1)
 		}
+	}
+	if end == GivenUp {
 		return
 	}
 	if len(r.ended) < window {
@@ -123,6 +135,9 @@
 		r.ended[r.next] = d
 		r.next = (r.next + 1) % window
 	}
+	if end == Expired {
+		return
+	}
 	r.current.whole.add(bucketOf(d), 1)
 	r.recent.add(run.began)
 	if run.firstPart && run.tokens > 0 {
--- a/core/servicetime/servicetime_test.go
+++ b/core/servicetime/servicetime_test.go
@@ -33,10 +33,10 @@
 			i := rapid.IntRange(0, len(running)-1).Draw(t, "which")
 			o := running[i]
 			running = append(running[:i:i], running[i+1:]...)
-			took := rapid.Bool().Draw(t, "took")
-			o.run.End(now, took)
-			o.run.End(now.Add(time.Hour), true)
-			if took {
+			end := rapid.SampledFrom([]End{Whole, Expired, GivenUp}).Draw(t, "end")
+			o.run.End(now, end)
+			o.run.End(now.Add(time.Hour), Whole)
+			if end != GivenUp {
 				ended[o.kind] = append(ended[o.kind], now.Sub(o.began))
 			}
 		}
@@ -82,7 +82,7 @@
 	for i := range 3 * maxKinds {
 		run := tr.Begin(now, Kind{"p", fmt.Sprint(i)}, 0)
 		if i > 0 {
-			run.End(now, true)
+			run.End(now, Whole)
 		}
 		now = now.Add(time.Second)
 	}
