--- a/core/servicetime/exchange.go
+++ b/core/servicetime/exchange.go
@@ -6,6 +6,9 @@
 	"cyclamenhitch/core/fleet"
 )
 
+// maxPeerCount limits each count that a peer sends, so that sums do not overflow.
+const maxPeerCount = 1 << 20
+
 // KindCounts are the times of one kind that an instance recorded, for other instances.
 type KindCounts struct {
 	Pool fleet.PoolID `json:"pool"`
@@ -65,12 +68,12 @@
 			&r.peers.whole: c.Whole, &r.peers.first: c.First, &r.peers.tokens: c.Tokens, &r.peers.cut: c.Cut, &r.peers.cutFirst: c.CutFirst,
 		} {
 			for bucket, n := range counts {
-				to.add(bucket, n)
+				to.add(bucket, min(n, maxPeerCount))
 			}
 		}
 		for age, n := range c.Recent {
-			r.recent.peers[age] += n
-			r.recent.peersRunning[age] += c.Running[age]
+			r.recent.peers[age] += min(n, maxPeerCount)
+			r.recent.peersRunning[age] += min(c.Running[age], maxPeerCount)
 		}
 		r.mu.Unlock()
 	}
--- a/core/servicetime/risk_test.go
+++ b/core/servicetime/risk_test.go
@@ -180,6 +180,14 @@
 		t.Errorf("own times %v", own)
 	}
 	tr.AddPeer(now, []KindCounts{{Pool: "p", Name: "a", Whole: Counts{-1: 5, bucketCount: 5, 1 << 30: 5}}})
+	absurd := KindCounts{Pool: "p", Name: "absurd", Whole: Counts{bucketOf(time.Hour): 1<<32 - 1, 0: 100}}
+	absurd.Recent[0] = 1<<32 - 1
+	for range 8 {
+		tr.AddPeer(now, []KindCounts{absurd})
+	}
+	if risk := tr.Risk(now, Kind{"p", "absurd"}, 0, time.Second); risk < 0.9 {
+		t.Errorf("risk %v where a peer's times are all longer", risk)
+	}
 	many := make([]KindCounts, 3*maxKinds)
 	for i := range many {
 		many[i].Name = time.Duration(i).String()
