--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -106,6 +106,7 @@
 	e.closeIdleServer = client.CloseOldestIdle
 	platform.LimitCalls(e.budget.Calls)
 	promptCalls.SetDescriptors(e.budget.Calls)
+	timesCalls.SetDescriptors(e.budget.Calls)
 	e.view.feeds.SetDescriptors(e.budget.Calls)
 	memory := e.budget.Responses
 	client.Memory = memory
--- a/core/lifecycle/accept.go
+++ b/core/lifecycle/accept.go
@@ -15,9 +15,9 @@
 	maxCutShare           = 0.01
 	maxCutShareRepeatable = 0.1
 	// noticeTime is the time after the start of a shutdown in which callers cannot know of it
-	// yet: the users' platform gives instances 3 s to hear of changes. A stream that arrives later is accepted if its
-	// risk to be cut is at most maxLateRisk, and if the number of such streams that the
-	// shutdown is expected to cut remains at most maxExpectedCuts.
+	// yet: the users' platform gives instances 3 s to hear of changes. A stream that arrives
+	// later is accepted if its risk to be cut is at most maxLateRisk, and if the number of such
+	// streams that the shutdown is expected to cut remains at most maxExpectedCuts.
 	noticeTime      = 3 * time.Second
 	maxLateRisk     = 0.001
 	maxExpectedCuts = 0.01
