Count a body in chunks as long once it is over 64 KB

Cause: a body of unknown length took its room in steps, and each step up to 256 KB counted as a short body. Some fifty of them used up the quarter that is kept for short bodies.

Change: from 64 KB on such a body gives its room back and takes that of a long one. TestChunkedBodiesLeaveRoomForShortOnes failed before (status 503 with the budget of 2 MB used up) and passes.

--- a/adapters/httpapi/bodyroom.go
+++ b/adapters/httpapi/bodyroom.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"cyclamenhitch/core/budget"
 	"cyclamenhitch/core/result"
 )
 
@@ -18,6 +19,8 @@
 	// freeBodyBytes is the size of a request up to which no room is taken: the read buffer
 	// of a connection and a body of this size are part of what a connection may hold.
 	freeBodyBytes = 16 << 10
+	// maxShortChunked is the room up to which a body of unknown length counts as short.
+	maxShortChunked = 128 << 10
 	// maxPooledBytes is the size up to which the buffer of a body is used again.
 	maxPooledBytes = 32 << 10
 	// bodyLingerTime and lingerBytes limit how much of a refused body is read and dropped, so
@@ -114,11 +117,16 @@
 	return true
 }
 
-func (c *callerConn) releaseRoom() {
+// giveRoom gives back what the body has taken.
+func (c *callerConn) giveRoom() {
 	for _, n := range c.room.parts {
 		c.l.limits.Bodies.Give(c.room.account, n)
 	}
 	c.room.parts, c.room.taken = c.room.parts[:0], 0
+}
+
+func (c *callerConn) releaseRoom() {
+	c.giveRoom()
 	c.room.chunked, c.room.read, c.room.waited = false, 0, 0
 }
 
@@ -134,6 +142,11 @@
 	c.room.read += int64(n)
 	// The buffer doubles, and both the old and the new one are in use while it is copied.
 	if need := 2 * bufferSize(int(c.room.read)); c.room.read > freeBodyBytes && need > c.room.taken {
+		if need > maxShortChunked {
+			// A long body must not be counted as several short ones.
+			need = max(need, budget.LongBody+1)
+			c.giveRoom()
+		}
 		if !c.takeRoom(need) {
 			return 0, errNoRoom
 		}
--- a/adapters/httpapi/bodyroom_test.go
+++ b/adapters/httpapi/bodyroom_test.go
@@ -160,3 +160,30 @@
 		awaitEmpty(t, bodies)
 	}
 }
+
+// Guards against long bodies in chunks that use up what is kept for short ones, because the
+// beginning of each looks like a short body.
+func TestChunkedBodiesLeaveRoomForShortOnes(t *testing.T) {
+	addr, bodies, started, _, _ := startWithBodies(t, 0)
+	for range 40 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, "POST /x HTTP/1.1\r\nHost: r\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\n"+strings.Repeat("x", 100_000))
+	}
+	for until, last := time.Now().Add(testTimeout), int64(-1); bodies.Refused() == 0 || bodies.Used() != last; {
+		if time.Now().After(until) {
+			t.Fatalf("%d bytes are in use", bodies.Used())
+		}
+		last = bodies.Used()
+		time.Sleep(50 * time.Millisecond)
+	}
+	for range 20 {
+		if status := post(t, addr, 60_000, true); status != http.StatusOK {
+			t.Fatalf("status %d for a short body", status)
+		}
+		<-started
+	}
+}
--- a/core/budget/bodies.go
+++ b/core/budget/bodies.go
@@ -3,8 +3,8 @@
 import "sync"
 
 const (
-	// longBody is the size in bytes above which a request body counts as long.
-	longBody = 256 << 10
+	// LongBody is the size in bytes above which a request body counts as long.
+	LongBody = 256 << 10
 	// longPercent is the part of the budget that long bodies may take.
 	longPercent = 75
 	// accountPercent is the part of what long bodies may take up to which an account gets
@@ -46,7 +46,7 @@
 func (b *Bodies) Take(account uint64, n int64) (ok bool, freed <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if n <= longBody {
+	if n <= LongBody {
 		return b.all.take(n), b.freed
 	}
 	share := b.long.limit * accountPercent / 100
@@ -76,7 +76,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.all.used.Add(-n)
-	if n > longBody {
+	if n > LongBody {
 		b.long.used.Add(-n)
 		if b.accounts[account] -= n; b.accounts[account] <= 0 {
 			delete(b.accounts, account)
--- a/core/budget/bodies_test.go
+++ b/core/budget/bodies_test.go
@@ -23,7 +23,7 @@
 				held = append(held[:i], held[i+1:]...)
 				continue
 			}
-			x := body{rapid.Uint64Range(1, 2).Draw(t, "account"), rapid.Int64Range(longBody+1, 8<<20).Draw(t, "bytes")}
+			x := body{rapid.Uint64Range(1, 2).Draw(t, "account"), rapid.Int64Range(LongBody+1, 8<<20).Draw(t, "bytes")}
 			if ok, _ := b.Take(x.account, x.n); ok {
 				held = append(held, x)
 			}
@@ -31,10 +31,10 @@
 		if b.Used() > b.Limit()*longPercent/100 {
 			t.Fatalf("long bodies take %d of %d", b.Used(), b.Limit())
 		}
-		if ok, _ := b.Take(1, longBody); !ok {
+		if ok, _ := b.Take(1, LongBody); !ok {
 			t.Fatal("no room for a short body")
 		}
-		b.Give(1, longBody)
+		b.Give(1, LongBody)
 		for i := range held {
 			b.Give(held[i].account, held[i].n)
 		}
