--- a/adapters/httpapi/bodyroom_test.go
+++ b/adapters/httpapi/bodyroom_test.go
@@ -69,9 +69,7 @@
 	return resp.StatusCode
 }
 
-// Guards against bodies that are read although there is no room, against refusals that reach
-// the caller as a reset or after the request ran, and against short requests that are refused
-// with them.
+// Guards against bodies read without room, and refusals of them that reach short or running requests.
 func TestBodiesWithoutRoom(t *testing.T) {
 	addr, bodies, started, _, finish := startWithBodies(t, 0)
 	first := make(chan int)
@@ -110,8 +108,7 @@
 	}
 }
 
-// Guards against a body that is refused although room is freed while it waits, and against a
-// deadline that is extended by the wait.
+// Guards against refusing a body although room is freed in time, and against extending its deadline.
 func TestBodyWaitsForRoom(t *testing.T) {
 	addr, bodies, started, remaining, finish := startWithBodies(t, testTimeout)
 	const pause = 100 * time.Millisecond
@@ -161,8 +158,7 @@
 	}
 }
 
-// Guards against long bodies in chunks that use up what is kept for short ones, because the
-// beginning of each looks like a short body.
+// Guards against long bodies in chunks that use up what is kept for short ones.
 func TestChunkedBodiesLeaveRoomForShortOnes(t *testing.T) {
 	addr, bodies, started, _, _ := startWithBodies(t, 0)
 	for range 40 {
--- a/adapters/httpapi/calls_test.go
+++ b/adapters/httpapi/calls_test.go
@@ -88,8 +88,7 @@
 	return nil, result.New(result.UnknownRoute, "test")
 }
 
-// Guards against a planned stop that ends the process while a response is written: it must
-// count as running until its caller's connection has taken the last byte.
+// Guards against a response that no longer counts as running before it is written to its caller.
 func TestResponseRunsUntilWritten(t *testing.T) {
 	stream := func(_ context.Context, req *gateway.Request) (gateway.Response, error) {
 		return &scriptedResponse{parts: []string{"id: 1\n\n", "id: 2\n\n"}, err: io.EOF, closed: make(chan struct{})}, nil
@@ -153,8 +152,7 @@
 	}
 }
 
-// Guards against a response that its server completed and its caller did not get, without a
-// line in the log; and against such a line for a response that was delivered.
+// Guards against a completed response that is lost without a log line, and a line without a loss.
 func TestUndeliveredResponseIsLogged(t *testing.T) {
 	core, lines := observer.New(zapcore.InfoLevel)
 	s := &Server{
@@ -192,8 +190,7 @@
 	}
 }
 
-// Guards against an abort that breaks off a response for which there is no other answer, that
-// replaces a response in memory, or that leaves a request without its error response.
+// Guards against an abort that breaks off a response, or leaves a request without its error.
 func TestAbortOfFrontendCalls(t *testing.T) {
 	part, next := "id: 1\n\n", make(chan struct{})
 	var s *Server
@@ -271,8 +268,7 @@
 	return []byte(r.parts[r.sent-1]), nil
 }
 
-// Guards against a reset that loses the end of a response which is closed while its caller has
-// sent more than the request, such as the next one.
+// Guards against a reset that loses the end of a response to a caller that has sent more.
 func TestCloseDeliversResponseToPipeliningCaller(t *testing.T) {
 	const size = 300_000
 	s := &Server{
@@ -313,8 +309,7 @@
 	return c, err
 }
 
-// Guards against a response that is lost at the end of the process although the kernel could
-// have taken the rest of it.
+// Guards against losing what the kernel could have taken of a response before the exit.
 func TestHandToKernelTakesTheRest(t *testing.T) {
 	const size = 200_000
 	s := &Server{
@@ -351,8 +346,7 @@
 	}
 }
 
-// Guards against a shutdown that returns while a closed connection still discards its caller's
-// input: the end of the process would reset it and lose the end of the response.
+// Guards against a shutdown that returns while a closed connection still discards its input.
 func TestShutdownWaitsForDiscardedInput(t *testing.T) {
 	s, addr := startServer(t, &fakeOpener{open: respondOK}, testLimits(), zap.NewNop())
 	c, err := net.Dial("tcp", addr)
--- a/adapters/platform/transport_test.go
+++ b/adapters/platform/transport_test.go
@@ -39,8 +39,7 @@
 	return c.Conn.Read(p)
 }
 
-// Guards against a connection that is closed while a response is read, because the
-// response headers arrived before the write of the request had returned.
+// Guards against closing a connection whose response arrives before the request's write returns.
 func TestResponseBeforeEndOfWrite(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		client, server := net.Pipe()
--- a/adapters/sockets/sockets_test.go
+++ b/adapters/sockets/sockets_test.go
@@ -71,8 +71,7 @@
 	return s
 }
 
-// Guards against a shortage of descriptors, or a connection that its caller aborts, ending
-// the listener and with it the process.
+// Guards against a shortage of descriptors, or an aborted connection, that ends the listener.
 func TestAcceptErrors(t *testing.T) {
 	for _, errno := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
 		t.Run(errno.Error(), func(t *testing.T) {
@@ -97,8 +96,7 @@
 	}
 }
 
-// Guards against new connections that are refused while others are idle, against closing one
-// that carries a request, and against passing a request on that crossed the close.
+// Guards against closing a busy connection, or none, for a new one, and against crossing requests.
 func TestOldestIdleIsClosed(t *testing.T) {
 	s := share(t, 3)
 	l := &Listener{Listener: listen(t), Share: s}
@@ -154,8 +152,7 @@
 	}
 }
 
-// Guards against a dial that takes more than its share, and against one that is not tried
-// again once a descriptor was freed, that loses a descriptor or reports that it was sent.
+// Guards against a dial beyond its share, one that is not tried again, and lost descriptors.
 func TestDial(t *testing.T) {
 	ln := listen(t)
 	s := share(t, 1)
--- a/cmd/internal/daemon/recheck_test.go
+++ b/cmd/internal/daemon/recheck_test.go
@@ -29,8 +29,7 @@
 
 func (c *outageClaimer) Finish(int, []gateway.Field, []byte, error) {}
 
-// Guards against a request that is sent to a data centre out of service because it was
-// placed before and then waited for its claim.
+// Guards against a late send to a data centre that was taken out after the placement.
 func TestPlacedRequestAvoidsDataCentreOut(t *testing.T) {
 	f := newFixture(t)
 	f.extraDataCentres = []string{"goes"}
--- a/cmd/internal/daemon/stop_test.go
+++ b/cmd/internal/daemon/stop_test.go
@@ -54,8 +54,7 @@
 	}
 }
 
-// A connection that holds half of a request must not delay a stop until its limit, after which
-// nothing can be saved, nor count as a request that the stop ended.
+// Guards against half of a request that delays a stop to its limit or counts as ended by it.
 func TestStopDoesNotWaitForHalfRequests(t *testing.T) {
 	f := newFixture(t)
 	f.applyManifest()
--- a/cmd/internal/edge/budget_test.go
+++ b/cmd/internal/edge/budget_test.go
@@ -10,8 +10,7 @@
 	"testing"
 )
 
-// Guards against a new dial or listener of an instance that takes no descriptor from its
-// budget.
+// Guards against a dial or listener of an instance that takes no descriptor from its budget.
 func TestEveryConnectionTakesADescriptor(t *testing.T) {
 	dials, servers := 0, 0
 	for _, dir := range []string{".", "../../../platform", "../../../adapters/engine", "../../../adapters/feed", "../../../adapters/httpapi", "../../../adapters/httpcall", "../../../adapters/gossip"} {
--- a/cmd/internal/edge/early_test.go
+++ b/cmd/internal/edge/early_test.go
@@ -7,8 +7,7 @@
 	"time"
 )
 
-// Guards against evidence that waits for the next periodic report while its caller repeats
-// the request elsewhere, and against reports without a pause in a series of crashes.
+// Guards against evidence that waits for the next report, and against reports without a pause.
 func TestReportWithEvidenceIsEarly(t *testing.T) {
 	const interval = 200 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
--- a/cmd/internal/edge/peertimes_test.go
+++ b/cmd/internal/edge/peertimes_test.go
@@ -7,8 +7,7 @@
 	"cyclamenhitch/core/servicetime"
 )
 
-// In a planned stop an instance must judge streams by what its peers know of their kind: one
-// that has just started, or gets few of them, has not seen the long ones.
+// Guards against a stop that judges streams without what peers know of long ones.
 func TestStopLearnsTimesOfPeers(t *testing.T) {
 	f := startFleet(t, 2)
 	stopping, peer := f.edges[0].edge, f.edges[1].edge
--- a/cmd/internal/edge/stopdelivery_test.go
+++ b/cmd/internal/edge/stopdelivery_test.go
@@ -178,8 +178,7 @@
 	return log.String()
 }
 
-// A planned stop must not end before callers that read slowly have got the responses that
-// servers have completed.
+// Guards against a stop that ends before slow readers have got responses that servers completed.
 func TestStopDeliversLargeResponses(t *testing.T) {
 	const size, rate = 8_200_000, 1_600_000
 	for _, path := range []string{"/order/1", "/read/1"} {
@@ -189,8 +188,7 @@
 	}
 }
 
-// A planned stop must not cut streams off when it ends requests that have no answer yet: a
-// stream has no other answer, and it may end before the process has to.
+// Guards against a stop that cuts streams off when it ends requests that have no answer yet.
 func TestStopLeavesStreamsUntilItsExit(t *testing.T) {
 	t.Parallel()
 	// Requests are aborted 1 s before the limit, the process exits 250 ms before it.
--- a/cmd/internal/soak/bodies_linux_test.go
+++ b/cmd/internal/soak/bodies_linux_test.go
@@ -43,9 +43,7 @@
 	return resp.StatusCode, err
 }
 
-// Callers that send more large bodies at once than fit into the memory, with a length and in
-// chunks, must not make the process exceed it. Each gets an answer, and requests with short
-// bodies are served meanwhile.
+// Guards against large bodies that exceed the memory, or keep short requests from being served.
 func TestLargeBodiesStayWithinMemory(t *testing.T) {
 	f, n, _ := startWithMemoryLimit(t)
 	var served, refused, cut atomic.Int64
--- a/cmd/internal/soak/descriptors_linux_test.go
+++ b/cmd/internal/soak/descriptors_linux_test.go
@@ -23,9 +23,7 @@
 	return nil
 }
 
-// Connections beyond the limit of open files, to any listener, whether the limit is the one
-// that the settings name or a lower one, must neither end the process nor keep the directory
-// or a new caller from an answer.
+// Guards against connections beyond the limit of open files that end the process or its answers.
 func TestConnectionsBeyondTheDescriptorLimit(t *testing.T) {
 	for name, allowed := range map[string]uint64{"as set": descriptorLimit, "less than set": 200} {
 		t.Run(name, func(t *testing.T) {
--- a/cmd/internal/soak/slope_linux_test.go
+++ b/cmd/internal/soak/slope_linux_test.go
@@ -39,8 +39,7 @@
 	return size << 10, len(open)
 }
 
-// Guards against connections that cost more memory or descriptors than the budget assumes.
-// The log has the slopes of docs/CAPACITY.md.
+// Guards against connections that cost more than the budget assumes; logs the slopes of CAPACITY.md.
 func TestCostOfConnections(t *testing.T) {
 	f := startFleet(t, 0)
 	binary, err := buildDaemon()
--- a/cmd/internal/soak/stopplay_test.go
+++ b/cmd/internal/soak/stopplay_test.go
@@ -273,8 +273,7 @@
 	return out
 }
 
-// A planned stop must not end a request without an answer that it has accepted, unless its
-// server is at work until the end, nor keep the process beyond its grace.
+// Guards against a planned stop that cuts accepted requests or outlasts its grace.
 func TestStopPlays(t *testing.T) {
 	if *stopPlays != "" {
 		runStopPlays(t, stopPlaysNamed(strings.Split(*stopPlays, ","), 100, stopInstances), stopInstances, false)
--- a/core/budget/bodies_test.go
+++ b/core/budget/bodies_test.go
@@ -6,8 +6,7 @@
 	"pgregory.net/rapid"
 )
 
-// Guards against bodies that exceed the budget, against long ones that leave no room for
-// short ones, and against an account that takes what is set aside for others.
+// Guards against bodies beyond the budget, and against long ones or one account that take it all.
 func TestBodies(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := NewBodies(64 << 20)
--- a/core/budget/descriptors_test.go
+++ b/core/budget/descriptors_test.go
@@ -60,8 +60,7 @@
 	}
 }
 
-// Guards against shares of the memory that together exceed it, or leave no room for the
-// largest request.
+// Guards against shares that together exceed the memory or have no room for the largest request.
 func TestProcessMemory(t *testing.T) {
 	for _, megabytes := range []int64{128, 256, 284, 4096} {
 		p := NewProcess(4100, megabytes<<20)
--- a/core/gateway/releasebody_test.go
+++ b/core/gateway/releasebody_test.go
@@ -24,8 +24,7 @@
 	return nil, result.New(result.ServerRefused, "scripted")
 }
 
-// Guards against sending a request again without its body, and against releasing a body that
-// another server may still need.
+// Guards against sending a request without its body, and against releasing one that is needed.
 func TestReleasedBodyIsNotSentAgain(t *testing.T) {
 	for name, row := range map[string]struct {
 		req      Request
--- a/core/lifecycle/accept_test.go
+++ b/core/lifecycle/accept_test.go
@@ -32,9 +32,7 @@
 	}
 }
 
-// Guards against requests that are accepted in a shutdown and cannot end before its limit,
-// and against refusing those that can. The limit is 8 s, requests are aborted after 7.2 s,
-// streams end after 7.8 s.
+// Guards against accepting requests that cannot end before the limit, and refusing those that can.
 func TestMayFinish(t *testing.T) {
 	t0 := time.Unix(1000, 0)
 	for name, row := range map[string]struct {
@@ -81,8 +79,7 @@
 	}
 }
 
-// Guards against many streams that are each unlikely to outlast a shutdown: the number that it
-// is expected to cut is bounded for all of them together.
+// Guards against many streams that are each unlikely to outlast a shutdown and are not added up.
 func TestExpectedCutsAreBounded(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		t0 := time.Unix(1000, 0)
@@ -115,8 +112,7 @@
 	})
 }
 
-// Guards against rare long streams among short ones (5.5 times as long, 4 in 1,000) that are
-// accepted late and cut, and against refusing most of the short ones at the start for them.
+// Guards against rare long streams that are cut, and against refusing the usual ones for them.
 func TestRareLongStreams(t *testing.T) {
 	const (
 		stops    = 400
--- a/core/quarantine/bound_test.go
+++ b/core/quarantine/bound_test.go
@@ -281,8 +281,7 @@
 	c.next = f.now.Add(repeatPause + time.Duration(f.rng.IntN(500))*time.Millisecond)
 }
 
-// The fleet together must stay within the users' bounds, whether its instances see several of
-// the crashes each or less than one.
+// Guards against more servers ended by one request, or one kind, than the users' bounds.
 func TestFleetStaysWithinServersPerRequest(t *testing.T) {
 	for name, p := range map[string]boundPlay{
 		"alone":                {kinds: 1},
--- a/core/servicetime/risk_test.go
+++ b/core/servicetime/risk_test.go
@@ -25,8 +25,7 @@
 	return time.Duration(rapid.IntRange(1, most).Draw(t, label)) * time.Millisecond
 }
 
-// Guards against an estimate that is below the share of known times that are longer, that falls
-// when less time is left, or that says nothing is at risk.
+// Guards against a risk below the share of longer times, or one that falls with less time left.
 func TestRiskBounds(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var tr Tracker
@@ -60,8 +59,7 @@
 	})
 }
 
-// Guards against streams that are taken for long ones because others of their kind are: the
-// number of output tokens bounds the length.
+// Guards against taking short streams for long ones: the number of output tokens bounds the length.
 func TestRiskByTokens(t *testing.T) {
 	const perToken = 8 * time.Millisecond
 	var tr Tracker
@@ -79,8 +77,7 @@
 	}
 }
 
-// Guards against streams that are accepted by the pace of earlier ones while servers have
-// become slower.
+// Guards against judging streams by the earlier pace of servers that have become slower.
 func TestRiskWhenServersSlowDown(t *testing.T) {
 	var tr Tracker
 	now := time.Unix(1000, 0)
@@ -149,8 +146,7 @@
 	}
 }
 
-// Guards against an instance that judges by its own few times although peers know more, counts
-// what it learned from peers as its own, or fails on what a peer sends.
+// Guards against ignoring the times of peers, passing them on as own ones, or failing on bad ones.
 func TestTimesOfPeers(t *testing.T) {
 	var tr, peer Tracker
 	now := time.Unix(1000, 0)
@@ -199,8 +195,7 @@
 	}
 }
 
-// Guards against a fleet that has just started and takes its streams for short, because only the
-// short ones have ended: 1 in 100 takes 6 s.
+// Guards against taking all streams for short because only the short ones have ended yet.
 func TestRiskWhileLongOnesStillRun(t *testing.T) {
 	var tr Tracker
 	now := time.Unix(1000, 0)
@@ -220,8 +215,7 @@
 	}
 }
 
-// Guards against streams that are accepted by their number of tokens while servers are silent:
-// before the first part, in the middle, or up to the deadline.
+// Guards against accepting streams by their number of tokens while servers are silent.
 func TestSilentStreamsCount(t *testing.T) {
 	const tokens = 400
 	for name, silent := range map[string]func(tr *Tracker, now time.Time){
--- a/core/verdict/verdict_test.go
+++ b/core/verdict/verdict_test.go
@@ -55,8 +55,7 @@
 	}
 }
 
-// Guards against a new result code without a verdict: all codes are listed here, by the
-// attempts in which they end or as codes that the instance itself ends requests with.
+// Guards against a new result code without a verdict.
 func TestEveryCodeHasAVerdict(t *testing.T) {
 	own := map[result.Code]bool{
 		1001: true, 1002: true, 1003: true, 1004: true, 1005: true, 1006: true, 1007: true, 1008: true, 1009: true, 1010: true, 1011: true, 1012: true,
