Let settings enable optional mechanisms

The functions for the two new customers must leave the decisions of the earlier deployments as they are. Mechanisms of a new kind are off unless policy.enabled names them; three names are reserved for the parts in progress. TestOptionalMechanisms checks both lists for each mechanism.

--- a/adapters/settings/edge.go
+++ b/adapters/settings/edge.go
@@ -49,6 +49,8 @@
 	FetchWeight *float64 `toml:"fetch_weight"`
 	// Disabled names mechanisms to switch off, to measure what they are worth. Default none.
 	Disabled []string `toml:"disabled"`
+	// Enabled names optional mechanisms to switch on. Default none.
+	Enabled []string `toml:"enabled"`
 }
 
 // PlacementPolicy returns the policy that the settings describe.
@@ -61,6 +63,9 @@
 	if p.Off, err = placement.ParseMechanisms(s.Policy.Disabled); err != nil {
 		return p, err
 	}
+	if p.Enabled, err = placement.ParseOptional(s.Policy.Enabled); err != nil {
+		return p, err
+	}
 	return p, p.Validate()
 }
 
--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -6,13 +6,16 @@
 	"strings"
 )
 
-// Policy holds the weights of the cost model and the mechanisms that are off.
+// Policy holds the weights of the cost model, the mechanisms that are off and the optional
+// mechanisms that are on.
 type Policy struct {
 	// FetchWeight is the cost of a transfer between engines, in ms of prompt processing per
 	// ms that it takes.
 	FetchWeight float64
 	// Off holds the mechanisms that are switched off.
 	Off Mechanisms
+	// Enabled holds the optional mechanisms that are switched on.
+	Enabled Mechanisms
 }
 
 const (
@@ -22,7 +25,7 @@
 	maxFetchWeight     = 100
 )
 
-// DefaultPolicy returns the policy with all mechanisms on.
+// DefaultPolicy returns the policy with all mechanisms on but the optional ones.
 func DefaultPolicy() Policy { return Policy{FetchWeight: defaultFetchWeight} }
 
 // Validate returns an error for weights that make no sense.
@@ -58,8 +61,15 @@
 	PromptLearning
 	RequestUrgency
 	PromptQuarantine
+
+	// Optional mechanisms: a deployment asks for them in its settings.
+	ServicePacing
+	PromptIsolation
+	CapacityWeights
 )
 
+const optional = Mechanisms(ServicePacing | PromptIsolation | CapacityWeights)
+
 // MechanismInfo describes a mechanism to operators.
 type MechanismInfo struct {
 	Mechanism Mechanism
@@ -85,6 +95,9 @@
 	{PromptLearning, "prompt_learning", "learns after a start what the engines cache"},
 	{RequestUrgency, "request_urgency", "tells engines which requests go first"},
 	{PromptQuarantine, "prompt_quarantine", "refuses requests with prompt parts that crash engines"},
+	{ServicePacing, "service_pacing", "optional: paces requests to short pools of plain services by fair shares"},
+	{PromptIsolation, "prompt_isolation", "optional: keeps short prompts from waiting behind long ones"},
+	{CapacityWeights, "capacity_weights", "optional: names instances to callers by capacity and load"},
 }
 
 // ListMechanisms returns all mechanisms.
@@ -115,4 +128,15 @@
 func (s Mechanisms) Has(m Mechanism) bool { return s&Mechanisms(m) != 0 }
 
 // On reports whether a mechanism is on.
-func (p *Policy) On(m Mechanism) bool { return !p.Off.Has(m) }
+func (p *Policy) On(m Mechanism) bool {
+	return !p.Off.Has(m) && (!optional.Has(m) || p.Enabled.Has(m))
+}
+
+// ParseOptional returns the set of the named mechanisms, all of which have to be optional.
+func ParseOptional(names []string) (Mechanisms, error) {
+	set, err := ParseMechanisms(names)
+	if err == nil && set&^optional != 0 {
+		return 0, fmt.Errorf("only optional mechanisms can be enabled, others are on unless disabled")
+	}
+	return set, err
+}
--- a/core/placement/policy_test.go
+++ b/core/placement/policy_test.go
@@ -104,3 +104,25 @@
 		t.Errorf("%d of 2 prompts reported after a long one", len(placed))
 	}
 }
+
+// Guards against an optional mechanism that changes decisions without being asked for, and
+// against a mandatory one that appears in the list of enabled ones.
+func TestOptionalMechanisms(t *testing.T) {
+	p := DefaultPolicy()
+	for _, m := range ListMechanisms() {
+		want := !optional.Has(m.Mechanism)
+		if p.On(m.Mechanism) != want {
+			t.Errorf("%s is on by default: %v, want %v", m.Name, !want, want)
+		}
+		set, err := ParseOptional([]string{m.Name})
+		if (err == nil) == want {
+			t.Errorf("enabling %s: error %v", m.Name, err)
+		}
+		if q := (Policy{Enabled: set}); err == nil && !q.On(m.Mechanism) {
+			t.Errorf("%s stays off though it is enabled", m.Name)
+		}
+		if q := (Policy{Enabled: set, Off: Mechanisms(m.Mechanism)}); q.On(m.Mechanism) {
+			t.Errorf("%s stays on though it is disabled", m.Name)
+		}
+	}
+}
