Let the stand-in of the store return as an older copy

Rewind returns the store as it was some time ago: later writes are lost, versions are assigned again and the era in Store-Era, which all answers state, increases by one. A read from a version that it does not have gets 410.

--- a/standins/userstore/userstore.go
+++ b/standins/userstore/userstore.go
@@ -52,15 +52,29 @@
 	down         bool
 	versionLag   uint64
 	calls        int
+	era          uint64
+	undo         []undo // oldest first
 }
 
+// undo restores one row to what it was before a change.
+type undo struct {
+	at  time.Time
+	ver uint64 // of the change
+	key key
+	old Row
+	had bool
+}
+
+// eraHeader names the era of the store in each answer.
+const eraHeader = "Store-Era"
+
 // Start listens on a free loopback port.
 func Start() (*Store, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{ln: ln, start: time.Now(), rows: map[key]Row{}, changed: make(chan struct{})}
+	s := &Store{ln: ln, start: time.Now(), rows: map[key]Row{}, changed: make(chan struct{}), era: 1}
 	go func() { _ = fasthttp.Serve(ln, s.handle) }()
 	return s, nil
 }
@@ -89,6 +103,38 @@
 	s.notifyWaiters()
 }
 
+// Rewind makes the store return as the copy that it was age ago: later writes are lost,
+// versions continue from the copy's, and the era increases by one.
+func (s *Store) Rewind(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since := time.Now().Add(-age)
+	for n := len(s.undo); n > 0 && s.undo[n-1].at.After(since); n-- {
+		u := s.undo[n-1]
+		if s.rows[u.key] = u.old; !u.had {
+			delete(s.rows, u.key)
+		}
+		s.ver, s.undo = u.ver-1, s.undo[:n-1]
+	}
+	s.compactedVer = min(s.compactedVer, s.ver)
+	s.era++
+	s.notifyWaiters()
+}
+
+// Era returns the current era, which is 1 at the start.
+func (s *Store) Era() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// Value returns the value of a row in the empty partition, nil if there is none.
+func (s *Store) Value(table, name string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[key{table, "", name}].Value
+}
+
 // SetVersionLag makes full reads report a version that is n below the current
 // one, as a lagging replica does.
 func (s *Store) SetVersionLag(n uint64) {
@@ -141,13 +187,19 @@
 func (s *Store) apply(tx transaction) {
 	s.ver++
 	ver := s.ver
+	put := func(r Row) {
+		k := key{r.Table, r.Part, r.Key}
+		old, had := s.rows[k]
+		s.undo = append(s.undo, undo{time.Now(), ver, k, old, had})
+		s.rows[k] = r
+	}
 	for _, r := range tx.SetKeys {
 		r.Ver = &ver
-		s.rows[key{r.Table, r.Part, r.Key}] = r
+		put(r)
 	}
 	for _, r := range tx.Remove {
 		r.Ver, r.Tombstone, r.Value = &ver, true, nil
-		s.rows[key{r.Table, r.Part, r.Key}] = r
+		put(r)
 	}
 	s.notifyWaiters()
 }
@@ -156,6 +208,7 @@
 	s.mu.Lock()
 	s.calls++
 	down := s.down
+	ctx.Response.Header.Set(eraHeader, strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
 	if down {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -185,6 +238,7 @@
 		have, ok := s.rows[key{want.Table, want.Part, want.Key}]
 		exists := ok && !have.Tombstone
 		if want.Ver == nil || *want.Ver == 0 && exists || *want.Ver != 0 && (!exists || *have.Ver != *want.Ver) {
+			ctx.Response.Header.Set(eraHeader, strconv.FormatUint(s.era, 10))
 			ctx.SetStatusCode(fasthttp.StatusPreconditionFailed)
 			return
 		}
@@ -231,7 +285,8 @@
 	defer end.Stop()
 	for {
 		s.mu.Lock()
-		if s.down || after < s.compactedVer {
+		ctx.Response.Header.Set(eraHeader, strconv.FormatUint(s.era, 10))
+		if s.down || after < s.compactedVer || after > s.ver {
 			status := fasthttp.StatusGone
 			if s.down {
 				status = fasthttp.StatusServiceUnavailable
@@ -266,6 +321,7 @@
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
+	ctx.Response.Header.Set(eraHeader, strconv.FormatUint(s.era, 10))
 	ctx.SetContentType("application/json")
 	ctx.SetBody(b)
 }
