Store verdicts on prompt parts again after the store returned older

An instance believed the row of a blocked part to be stored although an older copy of the store had lost it, and left the row of a released part that showed again. ForgetStored makes all blocked parts due again, Done ignores writes of an earlier copy, and MergeStored removes the rows of parts that were released after their last crash.

TestStoreReturnsOlder: without ForgetStored "a lost row is not written again", without the memory of releases "the row of a released part stays".

--- a/core/quarantine/stored.go
+++ b/core/quarantine/stored.go
@@ -13,6 +13,10 @@
 	// Key and Value are the row to write; a nil Value removes it.
 	Key   string
 	Value []byte
+	// Again is set if the row may have been stored before an older copy of the store lost it.
+	Again bool
+	// copies counts how often the stored rows had been lost when the write became due.
+	copies int
 }
 
 // removalTime is how long an instance tries to remove an obsolete row. One that stays does
@@ -30,7 +34,7 @@
 		case now.Sub(since) > removalTime:
 			delete(t.obsolete, key)
 		case t.isEligible(key, 0):
-			out = append(out, StoreAction{Part: key, Key: key.String()})
+			out = append(out, StoreAction{Part: key, Key: key.String(), copies: t.copies})
 		}
 	}
 	for key, r := range t.records {
@@ -45,7 +49,7 @@
 		if err != nil {
 			return nil, err
 		}
-		out = append(out, StoreAction{Part: key, Key: key.String(), Value: value})
+		out = append(out, StoreAction{Part: key, Key: key.String(), Value: value, Again: t.copies > 0, copies: t.copies})
 	}
 	return out, nil
 }
@@ -54,6 +58,9 @@
 func (t *Tracker) Done(now time.Time, a StoreAction) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if a.copies != t.copies {
+		return // the store has lost the write, or may have
+	}
 	if a.Value == nil {
 		delete(t.obsolete, a.Part)
 	} else if r := t.records[a.Part]; r != nil {
@@ -61,6 +68,51 @@
 	}
 }
 
+// ForgetStored records that the store has returned as an older copy: what it holds is
+// unknown, so that all blocked parts are stored again.
+func (t *Tracker) ForgetStored() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.copies++
+	for _, r := range t.records {
+		r.storedLevel = 0
+	}
+}
+
+const (
+	// releaseMemory is how long a released part is remembered: for two older copies of the
+	// store in a row, 8 s each, and the outages before them.
+	releaseMemory = time.Minute
+	maxReleased   = 256
+)
+
+// release records that a stored part is no longer blocked. The caller holds mu.
+func (t *Tracker) release(now time.Time, key PartKey) {
+	for k, at := range t.released {
+		if now.Sub(at) >= releaseMemory || len(t.released) >= maxReleased {
+			delete(t.released, k)
+		}
+	}
+	t.obsolete[key], t.released[key] = now, now
+}
+
+// MergeStored merges evidence read from the store. Rows of parts that were released after
+// their last crash, which an older copy of the store shows again, are removed instead.
+func (t *Tracker) MergeStored(now time.Time, list []Evidence) {
+	t.mu.Lock()
+	kept := list[:0:0]
+	for _, e := range list {
+		at, ok := t.released[e.Part]
+		if !ok || slices.ContainsFunc(e.Strikes, func(s Strike) bool { return now.Add(-s.Age).After(at) }) {
+			kept = append(kept, e)
+			continue
+		}
+		t.obsolete[e.Part] = now
+	}
+	t.mu.Unlock()
+	t.Merge(now, kept)
+}
+
 // row is the stored form of the evidence about a part. Times are Unix milliseconds.
 type row struct {
 	Depth  int  `json:"depth"`
--- /dev/null
+++ b/core/quarantine/stored_test.go
@@ -0,0 +1,95 @@
+package quarantine
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	"cyclamenhitch/core/fleet"
+)
+
+// Guards against verdicts that are lost, or come back after their release, when the store
+// returns as an older copy.
+func TestStoreReturnsOlder(t *testing.T) {
+	s := &scenario{start: time.Unix(1_000_000, 0), names: map[PartKey]string{}, rows: map[string][]byte{}}
+	s.now = s.start
+	s.restart(0, 1)
+	tr := s.trackers[0]
+	blocked := func() bool { return len(*tr.blocked.Load()) > 0 }
+	write := func() int {
+		actions, err := tr.Pending(s.now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, a := range actions {
+			if s.rows[a.Key] = a.Value; a.Value == nil {
+				delete(s.rows, a.Key)
+			}
+			tr.Done(s.now, a)
+		}
+		return len(actions)
+	}
+	load := func() {
+		for key, value := range s.rows {
+			e, err := DecodeRow(s.now, key, value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			tr.MergeStored(s.now, []Evidence{e})
+		}
+	}
+	answerOther(tr, s.now)
+	for range 4 {
+		s.now = s.now.Add(minIncidentGap + time.Second)
+		s.crashes++
+		tr.Crashed(s.now, testPool, Crash(s.crashes), fleet.HashID("account"), s.parts("bad"))
+		answerOther(tr, s.now.Add(time.Millisecond))
+	}
+	s.now = s.now.Add(time.Second)
+	tr.Report(s.now)
+	if !blocked() || write() == 0 || write() != 0 {
+		t.Fatal("the verdict is not stored once")
+	}
+	withRow := maps.Clone(s.rows)
+
+	// The row is lost; a write whose confirmation arrives after that counts as lost too.
+	s.rows = map[string][]byte{}
+	tr.ForgetStored()
+	late, err := tr.Pending(s.now)
+	if err != nil || len(late) == 0 || !late[0].Again {
+		t.Fatalf("a lost row is not written again: %v, %v", late, err)
+	}
+	tr.ForgetStored()
+	tr.Done(s.now, late[0])
+	if write() == 0 || len(s.rows) != len(withRow) {
+		t.Fatal("a row whose write was lost as well is not written again")
+	}
+
+	// The part is released and its row removed; an older copy shows it again.
+	s.now = s.now.Add(time.Second)
+	tr.Answered(s.now, testPool, s.parts("bad"))
+	if blocked() || write() == 0 || len(s.rows) != 0 {
+		t.Fatalf("the part is not released, rows %v", s.rows)
+	}
+	s.now = s.now.Add(8 * time.Second)
+	tr.Report(s.now)
+	s.rows = withRow
+	tr.ForgetStored()
+	load()
+	if blocked() {
+		t.Error("a released part is blocked again")
+	}
+	if write(); len(s.rows) != 0 {
+		t.Error("the row of a released part stays")
+	}
+	// A crash after the release counts.
+	e, err := DecodeRow(s.now, PartKey{Pool: 1, ID: 2}.String(), []byte(`{"strikes":[{"crash":9,"account":1,"at_ms":1}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tr.released[e.Part] = s.now.Add(-time.Second)
+	e.Strikes[0].Age = 0
+	if tr.MergeStored(s.now, []Evidence{e}); tr.records[e.Part] == nil {
+		t.Error("evidence of a crash after the release was dropped")
+	}
+}
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -34,6 +34,10 @@
 	standingAt   time.Time
 	// obsolete are the parts whose stored evidence is obsolete, with the time since when.
 	obsolete map[PartKey]time.Time
+	// released is when stored parts were released; copies counts the older copies as which
+	// the store has returned.
+	released map[PartKey]time.Time
+	copies   int
 	changes  []Change
 }
 
@@ -65,7 +69,7 @@
 
 // New returns a Tracker without evidence.
 func New(self fleet.InstanceID) *Tracker {
-	t := &Tracker{self: self, live: []fleet.InstanceID{self}, records: map[PartKey]*record{}, poolAnswered: map[uint64]time.Time{}, obsolete: map[PartKey]time.Time{}}
+	t := &Tracker{self: self, live: []fleet.InstanceID{self}, records: map[PartKey]*record{}, poolAnswered: map[uint64]time.Time{}, obsolete: map[PartKey]time.Time{}, released: map[PartKey]time.Time{}}
 	t.blocked.Store(&map[PartKey]*record{})
 	return t
 }
@@ -227,8 +231,9 @@
 		}
 		if was && !r.blocked {
 			r.changedAt = now
-			if r.storedLevel > 0 {
-				r.storedLevel, t.obsolete[key] = 0, now
+			if r.storedLevel > 0 || t.copies > 0 {
+				r.storedLevel = 0
+				t.release(now, key)
 			}
 		}
 		// Answers are reported for a while, so that no instance keeps the strikes.
