Follow the eras of the store

Versions are pairs of era and number in the replicas, in the feed between instances and in reports. Answers of an era that is over are dropped. An instance that starts asks peers for what they have in force before it is ready, and waits up to 5 s for a newer configuration that a live peer reports. Instances write their row again; eras.afterRise adds further writers, eras.voided functions that forget what was stored.

TestLargeResponsesAreCompressed found that the era of a compressed response was lost in decoding (version {0 2}).

--- a/adapters/feed/feed.go
+++ b/adapters/feed/feed.go
@@ -42,6 +42,10 @@
 	// replica of a table reflects.
 	ReadStart func(table string) freshness.Instant
 	Now       func() freshness.Instant
+	// Extra, unless nil, returns the rows of further tables, which are no replicas of the
+	// store's and can only be read as a whole. known is false for other names; rows is nil
+	// while they cannot be served.
+	Extra func(table string) (rows []store.Entry, known bool)
 
 	responseCache responseCache
 }
@@ -50,6 +54,12 @@
 func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
 	args := ctx.QueryArgs()
 	table := string(args.Peek("table"))
+	if s.Extra != nil {
+		if rows, known := s.Extra(table); known {
+			s.writeExtra(ctx, rows)
+			return
+		}
+	}
 	log := s.Log(table)
 	if log == nil {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -67,8 +77,8 @@
 		s.writeResponse(ctx, responseKey{table: table, snapshot: true}, rows, version, readStart)
 		return
 	}
-	after, err := strconv.ParseUint(string(args.Peek("after")), 10, 64)
-	if err != nil {
+	after, ok := parseVersion(args)
+	if !ok {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
@@ -94,14 +104,48 @@
 	}
 }
 
-func (s *Server) writeResponse(ctx *fasthttp.RequestCtx, key responseKey, rows []store.Entry, version uint64, readStart freshness.Instant) {
+// parseVersion returns the version after which changes are requested. Instances of earlier
+// builds state no era, which is era 0.
+func parseVersion(args *fasthttp.Args) (store.Version, bool) {
+	number, err := strconv.ParseUint(string(args.Peek("after")), 10, 64)
+	if err != nil || !args.Has("era") {
+		return store.Version{Number: number}, err == nil
+	}
+	era, err := strconv.ParseUint(string(args.Peek("era")), 10, 64)
+	return store.Version{Era: era, Number: number}, err == nil
+}
+
+// writeExtra responds with rows that are no replica of a table.
+func (s *Server) writeExtra(ctx *fasthttp.RequestCtx, rows []store.Entry) {
+	if rows == nil {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
+	b, err := proto.Marshal(changesOf(rows))
+	if err == nil && len(b) >= minCompressBytes {
+		b, err = proto.Marshal(&feedpb.Changes{Packed: encoder().EncodeAll(b, nil)})
+	}
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetBody(b)
+}
+
+func changesOf(rows []store.Entry) *feedpb.Changes {
+	m := &feedpb.Changes{}
+	for _, e := range rows {
+		m.Rows = append(m.Rows, &feedpb.Row{Key: e.Key, Value: e.Value, Removed: e.Value == nil, Version: e.Version})
+	}
+	return m
+}
+
+func (s *Server) writeResponse(ctx *fasthttp.RequestCtx, key responseKey, rows []store.Entry, version store.Version, readStart freshness.Instant) {
 	key.version = version
 	m := &feedpb.Changes{}
 	if m.Packed = s.responseCache.get(key); m.Packed == nil {
-		m.Version = version
-		for _, e := range rows {
-			m.Rows = append(m.Rows, &feedpb.Row{Key: e.Key, Value: e.Value, Removed: e.Value == nil, Version: e.Version})
-		}
+		m = changesOf(rows)
+		m.Version = version.Number
 		if proto.Size(m) >= minCompressBytes {
 			b, err := proto.Marshal(m)
 			if err != nil {
@@ -111,6 +155,7 @@
 			m = &feedpb.Changes{Packed: s.responseCache.compress(key, b)}
 		}
 	}
+	m.Era = version.Era
 	m.AgeMs = uint32((s.Now() - readStart + time.Millisecond - 1) / time.Millisecond)
 	b, err := proto.Marshal(m)
 	if err != nil {
@@ -144,36 +189,37 @@
 func (p *Pool) NewClient(address string) *Client { return &Client{Address: address, http: p.http} }
 
 // Snapshot reads a whole table.
-func (c *Client) Snapshot(_ context.Context, table string) ([]store.Entry, uint64, error) {
+func (c *Client) Snapshot(_ context.Context, table string) ([]store.Entry, store.Version, error) {
 	return c.call("table="+table+"&whole=1", callTimeout)
 }
 
 // Changes reads the changes after a version. Without any, it waits up to wait for one.
-func (c *Client) Changes(_ context.Context, table string, after uint64, wait time.Duration) ([]store.Entry, uint64, error) {
-	q := "table=" + table + "&after=" + strconv.FormatUint(after, 10) + "&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
+func (c *Client) Changes(_ context.Context, table string, after store.Version, wait time.Duration) ([]store.Entry, store.Version, error) {
+	q := "table=" + table + "&after=" + strconv.FormatUint(after.Number, 10) + "&era=" + strconv.FormatUint(after.Era, 10) + "&wait_ms=" + strconv.FormatInt(wait.Milliseconds(), 10)
 	return c.call(q, wait+callTimeout)
 }
 
-func (c *Client) call(query string, timeout time.Duration) ([]store.Entry, uint64, error) {
+func (c *Client) call(query string, timeout time.Duration) ([]store.Entry, store.Version, error) {
 	status, body, err := c.http.Get("http://"+c.Address+Path+"?"+query, timeout)
 	if err != nil {
-		return nil, 0, result.Wrap(result.StoreUnavailable, err, "feed request to peer %s failed", c.Address)
+		return nil, store.Version{}, result.Wrap(result.StoreUnavailable, err, "feed request to peer %s failed", c.Address)
 	}
 	switch status {
 	case fasthttp.StatusOK:
 	case fasthttp.StatusGone:
-		return nil, 0, store.ErrHistoryTruncated
+		return nil, store.Version{}, store.ErrHistoryTruncated
 	default:
-		return nil, 0, result.New(result.StoreUnavailable, "peer %s answered status %d", c.Address, status)
+		return nil, store.Version{}, result.New(result.StoreUnavailable, "peer %s answered status %d", c.Address, status)
 	}
 	var m feedpb.Changes
 	if err := proto.Unmarshal(body, &m); err != nil {
-		return nil, 0, result.Wrap(result.StoreUnavailable, err, "response of peer %s cannot be decoded", c.Address)
+		return nil, store.Version{}, result.Wrap(result.StoreUnavailable, err, "response of peer %s cannot be decoded", c.Address)
 	}
 	c.Age = time.Duration(m.AgeMs) * time.Millisecond
+	era := m.Era // decoding resets the message
 	if len(m.Packed) > 0 {
 		if err := decompress(m.Packed, &m); err != nil {
-			return nil, 0, result.Wrap(result.StoreUnavailable, err, "response of peer %s cannot be decompressed", c.Address)
+			return nil, store.Version{}, result.Wrap(result.StoreUnavailable, err, "response of peer %s cannot be decompressed", c.Address)
 		}
 	}
 	out := make([]store.Entry, len(m.Rows))
@@ -183,5 +229,5 @@
 			out[i].Value = append([]byte{}, r.Value...)
 		}
 	}
-	return out, m.Version, nil
+	return out, store.Version{Era: era, Number: m.Version}, nil
 }
--- a/adapters/feed/feed_test.go
+++ b/adapters/feed/feed_test.go
@@ -23,6 +23,9 @@
 // testTimeout ends a test that hangs; no behaviour depends on it.
 const testTimeout = 30 * time.Second
 
+// at returns a version of the era that the tests use.
+func at(number uint64) store.Version { return store.Version{Era: 7, Number: number} }
+
 func serve(t *testing.T, s *Server) *Client {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -38,7 +41,7 @@
 // happens if a store read that ends while the response is built supplies the start time.
 func TestAgeCoversReturnedRows(t *testing.T) {
 	log := feedlog.New()
-	log.Reset([]store.Entry{{Key: "k", Value: []byte("old"), Version: 1}}, 1)
+	log.Reset([]store.Entry{{Key: "k", Value: []byte("old"), Version: 1}}, at(1))
 	var now, began freshness.Instant = time.Second, 100 * time.Millisecond
 	version := uint64(1)
 	s := &Server{
@@ -46,7 +49,7 @@
 		ReadStart: func(string) freshness.Instant {
 			// A later store read ends just before the start time is taken.
 			version++
-			log.Apply([]store.Entry{{Key: "k", Value: []byte{byte(version)}, Version: version}}, version-1, version)
+			log.Apply([]store.Entry{{Key: "k", Value: []byte{byte(version)}, Version: version}}, at(version-1), at(version))
 			began += 100 * time.Millisecond
 			return began
 		},
@@ -54,13 +57,13 @@
 	c := serve(t, s)
 	for range 5 {
 		after := version
-		rows, got, err := c.Changes(context.Background(), "t", after, 0)
-		if err != nil || len(rows) != 1 || got < after+1 {
-			t.Fatalf("rows %v of version %d after %d, %v", rows, got, after, err)
+		rows, got, err := c.Changes(context.Background(), "t", at(after), 0)
+		if err != nil || len(rows) != 1 || got.Number < after+1 {
+			t.Fatalf("rows %v of version %v after %d, %v", rows, got, after, err)
 		}
 		// The read that produced version v started at v * 100 ms.
-		if reflects := now - c.Age; reflects > freshness.Instant(got)*100*time.Millisecond {
-			t.Fatalf("version %d is reported as read at %v", got, reflects)
+		if reflects := now - c.Age; reflects > freshness.Instant(got.Number)*100*time.Millisecond {
+			t.Fatalf("version %v is reported as read at %v", got, reflects)
 		}
 	}
 }
@@ -83,23 +86,23 @@
 	if _, _, err := c.Snapshot(context.Background(), "t"); result.As(err).Code != result.StoreUnavailable {
 		t.Errorf("table without a snapshot: %v", err)
 	}
-	log.Reset([]store.Entry{{Key: "a", Value: []byte{}, Version: 3}}, 3)
-	if rows, v, err := c.Snapshot(context.Background(), "t"); err != nil || v != 3 || len(rows) != 1 || rows[0].Value == nil {
+	log.Reset([]store.Entry{{Key: "a", Value: []byte{}, Version: 3}}, at(3))
+	if rows, v, err := c.Snapshot(context.Background(), "t"); err != nil || v != at(3) || len(rows) != 1 || rows[0].Value == nil {
 		t.Errorf("whole table: %v, version %d, %v", rows, v, err)
 	}
-	if _, _, err := c.Changes(context.Background(), "t", 2, 0); !errors.Is(err, store.ErrHistoryTruncated) {
+	if _, _, err := c.Changes(context.Background(), "t", at(2), 0); !errors.Is(err, store.ErrHistoryTruncated) {
 		t.Errorf("changes before the start of the history: %v", err)
 	}
 	done := make(chan []store.Entry, 1)
 	go func() {
-		rows, _, err := c.Changes(context.Background(), "t", 3, testTimeout)
+		rows, _, err := c.Changes(context.Background(), "t", at(3), testTimeout)
 		if err != nil {
 			t.Error(err)
 		}
 		done <- rows
 	}()
 	time.Sleep(20 * time.Millisecond) // lets the long poll start, in most runs
-	log.Apply([]store.Entry{{Key: "a", Version: 4}}, 3, 4)
+	log.Apply([]store.Entry{{Key: "a", Version: 4}}, at(3), at(4))
 	select {
 	case rows := <-done:
 		if len(rows) != 1 || rows[0].Value != nil || rows[0].Version != 4 {
@@ -109,7 +112,7 @@
 		t.Fatal("long poll did not return after a change")
 	}
 	current = false
-	if _, _, err := c.Changes(context.Background(), "t", 4, 0); result.As(err).Code != result.StoreUnavailable {
+	if _, _, err := c.Changes(context.Background(), "t", at(4), 0); result.As(err).Code != result.StoreUnavailable {
 		t.Errorf("out-of-date replica: %v", err)
 	}
 }
@@ -133,7 +136,7 @@
 		rows = append(rows, store.Entry{Key: k, Value: v, Version: 1})
 		size += len(v)
 	}
-	log.Reset(rows, 1)
+	log.Reset(rows, at(1))
 	s := &Server{
 		Log: func(string) *feedlog.Log { return log }, Now: func() freshness.Instant { return 0 },
 		ReadStart: func(string) freshness.Instant { return 0 },
@@ -173,11 +176,11 @@
 		verify(got, len(want), size)
 		want["config"] = append(want["config"], '0'+byte(version))
 		size++
-		log.Apply([]store.Entry{{Key: "config", Value: want["config"], Version: version + 1}}, version, version+1)
+		log.Apply([]store.Entry{{Key: "config", Value: want["config"], Version: version + 1}}, at(version), at(version+1))
 		for range 3 {
-			got, v, err := c.Changes(context.Background(), "t", version, 0)
-			if err != nil || v != version+1 {
-				t.Fatalf("version %d after %d, %v", v, version, err)
+			got, v, err := c.Changes(context.Background(), "t", at(version), 0)
+			if err != nil || v != at(version+1) {
+				t.Fatalf("version %v after %d, %v", v, version, err)
 			}
 			verify(got, 1, len(want["config"]))
 		}
@@ -187,6 +190,42 @@
 	}
 }
 
+// Guards against changes of one era that continue a copy of another one, and against a
+// follower that waits for changes of an era that is over.
+func TestErasAreNotMixed(t *testing.T) {
+	log := feedlog.New()
+	log.Reset(nil, at(3))
+	s := &Server{
+		Log: func(string) *feedlog.Log { return log }, Now: func() freshness.Instant { return 0 }, ReadStart: func(string) freshness.Instant { return 0 },
+		Extra: func(table string) ([]store.Entry, bool) {
+			return []store.Entry{{Key: "off"}, {Key: "on", Value: []byte{}}}, table == "extra"
+		},
+	}
+	c := serve(t, s)
+	for _, after := range []store.Version{{Era: 6, Number: 3}, {Era: 8, Number: 3}, {Number: 3}} {
+		if _, _, err := c.Changes(context.Background(), "t", after, 0); !errors.Is(err, store.ErrHistoryTruncated) {
+			t.Errorf("changes after %v were served from era 7: %v", after, err)
+		}
+	}
+	ended := make(chan error, 1)
+	go func() {
+		_, _, err := c.Changes(context.Background(), "t", at(3), testTimeout)
+		ended <- err
+	}()
+	time.Sleep(20 * time.Millisecond) // lets the long poll start, in most runs
+	log.Reset([]store.Entry{{Key: "a", Value: []byte{}, Version: 1}}, store.Version{Era: 8, Number: 1})
+	if err := <-ended; !errors.Is(err, store.ErrHistoryTruncated) {
+		t.Errorf("the wait for changes of era 7 ended with %v", err)
+	}
+	rows, v, err := c.Snapshot(context.Background(), "t")
+	if err != nil || len(rows) != 1 || v != (store.Version{Era: 8, Number: 1}) {
+		t.Errorf("%v, version %v, %v", rows, v, err)
+	}
+	if rows, _, err = c.Snapshot(context.Background(), "extra"); err != nil || len(rows) != 2 || rows[0].Value != nil || rows[1].Value == nil {
+		t.Errorf("extra table: %v, %v", rows, err)
+	}
+}
+
 // Guards against invalid compressed data that causes a panic or is accepted as rows.
 func TestInvalidCompressedData(t *testing.T) {
 	var m feedpb.Changes
--- a/adapters/feed/pack.go
+++ b/adapters/feed/pack.go
@@ -7,6 +7,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"cyclamenhitch/adapters/feed/feedpb"
+	"cyclamenhitch/core/store"
 )
 
 const (
@@ -32,7 +33,7 @@
 type responseKey struct {
 	table          string
 	snapshot       bool
-	after, version uint64
+	after, version store.Version
 }
 
 type cachedResponse struct {
--- a/adapters/gossip/codec.go
+++ b/adapters/gossip/codec.go
@@ -18,7 +18,7 @@
 		ConfigVersion: r.From.Version, ReadsStore: r.From.ReadsStore, LinkMbps: uint32(max(0, r.From.LinkMbps)), Sent: int64(r.Sent), Echo: int64(r.Echo),
 		Confirmed: r.Confirmed, ConfirmedAgeMs: uint32((r.ConfirmedAge + time.Millisecond - 1) / time.Millisecond),
 		Loads: encodeLoads(r.Loads), Suspicions: encodeSuspicions(r.Suspicions), Placed: encodePlacements(r.Placements),
-		WantsDigest: r.WantsDigest, HoldsIncarnation: r.HeldList.Incarnation, HoldsVersion: r.HeldList.Version, Spare: r.HasOtherLoadSource,
+		WantsDigest: r.WantsDigest, HoldsIncarnation: r.HeldList.Incarnation, HoldsVersion: r.HeldList.Version, Spare: r.HasOtherLoadSource, StoreEra: r.StoreEra,
 	}
 	for i := range r.Evidence {
 		m.Evidence = append(m.Evidence, encodeEvidence(&r.Evidence[i]))
@@ -88,7 +88,7 @@
 		Sent: time.Duration(m.Sent), Echo: time.Duration(m.Echo),
 		Confirmed: m.Confirmed, ConfirmedAge: time.Duration(m.ConfirmedAgeMs) * time.Millisecond,
 		Loads: decodeLoads(m.Loads), Suspicions: decodeSuspicions(m.Suspicions), Placements: decodePlacements(m.Placed),
-		WantsDigest: m.WantsDigest, HeldList: roster.ListVersion{Incarnation: m.HoldsIncarnation, Version: m.HoldsVersion}, HasOtherLoadSource: m.Spare,
+		WantsDigest: m.WantsDigest, HeldList: roster.ListVersion{Incarnation: m.HoldsIncarnation, Version: m.HoldsVersion}, HasOtherLoadSource: m.Spare, StoreEra: m.StoreEra,
 	}
 	if len(m.Paces) > 0 {
 		r.ReadRates = make(map[fleet.PoolID]float64, len(m.Paces))
--- a/adapters/gossip/gossip.go
+++ b/adapters/gossip/gossip.go
@@ -44,6 +44,8 @@
 	// ReadRates holds the prompt processing rate of each pool's engines, in tokens per ms,
 	// as estimated from the sender's requests.
 	ReadRates map[fleet.PoolID]float64
+	// StoreEra is the newest era of the store that the sender knows.
+	StoreEra uint64
 	// Evidence is what the sender knows about prompt parts that crash engines.
 	Evidence []quarantine.Evidence
 	// WantsDigest reports whether the sender uses the receiver as a relay. HeldList is the
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -94,6 +94,7 @@
 	}
 	tracker := quarantine.New(set.Instance)
 	e.peers = newPeers(set, socket, e.view, e.board, tracker, log)
+	e.view.eras.voided = append(e.view.eras.voided, tracker.ForgetStored)
 	budgets := retry.NewBudgets()
 	e.view.peers = e.peers
 	client := &engine.Client{
@@ -188,6 +189,7 @@
 		}
 		return shares
 	})
+	e.publishEraGauges()
 	e.meters.gauge("servers", func() any { return e.board.Summary(time.Now()) })
 }
 
@@ -237,7 +239,7 @@
 		{e.set.Listen.Caller, func(ln net.Listener) error { return e.caller.Serve(ln, e.callerLimits()) }},
 		{e.set.Listen.Ready, e.auxiliaryServer(e.budget.Readiness, platform.ReadinessHandler(e.peers.ready))},
 		{e.set.Listen.Directory, e.auxiliaryServer(e.budget.Directory, directory.Handle)},
-		{e.set.Listen.Peer, e.auxiliaryServer(e.budget.Peers, e.peers.servePeer((&feed.Server{Log: e.view.sharedLog, ReadStart: e.view.sharedReadStart, Now: clock.SinceBoot}).Handle))},
+		{e.set.Listen.Peer, e.auxiliaryServer(e.budget.Peers, e.peers.servePeer((&feed.Server{Log: e.view.sharedLog, ReadStart: e.view.sharedReadStart, Now: clock.SinceBoot, Extra: e.view.extraTable}).Handle))},
 		{e.set.Listen.Metrics, e.auxiliaryServer(e.budget.Metrics, e.meters.handle)},
 	} {
 		if l.addr == "" {
--- /dev/null
+++ b/cmd/internal/edge/eracatchup.go
@@ -0,0 +1,239 @@
+package edge
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cyclamenhitch/adapters/clock"
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/freshness"
+	"cyclamenhitch/core/store"
+	"cyclamenhitch/core/storeera"
+	"cyclamenhitch/platform"
+)
+
+const (
+	// vouchTime is how long after its return an older configuration of the store does not
+	// confirm a newer one in force. Reports of all peers, also through relays, arrive within
+	// it; it is short against the lease, so that requests are served meanwhile.
+	vouchTime = 2 * time.Second
+	// catchUpLimit is how long an instance is not ready because a live peer reports a newer
+	// configuration that it cannot get. Beyond it, the instance serves what it has.
+	catchUpLimit = 5 * time.Second
+	// catchUpInterval is the interval of looking for peers with a newer configuration.
+	catchUpInterval = 50 * time.Millisecond
+	// inForceTable is the name under which the feed serves what an instance has in force of
+	// the rows of operators and servers, as far as the store may have lost it, inForceConfig
+	// that of the configuration in force. A configuration can have 320 KB.
+	inForceTable  = "in-force"
+	inForceConfig = "in-force-config"
+	// gonePrefix begins the keys of servers that have left in inForceTable, leavingPrefix
+	// those of servers that are leaving; the values are their last entries.
+	gonePrefix    = "gone/"
+	leavingPrefix = "leaving/"
+	// maxInForcePeers limits the peers that are asked at once.
+	maxInForcePeers = 3
+)
+
+// inForce returns the rows of inForceTable, or nil if this instance does not know yet
+// what is in force.
+func (v *view) inForce() []store.Entry {
+	if !v.caughtUp.Load() {
+		return nil
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := []store.Entry{}
+	for key := range v.evacuated.On() {
+		out = append(out, store.Entry{Key: key, Value: []byte{}})
+	}
+	for _, key := range v.evacuated.HeldOff() {
+		out = append(out, store.Entry{Key: key})
+	}
+	for id, s := range v.servers {
+		if s.Leaving {
+			out = append(out, store.Entry{Key: leavingPrefix + string(id), Value: s.entry})
+		}
+	}
+	v.departed.Each(time.Now(), func(id fleet.ServerID, entry []byte) {
+		out = append(out, store.Entry{Key: gonePrefix + string(id), Value: entry})
+	})
+	return out
+}
+
+// inForceConfig returns the row of inForceConfig, or nil without a configuration.
+func (v *view) inForceConfig() []store.Entry {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.configBody == nil {
+		return nil
+	}
+	return []store.Entry{{Key: platform.ConfigKey, Value: v.configBody}}
+}
+
+// catchUp learns what the store may have lost right after a start and after each increase of
+// the era. An instance that starts is not ready before. It ends with ctx.
+func (v *view) catchUp(ctx context.Context) {
+	for ctx.Err() == nil && !(v.hasReadServers() && v.current.Load() != nil && v.peers.roster.HasListing()) {
+		sleep(ctx, viewPollInterval)
+	}
+	if v.eras.newest() > 0 {
+		peers := v.inForcePeers()
+		v.learnInForce(peers, inForceConfig)
+		v.learnInForce(peers, inForceTable)
+	}
+	v.caughtUp.Store(true)
+	for since := v.startedAt; ctx.Err() == nil; {
+		rises, raised := v.eras.tracker.Rises()
+		if rises > 0 {
+			since = freshness.Instant(v.eras.raisedAt.Load())
+			// What changed while this instance read neither the store nor peers is not in the
+			// store's copy.
+			v.learnInForce(v.inForcePeers(), inForceTable)
+		}
+		v.awaitNewerConfig(ctx, since, raised)
+		select {
+		case <-raised:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// awaitNewerConfig fetches the configuration from peers that report a newer one, until
+// catchUpLimit after since or the next increase of the era.
+func (v *view) awaitNewerConfig(ctx context.Context, since freshness.Instant, raised <-chan struct{}) {
+	defer v.behindPeers.Store(false)
+	for ctx.Err() == nil && v.eras.newest() > 0 && clock.SinceBoot()-since < catchUpLimit {
+		behind := map[fleet.InstanceID]string{}
+		for _, p := range v.peers.roster.Live(time.Now()) {
+			if c := v.current.Load(); c != nil && p.Version > c.Version && len(behind) < maxInForcePeers {
+				behind[p.ID] = p.Peer
+			}
+		}
+		if was := v.behindPeers.Swap(len(behind) > 0); len(behind) > 0 {
+			if !was {
+				v.log.Info("a peer has a newer configuration than the store's copy", zap.Int("peers", len(behind)))
+			}
+			v.learnInForce(behind, inForceConfig)
+		}
+		select {
+		case <-raised:
+			return
+		default:
+		}
+		sleep(ctx, catchUpInterval)
+	}
+}
+
+// inForcePeers returns up to maxInForcePeers peers to ask after a start, live ones first.
+func (v *view) inForcePeers() map[fleet.InstanceID]string {
+	out := map[fleet.InstanceID]string{}
+	for _, p := range v.peers.roster.Live(time.Now()) {
+		if len(out) < maxInForcePeers {
+			out[p.ID] = p.Peer
+		}
+	}
+	listed := v.peers.roster.Listed()
+	delete(listed, v.set.Instance)
+	ids := slices.SortedFunc(maps.Keys(listed), func(a, b fleet.InstanceID) int {
+		return compareHash(string(v.set.Instance), string(a), string(b))
+	})
+	for _, id := range ids {
+		if len(out) < maxInForcePeers {
+			out[id] = listed[id].Peer
+		}
+	}
+	return out
+}
+
+// compareHash orders two names differently for each instance, so that all peers are asked
+// equally often.
+func compareHash(self, a, b string) int {
+	x, y := fleet.HashID(self+"/"+a), fleet.HashID(self+"/"+b)
+	switch {
+	case x < y:
+		return -1
+	case x > y:
+		return 1
+	}
+	return strings.Compare(a, b)
+}
+
+// learnInForce asks peers at once for one of the tables of what they have in force and merges
+// the answers.
+func (v *view) learnInForce(peers map[fleet.InstanceID]string, name string) {
+	var wg sync.WaitGroup
+	for id, address := range peers {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			rows, _, err := v.feeds.NewClient(address).Snapshot(context.Background(), name)
+			if err != nil {
+				v.log.Info("cannot read from a peer what is in force", zap.String("peer", string(id)), zap.Error(err))
+				return
+			}
+			v.mergeInForce(rows)
+		}()
+	}
+	wg.Wait()
+}
+
+// mergeInForce merges what a peer has in force.
+func (v *view) mergeInForce(rows []store.Entry) {
+	now := time.Now()
+	var on, heldOff []string
+	v.mu.Lock()
+	for _, e := range rows {
+		if _, ok := platform.ParseEvacuationKey(e.Key); ok {
+			if e.Value != nil {
+				on = append(on, e.Key)
+			} else {
+				heldOff = append(heldOff, e.Key)
+			}
+		}
+		if id, ok := strings.CutPrefix(e.Key, gonePrefix); ok {
+			v.learnServer(now, fleet.ServerID(id), e.Value, true)
+		}
+		if id, ok := strings.CutPrefix(e.Key, leavingPrefix); ok {
+			v.learnServer(now, fleet.ServerID(id), e.Value, false)
+		}
+	}
+	v.learned = v.learned || len(rows) > 0
+	v.evacuated.Learn(now, on, heldOff)
+	v.updateOutOfService()
+	v.mu.Unlock()
+	for _, e := range rows {
+		if e.Key == platform.ConfigKey && e.Value != nil {
+			v.applyConfig(e.Value, false)
+		}
+	}
+	time.AfterFunc(storeera.OperatorTime, v.expireHolds)
+	v.publishServers()
+}
+
+// learnServer merges what a peer knows of a server that leaves or has left. The caller holds
+// mu.
+func (v *view) learnServer(now time.Time, id fleet.ServerID, entry []byte, gone bool) {
+	s, err := platform.DecodeServer(string(id), entry)
+	if err != nil {
+		v.log.Warn("invalid server entry from a peer", zap.String("key", string(id)), zap.Error(err))
+		return
+	}
+	known := storeera.Known{Stamp: stampOf(&s), Leaving: s.Leaving, Gone: gone}
+	old := v.servers[id]
+	switch {
+	case old != nil && storeera.Supersedes(known, storeera.Known{Stamp: stampOf(&old.ServerEntry), Leaving: old.Leaving}, false):
+		return
+	case gone:
+		v.departed.Left(now, id, known.Stamp, entry)
+		delete(v.servers, id)
+	case old != nil:
+		v.servers[id] = &discoveredServer{ServerEntry: s, entry: entry, coldUntil: old.coldUntil, keptUntil: old.keptUntil}
+	}
+}
--- a/cmd/internal/edge/follow.go
+++ b/cmd/internal/edge/follow.go
@@ -16,6 +16,7 @@
 	"cyclamenhitch/core/feedlog"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/freshness"
+	"cyclamenhitch/core/result"
 	"cyclamenhitch/core/roster"
 	"cyclamenhitch/core/store"
 	"cyclamenhitch/platform"
@@ -71,6 +72,9 @@
 	// directReadStart and read are when the last successful direct read started and ended,
 	// as time since boot; 0 for none.
 	directReadStart, read atomic.Int64
+	// era is that of the copy. applied is set once the table has been read.
+	era     atomic.Uint64
+	applied bool
 }
 
 // isFresh reports whether the last direct read is recent enough to serve the copy to peers.
@@ -106,9 +110,12 @@
 	return fromStore
 }
 
+// position is the version up to which a table has been read.
+type position = store.Version
+
 // follow keeps the local copy of a table up to date until ctx ends.
 func (v *view) follow(ctx context.Context, t *table) {
-	known, after, failing := false, uint64(0), false
+	known, after, failing := false, position{}, false
 	var historyGoneAt time.Time // when the change history was last lost
 	for ctx.Err() == nil {
 		src := v.tableSource(t)
@@ -123,7 +130,12 @@
 			sleep(ctx, storeRetryDelay/4)
 			continue
 		}
-		u, version, err := v.read(ctx, t, src, known, after)
+		r, ok := v.readOrRise(ctx, t, src, known, after)
+		if !ok {
+			known = false // the versions read so far are void
+			continue
+		}
+		u, version, err := v.merge(t, src, known, after, r)
 		if src.direct {
 			v.storeOK.Store(err == nil || errors.Is(err, store.ErrHistoryTruncated))
 			if lost := !v.storeOK.Load(); failing != lost {
@@ -139,7 +151,9 @@
 		}
 		switch {
 		case err == nil:
+			u.newEra, t.applied = t.applied && version.Era > t.era.Load(), true
 			known, after = true, version
+			t.era.Store(version.Era)
 			if src.direct {
 				t.directReadStart.Store(int64(u.readStart))
 				t.read.Store(int64(clock.SinceBoot()))
@@ -227,28 +241,44 @@
 	}
 }
 
-// read reads changes, or the full table if no copy exists, into the copy.
-func (v *view) read(ctx context.Context, t *table, src tableSource, known bool, after uint64) (update, uint64, error) {
-	u := update{readStart: clock.SinceBoot(), full: !known, direct: src.direct}
-	var version uint64
-	var err error
+// readResult is the result of a read of a source.
+type readResult struct {
+	entries []store.Entry
+	version position
+	start   freshness.Instant
+	err     error
+}
+
+// fetch reads changes, or the full table if no copy exists.
+func (v *view) fetch(ctx context.Context, t *table, src tableSource, known bool, after position) (r readResult) {
+	r.start = clock.SinceBoot()
 	if !known {
-		if u.entries, version, err = src.Snapshot(ctx, t.name); err == nil && !t.log.Reset(u.entries, version) {
-			err = store.ErrHistoryTruncated // the source is behind this instance
-		}
-		return u, version, err
+		r.entries, r.version, r.err = src.Snapshot(ctx, t.name)
+		return r
 	}
 	pollWait := t.pollWait
 	switch {
 	case !src.direct:
 		pollWait = peerPollWait
-	case !t.isFresh(u.readStart):
+	case !t.isFresh(r.start):
 		pollWait = 0 // a stale copy is not served to peers, so refresh it at once
 	}
-	if u.entries, version, err = src.Changes(ctx, t.name, after, pollWait); err == nil && !t.log.Apply(u.entries, after, version) {
-		err = store.ErrHistoryTruncated
+	r.entries, r.version, r.err = src.Changes(ctx, t.name, after, pollWait)
+	return r
+}
+
+// merge takes the result of a read into the copy.
+func (v *view) merge(t *table, src tableSource, known bool, after position, r readResult) (update, position, error) {
+	u := update{entries: r.entries, readStart: r.start, full: !known, direct: src.direct}
+	switch {
+	case r.err != nil:
+		return u, r.version, r.err
+	case !v.eras.tracker.Observe(r.version.Era):
+		return u, r.version, result.New(result.StoreUnavailable, "the copy is of era %d, which is over", r.version.Era)
+	case known && !t.log.Apply(r.entries, after, r.version), !known && !t.log.Reset(r.entries, r.version):
+		return u, r.version, store.ErrHistoryTruncated // the source is behind this instance
 	}
-	return u, version, err
+	return u, r.version, nil
 }
 
 // waitAfterFailure waits after a failed store call, until a peer can be read instead.
@@ -279,7 +309,7 @@
 func (v *view) sharedLog(name string) *feedlog.Log {
 	now := clock.SinceBoot()
 	for _, t := range v.tables {
-		if t.name == name && t.isFresh(now) {
+		if t.name == name && t.isFresh(now) && t.era.Load() == v.eras.newest() {
 			return t.log
 		}
 	}
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -137,6 +137,8 @@
 	if !p.board.Policy().On(placement.PlacementReports) {
 		own.Placements = nil
 	}
+	// The era is read first: evidence of a report states only what is stored in that era.
+	own.StoreEra = p.view.eras.newest()
 	own.Evidence = p.tracker.Report(now)
 	p.logVerdicts()
 	own.Suspicions, own.ReadRates = p.board.Suspicions(now), p.board.ReadRates()
@@ -251,6 +253,7 @@
 	if started && p.tracker.ReportAgain(now) {
 		p.reportSoon()
 	}
+	p.applyStoreEra(r)
 	p.roster.RecordListRequest(now, r.From.ID, r.HeldList, r.WantsDigest, r.HasOtherLoadSource)
 	p.board.ApplyPeerReadRates(r.From.ID, r.ReadRates)
 	if p.tracker.Merge(now, r.Evidence) && p.relaying.Load() {
--- a/cmd/internal/edge/quarantinestore.go
+++ b/cmd/internal/edge/quarantinestore.go
@@ -32,8 +32,12 @@
 	for ctx.Err() == nil && !q.peers.roster.HasListing() {
 		sleep(ctx, viewPollInterval)
 	}
-	started, loaded := time.Now(), false
+	started, loaded, copies := time.Now(), false, 0
 	for ctx.Err() == nil {
+		if rises, _ := q.peers.view.eras.tracker.Rises(); rises != copies {
+			// Rows that were removed may be there again.
+			started, loaded, copies = time.Now(), false, rises
+		}
 		if !loaded && (!q.peers.roster.IsLarge() || q.peers.wouldRead()) {
 			loaded = q.load(ctx)
 		}
@@ -62,7 +66,7 @@
 			list = append(list, e)
 		}
 	}
-	q.tracker.Merge(time.Now(), list)
+	q.tracker.MergeStored(time.Now(), list)
 	if len(list) > 0 {
 		q.log.Info("blocked prompt parts read from the store", zap.Int("parts", len(list)))
 	}
@@ -87,7 +91,9 @@
 			q.log.Warn("cannot store a blocked prompt part", zap.String("key", a.Key), zap.Error(err))
 			return
 		}
-		q.tracker.Done(time.Now(), a)
+		if q.tracker.Done(time.Now(), a); a.Again {
+			q.peers.view.eras.noteRewritten(platform.QuarantineTable, a.Key, q.peers.view.eras.newest())
+		}
 	}
 }
 
--- a/cmd/internal/edge/servers.go
+++ b/cmd/internal/edge/servers.go
@@ -37,7 +37,15 @@
 			v.log.Warn("invalid server entry", zap.String("key", e.Key), zap.Error(err))
 			continue
 		}
+		if v.isOutdated(now, old[id], &s, !u.full) {
+			if old[id] != nil {
+				v.servers[id] = old[id]
+			}
+			continue
+		}
 		v.servers[id] = v.mergeServer(now, old[id], s, first)
+		v.servers[id].entry = e.Value
+		v.departed.Returned(id)
 	}
 	v.serversRead = true
 	v.mu.Unlock()
@@ -53,6 +61,7 @@
 	if s == nil || s.Leaving || !until.After(now) {
 		if s != nil {
 			v.log.Info("server gone", zap.String(logging.FieldServer, string(id)))
+			v.departed.Left(now, id, stampOf(&s.ServerEntry), s.entry)
 		}
 		delete(v.servers, id)
 		return
@@ -82,6 +91,7 @@
 			continue
 		}
 		delete(v.servers, id)
+		v.departed.Left(now, id, stampOf(&s.ServerEntry), s.entry)
 		dropped = true
 		v.log.Info("server gone", zap.String(logging.FieldServer, string(id)), zap.String(logging.FieldReason, "its entry did not return within the grace period"))
 	}
--- a/cmd/internal/edge/view.go
+++ b/cmd/internal/edge/view.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -21,8 +20,8 @@
 	"cyclamenhitch/core/freshness"
 	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/result"
-	"cyclamenhitch/core/roster"
 	"cyclamenhitch/core/store"
+	"cyclamenhitch/core/storeera"
 	"cyclamenhitch/platform"
 )
 
@@ -70,16 +69,30 @@
 	// startedAt is when the instance started.
 	startedAt freshness.Instant
 
+	eras *eras
+	// caughtUp is set once the instance has learned from peers what the store may have lost.
+	caughtUp atomic.Bool
+	// behindPeers is set while a live peer reports a newer configuration.
+	behindPeers atomic.Bool
+	// copyConfig is the version of the configuration in the store's copy.
+	copyConfig atomic.Uint64
+
 	mu           sync.Mutex
 	servers      map[fleet.ServerID]*discoveredServer
 	serversRead  bool // the server table has been read at least once
 	grace        entryexpiry.EntryGrace
+	departed     storeera.Servers
+	evacuated    storeera.Switches
 	outOfService map[fleet.DataCentreID]bool
+	configBody   []byte // of the configuration in force
+	learned      bool   // something was learned from a peer
 }
 
 // discoveredServer is a backend server read from the server table.
 type discoveredServer struct {
 	catalog.ServerEntry
+	// entry is the row, as written.
+	entry     []byte
 	coldUntil time.Time
 	// keptUntil is the end of the grace period of a server whose entry is missing; zero
 	// while the entry exists.
@@ -88,11 +101,14 @@
 
 func newView(set *settings.Edge, s *platform.Store, b *placement.Balancer, log *zap.Logger) *view {
 	v := &view{
-		startedAt: clock.SinceBoot(),
-		set:       set, store: s, board: b, log: log,
+		startedAt: clock.SinceBoot(), eras: newEras(log),
+		set: set, store: s, board: b, log: log,
 		lease:   freshness.NewLease(settings.Millis(set.Times.RevokeMillis) - revokeMargin),
 		servers: map[fleet.ServerID]*discoveredServer{}, outOfService: map[fleet.DataCentreID]bool{}, feeds: feed.NewPool(),
 	}
+	v.eras.voided = append(v.eras.voided, v.noteServersUnreadable)
+	v.eras.afterRise(platform.InstanceTable, v.rewriteInstance)
+	s.OnEra = v.eras.tracker.Observe
 	v.tables = []*table{
 		{name: platform.OperatorTable, pollWait: operatorPollWait, apply: v.applyOperator, log: feedlog.New()},
 		{name: platform.ServerTable, pollWait: serversPollWait, apply: v.applyServers, log: feedlog.New()},
@@ -105,7 +121,7 @@
 // outcome not_run if the lease on the configuration has expired.
 func (v *view) Current(fresh bool) (*catalog.Catalog, *result.Error) {
 	c := v.current.Load()
-	if c == nil {
+	if c == nil || !v.mayServe() {
 		return nil, result.New(result.NotReady, "the instance has no configuration yet").WithRetryAfter(v.retryAfter())
 	}
 	now := clock.SinceBoot()
@@ -140,6 +156,8 @@
 
 func (v *view) run(ctx context.Context) {
 	go v.register(ctx)
+	go v.catchUp(ctx)
+	v.eras.run(ctx)
 	for _, t := range v.tables {
 		go v.follow(ctx, t)
 	}
@@ -149,6 +167,8 @@
 // update is the result of one read of a table.
 type update struct {
 	entries []store.Entry
+	// newEra is true if the previous read of the table was of an earlier era.
+	newEra bool
 	// full is true if entries is the full table instead of changes.
 	full bool
 	// direct is true if the store was read, false for a peer's copy.
@@ -167,7 +187,7 @@
 
 // register writes this instance's entry to the store, retrying until a write succeeds.
 func (v *view) register(ctx context.Context) {
-	body, err := platform.EncodeInstance(roster.Listing{Peer: v.set.Listen.Peer, DataCentre: v.set.DataCentre, LinkMbps: int(v.set.Limits.LinkMbps)})
+	body, err := v.instanceEntry()
 	if err != nil {
 		v.log.Error("cannot encode the instance entry", zap.Error(err))
 		return
@@ -183,13 +203,16 @@
 
 // applyOperator applies rows of the operator table.
 func (v *view) applyOperator(u update) {
-	out, changed := v.updateOutOfService(u)
+	out, changed := v.applyEvacuations(u)
+	if u.full {
+		v.copyConfig.Store(0)
+	}
 	for _, e := range u.entries {
 		if e.Key == platform.ConfigKey && e.Value != nil {
-			v.applyConfig(e.Value, u.direct)
+			v.copyConfig.Store(v.applyConfig(e.Value, u.direct))
 		}
 	}
-	if c := v.current.Load(); c != nil {
+	if c := v.current.Load(); c != nil && v.copyVouches(c.Version, clock.SinceBoot()) {
 		v.lease.Confirm(c.Version, u.readStart)
 	}
 	if changed {
@@ -198,43 +221,27 @@
 	}
 }
 
-func (v *view) updateOutOfService(u update) (map[fleet.DataCentreID]bool, bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	outOfService := map[fleet.DataCentreID]bool{}
-	if !u.full {
-		maps.Copy(outOfService, v.outOfService)
-	}
-	for _, e := range u.entries {
-		if dc, ok := platform.ParseEvacuationKey(e.Key); ok && e.Value != nil {
-			outOfService[dc] = true
-		} else if ok {
-			delete(outOfService, dc)
-		}
-	}
-	changed := !maps.Equal(outOfService, v.outOfService)
-	v.outOfService = outOfService
-	return outOfService, changed
-}
-
-// applyConfig activates a configuration if it is newer than the active one.
-func (v *view) applyConfig(body []byte, direct bool) {
+// applyConfig activates a configuration if it is newer than the active one. It returns its
+// version, 0 if it is invalid.
+func (v *view) applyConfig(body []byte, direct bool) uint64 {
 	c, err := platform.DecodeConfig(body)
 	if err != nil {
 		v.log.Error("invalid configuration ignored; the last valid one stays active", zap.Bool("direct", direct), zap.Error(err))
-		return
+		return 0
 	}
 	for {
 		old := v.current.Load()
 		if old != nil && old.Version >= c.Version {
-			return
+			return c.Version
 		}
 		if v.current.CompareAndSwap(old, c) {
 			break
 		}
 	}
 	v.log.Info("configuration in force", zap.Uint64(logging.FieldVersion, c.Version), zap.Bool("direct", direct))
+	v.keepConfigBody(c.Version, body)
 	v.publishServers()
+	return c.Version
 }
 
 // idleConnectionShare is the fraction of a server's connection limit that all instances
--- a/core/catalog/server.go
+++ b/core/catalog/server.go
@@ -21,4 +21,6 @@
 	// StartMillis is when it started, in Unix ms by its own clock; 0 means unknown. It
 	// changes when a server restarts under the same ID.
 	StartMillis int64
+	// Sequence increases with each entry that the server writes; 0 means unknown.
+	Sequence uint64
 }
