Do not remember present servers as gone after a full read

A full read of the server table treated all known servers as missing before it took their entries, which entered draining ones into the memory of servers that have left; an instance that started learned them as gone from its peers.

TestPresentServersAreNotGone before: the rows in force had gone/i beside leaving/i. Further tests of this file: entries over an increase of the era, hooks over two increases, evidence of an earlier era.

--- a/cmd/internal/edge/servers.go
+++ b/cmd/internal/edge/servers.go
@@ -20,8 +20,14 @@
 	old := v.servers
 	if u.full {
 		v.servers = make(map[fleet.ServerID]*discoveredServer, len(u.entries))
+		present := make(map[fleet.ServerID]bool, len(u.entries))
+		for _, e := range u.entries {
+			present[fleet.ServerID(e.Key)] = true
+		}
 		for id, s := range old {
-			v.handleMissingServer(now, id, s)
+			if !present[id] {
+				v.handleMissingServer(now, id, s)
+			}
 		}
 	}
 	first := !v.serversRead
