Wait for readers after an increase of the era, and for newer configurations only if no peer hands them over

A reader that has not read the table of the new era yet was avoided for 2 s; it is asked again within 1 s. An instance fetches a newer configuration that a peer reports before it stops serving.

--- a/cmd/internal/edge/era.go
+++ b/cmd/internal/edge/era.go
@@ -23,6 +23,10 @@
 	// rewriteSpread is, for each instance of the fleet, the time over which lost rows are
 	// written again: each write ends the long polls of all readers of the table.
 	rewriteSpread = 10 * time.Millisecond
+	// eraReaderTime is how long after an increase of the era a reading peer that does not
+	// hand a table on is asked again instead of being avoided, eraReaderDelay the mean delay.
+	eraReaderTime  = time.Second
+	eraReaderDelay = 60 * time.Millisecond
 )
 
 // eraHook writes rows again that the store may have lost. It runs in a goroutine of its own
@@ -74,6 +78,12 @@
 // risen reports whether the era has increased since the start.
 func (e *eras) risen() bool { return e.raisedAt.Load() > 0 }
 
+// justRisen reports whether readers may still lack the tables of the new era.
+func (e *eras) justRisen(now freshness.Instant) bool {
+	raised := freshness.Instant(e.raisedAt.Load())
+	return raised > 0 && now-raised < eraReaderTime
+}
+
 // run calls the hooks until ctx ends.
 func (e *eras) run(ctx context.Context) {
 	for _, h := range e.hooks {
@@ -174,9 +184,13 @@
 // after the store has returned with an older configuration it may not: a peer may know a
 // newer one than this instance.
 func (v *view) copyVouches(inForce uint64, now freshness.Instant) bool {
-	raised := freshness.Instant(v.eras.raisedAt.Load())
 	if v.behindPeers.Load() {
 		return false
 	}
-	return raised == 0 || now-raised >= vouchTime || v.copyConfig.Load() >= inForce
+	if v.eras.newest() == 0 || v.copyConfig.Load() >= inForce {
+		return true
+	}
+	// An instance that starts may do so right after the store has returned.
+	since := max(v.startedAt, freshness.Instant(v.eras.raisedAt.Load()))
+	return now-since >= vouchTime
 }
--- a/cmd/internal/edge/eracatchup.go
+++ b/cmd/internal/edge/eracatchup.go
@@ -11,8 +11,10 @@
 	"go.uber.org/zap"
 
 	"cyclamenhitch/adapters/clock"
+	"cyclamenhitch/adapters/logging"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/freshness"
+	"cyclamenhitch/core/roster"
 	"cyclamenhitch/core/store"
 	"cyclamenhitch/core/storeera"
 	"cyclamenhitch/platform"
@@ -37,7 +39,8 @@
 	// those of servers that are leaving; the values are their last entries.
 	gonePrefix    = "gone/"
 	leavingPrefix = "leaving/"
-	// maxInForcePeers limits the peers that are asked at once.
+	// maxInForcePeers limits the peers that are asked at once; in a large fleet it is one, since
+	// all may start at once.
 	maxInForcePeers = 3
 )
 
@@ -84,9 +87,8 @@
 		sleep(ctx, viewPollInterval)
 	}
 	if v.eras.newest() > 0 {
-		peers := v.inForcePeers()
-		v.learnInForce(peers, inForceConfig)
-		v.learnInForce(peers, inForceTable)
+		v.learnInForce(v.inForcePeers(), inForceConfig)
+		v.learnInForce(v.inForcePeers(), inForceTable)
 	}
 	v.caughtUp.Store(true)
 	for since := v.startedAt; ctx.Err() == nil; {
@@ -110,18 +112,20 @@
 func (v *view) awaitNewerConfig(ctx context.Context, since freshness.Instant, raised <-chan struct{}) {
 	defer v.behindPeers.Store(false)
 	for ctx.Err() == nil && v.eras.newest() > 0 && clock.SinceBoot()-since < catchUpLimit {
-		behind := map[fleet.InstanceID]string{}
+		behind, newest := map[fleet.InstanceID]string{}, uint64(0)
 		for _, p := range v.peers.roster.Live(time.Now()) {
-			if c := v.current.Load(); c != nil && p.Version > c.Version && len(behind) < maxInForcePeers {
+			newest = max(newest, p.Version)
+			if v.isBehind(p.Version) && len(behind) < maxInForcePeers {
 				behind[p.ID] = p.Peer
 			}
 		}
-		if was := v.behindPeers.Swap(len(behind) > 0); len(behind) > 0 {
-			if !was {
-				v.log.Info("a peer has a newer configuration than the store's copy", zap.Int("peers", len(behind)))
-			}
+		if len(behind) > 0 {
 			v.learnInForce(behind, inForceConfig)
 		}
+		// Not ready only if no peer handed it over.
+		if still := v.isBehind(newest); v.behindPeers.Swap(still) != still {
+			v.log.Info("waiting for the newer configuration of a peer changed", zap.Bool("waiting", still), zap.Uint64(logging.FieldVersion, newest))
+		}
 		select {
 		case <-raised:
 			return
@@ -131,22 +135,27 @@
 	}
 }
 
+// isBehind reports whether a version is newer than the configuration in force.
+func (v *view) isBehind(version uint64) bool {
+	c := v.current.Load()
+	return c != nil && version > c.Version
+}
+
 // inForcePeers returns up to maxInForcePeers peers to ask after a start, live ones first.
 func (v *view) inForcePeers() map[fleet.InstanceID]string {
-	out := map[fleet.InstanceID]string{}
-	for _, p := range v.peers.roster.Live(time.Now()) {
-		if len(out) < maxInForcePeers {
-			out[p.ID] = p.Peer
-		}
-	}
-	listed := v.peers.roster.Listed()
-	delete(listed, v.set.Instance)
-	ids := slices.SortedFunc(maps.Keys(listed), func(a, b fleet.InstanceID) int {
-		return compareHash(string(v.set.Instance), string(a), string(b))
-	})
-	for _, id := range ids {
-		if len(out) < maxInForcePeers {
-			out[id] = listed[id].Peer
+	out, most := map[fleet.InstanceID]string{}, maxInForcePeers
+	if v.peers.roster.IsLarge() {
+		most = 1
+	}
+	for _, listed := range []map[fleet.InstanceID]roster.Listing{addressesOf(v.peers.roster.Live(time.Now())), v.peers.roster.Listed()} {
+		delete(listed, v.set.Instance)
+		ids := slices.SortedFunc(maps.Keys(listed), func(a, b fleet.InstanceID) int {
+			return compareHash(string(v.set.Instance), string(a), string(b))
+		})
+		for _, id := range ids {
+			if len(out) < most {
+				out[id] = listed[id].Peer
+			}
 		}
 	}
 	return out
--- a/cmd/internal/edge/follow.go
+++ b/cmd/internal/edge/follow.go
@@ -174,6 +174,9 @@
 				sleep(ctx, storeRetryDelay)
 			}
 			known, historyGoneAt = false, time.Now()
+		case !src.direct && v.eras.justRisen(clock.SinceBoot()):
+			// The reader has not read the table of the new era yet.
+			sleep(ctx, eraReaderDelay/2+rand.N(eraReaderDelay))
 		case !src.direct:
 			v.log.Info("peer does not hand a table on", zap.String("table", t.name), zap.String("peer", string(src.peer)), zap.Error(err))
 			v.avoidedPeers.add(src.peer, clock.SinceBoot())
