--- a/cmd/internal/edge/erarows_test.go
+++ b/cmd/internal/edge/erarows_test.go
@@ -133,3 +133,45 @@
 		}
 	}
 }
+
+// Guards against an instance that missed changes while it was cut off, and finds only the
+// store's older copy afterwards: it must learn from a peer which servers drain or have left,
+// which data centres are evacuated or back, and the configuration.
+func TestMissedChangesAreLearned(t *testing.T) {
+	row := func(id, fields string) store.Entry {
+		e := serverRow(1, fields)
+		e.Key = id
+		return e
+	}
+	servers := []store.Entry{row("i", `"state":"ready","sequence":1`), row("j", `"state":"ready","sequence":1`), row("k", `"state":"ready","sequence":1`)}
+	operator := []store.Entry{{Key: platform.ConfigKey, Value: config(1, `"k1"`)}, {Key: "evacuate/back", Value: []byte("{}")}}
+	saw, missed := testView(), testView()
+	for _, v := range []*view{saw, missed} {
+		v.eras.tracker.Observe(1)
+		v.caughtUp.Store(true)
+		v.applyOperator(update{full: true, entries: operator})
+		v.applyServers(update{full: true, entries: servers})
+	}
+	saw.applyServers(update{entries: []store.Entry{row("i", `"state":"draining","sequence":2`), {Key: "j", Version: 3}}})
+	saw.applyOperator(update{entries: []store.Entry{{Key: "evacuate/back"}, {Key: "evacuate/out", Value: []byte("{}")}, {Key: platform.ConfigKey, Value: config(2, `"k2"`)}}})
+	for _, v := range []*view{saw, missed} {
+		v.eras.tracker.Observe(2)
+		v.applyOperator(update{full: true, newEra: true, entries: operator})
+		v.applyServers(update{full: true, newEra: true, entries: servers})
+	}
+	missed.mergeInForce(saw.inForce())
+	missed.mergeInForce(saw.inForceConfig())
+	for name, v := range map[string]*view{"an instance that saw them": saw, "one that missed them": missed} {
+		if c := v.current.Load(); c.Version != 2 {
+			t.Errorf("%s: configuration %d", name, c.Version)
+		}
+		v.mu.Lock()
+		if len(v.outOfService) != 1 || !v.outOfService["out"] {
+			t.Errorf("%s: out of service %v", name, v.outOfService)
+		}
+		if len(v.servers) != 2 || v.servers["i"] == nil || !v.servers["i"].Leaving || v.servers["k"] == nil || v.servers["k"].Leaving {
+			t.Errorf("%s: servers %v", name, v.servers)
+		}
+		v.mu.Unlock()
+	}
+}
