Serve changes to followers that state no era

A follower of an earlier build asks for changes without an era; era 0 was refused and it would have read the full table every 200 ms. It gets the changes of the replica's era, as before. TestErasAreNotMixed covers the request (410 before).

--- a/adapters/feed/feed.go
+++ b/adapters/feed/feed.go
@@ -77,7 +77,7 @@
 		s.writeResponse(ctx, responseKey{table: table, snapshot: true}, rows, version, readStart)
 		return
 	}
-	after, ok := parseVersion(args)
+	after, ok := parseVersion(args, log)
 	if !ok {
 		ctx.SetStatusCode(fasthttp.StatusBadRequest)
 		return
@@ -105,11 +105,11 @@
 }
 
 // parseVersion returns the version after which changes are requested. Instances of earlier
-// builds state no era, which is era 0.
-func parseVersion(args *fasthttp.Args) (store.Version, bool) {
+// builds state no era: they get the changes of the replica's, as before.
+func parseVersion(args *fasthttp.Args, log *feedlog.Log) (store.Version, bool) {
 	number, err := strconv.ParseUint(string(args.Peek("after")), 10, 64)
 	if err != nil || !args.Has("era") {
-		return store.Version{Number: number}, err == nil
+		return store.Version{Era: log.Era(), Number: number}, err == nil
 	}
 	era, err := strconv.ParseUint(string(args.Peek("era")), 10, 64)
 	return store.Version{Era: era, Number: number}, err == nil
--- a/adapters/feed/feed_test.go
+++ b/adapters/feed/feed_test.go
@@ -207,6 +207,10 @@
 			t.Errorf("changes after %v were served from era 7: %v", after, err)
 		}
 	}
+	// A follower of an earlier build states no era and must not read the table again and again.
+	if status, _, err := c.http.Get("http://"+c.Address+Path+"?table=t&after=3&wait_ms=0", testTimeout); err != nil || status != fasthttp.StatusOK {
+		t.Errorf("request without an era: status %d, %v", status, err)
+	}
 	ended := make(chan error, 1)
 	go func() {
 		_, _, err := c.Changes(context.Background(), "t", at(3), testTimeout)
--- a/core/feedlog/feedlog.go
+++ b/core/feedlog/feedlog.go
@@ -108,6 +108,13 @@
 	return out, store.Version{Era: l.head.Era, Number: max(after.Number, l.head.Number)}, l.changed, nil
 }
 
+// Era returns the era of the replica, 0 if the table has not been read.
+func (l *Log) Era() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.head.Era
+}
+
 // Snapshot returns all rows and their version, and false if the table has not been read.
 func (l *Log) Snapshot() ([]store.Entry, store.Version, bool) {
 	l.mu.Lock()
