--- a/adapters/settings/edge.go
+++ b/adapters/settings/edge.go
@@ -36,12 +36,24 @@
 	Times EdgeTimes `toml:"times"`
 	// Limits limits the resources of the instance.
 	Limits EdgeLimits `toml:"limits"`
+	// Eras holds what to do when the store returns as an older copy of itself.
+	Eras EdgeEras `toml:"eras"`
 	// Policy weighs and switches the mechanisms that choose a server.
 	Policy EdgePolicy `toml:"policy"`
 	// Log configures logging.
 	Log Log `toml:"log"`
 }
 
+// EdgeEras holds durations after a return of the store as an older copy, in ms.
+type EdgeEras struct {
+	// OperatorMillis is how long an evacuation that the copy lacks, or shows again after its
+	// removal, stays as it was, unless the operator writes it again. Default 10000.
+	OperatorMillis int `toml:"operator_ms"`
+	// CatchUpMillis is how long an instance does not serve because a live peer reports a newer
+	// configuration that it cannot get. Default 5000.
+	CatchUpMillis int `toml:"catch_up_ms"`
+}
+
 // EdgePolicy weighs what a choice of a server costs.
 type EdgePolicy struct {
 	// FetchWeight is the cost of one ms of transfer of cached prompts between engines, in ms
@@ -155,6 +167,8 @@
 	setDefault(&s.Times.StopMillis, 8000)
 	setDefault(&s.Times.KeepMillis, 1000)
 	setDefault(&s.Times.MaxPauseMillis, 600_000)
+	setDefault(&s.Eras.OperatorMillis, 10_000)
+	setDefault(&s.Eras.CatchUpMillis, 5000)
 	setDefault(&s.Limits.MemoryMegabytes, 256)
 	setDefault(&s.Limits.Descriptors, 4096)
 	setDefault(&s.Limits.RetryRatio, 0.1)
@@ -202,6 +216,8 @@
 		{"times.stop_ms", s.Times.StopMillis, 1000, 3600_000},
 		{"times.keep_ms", s.Times.KeepMillis, 100, 600_000},
 		{"times.max_pause_ms", s.Times.MaxPauseMillis, 100, 3600_000},
+		{"eras.operator_ms", s.Eras.OperatorMillis, 100, 600_000},
+		{"eras.catch_up_ms", s.Eras.CatchUpMillis, 100, 60_000},
 		{"limits.memory_mb", s.Limits.MemoryMegabytes, 32, 1 << 20},
 		{"limits.descriptors", s.Limits.Descriptors, 256, 1 << 20},
 	} {
--- a/adapters/settings/edge_test.go
+++ b/adapters/settings/edge_test.go
@@ -42,3 +42,21 @@
 		t.Errorf("policy %+v, error %v", p, err)
 	}
 }
+
+// A hold of zero or of hours, written by mistake, must stop the start.
+func TestEdgeEras(t *testing.T) {
+	for lines, want := range map[string]string{
+		"operator_ms = 50":     "11:1: eras.operator_ms is 50, accepted range: 100 to 600000",
+		"catch_up_ms = 600000": "eras.catch_up_ms is 600000, accepted range: 100 to 60000",
+		"hold = 1":             "hold",
+	} {
+		_, err := ParseEdge("node.toml", []byte(validEdge+"[eras]\n"+lines+"\n"))
+		if err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: error %v, want %q", lines, err, want)
+		}
+	}
+	s, err := ParseEdge("node.toml", []byte(validEdge))
+	if err != nil || s.Eras != (EdgeEras{OperatorMillis: 10_000, CatchUpMillis: 5000}) {
+		t.Errorf("defaults %+v, %v", s, err)
+	}
+}
--- a/cmd/internal/edge/eracatchup.go
+++ b/cmd/internal/edge/eracatchup.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -12,6 +13,7 @@
 
 	"cyclamenhitch/adapters/clock"
 	"cyclamenhitch/adapters/logging"
+	"cyclamenhitch/adapters/settings"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/freshness"
 	"cyclamenhitch/core/roster"
@@ -25,8 +27,9 @@
 	// confirm a newer one in force. Reports of all peers, also through relays, arrive within
 	// it; it is short against the lease, so that requests are served meanwhile.
 	vouchTime = 2 * time.Second
-	// catchUpLimit is how long an instance is not ready because a live peer reports a newer
-	// configuration that it cannot get. Beyond it, the instance serves what it has.
+	// catchUpLimit is the default of the setting eras.catch_up_ms: how long an instance is not
+	// ready because a live peer reports a newer configuration that it cannot get. Beyond it,
+	// the instance serves what it has.
 	catchUpLimit = 5 * time.Second
 	// catchUpInterval is the interval of looking for peers with a newer configuration.
 	catchUpInterval = 50 * time.Millisecond
@@ -111,7 +114,8 @@
 // catchUpLimit after since or the next increase of the era.
 func (v *view) awaitNewerConfig(ctx context.Context, since freshness.Instant, raised <-chan struct{}) {
 	defer v.behindPeers.Store(false)
-	for ctx.Err() == nil && v.eras.newest() > 0 && clock.SinceBoot()-since < catchUpLimit {
+	limit := cmp.Or(settings.Millis(v.set.Eras.CatchUpMillis), catchUpLimit)
+	for ctx.Err() == nil && v.eras.newest() > 0 && clock.SinceBoot()-since < limit {
 		behind, newest := map[fleet.InstanceID]string{}, uint64(0)
 		for _, p := range v.peers.roster.Live(time.Now()) {
 			newest = max(newest, p.Version)
@@ -222,7 +226,7 @@
 			v.applyConfig(e.Value, false)
 		}
 	}
-	time.AfterFunc(storeera.OperatorTime, v.expireHolds)
+	time.AfterFunc(v.evacuated.HoldTime(), v.expireHolds)
 	v.publishServers()
 }
 
--- a/cmd/internal/edge/erarows.go
+++ b/cmd/internal/edge/erarows.go
@@ -47,8 +47,8 @@
 		}
 		v.evacuated.Replace(now, rows, u.newEra)
 		if held := v.evacuated.Held(); held > 0 {
-			v.log.Info("evacuations that the store's copy lacks or shows again stay as they were", zap.Int("rows", held), zap.Duration("for", storeera.OperatorTime))
-			time.AfterFunc(storeera.OperatorTime, v.expireHolds)
+			v.log.Info("evacuations that the store's copy lacks or shows again stay as they were", zap.Int("rows", held), zap.Duration("for", v.evacuated.HoldTime()))
+			time.AfterFunc(v.evacuated.HoldTime(), v.expireHolds)
 		}
 	} else {
 		for _, e := range u.entries {
--- a/cmd/internal/edge/view.go
+++ b/cmd/internal/edge/view.go
@@ -106,6 +106,7 @@
 		lease:   freshness.NewLease(settings.Millis(set.Times.RevokeMillis) - revokeMargin),
 		servers: map[fleet.ServerID]*discoveredServer{}, outOfService: map[fleet.DataCentreID]bool{}, feeds: feed.NewPool(),
 	}
+	v.evacuated.Hold = settings.Millis(set.Eras.OperatorMillis)
 	v.eras.voided = append(v.eras.voided, v.noteServersUnreadable)
 	v.eras.afterRise(platform.InstanceTable, v.rewriteInstance)
 	s.OnEra = v.eras.tracker.Observe
--- a/core/storeera/switches.go
+++ b/core/storeera/switches.go
@@ -1,10 +1,12 @@
 package storeera
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 const (
-	// OperatorTime is how long a switch that the store has lost, or shows again, stays as it
-	// was. Operators write their rows again when the store returns; a shorter time would send
+	// OperatorTime is the default of Switches.Hold. Operators write their rows again when the store returns; a shorter time would send
 	// requests to an evacuated data centre, a longer one only delays a change that nobody
 	// wrote in the new era.
 	OperatorTime = 10 * time.Second
@@ -18,6 +20,10 @@
 // Switches holds rows whose presence is an order of the operator, such as the data centres
 // that are evacuated. The zero value is empty.
 type Switches struct {
+	// Hold is how long a switch that the store has lost, or shows again, stays as it was; 0
+	// means OperatorTime.
+	Hold time.Duration
+
 	on map[string]bool
 	// removed is when switches were removed.
 	removed map[string]time.Time
@@ -41,7 +47,7 @@
 
 // Replace records a full copy of the rows. If the copy is the first of an era that followed
 // another one, switches that were on stay on, and those that were removed stay off, for
-// OperatorTime.
+// HoldTime.
 func (s *Switches) Replace(now time.Time, rows map[string]bool, newEra bool) {
 	s.init()
 	s.stored = make(map[string]bool, len(rows))
@@ -51,12 +57,12 @@
 	if newEra {
 		for key := range s.on {
 			if !rows[key] {
-				s.held[key] = now.Add(OperatorTime)
+				s.held[key] = now.Add(s.HoldTime())
 			}
 		}
 		for key, at := range s.removed {
 			if rows[key] && now.Sub(at) < RemovalMemory {
-				s.held[key] = now.Add(OperatorTime)
+				s.held[key] = now.Add(s.HoldTime())
 			}
 		}
 	}
@@ -76,7 +82,7 @@
 	hold := func(key string, on bool) {
 		if s.on[key] != on && s.held[key].IsZero() {
 			s.put(now, key, on)
-			s.held[key] = now.Add(OperatorTime)
+			s.held[key] = now.Add(s.HoldTime())
 		}
 	}
 	for _, key := range on {
@@ -113,6 +119,9 @@
 	return ended
 }
 
+// HoldTime returns how long switches are held.
+func (s *Switches) HoldTime() time.Duration { return cmp.Or(s.Hold, OperatorTime) }
+
 // On returns the switches in force. The map must not be changed.
 func (s *Switches) On() map[string]bool { return s.on }
 
