--- a/cmd/internal/operator/operator.go
+++ b/cmd/internal/operator/operator.go
@@ -52,6 +52,9 @@
 	Manifest struct {
 		Check checkCmd `cmd:"" help:"Check a manifest file; needs no instance."`
 	} `cmd:"" help:"Work on manifest files."`
+	Config struct {
+		Check configCheckCmd `cmd:"" help:"Check the JSON of a configuration (op/config of the platform's store) before it is sent. Exit codes: 0 no findings, 1 findings, 2 unusable input."`
+	} `cmd:"" help:"Work on configurations of a platform with service discovery."`
 	Apply      applyCmd  `cmd:"" help:"Make a manifest file the next version; shows the difference by entry."`
 	Status     statusCmd `cmd:"" help:"Show version, data centre and readiness of all given instances."`
 	Datacentre struct {
