Compare what peers know with the tables of the new era

After an increase an instance asked its peers before it had read the new tables: of a server that it did not know, the draining that it learned was dropped and the copy's older entry taken. Found by reading; TestMissedChangesAreLearned has the order that now holds.

--- a/cmd/internal/edge/eracatchup.go
+++ b/cmd/internal/edge/eracatchup.go
@@ -90,14 +90,14 @@
 		sleep(ctx, viewPollInterval)
 	}
 	if v.eras.newest() > 0 {
-		v.learnInForce(v.inForcePeers(), inForceConfig)
-		v.learnInForce(v.inForcePeers(), inForceTable)
+		v.learnInForce(v.inForcePeers(), inForceConfig, inForceTable)
 	}
 	v.caughtUp.Store(true)
 	for since := v.startedAt; ctx.Err() == nil; {
 		rises, raised := v.eras.tracker.Rises()
 		if rises > 0 {
 			since = freshness.Instant(v.eras.raisedAt.Load())
+			v.awaitTables(ctx, raised)
 			// What changed while this instance read neither the store nor peers is not in the
 			// store's copy.
 			v.learnInForce(v.inForcePeers(), inForceTable)
@@ -110,6 +110,21 @@
 	}
 }
 
+// awaitTables waits until the tables of the new era have been read, eraReaderTime at most.
+// What peers know is compared with them.
+func (v *view) awaitTables(ctx context.Context, raised <-chan struct{}) {
+	era, end := v.eras.newest(), clock.SinceBoot()+eraReaderTime
+	isOld := func(name string) bool { return v.tableOf(name).era.Load() < era }
+	for ctx.Err() == nil && clock.SinceBoot() < end && (isOld(platform.OperatorTable) || isOld(platform.ServerTable)) {
+		select {
+		case <-raised:
+			return
+		default:
+			sleep(ctx, viewPollInterval)
+		}
+	}
+}
+
 // awaitNewerConfig fetches the configuration from peers that report a newer one, until
 // catchUpLimit after since or the next increase of the era.
 func (v *view) awaitNewerConfig(ctx context.Context, since freshness.Instant, raised <-chan struct{}) {
@@ -178,23 +193,23 @@
 	return strings.Compare(a, b)
 }
 
-// learnInForce asks peers at once for one of the tables of what they have in force and merges
-// the answers.
-func (v *view) learnInForce(peers map[fleet.InstanceID]string, name string) {
+// learnInForce asks peers at once for tables of what they have in force and merges the
+// answers.
+func (v *view) learnInForce(peers map[fleet.InstanceID]string, tables ...string) {
 	var wg sync.WaitGroup
+	defer wg.Wait()
 	for id, address := range peers {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			rows, _, err := v.feeds.NewClient(address).Snapshot(context.Background(), name)
-			if err != nil {
-				v.log.Info("cannot read from a peer what is in force", zap.String("peer", string(id)), zap.Error(err))
-				return
-			}
-			v.mergeInForce(rows)
-		}()
+		for _, name := range tables {
+			wg.Go(func() {
+				rows, _, err := v.feeds.NewClient(address).Snapshot(context.Background(), name)
+				if err != nil {
+					v.log.Info("cannot read from a peer what is in force", zap.String("peer", string(id)), zap.Error(err))
+					return
+				}
+				v.mergeInForce(rows)
+			})
+		}
 	}
-	wg.Wait()
 }
 
 // mergeInForce merges what a peer has in force.
--- a/cmd/internal/edge/follow.go
+++ b/cmd/internal/edge/follow.go
@@ -153,12 +153,12 @@
 		case err == nil:
 			u.newEra, t.applied = t.applied && version.Era > t.era.Load(), true
 			known, after = true, version
-			t.era.Store(version.Era)
 			if src.direct {
 				t.directReadStart.Store(int64(u.readStart))
 				t.read.Store(int64(clock.SinceBoot()))
 			}
 			t.apply(u)
+			t.era.Store(version.Era)
 			if len(u.entries) > 0 && !u.full {
 				sleep(ctx, changeBatchDelay)
 			}
