Let the soak return the store as older copies

With -soak.rewinds the store returns 2 to 8 s older each 1 to 4 s after a short outage, at times twice in a row, beside the other faults. The operator and the servers write again within a second.

--- a/cmd/internal/soak/fleet_test.go
+++ b/cmd/internal/soak/fleet_test.go
@@ -43,6 +43,9 @@
 	instances []*instance
 	servers   []*server
 
+	rowsMu sync.Mutex
+	rows   map[rowKey][]byte // that the operator and the servers wrote last
+
 	mu      sync.Mutex
 	configs []config
 	// harmed holds the periods in which an instance or the way to a server was disturbed, by
@@ -109,9 +112,9 @@
 
 	mu     sync.Mutex
 	drains []interval
-	// born is the start time in the server's entry, lives when it started again.
-	born  int
-	lives []time.Time
+	// born and sequence are those of the server's entry, lives is when it started again.
+	born, sequence int
+	lives          []time.Time
 }
 
 // startAgain makes the server's next entry that of a new start.
@@ -248,7 +251,7 @@
 	body := fmt.Sprintf(`{"version":%d,"routes":[%s,%s,%s,%s],"services":[{"name":"chat","max_conns":200,"engine":{"slots":64,"kv_capacity_tokens":300000}},{"name":"orders","max_conns":200}],"tenants":[%s]}`, version,
 		route("read", "idempotent", "orders", ""), route("order", "non_idempotent", "orders", ""),
 		route("stream", "streaming", "chat", `,"can_resume":true`), route(fmt.Sprint("v", version), "idempotent", "orders", ""), keys)
-	f.store.Set("op", "config", []byte(body))
+	f.write("op", "config", []byte(body))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.configs = append(f.configs, config{time.Now(), version, second})
@@ -257,9 +260,11 @@
 func (f *fleet) register(s *server, state string) {
 	s.mu.Lock()
 	born := s.born
+	s.sequence++
+	sequence := s.sequence
 	s.mu.Unlock()
-	f.store.Set("servers", s.ID, fmt.Appendf(nil,
-		`{"service":%q,"address":%q,"zone":"z","slots":64,"state":%q,"cold_left_ms":0,"sequence":1,"born":%d}`, s.pool, s.proxy.address(), state, born))
+	f.write("servers", s.ID, fmt.Appendf(nil,
+		`{"service":%q,"address":%q,"zone":"z","slots":64,"state":%q,"cold_left_ms":0,"sequence":%d,"born":%d}`, s.pool, s.proxy.address(), state, sequence, born))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -100,6 +100,9 @@
 		version += step
 		f.configure(version, second)
 	}
+	if *rewinds {
+		wg.Go(func() { f.rewindStore(seed, time.Now().Add(during)) })
+	}
 	for end := time.Now().Add(during); time.Now().Before(end); time.Sleep(time.Duration(100+rnd.IntN(600)) * time.Millisecond) {
 		n, s := f.instances[rnd.IntN(len(f.instances))], f.servers[rnd.IntN(len(f.servers))]
 		duration := time.Duration(200+rnd.IntN(int((maxFaultDuration-200*time.Millisecond)/time.Millisecond))) * time.Millisecond
