Poll tables for a second at most after an increase of the era

An increase abandons running reads, whose connections to the store stay in use until they end; the instance table is polled for 25 s, and three increases in that time could use up the 8 connections. TestShortPollsAfterRise: 25 s without the change by construction.

--- a/cmd/internal/edge/era.go
+++ b/cmd/internal/edge/era.go
@@ -27,6 +27,9 @@
 	// hand a table on is asked again instead of being avoided, eraReaderDelay the mean delay.
 	eraReaderTime  = time.Second
 	eraReaderDelay = 60 * time.Millisecond
+	// unsettledTime is how long after an increase all tables are polled for a second at most:
+	// each further increase abandons the reads, whose connections stay in use until they end.
+	unsettledTime = time.Minute
 )
 
 // eraHook writes rows again that the store may have lost. It runs in a goroutine of its own
@@ -78,10 +81,10 @@
 // risen reports whether the era has increased since the start.
 func (e *eras) risen() bool { return e.raisedAt.Load() > 0 }
 
-// justRisen reports whether readers may still lack the tables of the new era.
-func (e *eras) justRisen(now freshness.Instant) bool {
+// risenWithin reports whether the era increased less than d ago.
+func (e *eras) risenWithin(now freshness.Instant, d time.Duration) bool {
 	raised := freshness.Instant(e.raisedAt.Load())
-	return raised > 0 && now-raised < eraReaderTime
+	return raised > 0 && now-raised < d
 }
 
 // run calls the hooks until ctx ends.
--- a/cmd/internal/edge/erarows_test.go
+++ b/cmd/internal/edge/erarows_test.go
@@ -175,3 +175,25 @@
 		v.mu.Unlock()
 	}
 }
+
+// Guards against abandoned reads of 25 s that use up the connections to the store when the
+// era increases several times.
+func TestShortPollsAfterRise(t *testing.T) {
+	v := testView()
+	instances := v.tableOf(platform.InstanceTable)
+	now := clock.SinceBoot()
+	instances.read.Store(int64(now))
+	v.eras.tracker.Observe(1)
+	if got := v.pollWait(instances, true, now); got != instancesPollWait {
+		t.Errorf("poll of %v without an increase", got)
+	}
+	v.eras.tracker.Observe(2)
+	if got := v.pollWait(instances, true, now); got > operatorPollWait {
+		t.Errorf("poll of %v right after an increase", got)
+	}
+	later := clock.SinceBoot() + unsettledTime
+	instances.read.Store(int64(later))
+	if got := v.pollWait(instances, true, later); got != instancesPollWait {
+		t.Errorf("poll of %v long after an increase", got)
+	}
+}
--- a/cmd/internal/edge/follow.go
+++ b/cmd/internal/edge/follow.go
@@ -174,7 +174,7 @@
 				sleep(ctx, storeRetryDelay)
 			}
 			known, historyGoneAt = false, time.Now()
-		case !src.direct && v.eras.justRisen(clock.SinceBoot()):
+		case !src.direct && v.eras.risenWithin(clock.SinceBoot(), eraReaderTime):
 			// The reader has not read the table of the new era yet.
 			sleep(ctx, eraReaderDelay/2+rand.N(eraReaderDelay))
 		case !src.direct:
@@ -259,15 +259,21 @@
 		r.entries, r.version, r.err = src.Snapshot(ctx, t.name)
 		return r
 	}
-	pollWait := t.pollWait
+	r.entries, r.version, r.err = src.Changes(ctx, t.name, after, v.pollWait(t, src.direct, r.start))
+	return r
+}
+
+// pollWait returns how long a read of changes may wait for one.
+func (v *view) pollWait(t *table, direct bool, now freshness.Instant) time.Duration {
 	switch {
-	case !src.direct:
-		pollWait = peerPollWait
-	case !t.isFresh(r.start):
-		pollWait = 0 // a stale copy is not served to peers, so refresh it at once
+	case !direct:
+		return peerPollWait
+	case !t.isFresh(now):
+		return 0 // a stale copy is not served to peers, so refresh it at once
+	case v.eras.risenWithin(now, unsettledTime):
+		return min(t.pollWait, operatorPollWait)
 	}
-	r.entries, r.version, r.err = src.Changes(ctx, t.name, after, pollWait)
-	return r
+	return t.pollWait
 }
 
 // merge takes the result of a read into the copy.
