Ask other peers what is in force if the first ones do not answer

Cause: an instance that starts, or sees the era increase, asked up to three peers (one in a large fleet) once. After the return of the store the list also names instances that have left or restart, so that all could fail; the instance then served what the older copy has. Change: up to two more rounds ask other peers until one answers. After an increase this runs beside the search for newer configurations, so that it does not delay it.

--- a/cmd/internal/edge/eracatchup.go
+++ b/cmd/internal/edge/eracatchup.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -45,6 +46,10 @@
 	// maxInForcePeers limits the peers that are asked at once; in a large fleet it is one, since
 	// all may start at once.
 	maxInForcePeers = 3
+	// maxInForceRounds limits how often other peers are asked because none has answered. After
+	// a store returned, instances that left or restart are among those listed. A round takes
+	// 0.4 s at most.
+	maxInForceRounds = 3
 )
 
 // inForce returns the rows of inForceTable, or nil if this instance does not know yet
@@ -90,8 +95,8 @@
 		sleep(ctx, viewPollInterval)
 	}
 	if v.eras.newest() > 0 {
-		v.learnInForce(v.inForcePeers(), inForceConfig)
-		v.learnInForce(v.inForcePeers(), inForceTable)
+		v.learnFromAny(ctx, inForceConfig)
+		v.learnFromAny(ctx, inForceTable)
 	}
 	v.caughtUp.Store(true)
 	for since := v.startedAt; ctx.Err() == nil; {
@@ -99,8 +104,8 @@
 		if rises > 0 {
 			since = freshness.Instant(v.eras.raisedAt.Load())
 			// What changed while this instance read neither the store nor peers is not in the
-			// store's copy.
-			v.learnInForce(v.inForcePeers(), inForceTable)
+			// store's copy. Newer configurations are looked for meanwhile.
+			go v.learnFromAny(ctx, inForceTable)
 		}
 		v.awaitNewerConfig(ctx, since, raised)
 		select {
@@ -145,8 +150,21 @@
 	return c != nil && version > c.Version
 }
 
-// inForcePeers returns up to maxInForcePeers peers to ask after a start, live ones first.
-func (v *view) inForcePeers() map[fleet.InstanceID]string {
+// learnFromAny asks peers for one of the tables of what they have in force, and others if
+// none has answered.
+func (v *view) learnFromAny(ctx context.Context, name string) {
+	asked := map[fleet.InstanceID]bool{}
+	for range maxInForceRounds {
+		peers := v.inForcePeers(asked)
+		if len(peers) == 0 || ctx.Err() != nil || v.learnInForce(peers, name) {
+			return
+		}
+	}
+}
+
+// inForcePeers returns up to maxInForcePeers peers to ask that have not been asked, live ones
+// first, and adds them to asked.
+func (v *view) inForcePeers(asked map[fleet.InstanceID]bool) map[fleet.InstanceID]string {
 	out, most := map[fleet.InstanceID]string{}, maxInForcePeers
 	if v.peers.roster.IsLarge() {
 		most = 1
@@ -157,8 +175,8 @@
 			return compareHash(string(v.set.Instance), string(a), string(b))
 		})
 		for _, id := range ids {
-			if len(out) < most {
-				out[id] = listed[id].Peer
+			if len(out) < most && !asked[id] {
+				out[id], asked[id] = listed[id].Peer, true
 			}
 		}
 	}
@@ -179,9 +197,10 @@
 }
 
 // learnInForce asks peers at once for one of the tables of what they have in force and merges
-// the answers.
-func (v *view) learnInForce(peers map[fleet.InstanceID]string, name string) {
+// the answers. It reports whether there was one.
+func (v *view) learnInForce(peers map[fleet.InstanceID]string, name string) bool {
 	var wg sync.WaitGroup
+	var answered atomic.Bool
 	for id, address := range peers {
 		wg.Add(1)
 		go func() {
@@ -191,10 +210,12 @@
 				v.log.Info("cannot read from a peer what is in force", zap.String("peer", string(id)), zap.Error(err))
 				return
 			}
+			answered.Store(true)
 			v.mergeInForce(rows)
 		}()
 	}
 	wg.Wait()
+	return answered.Load()
 }
 
 // mergeInForce merges what a peer has in force.
--- /dev/null
+++ b/cmd/internal/edge/eracatchup_test.go
@@ -0,0 +1,60 @@
+package edge
+
+import (
+	"context"
+	"net"
+	"slices"
+	"testing"
+
+	"github.com/valyala/fasthttp"
+
+	"cyclamenhitch/adapters/feed"
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/roster"
+	"cyclamenhitch/core/store"
+	"cyclamenhitch/platform"
+)
+
+// servePeer serves what a view has in force and returns the address.
+func servePeer(t *testing.T, v *view) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() { _ = fasthttp.Serve(ln, (&feed.Server{Extra: v.extraTable}).Handle) }()
+	return ln.Addr().String()
+}
+
+// viewWithConfig returns a view of era 1 with a configuration.
+func viewWithConfig(version int) *view {
+	v := testView()
+	v.eras.tracker.Observe(1)
+	v.applyOperator(update{full: true, entries: []store.Entry{{Key: platform.ConfigKey, Value: config(version, `"k1"`)}}})
+	v.applyServers(update{full: true})
+	return v
+}
+
+// Guards against an instance that serves an older configuration of the store because the
+// first peers that it asked have left or restart.
+func TestOtherPeersAreAsked(t *testing.T) {
+	for listed, answers := range map[int]int{maxInForcePeers + 1: maxInForcePeers, 100: maxInForceRounds - 1} { // a small and a large fleet
+		v := viewWithConfig(1)
+		var ids []fleet.InstanceID
+		for i := range listed {
+			ids = append(ids, fleet.InstanceID(rune('A'+i)))
+		}
+		slices.SortFunc(ids, func(a, b fleet.InstanceID) int { return compareHash(string(v.set.Instance), string(a), string(b)) })
+		rows := map[fleet.InstanceID]roster.Listing{}
+		for _, id := range ids {
+			rows[id] = roster.Listing{Peer: "127.0.0.1:1"}
+		}
+		rows[ids[answers]] = roster.Listing{Peer: servePeer(t, viewWithConfig(2))}
+		v.peers.roster.SetListed(rows)
+		v.learnFromAny(context.Background(), inForceConfig)
+		if c := v.current.Load(); c.Version != 2 {
+			t.Errorf("%d instances: configuration %d, a peer has 2", listed, c.Version)
+		}
+	}
+}
