Take over newer configurations of peers also after the time limit of the wait

Cause: peers were asked for a newer configuration only within eras.catch_up_ms of a start or an increase of the era. An instance that was cut off from its peers for longer served the older copy, with its removed keys, until the operator wrote again. Change: after the limit, it looks once per second and fetches what peers have reported for a second and the store has not shown. It serves meanwhile. Stores without eras: no effect. Result: TestNewerConfigIsLearnedLate fails before (30 s) and passes now.

--- a/cmd/internal/edge/eracatchup.go
+++ b/cmd/internal/edge/eracatchup.go
@@ -34,6 +34,9 @@
 	catchUpLimit = 5 * time.Second
 	// catchUpInterval is the interval of looking for peers with a newer configuration.
 	catchUpInterval = 50 * time.Millisecond
+	// lateInterval is the interval of looking for peers with a newer configuration after
+	// catchUpLimit. The store or a reader shows a new configuration sooner.
+	lateInterval = time.Second
 	// inForceTable is the name under which the feed serves what an instance has in force of
 	// the rows of operators and servers, as far as the store may have lost it, inForceConfig
 	// that of the configuration in force. A configuration can have 320 KB.
@@ -108,10 +111,32 @@
 			go v.learnFromAny(ctx, inForceTable)
 		}
 		v.awaitNewerConfig(ctx, since, raised)
+		v.followNewerConfig(ctx, raised)
+	}
+}
+
+// followNewerConfig fetches a newer configuration that peers have reported for lateInterval
+// and the store has not shown, until the next increase of the era. The instance serves
+// meanwhile. Peers may be heard for the first time long after the store returned.
+func (v *view) followNewerConfig(ctx context.Context, raised <-chan struct{}) {
+	tick := time.NewTicker(lateInterval)
+	defer tick.Stop()
+	for reported := uint64(0); ; {
 		select {
 		case <-raised:
+			return
 		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if v.eras.newest() == 0 {
+			continue
+		}
+		behind, newest := v.peersAhead()
+		if v.isBehind(reported) && len(behind) > 0 {
+			v.learnInForce(behind, inForceConfig)
 		}
+		reported = newest
 	}
 }
 
@@ -121,13 +146,7 @@
 	defer v.behindPeers.Store(false)
 	limit := cmp.Or(settings.Millis(v.set.Eras.CatchUpMillis), catchUpLimit)
 	for ctx.Err() == nil && v.eras.newest() > 0 && clock.SinceBoot()-since < limit {
-		behind, newest := map[fleet.InstanceID]string{}, uint64(0)
-		for _, p := range v.peers.roster.Live(time.Now()) {
-			newest = max(newest, p.Version)
-			if v.isBehind(p.Version) && len(behind) < maxInForcePeers {
-				behind[p.ID] = p.Peer
-			}
-		}
+		behind, newest := v.peersAhead()
 		if len(behind) > 0 {
 			v.learnInForce(behind, inForceConfig)
 		}
@@ -144,6 +163,19 @@
 	}
 }
 
+// peersAhead returns up to maxInForcePeers live peers that report a newer configuration than
+// the one in force, and the newest version that any reports.
+func (v *view) peersAhead() (map[fleet.InstanceID]string, uint64) {
+	behind, newest := map[fleet.InstanceID]string{}, uint64(0)
+	for _, p := range v.peers.roster.Live(time.Now()) {
+		newest = max(newest, p.Version)
+		if v.isBehind(p.Version) && len(behind) < maxInForcePeers {
+			behind[p.ID] = p.Peer
+		}
+	}
+	return behind, newest
+}
+
 // isBehind reports whether a version is newer than the configuration in force.
 func (v *view) isBehind(version uint64) bool {
 	c := v.current.Load()
--- a/cmd/internal/edge/eracatchup_test.go
+++ b/cmd/internal/edge/eracatchup_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/valyala/fasthttp"
 
@@ -58,3 +59,25 @@
 		}
 	}
 }
+
+// Guards against an instance that serves an older configuration for good because it hears a
+// peer with a newer one only after the time in which it waits for such peers.
+func TestNewerConfigIsLearnedLate(t *testing.T) {
+	v := viewWithConfig(1)
+	v.set.Eras.CatchUpMillis = 1
+	v.peers.roster.SetListed(map[fleet.InstanceID]roster.Listing{})
+	address := servePeer(t, viewWithConfig(2))
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go v.catchUp(ctx)
+	time.Sleep(4 * catchUpInterval) // the wait is over
+	for end := time.Now().Add(testTimeout); v.current.Load().Version != 2; time.Sleep(catchUpInterval) {
+		if time.Now().After(end) {
+			t.Fatal("the configuration of a peer is not taken over")
+		}
+		v.peers.roster.HandleReport(time.Now(), roster.Peer{ID: "b", Incarnation: 1, Peer: address, Version: 2}, true)
+		if v.behindPeers.Load() {
+			t.Fatal("the instance does not serve after the time limit")
+		}
+	}
+}
