Keep a draining server out that is known only from a peer

Cause: what a peer told about a draining server that this instance had not read was dropped. If the store's older copy, read later, showed the server as ready, it got requests. Change: such a server is remembered like one that has left; a newer entry replaces that. Result: TestUnknownLeavingServerStaysOut fails before and passes now.

--- a/cmd/internal/edge/eracatchup.go
+++ b/cmd/internal/edge/eracatchup.go
@@ -296,10 +296,12 @@
 	switch {
 	case old != nil && storeera.Supersedes(known, storeera.Known{Stamp: stampOf(&old.ServerEntry), Leaving: old.Leaving}, false):
 		return
-	case gone:
+	case gone, old == nil:
+		// A leaving server that is not known here must not be taken as ready from an older
+		// entry that is read later.
 		v.departed.Left(now, id, known.Stamp, entry)
 		delete(v.servers, id)
-	case old != nil:
+	default:
 		v.servers[id] = &discoveredServer{ServerEntry: s, entry: entry, coldUntil: old.coldUntil, keptUntil: old.keptUntil}
 	}
 }
--- a/cmd/internal/edge/eracatchup_test.go
+++ b/cmd/internal/edge/eracatchup_test.go
@@ -81,3 +81,26 @@
 		}
 	}
 }
+
+// Guards against requests to a draining server that this instance reads for the first time
+// from the store's older copy, after peers have told that it drains.
+func TestUnknownLeavingServerStaysOut(t *testing.T) {
+	saw, missed := viewWithConfig(1), viewWithConfig(1)
+	saw.caughtUp.Store(true)
+	saw.applyServers(update{entries: []store.Entry{serverRow(5, `"state":"draining","sequence":2`)}})
+	missed.eras.tracker.Observe(2)
+	missed.mergeInForce(saw.inForce())
+	ready := func() bool {
+		missed.mu.Lock()
+		defer missed.mu.Unlock()
+		return missed.servers["i"] != nil && !missed.servers["i"].Leaving
+	}
+	missed.applyServers(update{full: true, newEra: true, entries: []store.Entry{serverRow(4, `"state":"ready","sequence":1`)}})
+	if ready() {
+		t.Error("a draining server is ready after the older copy was read")
+	}
+	missed.applyServers(update{entries: []store.Entry{serverRow(6, `"state":"ready","sequence":3`)}})
+	if !ready() {
+		t.Error("a newer entry is ignored")
+	}
+}
