Keep the configuration version that a peer reported over digests

Cause: digests state no versions, and applying one set the version of a peer that this instance hears itself to 0 until its next report. An instance that waits because this peer has a newer configuration then served the older one in between. Change: a version of 0 does not replace a known one of the same incarnation. Result: TestDigestsKeepVersions fails before and passes now.

--- a/core/roster/roster.go
+++ b/core/roster/roster.go
@@ -200,7 +200,11 @@
 	case p.Incarnation < e.Incarnation:
 		return nil
 	}
-	// The version is not forwarded in digests, so that its change does not dirty the entry.
+	// The version is not forwarded in digests, so that its change does not dirty the entry, and
+	// a digest does not replace the one that the instance has reported itself.
+	if p.Version == 0 && p.Incarnation == e.Incarnation {
+		p.Version = e.Version
+	}
 	old := e.Peer
 	old.Version = p.Version
 	e.dirty = e.dirty || old != p
--- a/core/roster/roster_test.go
+++ b/core/roster/roster_test.go
@@ -28,6 +28,30 @@
 	}
 }
 
+// Guards against an instance that forgets that a peer has a newer configuration, because a
+// relay's digest, which states no versions, names that peer.
+func TestDigestsKeepVersions(t *testing.T) {
+	r := New("a")
+	r.HandleReport(epoch, Peer{ID: "relay", Incarnation: 1}, true)
+	r.HandleReport(epoch, Peer{ID: "b", Incarnation: 1, Version: 7}, true)
+	version := func() uint64 {
+		for _, p := range r.Live(epoch) {
+			if p.ID == "b" {
+				return p.Version
+			}
+		}
+		return 0
+	}
+	r.ApplyDigest(epoch, "relay", "", Digest{Version: 1, Members: []Peer{{ID: "b", Incarnation: 1, Serving: true}}})
+	if got := version(); got != 7 {
+		t.Errorf("version %d after a digest, reported 7", got)
+	}
+	r.ApplyDigest(epoch, "relay", "", Digest{Version: 2, Members: []Peer{{ID: "b", Incarnation: 2}}})
+	if got := version(); got != 0 {
+		t.Errorf("version %d after a restart", got)
+	}
+}
+
 // Guards against a fleet in which no instance or every instance reads the store: instances
 // that see the same peers agree on 1 to maxReaders readers that reach it.
 func TestReadersAgree(t *testing.T) {
