Do not serve an older configuration between two increases of the era

Cause: a further increase of the era ended the wait for a newer configuration of a peer, and the instance served the older one until the next wait had begun. Change: only the time limit and having caught up end it. Result: TestWaitGoesOnOverAnIncrease fails before and passes now.

--- a/cmd/internal/edge/eracatchup.go
+++ b/cmd/internal/edge/eracatchup.go
@@ -141,9 +141,9 @@
 }
 
 // awaitNewerConfig fetches the configuration from peers that report a newer one, until
-// catchUpLimit after since or the next increase of the era.
+// catchUpLimit after since or the next increase of the era, which does not end the wait: it
+// goes on in the next call.
 func (v *view) awaitNewerConfig(ctx context.Context, since freshness.Instant, raised <-chan struct{}) {
-	defer v.behindPeers.Store(false)
 	limit := cmp.Or(settings.Millis(v.set.Eras.CatchUpMillis), catchUpLimit)
 	for ctx.Err() == nil && v.eras.newest() > 0 && clock.SinceBoot()-since < limit {
 		behind, newest := v.peersAhead()
@@ -161,6 +161,7 @@
 		}
 		sleep(ctx, catchUpInterval)
 	}
+	v.behindPeers.Store(false)
 }
 
 // peersAhead returns up to maxInForcePeers live peers that report a newer configuration than
--- a/cmd/internal/edge/eracatchup_test.go
+++ b/cmd/internal/edge/eracatchup_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cyclamenhitch/adapters/clock"
 	"cyclamenhitch/adapters/feed"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/roster"
@@ -104,3 +105,22 @@
 		t.Error("a newer entry is ignored")
 	}
 }
+
+// Guards against an instance that serves an older configuration for a moment because the era
+// increases again while it waits for a newer one of a peer.
+func TestWaitGoesOnOverAnIncrease(t *testing.T) {
+	v := viewWithConfig(1)
+	v.caughtUp.Store(true)
+	v.set.Eras.CatchUpMillis = int(testTimeout.Milliseconds())
+	v.peers.roster.HandleReport(time.Now().Add(testTimeout), roster.Peer{ID: "b", Incarnation: 1, Peer: "127.0.0.1:1", Version: 2}, true)
+	raised := make(chan struct{})
+	close(raised)
+	v.awaitNewerConfig(context.Background(), clock.SinceBoot(), raised)
+	if v.mayServe() {
+		t.Error("the instance serves between two increases of the era")
+	}
+	v.awaitNewerConfig(context.Background(), clock.SinceBoot()-testTimeout, nil)
+	if v.behindPeers.Load() {
+		t.Error("the wait does not end at its limit")
+	}
+}
