Do not count rows of an earlier copy of the store as stored

Cause: rows of the quarantine table that were read before an increase of the era and merged after it marked their parts as stored, and nothing cleared the mark. If the older copy lacked such a row, it was not written again. Change: MergeStored is given the number of returns before the read and ignores the stored level if it has changed. The merge happens under the same lock. Result: TestRowsOfAnEarlierCopyAreNotStored fails without the check and passes with it.

--- a/cmd/internal/edge/quarantinestore.go
+++ b/cmd/internal/edge/quarantinestore.go
@@ -49,6 +49,7 @@
 
 // load merges the stored evidence and reports whether it could be read.
 func (q *quarantineStore) load(ctx context.Context) bool {
+	copies := q.tracker.Copies()
 	rows, _, err := q.store.Snapshot(ctx, platform.QuarantineTable)
 	if err != nil {
 		q.log.Warn("cannot read the blocked prompt parts", zap.Error(err))
@@ -66,7 +67,7 @@
 			list = append(list, e)
 		}
 	}
-	q.tracker.MergeStored(time.Now(), list)
+	q.tracker.MergeStored(time.Now(), list, copies)
 	if len(list) > 0 {
 		q.log.Info("blocked prompt parts read from the store", zap.Int("parts", len(list)))
 	}
--- a/core/quarantine/stored.go
+++ b/core/quarantine/stored.go
@@ -96,21 +96,33 @@
 	t.obsolete[key], t.released[key] = now, now
 }
 
+// Copies returns how often the store has returned as an older copy.
+func (t *Tracker) Copies() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.copies
+}
+
 // MergeStored merges evidence read from the store. Rows of parts that were released after
-// their last crash, which an older copy of the store shows again, are removed instead.
-func (t *Tracker) MergeStored(now time.Time, list []Evidence) {
+// their last crash, which an older copy of the store shows again, are removed instead. copies
+// is the result of Copies before the read: if the store has returned as an older copy since
+// then, the rows do not tell what it holds.
+func (t *Tracker) MergeStored(now time.Time, list []Evidence, copies int) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	kept := list[:0:0]
 	for _, e := range list {
 		at, ok := t.released[e.Part]
+		if copies != t.copies {
+			e.StoredLevel = 0
+		}
 		if !ok || slices.ContainsFunc(e.Strikes, func(s Strike) bool { return now.Add(-s.Age).After(at) }) {
 			kept = append(kept, e)
 			continue
 		}
 		t.obsolete[e.Part] = now
 	}
-	t.mu.Unlock()
-	t.Merge(now, kept)
+	t.merge(now, kept)
 }
 
 // row is the stored form of the evidence about a part. Times are Unix milliseconds.
--- a/core/quarantine/stored_test.go
+++ b/core/quarantine/stored_test.go
@@ -35,7 +35,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			tr.MergeStored(s.now, []Evidence{e})
+			tr.MergeStored(s.now, []Evidence{e}, tr.Copies())
 		}
 	}
 	answerOther(tr, s.now)
@@ -89,7 +89,28 @@
 	}
 	tr.released[e.Part] = s.now.Add(-time.Second)
 	e.Strikes[0].Age = 0
-	if tr.MergeStored(s.now, []Evidence{e}); tr.records[e.Part] == nil {
+	if tr.MergeStored(s.now, []Evidence{e}, tr.Copies()); tr.records[e.Part] == nil {
 		t.Error("evidence of a crash after the release was dropped")
 	}
 }
+
+// Guards against a lost row that is never written again, because rows read before the store
+// returned as an older copy are merged after it.
+func TestRowsOfAnEarlierCopyAreNotStored(t *testing.T) {
+	for _, returned := range []bool{false, true} {
+		tr, now := New("a"), time.Unix(1_000_000, 0)
+		e, err := DecodeRow(now, PartKey{Pool: 1, ID: 2}.String(), []byte(`{"level":1,"strikes":[{"crash":9,"account":1,"at_ms":1}]}`))
+		if err != nil {
+			t.Fatal(err)
+		}
+		e.Strikes[0].Age = 0
+		copies := tr.Copies()
+		if returned {
+			tr.ForgetStored()
+		}
+		tr.MergeStored(now, []Evidence{e}, copies)
+		if stored := tr.records[e.Part].storedLevel > 0; stored == returned {
+			t.Errorf("store returned older %v: counts as stored %v", returned, stored)
+		}
+	}
+}
--- a/core/quarantine/tracker.go
+++ b/core/quarantine/tracker.go
@@ -254,6 +254,11 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.merge(now, list)
+}
+
+// merge adds evidence and reports whether any of it is new. The caller holds mu.
+func (t *Tracker) merge(now time.Time, list []Evidence) bool {
 	changed := false
 	for i := range list {
 		e := &list[i]
