--- a/cmd/internal/edge/eracatchup.go
+++ b/cmd/internal/edge/eracatchup.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -33,6 +34,9 @@
 	catchUpLimit = 5 * time.Second
 	// catchUpInterval is the interval of looking for peers with a newer configuration.
 	catchUpInterval = 50 * time.Millisecond
+	// lateInterval is the interval of looking for peers with a newer configuration after
+	// catchUpLimit. The store or a reader shows a new configuration sooner.
+	lateInterval = time.Second
 	// inForceTable is the name under which the feed serves what an instance has in force of
 	// the rows of operators and servers, as far as the store may have lost it, inForceConfig
 	// that of the configuration in force. A configuration can have 320 KB.
@@ -45,6 +49,10 @@
 	// maxInForcePeers limits the peers that are asked at once; in a large fleet it is one, since
 	// all may start at once.
 	maxInForcePeers = 3
+	// maxInForceRounds limits how often other peers are asked because none has answered. After
+	// a store returned, instances that left or restart are among those listed. A round takes
+	// 0.4 s at most.
+	maxInForceRounds = 3
 )
 
 // inForce returns the rows of inForceTable, or nil if this instance does not know yet
@@ -90,23 +98,48 @@
 		sleep(ctx, viewPollInterval)
 	}
 	if v.eras.newest() > 0 {
-		v.learnInForce(v.inForcePeers(), inForceConfig, inForceTable)
+		v.learnFromAny(ctx, inForceConfig)
+		v.learnFromAny(ctx, inForceTable)
 	}
 	v.caughtUp.Store(true)
 	for since := v.startedAt; ctx.Err() == nil; {
 		rises, raised := v.eras.tracker.Rises()
 		if rises > 0 {
 			since = freshness.Instant(v.eras.raisedAt.Load())
-			v.awaitTables(ctx, raised)
 			// What changed while this instance read neither the store nor peers is not in the
-			// store's copy.
-			v.learnInForce(v.inForcePeers(), inForceTable)
+			// store's copy. Newer configurations are looked for meanwhile.
+			go func() {
+				v.awaitTables(ctx, raised)
+				v.learnFromAny(ctx, inForceTable)
+			}()
 		}
 		v.awaitNewerConfig(ctx, since, raised)
+		v.followNewerConfig(ctx, raised)
+	}
+}
+
+// followNewerConfig fetches a newer configuration that peers have reported for lateInterval
+// and the store has not shown, until the next increase of the era. The instance serves
+// meanwhile. Peers may be heard for the first time long after the store returned.
+func (v *view) followNewerConfig(ctx context.Context, raised <-chan struct{}) {
+	tick := time.NewTicker(lateInterval)
+	defer tick.Stop()
+	for reported := uint64(0); ; {
 		select {
 		case <-raised:
+			return
 		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if v.eras.newest() == 0 {
+			continue
 		}
+		behind, newest := v.peersAhead()
+		if v.isBehind(reported) && len(behind) > 0 {
+			v.learnInForce(behind, inForceConfig)
+		}
+		reported = newest
 	}
 }
 
@@ -126,18 +159,12 @@
 }
 
 // awaitNewerConfig fetches the configuration from peers that report a newer one, until
-// catchUpLimit after since or the next increase of the era.
+// catchUpLimit after since or the next increase of the era, which does not end the wait: it
+// goes on in the next call.
 func (v *view) awaitNewerConfig(ctx context.Context, since freshness.Instant, raised <-chan struct{}) {
-	defer v.behindPeers.Store(false)
 	limit := cmp.Or(settings.Millis(v.set.Eras.CatchUpMillis), catchUpLimit)
 	for ctx.Err() == nil && v.eras.newest() > 0 && clock.SinceBoot()-since < limit {
-		behind, newest := map[fleet.InstanceID]string{}, uint64(0)
-		for _, p := range v.peers.roster.Live(time.Now()) {
-			newest = max(newest, p.Version)
-			if v.isBehind(p.Version) && len(behind) < maxInForcePeers {
-				behind[p.ID] = p.Peer
-			}
-		}
+		behind, newest := v.peersAhead()
 		if len(behind) > 0 {
 			v.learnInForce(behind, inForceConfig)
 		}
@@ -152,6 +179,20 @@
 		}
 		sleep(ctx, catchUpInterval)
 	}
+	v.behindPeers.Store(false)
+}
+
+// peersAhead returns up to maxInForcePeers live peers that report a newer configuration than
+// the one in force, and the newest version that any reports.
+func (v *view) peersAhead() (map[fleet.InstanceID]string, uint64) {
+	behind, newest := map[fleet.InstanceID]string{}, uint64(0)
+	for _, p := range v.peers.roster.Live(time.Now()) {
+		newest = max(newest, p.Version)
+		if v.isBehind(p.Version) && len(behind) < maxInForcePeers {
+			behind[p.ID] = p.Peer
+		}
+	}
+	return behind, newest
 }
 
 // isBehind reports whether a version is newer than the configuration in force.
@@ -160,8 +201,21 @@
 	return c != nil && version > c.Version
 }
 
-// inForcePeers returns up to maxInForcePeers peers to ask after a start, live ones first.
-func (v *view) inForcePeers() map[fleet.InstanceID]string {
+// learnFromAny asks peers for one of the tables of what they have in force, and others if
+// none has answered.
+func (v *view) learnFromAny(ctx context.Context, name string) {
+	asked := map[fleet.InstanceID]bool{}
+	for range maxInForceRounds {
+		peers := v.inForcePeers(asked)
+		if len(peers) == 0 || ctx.Err() != nil || v.learnInForce(peers, name) {
+			return
+		}
+	}
+}
+
+// inForcePeers returns up to maxInForcePeers peers to ask that have not been asked, live ones
+// first, and adds them to asked.
+func (v *view) inForcePeers(asked map[fleet.InstanceID]bool) map[fleet.InstanceID]string {
 	out, most := map[fleet.InstanceID]string{}, maxInForcePeers
 	if v.peers.roster.IsLarge() {
 		most = 1
@@ -172,8 +226,8 @@
 			return compareHash(string(v.set.Instance), string(a), string(b))
 		})
 		for _, id := range ids {
-			if len(out) < most {
-				out[id] = listed[id].Peer
+			if len(out) < most && !asked[id] {
+				out[id], asked[id] = listed[id].Peer, true
 			}
 		}
 	}
@@ -193,23 +247,24 @@
 	return strings.Compare(a, b)
 }
 
-// learnInForce asks peers at once for tables of what they have in force and merges the
-// answers.
-func (v *view) learnInForce(peers map[fleet.InstanceID]string, tables ...string) {
+// learnInForce asks peers at once for one of the tables of what they have in force and merges
+// the answers. It reports whether there was one.
+func (v *view) learnInForce(peers map[fleet.InstanceID]string, name string) bool {
 	var wg sync.WaitGroup
-	defer wg.Wait()
+	var answered atomic.Bool
 	for id, address := range peers {
-		for _, name := range tables {
-			wg.Go(func() {
-				rows, _, err := v.feeds.NewClient(address).Snapshot(context.Background(), name)
-				if err != nil {
-					v.log.Info("cannot read from a peer what is in force", zap.String("peer", string(id)), zap.Error(err))
-					return
-				}
-				v.mergeInForce(rows)
-			})
-		}
+		wg.Go(func() {
+			rows, _, err := v.feeds.NewClient(address).Snapshot(context.Background(), name)
+			if err != nil {
+				v.log.Info("cannot read from a peer what is in force", zap.String("peer", string(id)), zap.Error(err))
+				return
+			}
+			answered.Store(true)
+			v.mergeInForce(rows)
+		})
 	}
+	wg.Wait()
+	return answered.Load()
 }
 
 // mergeInForce merges what a peer has in force.
@@ -258,10 +313,12 @@
 	switch {
 	case old != nil && storeera.Supersedes(known, storeera.Known{Stamp: stampOf(&old.ServerEntry), Leaving: old.Leaving}, false):
 		return
-	case gone:
+	case gone, old == nil:
+		// A leaving server that is not known here must not be taken as ready from an older
+		// entry that is read later.
 		v.departed.Left(now, id, known.Stamp, entry)
 		delete(v.servers, id)
-	case old != nil:
+	default:
 		v.servers[id] = &discoveredServer{ServerEntry: s, entry: entry, coldUntil: old.coldUntil, keptUntil: old.keptUntil}
 	}
 }
