Decide gradual roll-outs in core/rollout

The package limits what each instance sends to a new version by a credit of its own requests, keeps grow-only counters of answers by route, version and server, judges them, and says which phase is to be stored.

TestStoreReturnsOlder failed first: a completed phase was written over.

--- /dev/null
+++ b/core/rollout/exchange.go
@@ -0,0 +1,143 @@
+package rollout
+
+import (
+	"maps"
+	"time"
+
+	"cyclamenhitch/core/fleet"
+)
+
+// Report is what an instance tells its peers about the roll-out of a pool.
+type Report struct {
+	Pool fleet.PoolID
+	// Row identifies the order.
+	Row uint64
+	// Age is the time since the order, PhaseAge that since the phase was reached.
+	Age, PhaseAge time.Duration
+	// Phase is the stored phase.
+	Phase Phase
+	// Bad is set if the version was found to be bad, for the Reason.
+	Bad    bool
+	Reason string
+	// DataCentre is set if Cells are a sum over the instances of a data centre.
+	DataCentre fleet.DataCentreID
+	Cells      Cells
+}
+
+const (
+	// maxReportInterval is the largest value of the shortest time between two reports of changed
+	// counters, and repeatInterval the time between unchanged ones, for lost datagrams.
+	maxReportInterval = 400 * time.Millisecond
+	repeatInterval    = 2 * time.Second
+	// reportsInLimit is the least number of reports within the time limit of a roll-back. A
+	// counter passes three hops in a large fleet, and each report may be lost once.
+	reportsInLimit = 10
+)
+
+// Reports returns what to report about the orders in force: this instance's counters, and for
+// the digests of a relay the sums over the data centres. own is the instance's data centre.
+func (t *Tracker) Reports(now time.Time, own fleet.DataCentreID, relaying bool) (reports, sums []Report) {
+	interval := min(maxReportInterval, t.cfg.RollbackLimit/reportsInLimit)
+	t.each(func(id fleet.PoolID, p *pool) {
+		e := &p.ev
+		since := now.Sub(e.sentAt)
+		if !p.ordered || !p.known || p.removed || since < repeatInterval && (!e.unsent || since < interval) {
+			return
+		}
+		e.sentAt, e.unsent = now, false
+		r := Report{Pool: id, Row: p.order.Row, Age: now.Sub(p.started), PhaseAge: now.Sub(p.phaseAt), Phase: p.phase, Bad: p.bad, Reason: p.reason}
+		if !p.phase.final() {
+			r.Cells = maps.Clone(e.own)
+		}
+		reports = append(reports, r)
+		if !relaying {
+			return
+		}
+		if p.phase.final() {
+			sums = append(sums, r)
+			return
+		}
+		for dc, cells := range e.dataCentres(own) {
+			s := r
+			s.DataCentre, s.Cells = dc, cells
+			sums = append(sums, s)
+		}
+	})
+	return reports, sums
+}
+
+// Merge applies the reports of a peer. Counters of an order that is not in force here are
+// ignored; the peer repeats them. It reports whether the peers should hear of a change soon.
+func (t *Tracker) Merge(now time.Time, from Source, dc fleet.DataCentreID, reports []Report) bool {
+	soon := false
+	for i := range reports {
+		r := &reports[i]
+		p := t.pool(r.Pool)
+		p.mu.Lock()
+		if p.merge(now, from, dc, r) {
+			soon = true
+			p.classify(t.cfg)
+		}
+		p.mu.Unlock()
+	}
+	return soon
+}
+
+func (p *pool) merge(now time.Time, from Source, dc fleet.DataCentreID, r *Report) bool {
+	if !p.ordered || p.order.Row != r.Row {
+		return false
+	}
+	p.known, p.heardAt = true, now
+	before := p.phase
+	p.advance(r.Phase, r.Reason, now.Add(-r.Age), now.Add(-r.PhaseAge), now)
+	news := p.phase != before
+	if r.Bad && !p.bad && p.phase != Completed {
+		p.bad, p.reason, news = true, r.Reason, true
+	}
+	cells := p.ev.sums[r.DataCentre]
+	switch {
+	case r.DataCentre == "":
+		s := p.ev.sources[from]
+		if s == nil {
+			s = &sourceCells{dc: dc, cells: Cells{}}
+			p.ev.sources[from] = s
+		}
+		cells = s.cells
+	case cells == nil:
+		cells = Cells{}
+		p.ev.sums[r.DataCentre] = cells
+	}
+	if cells.raise(r.Cells) {
+		p.ev.changed, p.ev.unsent = true, true
+	}
+	p.ev.unsent = p.ev.unsent || news
+	return news
+}
+
+// Judge computes the verdicts on versions with new evidence. It reports whether a version was
+// found to be bad. own is the instance's data centre.
+func (t *Tracker) Judge(now time.Time, own fleet.DataCentreID) bool {
+	found := false
+	t.each(func(_ fleet.PoolID, p *pool) {
+		if !p.ordered || p.bad || p.phase.final() || !p.ev.changed {
+			return
+		}
+		p.ev.changed = false
+		p.doubtful = false
+		threshold := float64(verdictThreshold)
+		if p.phase == Moving {
+			threshold = moveThreshold
+		}
+		for _, cells := range p.ev.periods(now, own) {
+			if p.ev.judge(cells, doubtThreshold) == "" {
+				continue
+			}
+			p.doubtful = true
+			if reason := p.ev.judge(cells, threshold); reason != "" {
+				p.bad, p.reason, p.ev.unsent, found = true, reason, true, true
+				return
+			}
+		}
+	})
+	return found
+}
--- /dev/null
+++ b/core/rollout/rollout_test.go
@@ -0,0 +1,189 @@
+package rollout
+
+import (
+	"testing"
+	"time"
+
+	"cyclamenhitch/core/fleet"
+)
+
+// rig is an instance with an old and three new servers and an order that it saw arrive.
+func rig(t *testing.T, cfg func(*Config)) (*Tracker, time.Time) {
+	t.Helper()
+	c := (&world{}).config()
+	if cfg != nil {
+		cfg(&c)
+	}
+	tr := New(c, func() float64 { return 0.99 })
+	tr.SetOrders(simEpoch, simEpoch, nil, true)
+	tr.SetServers(simEpoch, simPool, rigServers("v2"))
+	tr.SetOrders(simEpoch, simEpoch, map[fleet.PoolID]*Order{simPool: {Row: 7, To: "v2", Duration: 40 * time.Second}}, false)
+	return tr, simEpoch
+}
+
+func rigServers(version string) []Server {
+	out := []Server{{ID: "old", Version: "v1", StartMillis: 1, Taking: true}}
+	for _, id := range []fleet.ServerID{"a", "b", "c"} {
+		out = append(out, Server{ID: id, Version: version, StartMillis: 2, Taking: true})
+	}
+	return out
+}
+
+// sends returns how many of n requests go to new servers.
+func sends(tr *Tracker, now time.Time, n int) int {
+	fresh := 0
+	for i := range n {
+		c := tr.Choose(now, simPool, uint64(i), true)
+		id := fleet.ServerID("a")
+		if c != nil && c.Excludes(id) {
+			id = "old"
+		}
+		if tr.Placed(c, id, true); id == "a" {
+			fresh++
+		}
+	}
+	return fresh
+}
+
+// Guards against decisions that change where no roll-out runs: all servers have one version,
+// or the versions are in use.
+func TestNoRestrictionWithoutOrder(t *testing.T) {
+	tr := New((&world{}).config(), nil)
+	tr.SetServers(simEpoch, simPool, rigServers("v1"))
+	if tr.Choose(simEpoch, simPool, 1, true) != nil || tr.Choose(simEpoch, "other", 1, true) != nil {
+		t.Error("requests are restricted without an order")
+	}
+}
+
+// Guards against requests to a new version whose entries arrive before the order.
+func TestUnseenVersionIsHeld(t *testing.T) {
+	tr := New((&world{}).config(), nil)
+	tr.SetServers(simEpoch, simPool, rigServers("v1"))
+	tr.SetOrders(simEpoch, simEpoch, nil, true)
+	tr.SetServers(simEpoch, simPool, rigServers("v2"))
+	tr.SetOrders(simEpoch.Add(time.Second), simEpoch.Add(holdMargin/2), nil, false)
+	if n := sends(tr, simEpoch.Add(time.Second), 100); n != 0 {
+		t.Errorf("%d requests before it was known whether there is an order", n)
+	}
+	tr.SetOrders(simEpoch.Add(3*time.Second), simEpoch.Add(2*holdMargin), nil, false)
+	if tr.Choose(simEpoch.Add(3*time.Second), simPool, 1, true) != nil {
+		t.Error("a version without an order stays held")
+	}
+}
+
+// Guards against an instance that sends to a version after its restart although it was rolled
+// back, and against one that sends before it knows.
+func TestRestartLearnsFirst(t *testing.T) {
+	tr := New((&world{}).config(), func() float64 { return 0.99 })
+	tr.SetServers(simEpoch, simPool, rigServers("v2"))
+	tr.SetOrders(simEpoch, simEpoch, map[fleet.PoolID]*Order{simPool: {Row: 7, To: "v2", Duration: time.Minute}}, true)
+	if n := sends(tr, simEpoch, 100); n != 0 {
+		t.Errorf("%d requests before the stored state was known", n)
+	}
+	tr.Stored(simEpoch, simPool, &State{Row: 7, To: "v2", Phase: RolledBack, Excluded: []string{"v2"}}, State{})
+	if n := sends(tr, simEpoch, 100); n != 0 {
+		t.Errorf("%d requests after the roll-back", n)
+	}
+	// Another order does not bring it back, a new one for it does.
+	tr.SetOrders(simEpoch, simEpoch, map[fleet.PoolID]*Order{simPool: {Row: 8, To: "v3", Duration: time.Minute}}, false)
+	if n := sends(tr, simEpoch, 100); n != 0 {
+		t.Errorf("%d requests to the excluded version with an order for another one", n)
+	}
+	tr.SetOrders(simEpoch, simEpoch, map[fleet.PoolID]*Order{simPool: {Row: 9, To: "v2", Duration: time.Minute}}, false)
+	if n := sends(tr, simEpoch, 100); n == 0 || n > 10 {
+		t.Errorf("%d of 100 requests with a new order", n)
+	}
+}
+
+// Guards against an exposure above the share where no slack is given.
+func TestNoSlack(t *testing.T) {
+	tr, now := rig(t, func(c *Config) { c.Slack = 0 })
+	if n := sends(tr, now, 1000); n == 0 || n > 100 {
+		t.Errorf("%d of 1000 requests", n)
+	}
+}
+
+// Guards against sends to a version whose order was removed, while others take requests.
+func TestOrderRemoved(t *testing.T) {
+	tr, now := rig(t, nil)
+	tr.SetOrders(now, now, map[fleet.PoolID]*Order{simPool: nil}, false)
+	if n := sends(tr, now, 100); n != 0 {
+		t.Errorf("%d requests after the removal", n)
+	}
+	if c := tr.Choose(now, simPool, 1, true); !c.HasFallback() || c.ExcludesFallback("a") {
+		t.Error("the version gets nothing although no other one may be left")
+	}
+	if tasks := tr.Tasks(now, func(fleet.PoolID) int { return 0 }, nil); len(tasks) != 0 {
+		t.Errorf("tasks %+v", tasks)
+	}
+}
+
+// Guards against an instance without contact that raises the part of the new version.
+func TestPartitionedInstanceDoesNotRaise(t *testing.T) {
+	tr, now := rig(t, nil)
+	tr.Written(now, simPool, State{Row: 7, Phase: Moving, Started: now, Changed: now})
+	first := sends(tr, now.Add(contactTimeout), 1000)
+	if n := sends(tr, now.Add(8*time.Second), 1000); n > first+50 {
+		t.Errorf("%d of 1000 requests without contact, %d before", n, first)
+	}
+	tr.Merge(now.Add(8*time.Second), Source{"p", 1}, "z", []Report{{Pool: simPool, Row: 7, Phase: Moving}})
+	if n := sends(tr, now.Add(8*time.Second), 1000); n != 1000 {
+		t.Errorf("%d of 1000 requests at the end of the move", n)
+	}
+}
+
+// Guards against a phase that goes back, or is not written again, when the store returns as an
+// older copy, and against an order that begins anew because its row has another version.
+func TestStoreReturnsOlder(t *testing.T) {
+	tr, now := rig(t, nil)
+	bad := State{Row: 7, To: "v2", Phase: RolledBack, Reason: "r", Started: now, Changed: now}
+	tr.Written(now, simPool, bad)
+	tr.StoreRewound(now)
+	tr.SetOrders(now, now, map[fleet.PoolID]*Order{simPool: {Row: 3, To: "v2", Duration: 40 * time.Second}}, false)
+	if n := sends(tr, now, 100); n != 0 {
+		t.Errorf("%d requests after the order was written again", n)
+	}
+	tasks := tr.Tasks(now.Add(time.Second), func(fleet.PoolID) int { return 0 }, nil)
+	if len(tasks) != 1 || tasks[0].Next.Phase != RolledBack || tasks[0].Next.Row != 3 {
+		t.Fatalf("tasks %+v", tasks)
+	}
+	if !tr.Stored(now, simPool, &State{Row: 3, Phase: Observing}, tasks[0].Next) {
+		t.Error("the older phase is not written over")
+	}
+	if tr.Stored(now, simPool, &State{Row: 3, Phase: Completed}, tasks[0].Next) {
+		t.Error("a phase that has ended is written over")
+	}
+}
+
+// Guards against counters that are lost or counted twice on their way over relays.
+func TestRelayedSums(t *testing.T) {
+	member, relay, far := New((&world{}).config(), nil), New((&world{}).config(), nil), New((&world{}).config(), nil)
+	for _, tr := range []*Tracker{member, relay, far} {
+		tr.SetOrders(simEpoch, simEpoch, nil, true)
+		tr.SetServers(simEpoch, simPool, rigServers("v2"))
+		tr.SetOrders(simEpoch, simEpoch, map[fleet.PoolID]*Order{simPool: {Row: 7, To: "v2", Duration: time.Minute}}, false)
+	}
+	now := simEpoch
+	for range 10 {
+		now = now.Add(time.Second)
+		for _, tr := range []*Tracker{member, relay} {
+			tr.Answer(now, Attempt{Pool: simPool, Route: "r", Server: "a", Outcome: Failed})
+		}
+		own, _ := member.Reports(now, "z1", false)
+		relay.Merge(now, Source{"m", 1}, "z1", own)
+		direct, sums := relay.Reports(now, "z1", true)
+		for range 2 { // datagrams may arrive twice
+			far.Merge(now, Source{"r", 1}, "z1", sums)
+			member.Merge(now, Source{"r", 1}, "z1", append(direct, sums...))
+		}
+	}
+	for i, tr := range []*Tracker{member, relay, far} {
+		total := Cells{}
+		for _, cells := range tr.pool(simPool).ev.dataCentres([]fleet.DataCentreID{"z1", "z1", "z2"}[i]) {
+			total.addAll(cells)
+		}
+		if got := total[cellID(newRoute, "r")]; got.Failed != 20 {
+			t.Errorf("instance %d counts %+v, want 20 failures", i, got)
+		}
+	}
+}
