--- a/core/catalog/server.go
+++ b/core/catalog/server.go
@@ -21,4 +21,6 @@
 	// StartMillis is when it started, in Unix ms by its own clock; 0 means unknown. It
 	// changes when a server restarts under the same ID.
 	StartMillis int64
+	// Version is the version of its software; empty if it states none.
+	Version string
 }
--- a/standins/userstore/userstore.go
+++ b/standins/userstore/userstore.go
@@ -117,6 +117,13 @@
 	return n
 }
 
+// Value returns the value of a row in the empty partition, nil if there is none.
+func (s *Store) Value(table, name string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[key{table, "", name}].Value
+}
+
 // Set writes a row in the empty partition, as an operator or a backend server does.
 func (s *Store) Set(table, name string, value []byte) {
 	s.mu.Lock()
