--- a/adapters/gossip/codec.go
+++ b/adapters/gossip/codec.go
@@ -19,6 +19,7 @@
 		Confirmed: r.Confirmed, ConfirmedAgeMs: uint32((r.ConfirmedAge + time.Millisecond - 1) / time.Millisecond),
 		Loads: encodeLoads(r.Loads), Suspicions: encodeSuspicions(r.Suspicions), Placed: encodePlacements(r.Placements),
 		WantsDigest: r.WantsDigest, HoldsIncarnation: r.HeldList.Incarnation, HoldsVersion: r.HeldList.Version, Spare: r.HasOtherLoadSource,
+		Rollouts: encodeRollouts(r.Rollouts),
 	}
 	for i := range r.Evidence {
 		m.Evidence = append(m.Evidence, encodeEvidence(&r.Evidence[i]))
@@ -36,6 +37,7 @@
 	m := &gossippb.Digest{
 		Base: d.Members.Base, Version: d.Members.Version, Partial: d.Members.LoadsUnknown, WithoutLoads: d.WithoutLoads,
 		Loads: encodeLoads(d.Loads), Suspicions: encodeSuspicions(d.Suspicions), Placed: encodePlacements(d.Placements),
+		Rollouts: encodeRollouts(d.Rollouts),
 	}
 	for _, p := range d.Members.Members {
 		m.Members = append(m.Members, &gossippb.Member{
@@ -89,6 +91,7 @@
 		Confirmed: m.Confirmed, ConfirmedAge: time.Duration(m.ConfirmedAgeMs) * time.Millisecond,
 		Loads: decodeLoads(m.Loads), Suspicions: decodeSuspicions(m.Suspicions), Placements: decodePlacements(m.Placed),
 		WantsDigest: m.WantsDigest, HeldList: roster.ListVersion{Incarnation: m.HoldsIncarnation, Version: m.HoldsVersion}, HasOtherLoadSource: m.Spare,
+		Rollouts: decodeRollouts(m.Rollouts),
 	}
 	if len(m.Paces) > 0 {
 		r.ReadRates = make(map[fleet.PoolID]float64, len(m.Paces))
@@ -139,6 +142,7 @@
 		Members:      roster.Digest{Base: m.Base, Version: m.Version, LoadsUnknown: m.Partial},
 		WithoutLoads: m.WithoutLoads,
 		Loads:        decodeLoads(m.Loads), Suspicions: decodeSuspicions(m.Suspicions), Placements: decodePlacements(m.Placed),
+		Rollouts: decodeRollouts(m.Rollouts),
 	}
 	for _, p := range m.Members {
 		d.Members.Members = append(d.Members.Members, roster.Peer{
--- a/adapters/gossip/gossip.go
+++ b/adapters/gossip/gossip.go
@@ -17,6 +17,7 @@
 	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/quarantine"
 	"cyclamenhitch/core/result"
+	"cyclamenhitch/core/rollout"
 	"cyclamenhitch/core/roster"
 )
 
@@ -46,6 +47,8 @@
 	ReadRates map[fleet.PoolID]float64
 	// Evidence is what the sender knows about prompt parts that crash engines.
 	Evidence []quarantine.Evidence
+	// Rollouts are the roll-outs of the pools, with the counters of the sender.
+	Rollouts []rollout.Report
 	// WantsDigest reports whether the sender uses the receiver as a relay. HeldList is the
 	// version of the receiver's member list that the sender holds.
 	WantsDigest bool
@@ -71,6 +74,8 @@
 	// the last digest.
 	Placements []placement.Placement
 	Suspicions []placement.Suspicion
+	// Rollouts are the roll-outs of the pools, with the sums of data centres.
+	Rollouts []rollout.Report
 }
 
 // Socket sends and receives reports.
