Connect roll-outs to requests, reports and the store

Settings [rollout]; without expose_share the part is off. The placer leaves out servers that a roll-out excludes; the ranking gains the load and the slowdown of candidates, which it had computed before.

--- a/adapters/settings/edge.go
+++ b/adapters/settings/edge.go
@@ -13,6 +13,7 @@
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/result"
+	"cyclamenhitch/core/rollout"
 	"cyclamenhitch/core/tomlpos"
 )
 
@@ -38,6 +39,8 @@
 	Limits EdgeLimits `toml:"limits"`
 	// Policy weighs and switches the mechanisms that choose a server.
 	Policy EdgePolicy `toml:"policy"`
+	// Rollout limits gradual roll-outs of new versions of servers.
+	Rollout EdgeRollout `toml:"rollout"`
 	// Log configures logging.
 	Log Log `toml:"log"`
 }
@@ -53,6 +56,55 @@
 	Enabled []string `toml:"enabled"`
 }
 
+// EdgeRollout limits gradual roll-outs. Without ExposeShare the versions of servers are ignored.
+type EdgeRollout struct {
+	// ExposeShare is the fraction of a pool's requests, over all instances and from an order to
+	// its deadline, that a version may get which turns out to be bad. Accepted: over 0 to 1.
+	// Default: none.
+	ExposeShare *float64 `toml:"expose_share"`
+	// ExposeSlack is the number of requests that such a version may get beyond ExposeShare.
+	// Default 0.
+	ExposeSlack float64 `toml:"expose_slack"`
+	// RollbackMillis is the time after its 50th bad answer from which such a version gets no
+	// requests, in ms. Accepted: 2000 and more. Default 5000.
+	RollbackMillis int `toml:"rollback_ms"`
+	// MoveShare is the last fraction of an order's duration in which all requests are moved to
+	// the new version. Accepted: 0.1 to 0.5. Default 0.25.
+	MoveShare float64 `toml:"move_share"`
+	// MaxMoveMillis limits the time of the move, in ms. Accepted: 1000 to 600000. Default 10000.
+	MaxMoveMillis int `toml:"max_move_ms"`
+}
+
+// Enabled reports whether roll-outs are limited.
+func (r *EdgeRollout) Enabled() bool { return r.ExposeShare != nil }
+
+// Config returns the limits that the settings describe.
+func (r *EdgeRollout) Config() rollout.Config {
+	return rollout.Config{
+		Share: *r.ExposeShare, Slack: r.ExposeSlack, RollbackLimit: Millis(r.RollbackMillis),
+		MoveShare: r.MoveShare, MaxMove: Millis(r.MaxMoveMillis),
+	}
+}
+
+// check calls add for each invalid setting.
+func (r *EdgeRollout) check(add func(key, format string, args ...any)) {
+	if s := r.ExposeShare; s != nil && !(*s > 0 && *s <= 1) {
+		add("rollout.expose_share", "is %v, accepted range: over 0 to 1", *s)
+	}
+	if !(r.ExposeSlack >= 0) {
+		add("rollout.expose_slack", "is %v, accepted range: 0 and more", r.ExposeSlack)
+	}
+	if r.RollbackMillis < 2000 || r.RollbackMillis > 3600_000 {
+		add("rollout.rollback_ms", "is %d, accepted range: 2000 to 3600000", r.RollbackMillis)
+	}
+	if !(r.MoveShare >= 0.1 && r.MoveShare <= 0.5) {
+		add("rollout.move_share", "is %v, accepted range: 0.1 to 0.5", r.MoveShare)
+	}
+	if r.MaxMoveMillis < 1000 || r.MaxMoveMillis > 600_000 {
+		add("rollout.max_move_ms", "is %d, accepted range: 1000 to 600000", r.MaxMoveMillis)
+	}
+}
+
 // PlacementPolicy returns the policy that the settings describe.
 func (s *Edge) PlacementPolicy() (placement.Policy, error) {
 	p := placement.DefaultPolicy()
@@ -159,6 +211,9 @@
 	setDefault(&s.Limits.Descriptors, 4096)
 	setDefault(&s.Limits.RetryRatio, 0.1)
 	setDefault(&s.Limits.RetryBurst, 30)
+	setDefault(&s.Rollout.RollbackMillis, 5000)
+	setDefault(&s.Rollout.MoveShare, 0.25)
+	setDefault(&s.Rollout.MaxMoveMillis, 10_000)
 	setDefault(&s.Log.Level, "info")
 	if s.Log.SampleDecisions == nil {
 		n := 200
@@ -223,5 +278,6 @@
 			add(n.key, "is %v, accepted range: 0 and more", n.v)
 		}
 	}
+	s.Rollout.check(add)
 	return ps
 }
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -74,6 +74,8 @@
 	closeIdleServer func() bool
 	// crashes keeps requests that crash servers away from them.
 	crashes *crashWatch
+	// rollouts is nil if the settings have no roll-outs.
+	rollouts *rollouts
 }
 
 // New checks the settings and binds the peer socket. It starts no work.
@@ -120,6 +122,7 @@
 		budgets.SetAll(instanceRetryBudget(set, instances))
 		client.MaxIdle.Store(int64(e.view.maxIdleConnections(instances)))
 	}
+	e.rollouts = newRollouts(set, e.view, e.meters, log)
 	times := &servicetime.Tracker{}
 	e.peers.times = times
 	e.stop = &stopper{
@@ -127,8 +130,8 @@
 	}
 	e.caller = &httpapi.Server{
 		Opener: &gateway.Gateway{
-			Placer:   &placer{board: e.board, view: e.view, meters: e.meters, crashes: e.crashes, times: times, acceptInStop: e.stop.accept},
-			Upstream: e.crashes, Budget: retryBudget(policy, budgets), Memory: memory, Now: time.Now,
+			Placer:   &placer{board: e.board, view: e.view, meters: e.meters, crashes: e.crashes, times: times, acceptInStop: e.stop.accept, rollouts: e.rollouts},
+			Upstream: e.rollouts.watch(e.crashes), Budget: retryBudget(policy, budgets), Memory: memory, Now: time.Now,
 			AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
 		},
 		Memory: memory, Admission: e.view, Log: log, Observe: e.meters.observeRequest, LogOneIn: uint64(*set.Log.SampleDecisions),
@@ -250,6 +253,7 @@
 	go e.view.run(work)
 	go e.peers.run(work)
 	go (&quarantineStore{tracker: e.crashes.tracker, store: e.store, peers: e.peers, log: e.log}).run(work)
+	go e.rollouts.run(work)
 	e.log.Info("instance started", zap.String("caller", e.set.Listen.Caller), zap.String("peer", e.set.Listen.Peer),
 		zap.Strings("mechanisms_off", e.set.Policy.Disabled), zap.Duration("since_boot", clock.SinceBoot()))
 	for {
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -46,6 +46,8 @@
 	log    *zap.Logger
 	roster *roster.Roster
 	relay  *relay
+	// rollouts is nil if the settings have no roll-outs.
+	rollouts *rollouts
 
 	// onInstanceCount is called with the number of instances that share the fleet's budgets.
 	onInstanceCount func(instances int)
@@ -141,6 +143,7 @@
 	p.logVerdicts()
 	own.Suspicions, own.ReadRates = p.board.Suspicions(now), p.board.ReadRates()
 	p.updateLiveInstances(now, own.From.Serving)
+	own.Rollouts, p.relay.rollouts = p.rollouts.reports(now, p.relaying.Load())
 	p.logPaces(own.ReadRates)
 	plan := p.roster.Plan(now, own.From)
 	p.logRoleChange(&plan)
@@ -256,6 +259,7 @@
 	if p.tracker.Merge(now, r.Evidence) && p.relaying.Load() {
 		p.reportSoon() // to those who hear of other instances only through this one
 	}
+	p.rollouts.applyReport(now, r)
 	p.relay.applyReport(now, r)
 	p.confirmFromPeer(r, boot)
 }
--- a/cmd/internal/edge/placer.go
+++ b/cmd/internal/edge/placer.go
@@ -12,6 +12,7 @@
 	"cyclamenhitch/core/manifest"
 	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/result"
+	"cyclamenhitch/core/rollout"
 	"cyclamenhitch/core/servicetime"
 )
 
@@ -24,6 +25,8 @@
 	times   *servicetime.Tracker
 	// acceptInStop returns an error for a request that would outlast a planned stop.
 	acceptInStop func(now time.Time, req *gateway.Request) (stopAcceptance, *result.Error)
+	// rollouts is nil if the settings have no roll-outs.
+	rollouts *rollouts
 }
 
 var _ gateway.Placer = (*placer)(nil)
@@ -58,8 +61,9 @@
 		}
 		changed := p.board.Changed(req.Pool.Name)
 		left := req.Deadline.Sub(now)
-		ranked, verdict := p.board.Rank(now, req.Pool.Name, ask, triedFilter(req))
+		ranked, verdict, choice := p.rank(now, left, req, ask)
 		if verdict == placement.Found && ranked[0].MissesDeadline(left) {
+			p.rollouts.abandon(choice)
 			return nil, nil, result.New(result.PoolAtBound, "the first token is expected in %v, %v are left", ranked[0].Wait.Round(time.Millisecond), left.Round(time.Millisecond)).
 				WithRetryAfter(ranked[0].Wait - left)
 		}
@@ -72,8 +76,10 @@
 			req.FirstPartTimeout = firstPartTimeout(c.Wait)
 			p.recordDecision(req, c, len(ranked), now.Sub(began))
 			acceptance.sent(req)
+			p.rollouts.placed(choice, req, c.ID)
 			return &manifest.Server{Name: c.ID, Pool: req.Pool.Name, Address: c.Address}, p.permit(now, req, t), nil
 		}
+		p.rollouts.abandon(choice)
 		if verdict == placement.AllPaused {
 			return nil, nil, p.pausedRefusal(now, req.Pool.Name)
 		}
@@ -87,6 +93,21 @@
 	}
 }
 
+// rank ranks the servers to which a roll-out allows the attempt to go, left before its deadline.
+func (p *placer) rank(now time.Time, left time.Duration, req *gateway.Request, ask *placement.Request) ([]placement.Candidate, placement.RankStatus, *rollout.Choice) {
+	tried := triedFilter(req)
+	choice := p.rollouts.choose(now, req)
+	if choice == nil {
+		ranked, status := p.board.Rank(now, req.Pool.Name, ask, tried)
+		return ranked, status, nil
+	}
+	ranked, status := p.board.Rank(now, req.Pool.Name, ask, eitherFilter(tried, choice.Excludes))
+	if choice.HasFallback() && (status != placement.Found || ranked[0].MissesDeadline(left)) {
+		ranked, status = p.board.Rank(now, req.Pool.Name, ask, eitherFilter(tried, choice.ExcludesFallback))
+	}
+	return ranked, status, choice
+}
+
 // neutralUrgency is what engines assume of requests without an urgency.
 const neutralUrgency = 5
 
@@ -135,6 +156,7 @@
 	version, at, _ := p.view.lease.State()
 	req.Decisions = append(req.Decisions, gateway.Decision{
 		Server: c.ID, Elapsed: time.Since(req.Arrived), Waited: waited, Cost: c.Cost, ExpectedWait: c.Wait, Cached: c.Cached, Fetched: c.Fetched,
+		Running: c.Running, NominalWait: time.Duration(float64(c.Wait) / max(1, c.Slowdown)),
 		Candidates: n, ConfigVersion: version, ConfigAge: clock.SinceBoot() - at,
 	})
 }
@@ -165,6 +187,14 @@
 	}
 }
 
+// eitherFilter excludes what one of the filters does; a may be nil.
+func eitherFilter(a, b func(fleet.ServerID) bool) func(fleet.ServerID) bool {
+	if a == nil {
+		return b
+	}
+	return func(id fleet.ServerID) bool { return a(id) || b(id) }
+}
+
 func waitForChange(ctx context.Context, changed <-chan struct{}, d time.Duration) {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/cmd/internal/edge/relay.go
+++ b/cmd/internal/edge/relay.go
@@ -8,6 +8,7 @@
 	"cyclamenhitch/adapters/gossip"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/placement"
+	"cyclamenhitch/core/rollout"
 	"cyclamenhitch/core/roster"
 )
 
@@ -69,6 +70,9 @@
 	// local are the items reported by instances of this data centre since the last round,
 	// remote those of other data centres.
 	local, remote pendingItems
+	// rollouts are the sums of all data centres for the digests of the next round. Only the
+	// goroutine that sends reports uses them.
+	rollouts []rollout.Report
 }
 
 func newRelay(r *roster.Roster, b *placement.Balancer, dc fleet.DataCentreID, incarnation uint64) *relay {
@@ -238,6 +242,7 @@
 func (d *roundDigests) fleetDigest(to roster.Target) *gossip.Digest {
 	rl := d.relay
 	out := d.memberDigest(to, "")
+	out.Rollouts = rl.rollouts
 	if !out.WithoutLoads {
 		out.Loads = subtractLoads(d.totals, rl.board.PeerLoads(to.ID))
 	}
@@ -252,6 +257,7 @@
 func (d *roundDigests) dataCentreDigest(to roster.Target) *gossip.Digest {
 	rl := d.relay
 	out := d.memberDigest(to, rl.dc)
+	out.Rollouts = ofDataCentre(rl.rollouts, rl.dc)
 	if !out.WithoutLoads {
 		if d.dataCentreLoads == nil {
 			d.dataCentreLoads = subtractLoads(d.totals, rl.board.PeerLoadsOf(isDataCentreEntry))
--- /dev/null
+++ b/cmd/internal/edge/rolloutwatch.go
@@ -0,0 +1,40 @@
+package edge
+
+import (
+	"context"
+	"time"
+
+	"cyclamenhitch/core/gateway"
+	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/rollout"
+)
+
+// rolloutWatch sends requests and records how the attempts end, by version.
+type rolloutWatch struct {
+	gateway.Upstream
+	rollouts *rollouts
+}
+
+func (w *rolloutWatch) record(a rollout.Attempt, o rollout.Outcome) {
+	a.Outcome = o
+	w.rollouts.tracker.Answer(time.Now(), a)
+}
+
+// Open implements gateway.Upstream.
+func (w *rolloutWatch) Open(ctx context.Context, srv *manifest.Server, req *gateway.Request, attemptID string) (gateway.Response, error) {
+	began := time.Now()
+	a := rollout.Attempt{Pool: srv.Pool, Route: req.RouteName, Server: srv.Name}
+	if n := len(req.Decisions); n > 0 {
+		a.Expected, a.Running = req.Decisions[n-1].NominalWait, req.Decisions[n-1].Running
+	}
+	resp, err := w.Upstream.Open(ctx, srv, req, attemptID)
+	a.Took = time.Since(began)
+	if err != nil {
+		if o, counted := rolloutOutcome(err); counted {
+			w.record(a, o)
+		}
+		return nil, err
+	}
+	w.answered(a, resp.Status())
+	return &rolloutResponse{Response: resp, watch: w, attempt: a}, nil
+}
--- a/cmd/internal/edge/servers.go
+++ b/cmd/internal/edge/servers.go
@@ -171,6 +171,7 @@
 			Out: s.Leaving || v.outOfService[s.DataCentre], Draining: s.Leaving, ColdUntil: s.coldUntil, ColdRate: p.ColdRate, FetchTokensPerMs: p.FetchTokensPerMs, Incarnation: s.StartMillis,
 		})
 	}
+	v.rollouts.setServers(c, v.servers)
 	for _, p := range c.Pools() {
 		v.board.SetServers(p.Name, byPool[p.Name])
 	}
--- a/cmd/internal/edge/view.go
+++ b/cmd/internal/edge/view.go
@@ -52,6 +52,8 @@
 	board *placement.Balancer
 	log   *zap.Logger
 	peers *peers
+	// rollouts is nil if the settings have no roll-outs.
+	rollouts *rollouts
 
 	lease        *freshness.Lease
 	current      atomic.Pointer[catalog.Catalog]
@@ -183,6 +185,7 @@
 
 // applyOperator applies rows of the operator table.
 func (v *view) applyOperator(u update) {
+	v.rollouts.applyOrders(u)
 	out, changed := v.updateOutOfService(u)
 	for _, e := range u.entries {
 		if e.Key == platform.ConfigKey && e.Value != nil {
--- a/core/gateway/ports.go
+++ b/core/gateway/ports.go
@@ -112,6 +112,10 @@
 	Cost            float64
 	ExpectedWait    time.Duration
 	Cached, Fetched int
+	// Running is the number of requests that the server ran. NominalWait is the estimate of
+	// the wait at a server of usual speed.
+	Running     int
+	NominalWait time.Duration
 	// Candidates is the number of servers that were eligible.
 	Candidates int
 	// ConfigVersion is the version of the active configuration, and ConfigAge the time
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -64,6 +64,10 @@
 	// its link.
 	sourceServer *serverState
 	transferTime time.Duration
+	// Running is the number of requests that the server runs, and Slowdown its time for a
+	// request as a multiple of the usual one.
+	Running  int
+	Slowdown float64
 	// Suspect marks a server that recent requests or peers found to be failing.
 	Suspect bool
 	// Full means that the request would queue for a slot.
@@ -291,6 +295,7 @@
 	if r.policy.On(Slowdown) {
 		slowdown = s.speed.slowdown(now)
 	}
+	c.Running, c.Slowdown = l.Running, slowdown
 	if !s.Engine {
 		// Expected time, in units of the time of one request.
 		slots := float64(max(1, s.Slots))
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -128,6 +128,9 @@
 func fill(template string, values map[string]string) string {
 	template = sectionPattern.ReplaceAllStringFunc(template, func(s string) string {
 		m := sectionPattern.FindStringSubmatch(s)
+		if _, ok := values[m[1]]; !ok {
+			return ""
+		}
 		return strings.ReplaceAll(m[2], "{{.}}", values[m[1]])
 	})
 	return valuePattern.ReplaceAllStringFunc(template, func(s string) string {
--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -44,6 +44,10 @@
 	ProcessingTime time.Duration
 	// AnswerBytes is the size of an answer that is no stream; 0 selects a short text.
 	AnswerBytes int
+	// Version is the version of its software in its entry. Each FailEvery-th request is answered
+	// with status 500; 0 means none.
+	Version   string
+	FailEvery int
 	// AtCapacity rejects all requests as not executed.
 	AtCapacity bool
 	// Cached lists the prompt parts that the runner has cached, as "ID:TOKENS" with the ID
@@ -250,7 +254,11 @@
 
 // RegistryEntry returns the JSON entry that registers the runner in the store.
 func (r *Runner) RegistryEntry(service, zone, state string) []byte {
-	return registryEntry(service, r.Address(), zone, state)
+	entry := registryEntry(service, r.Address(), zone, state)
+	if r.Version != "" {
+		entry = fmt.Appendf(entry[:len(entry)-1], `,"version":%q}`, r.Version)
+	}
+	return entry
 }
 
 func (r *Runner) handle(ctx *fasthttp.RequestCtx) {
@@ -280,8 +288,12 @@
 		ID: id, Method: string(h.Method()), Path: string(h.RequestURI()), Body: string(ctx.PostBody()), Tenant: string(h.Peek("Tenant")),
 		LastEventID: last, Server: r.ID, PromptParts: string(h.Peek("Prefix-Hash")), Leaving: r.leaving, StartedAt: time.Now(),
 	})
+	fails := r.FailEvery > 0 && len(r.runs)%r.FailEvery == 0
 	r.mu.Unlock()
 	time.Sleep(r.ProcessingTime)
+	if fails {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+	}
 	if r.crashesOn(string(h.Peek("Prefix-Hash"))) {
 		r.Crash()
 		return
