Compare the times of a new version with all routes until a route has answers

Histories now begin with 10 s of traffic before the order. Counters are reported each 150 ms in the move. Each phase has a reason. A version found bad stays without requests when the entries of the other servers are gone.

--- a/core/rollout/exchange.go
+++ b/core/rollout/exchange.go
@@ -29,6 +29,8 @@
 	// counters, and repeatInterval the time between unchanged ones, for lost datagrams.
 	maxReportInterval = 400 * time.Millisecond
 	repeatInterval    = 2 * time.Second
+	// moveReportInterval applies in the move, in which many requests meet a fault at once.
+	moveReportInterval = 150 * time.Millisecond
 	// reportsInLimit is the least number of reports within the time limit of a roll-back. A
 	// counter passes three hops in a large fleet, and each report may be lost once.
 	reportsInLimit = 10
@@ -41,6 +43,10 @@
 	t.each(func(id fleet.PoolID, p *pool) {
 		e := &p.ev
 		since := now.Sub(e.sentAt)
+		interval := interval
+		if p.phase == Moving {
+			interval = min(interval, moveReportInterval)
+		}
 		if !p.ordered || !p.known || p.removed || since < repeatInterval && (!e.unsent || since < interval) {
 			return
 		}
@@ -135,6 +141,7 @@
 			p.doubtful = true
 			if reason := p.ev.judge(cells, threshold); reason != "" {
 				p.bad, p.reason, p.ev.unsent, found = true, reason, true, true
+				p.classify(t.cfg)
 				return
 			}
 		}
--- a/core/rollout/phase.go
+++ b/core/rollout/phase.go
@@ -19,6 +19,9 @@
 	// checkInterval is the time between two reads of the stored state by the first writer. It
 	// finds a store that returned as an older copy, and shows that the store can be reached.
 	checkInterval = time.Second
+	// learnDelay is the time by which the instances that do not know the stored state of an order
+	// read it one after the other. The others learn it from reports.
+	learnDelay = 50 * time.Millisecond
 )
 
 // State is the stored state of an order.
@@ -65,10 +68,10 @@
 		r := rank(id)
 		next := p.nextPhase(t.cfg, now, running)
 		switch {
-		case !p.known || next == None && r == 0 && now.Sub(p.write.checked) >= checkInterval:
+		case !p.known && now.Sub(p.phaseAt) >= time.Duration(r)*learnDelay, next == None && r == 0 && now.Sub(p.write.checked) >= checkInterval:
 			p.write.checked = now
 			out = append(out, Task{Pool: id})
-		case next != None && now.Sub(p.write.dueSince) >= time.Duration(r)*writerDelay:
+		case p.known && next != None && now.Sub(p.write.dueSince) >= time.Duration(r)*writerDelay:
 			p.write.dueSince = now // another attempt follows after the same delay
 			out = append(out, Task{id, p.state(next, now)})
 		}
@@ -122,6 +125,9 @@
 	s := State{Row: p.order.Row, To: p.order.To, Phase: phase, Reason: p.reason, Started: p.started, Changed: p.phaseAt}
 	if phase != p.phase {
 		s.Changed = now
+		if phase != RolledBack {
+			s.Reason = p.why(phase)
+		}
 	}
 	for v := range p.excluded {
 		s.Excluded = append(s.Excluded, v)
@@ -133,6 +139,22 @@
 	return s
 }
 
+// why returns the reason of the step to a phase.
+func (p *pool) why(phase Phase) string {
+	switch phase {
+	case Observing:
+		return "there is an order"
+	case Moving:
+		return "the version was not found to be bad while it was observed"
+	case Completed:
+		if p.write.idleSince.IsZero() {
+			return "the deadline is near and old servers still run requests"
+		}
+		return "all requests go to the new servers and the old ones run nothing"
+	}
+	return ""
+}
+
 // Stored states what the store holds for a pool; nil means that it holds nothing. It reports
 // whether next may be written over that: the order is still in force and its phase was not
 // reached before.
@@ -188,11 +210,11 @@
 	if changed.Before(now) && changed.After(p.started) {
 		p.phaseAt = changed
 	}
+	if !p.bad {
+		p.reason = reason
+	}
 	if phase == RolledBack {
 		p.bad, p.excluded[p.order.To] = true, true
-		if p.reason == "" {
-			p.reason = reason
-		}
 	}
 }
 
@@ -216,6 +238,9 @@
 	return out
 }
 
+// MarshalText implements encoding.TextMarshaler.
+func (p Phase) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
 // String returns the name of the phase for logs.
 func (p Phase) String() string {
 	return [...]string{"none", "observing", "moving", "completed", "rolled_back"}[max(None, min(p, RolledBack))]
--- a/core/rollout/share.go
+++ b/core/rollout/share.go
@@ -57,7 +57,7 @@
 			}
 		}
 	}
-	if len(fresh) == len(p.servers) {
+	if len(fresh) == len(p.servers) && !p.bad {
 		p.restricted = false // there is nothing to move from
 	}
 	slices.SortFunc(fresh, func(a, b Server) int {
--- a/core/rollout/sim_test.go
+++ b/core/rollout/sim_test.go
@@ -65,13 +65,22 @@
 		t.SetOrders(w.now.Add(-time.Second), w.now.Add(-time.Second), nil, true)
 	}
 	t.SetServers(w.now, simPool, w.servers)
-	t.SetOrders(w.now, w.now, map[fleet.PoolID]*Order{simPool: w.order}, true)
 	w.edges[i] = t
 	w.starts[i]++
+	if !known {
+		w.setOrder(t)
+	}
+}
+
+func (w *world) setOrder(t *Tracker) {
+	t.SetOrders(w.now, w.now, map[fleet.PoolID]*Order{simPool: w.order}, false)
 }
 
+// simWarmup is the time before the order, in which instances learn how long answers take.
+const simWarmup = 10 * time.Second
+
 func play(h history) *world {
-	w := &world{history: h, rnd: rand.New(rand.NewPCG(h.seed, 1)), now: simEpoch, running: map[fleet.ServerID]int{}, pending: map[int64][]func(){}}
+	w := &world{history: h, rnd: rand.New(rand.NewPCG(h.seed, 1)), now: simEpoch.Add(-simWarmup), running: map[fleet.ServerID]int{}, pending: map[int64][]func(){}}
 	w.order = &Order{Row: 7, To: "v2", Duration: h.duration}
 	for i := range h.servers {
 		w.servers = append(w.servers,
@@ -82,8 +91,11 @@
 	for i := range w.edges {
 		w.start(i, true)
 	}
-	for step := int64(0); w.age() < h.duration+time.Second; step++ {
+	for step := -int64(simWarmup / simStep); w.age() < h.duration+time.Second; step++ {
 		w.now = simEpoch.Add(time.Duration(step) * simStep)
+		for i := 0; step == 0 && i < h.instances; i++ {
+			w.setOrder(w.edges[i])
+		}
 		if w.age() == h.restartAt && h.restartAt > 0 {
 			w.start(w.rnd.IntN(h.instances), false)
 		}
@@ -119,14 +131,14 @@
 }
 
 func (w *world) request(step int64, i int) {
-	if w.age() < w.duration {
+	if w.age() >= 0 && w.age() < w.duration {
 		w.arrived++
 	}
 	t := w.edges[i]
 	c := t.Choose(w.now, simPool, w.rnd.Uint64(), true)
 	best, load := (*Server)(nil), 0
 	for at := range w.servers {
-		s := &w.servers[(at+int(step)+i)%len(w.servers)]
+		s := &w.servers[(at+1000+int(step)+i)%len(w.servers)]
 		gone := w.completed > 0 && s.Version == "v1"
 		if n := w.running[s.ID]; !gone && (c == nil || !c.Excludes(s.ID)) && (best == nil || n < load) {
 			best, load = s, n
--- a/core/rollout/typical.go
+++ b/core/rollout/typical.go
@@ -16,37 +16,65 @@
 // minTypical is the number of answers of the old version from which the median is used.
 const minTypical = 10
 
-// slow returns 1 for a slow answer and 0 for another one. The time is compared as a multiple of
-// what is expected at the server's load; old is set for a server of another version.
+// slow returns 1 for a slow answer and 0 for another one; old is set for a server of another
+// version. Until a route has enough answers, it is compared with all routes of the pool: an
+// instance with little traffic would else see no slow answers during an order. A route that is
+// slower than others then counts as slow for both versions.
 func (e *evidence) slow(old bool, a *Attempt) uint32 {
-	id := cellID(oldRoute, a.Route)
-	h := e.typical[id]
-	if h == nil {
-		if !old || len(e.typical) >= maxCells {
-			return 0
-		}
-		h = &typicalTime{}
-		e.typical[id] = h
-	}
-	took := float64(a.Took) / float64(time.Millisecond)
-	expected := float64(a.Expected) / float64(time.Millisecond)
-	if expected <= 0 {
-		expected = h.line.at(float64(a.Running))
-		if old {
-			h.line.add(float64(a.Running), took)
-		}
-	}
-	v := took / max(expected, minExpected)
+	route, all := e.typicalOf(cellID(oldRoute, a.Route)), e.typicalOf(cellID(oldRoute, allRoutes))
 	slow := uint32(0)
-	if usual := h.ratios.median(); h.ratios.total >= minTypical && v > slowFactor*usual && took > usual*expected+minSlowExtra {
+	if route.ratios.total >= minTypical && route.isSlow(a) || route.ratios.total < minTypical && all.ratios.total >= minTypical && all.isSlow(a) {
 		slow = 1
 	}
 	if old {
-		h.ratios.add(v)
+		route.add(a)
+		all.add(a)
 	}
 	return slow
 }
 
+// allRoutes is the name under which the times of all routes of a pool are kept.
+const allRoutes = "\x00"
+
+func (e *evidence) typicalOf(id CellID) *typicalTime {
+	t := e.typical[id]
+	if t == nil {
+		t = &typicalTime{}
+		if len(e.typical) < maxCells {
+			e.typical[id] = t
+		}
+	}
+	return t
+}
+
+// ratio returns the time of an answer in ms, what is expected at the load of the server, and
+// the quotient of both.
+func (t *typicalTime) ratio(a *Attempt) (took, expected, ratio float64) {
+	took = float64(a.Took) / float64(time.Millisecond)
+	if expected = float64(a.Expected) / float64(time.Millisecond); expected <= 0 {
+		expected = t.line.at(float64(a.Running))
+	}
+	expected = max(expected, minExpected)
+	return took, expected, took / expected
+}
+
+func (t *typicalTime) isSlow(a *Attempt) bool {
+	took, expected, ratio := t.ratio(a)
+	usual := t.ratios.median()
+	return ratio > slowFactor*usual && took > usual*expected+minSlowExtra
+}
+
+func (t *typicalTime) add(a *Attempt) {
+	took, _, ratio := t.ratio(a)
+	if a.Expected <= 0 {
+		t.line.add(float64(a.Running), took)
+		if t.line.n < 2 {
+			return // there was nothing to compare the first one with
+		}
+	}
+	t.ratios.add(ratio)
+}
+
 // minExpected is the least expected time, in ms.
 const minExpected = 0.1
 
