--- a/adapters/gossip/size_test.go
+++ b/adapters/gossip/size_test.go
@@ -10,6 +10,7 @@
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/quarantine"
+	"cyclamenhitch/core/rollout"
 )
 
 // Guards against reports that do not fit into a datagram: the size that is counted for a
@@ -29,6 +30,37 @@
 	})
 }
 
+// Guards against counters of roll-outs that are lost or mixed up between instances, in reports
+// and in digests.
+func TestRolloutRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var list []rollout.Report
+		for range rapid.IntRange(1, 3).Draw(t, "pools") {
+			ms := func(name string) time.Duration {
+				return time.Duration(rapid.Uint32().Draw(t, name)) * time.Millisecond
+			}
+			r := rollout.Report{
+				Pool: fleet.PoolID(rapid.String().Draw(t, "pool")), Row: rapid.Uint64().Draw(t, "row"), Age: ms("age"), PhaseAge: ms("phase age"),
+				Phase: rollout.Phase(rapid.IntRange(0, 4).Draw(t, "phase")), Bad: rapid.Bool().Draw(t, "bad"), Reason: rapid.String().Draw(t, "reason"),
+				DataCentre: fleet.DataCentreID(rapid.String().Draw(t, "data centre")),
+			}
+			n := rapid.Uint32()
+			r.Cells = rapid.MapOfN(rapid.Custom(func(t *rapid.T) rollout.CellID { return rollout.CellID(n.Draw(t, "cell")) }), rapid.Custom(func(t *rapid.T) rollout.Cell {
+				return rollout.Cell{Answers: n.Draw(t, "answers"), Failed: n.Draw(t, "failed"), Slow: n.Draw(t, "slow"), Lost: n.Draw(t, "lost")}
+			}), 1, 20).Draw(t, "cells")
+			list = append(list, r)
+		}
+		b, err := Marshal(&Report{Rollouts: list, Digest: &Digest{Rollouts: list}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r, err := Unmarshal(b)
+		if err != nil || !reflect.DeepEqual(r.Rollouts, list) || !reflect.DeepEqual(r.Digest.Rollouts, list) {
+			t.Fatalf("got %+v, %v, want %+v", r, err, list)
+		}
+	})
+}
+
 // Evidence must survive the encoding.
 func TestEvidenceRoundTrip(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/adapters/settings/edge_test.go
+++ b/adapters/settings/edge_test.go
@@ -18,6 +18,30 @@
 peer = "10.0.0.1:4"
 `
 
+// Guards against limits of roll-outs that cannot be kept, and roll-outs without a limit.
+func TestEdgeRollout(t *testing.T) {
+	for lines, want := range map[string]string{
+		"expose_share = 0":                      "11:1: rollout.expose_share is 0, accepted range: over 0 to 1",
+		"expose_share = nan":                    "rollout.expose_share is NaN",
+		"expose_share = 0.1\nexpose_slack = -1": "12:1: rollout.expose_slack is -1",
+		"rollback_ms = 100":                     "rollout.rollback_ms is 100, accepted range: 2000 to 3600000",
+		"move_share = 0.9":                      "rollout.move_share is 0.9",
+		"max_move_ms = 1":                       "rollout.max_move_ms is 1",
+	} {
+		if _, err := ParseEdge("node.toml", []byte(validEdge+"[rollout]\n"+lines+"\n")); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: error %v, want %q", lines, err, want)
+		}
+	}
+	s, err := ParseEdge("node.toml", []byte(validEdge))
+	if err != nil || s.Rollout.Enabled() {
+		t.Errorf("without the table: enabled %v, error %v", s.Rollout.Enabled(), err)
+	}
+	s, err = ParseEdge("node.toml", []byte(validEdge+"[rollout]\nexpose_share = 0.1\nexpose_slack = 50\n"))
+	if err != nil || !s.Rollout.Enabled() || s.Rollout.Config().RollbackLimit != Millis(5000) || s.Rollout.Config().MaxMove != Millis(10_000) {
+		t.Errorf("settings %+v, error %v", s.Rollout, err)
+	}
+}
+
 // Weights that make no sense and unknown mechanisms must stop the start, with the place and
 // what is accepted.
 func TestEdgePolicy(t *testing.T) {
