--- a/cmd/internal/edge/rollout_test.go
+++ b/cmd/internal/edge/rollout_test.go
@@ -2,9 +2,17 @@
 
 import (
 	"fmt"
+	"reflect"
 	"strings"
 	"testing"
+	"time"
 
+	"pgregory.net/rapid"
+
+	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/gateway"
+	"cyclamenhitch/core/manifest"
+	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/rollout"
 	"cyclamenhitch/standins/runner"
 )
@@ -58,6 +66,41 @@
 	return n
 }
 
+// Guards against candidates that differ from those of the board where no roll-out restricts
+// them, without the settings and with them.
+func TestRankWithoutRollout(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		board := placement.NewBalancer(placement.DefaultPolicy())
+		engine := rapid.Bool().Draw(t, "engines")
+		var servers []placement.Server
+		tracker := rollout.New(rollout.Config{Share: 0.1}, nil)
+		var listed []rollout.Server
+		loads := map[fleet.ServerID]placement.Load{}
+		for i := range rapid.IntRange(0, 50).Draw(t, "servers") {
+			id := fleet.ServerID(fmt.Sprint("s", i))
+			servers = append(servers, placement.Server{ID: id, Address: string(id), Slots: 8, Engine: engine, CacheTokens: 100_000, Out: rapid.Bool().Draw(t, "out")})
+			listed = append(listed, rollout.Server{ID: id, Version: "v1", Taking: true})
+			loads[id] = placement.Load{Running: rapid.IntRange(0, 12).Draw(t, "running"), Unread: rapid.IntRange(0, 5000).Draw(t, "unread")}
+		}
+		now := time.Now()
+		board.SetServers("p", servers)
+		board.SetPeerLoads("peer", now, loads)
+		tracker.SetServers(now, "p", listed)
+		req := &gateway.Request{ID: "q", Pool: &manifest.Pool{Name: "p"}}
+		if len(servers) > 0 && rapid.Bool().Draw(t, "second attempt") {
+			req.TriedServers = []fleet.ServerID{"s0"}
+		}
+		ask := &placement.Request{Parts: []placement.Part{{ID: 7, Tokens: 500}}, PromptTokens: 700, Key: rapid.Uint64().Draw(t, "key")}
+		want, wantStatus := board.Rank(now, "p", ask, triedFilter(req))
+		for _, r := range []*rollouts{nil, {tracker: tracker}} {
+			got, status, choice := (&placer{board: board, rollouts: r}).rank(now, time.Second, req, ask)
+			if choice != nil || status != wantStatus || !reflect.DeepEqual(got, want) {
+				t.Fatalf("candidates %+v, %v, want %+v, %v", got, status, want, wantStatus)
+			}
+		}
+	})
+}
+
 // Guards against a good version that is not completed, and one that is without having got the
 // requests.
 func TestRolloutOfGoodVersion(t *testing.T) {
