Limit the control traffic of roll-outs and starts from wrong clocks

The time between reports now follows from the number of recipients, and members of large fleets get verdicts without counters. A row with a start an hour ago made every instance begin the move at once; TestStartFromWrongClock. A member takes its relay's verdict: TestMemberTakesVerdict.

--- a/adapters/gossip/rollouts.go
+++ b/adapters/gossip/rollouts.go
@@ -14,7 +14,7 @@
 		r := &list[i]
 		m := &gossippb.Rollout{
 			Pool: string(r.Pool), Order: r.Row, AgeMs: encodeAge(r.Age), PhaseAgeMs: encodeAge(r.PhaseAge), Phase: uint32(r.Phase),
-			Bad: r.Bad, Reason: r.Reason, DataCentre: string(r.DataCentre),
+			Bad: r.Bad, Doubtful: r.Doubtful, Reason: r.Reason, DataCentre: string(r.DataCentre),
 		}
 		for id, c := range r.Cells {
 			m.Cell = append(m.Cell, uint32(id))
@@ -38,7 +38,7 @@
 		}
 		r := rollout.Report{
 			Pool: fleet.PoolID(m.Pool), Row: m.Order, Age: time.Duration(m.AgeMs) * time.Millisecond, PhaseAge: time.Duration(m.PhaseAgeMs) * time.Millisecond,
-			Phase: rollout.Phase(m.Phase), Bad: m.Bad, Reason: m.Reason, DataCentre: fleet.DataCentreID(m.DataCentre),
+			Phase: rollout.Phase(m.Phase), Bad: m.Bad, Doubtful: m.Doubtful, Reason: m.Reason, DataCentre: fleet.DataCentreID(m.DataCentre),
 		}
 		if n > 0 {
 			r.Cells = make(rollout.Cells, n)
--- a/adapters/gossip/size_test.go
+++ b/adapters/gossip/size_test.go
@@ -41,7 +41,7 @@
 			}
 			r := rollout.Report{
 				Pool: fleet.PoolID(rapid.String().Draw(t, "pool")), Row: rapid.Uint64().Draw(t, "row"), Age: ms("age"), PhaseAge: ms("phase age"),
-				Phase: rollout.Phase(rapid.IntRange(0, 4).Draw(t, "phase")), Bad: rapid.Bool().Draw(t, "bad"), Reason: rapid.String().Draw(t, "reason"),
+				Phase: rollout.Phase(rapid.IntRange(0, 4).Draw(t, "phase")), Bad: rapid.Bool().Draw(t, "bad"), Doubtful: rapid.Bool().Draw(t, "doubtful"), Reason: rapid.String().Draw(t, "reason"),
 				DataCentre: fleet.DataCentreID(rapid.String().Draw(t, "data centre")),
 			}
 			n := rapid.Uint32()
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -143,10 +143,11 @@
 	p.logVerdicts()
 	own.Suspicions, own.ReadRates = p.board.Suspicions(now), p.board.ReadRates()
 	p.updateLiveInstances(now, own.From.Serving)
-	own.Rollouts, p.relay.rollouts = p.rollouts.reports(now, p.relaying.Load())
 	p.logPaces(own.ReadRates)
 	plan := p.roster.Plan(now, own.From)
 	p.logRoleChange(&plan)
+	out := p.rollouts.reports(now, plan.Relaying, plan.Recipients())
+	own.Rollouts, p.relay.rollouts = out.Own, out
 	p.relay.sendRound(now, &plan, own, p.send)
 	return roster.ReportInterval(plan.Recipients())
 }
--- a/cmd/internal/edge/relay.go
+++ b/cmd/internal/edge/relay.go
@@ -70,9 +70,9 @@
 	// local are the items reported by instances of this data centre since the last round,
 	// remote those of other data centres.
 	local, remote pendingItems
-	// rollouts are the sums of all data centres for the digests of the next round. Only the
-	// goroutine that sends reports uses them.
-	rollouts []rollout.Report
+	// rollouts is what the digests of the next round say on roll-outs. Only the goroutine that
+	// sends reports uses it.
+	rollouts rollout.Outgoing
 }
 
 func newRelay(r *roster.Roster, b *placement.Balancer, dc fleet.DataCentreID, incarnation uint64) *relay {
@@ -107,6 +107,7 @@
 	}
 	for _, t := range plan.Members {
 		r := own
+		r.Rollouts = nil // relays got them above, the others take the verdict of the digest
 		if plan.IsRelay(t.ID) {
 			r.Placements, r.Suspicions = nil, nil // already sent with plan.Relays
 		}
@@ -150,7 +151,7 @@
 // and the largest member list, loads and suspicions of a digest. The caller holds mu.
 func (rl *relay) roomForPlacements(own *gossip.Report) int {
 	largest := *own
-	digest := gossip.Digest{Members: rl.roster.Digest("", rl.incarnation, ""), Loads: rl.board.Totals()}
+	digest := gossip.Digest{Members: rl.roster.Digest("", rl.incarnation, ""), Loads: rl.board.Totals(), Rollouts: ofDataCentre(rl.rollouts.Sums, rl.dc)}
 	for _, n := range [...]*pendingItems{&rl.local, &rl.remote} {
 		for _, s := range n.suspicions {
 			digest.Suspicions = append(digest.Suspicions, s.item)
@@ -242,7 +243,7 @@
 func (d *roundDigests) fleetDigest(to roster.Target) *gossip.Digest {
 	rl := d.relay
 	out := d.memberDigest(to, "")
-	out.Rollouts = rl.rollouts
+	out.Rollouts = rl.rollouts.Verdicts
 	if !out.WithoutLoads {
 		out.Loads = subtractLoads(d.totals, rl.board.PeerLoads(to.ID))
 	}
@@ -257,7 +258,7 @@
 func (d *roundDigests) dataCentreDigest(to roster.Target) *gossip.Digest {
 	rl := d.relay
 	out := d.memberDigest(to, rl.dc)
-	out.Rollouts = ofDataCentre(rl.rollouts, rl.dc)
+	out.Rollouts = ofDataCentre(rl.rollouts.Sums, rl.dc)
 	if !out.WithoutLoads {
 		if d.dataCentreLoads == nil {
 			d.dataCentreLoads = subtractLoads(d.totals, rl.board.PeerLoadsOf(isDataCentreEntry))
--- a/cmd/internal/edge/rollout.go
+++ b/cmd/internal/edge/rollout.go
@@ -128,12 +128,12 @@
 	return ""
 }
 
-// reports returns the reports to send to peers, and the sums for the digests of a relay.
-func (r *rollouts) reports(now time.Time, relaying bool) (own, sums []rollout.Report) {
+// reports returns what to send in a round to so many recipients.
+func (r *rollouts) reports(now time.Time, relaying bool, recipients int) rollout.Outgoing {
 	if r == nil {
-		return nil, nil
+		return rollout.Outgoing{}
 	}
-	return r.tracker.Reports(now, r.set.DataCentre, relaying)
+	return r.tracker.Reports(now, r.set.DataCentre, relaying, recipients)
 }
 
 // applyReport applies what a peer reports and relays.
@@ -151,11 +151,11 @@
 	}
 }
 
-// ofDataCentre returns the reports on the whole fleet and on one data centre.
+// ofDataCentre returns the reports on one data centre.
 func ofDataCentre(list []rollout.Report, dc fleet.DataCentreID) []rollout.Report {
 	var out []rollout.Report
 	for _, r := range list {
-		if r.DataCentre == "" || r.DataCentre == dc {
+		if r.DataCentre == dc {
 			out = append(out, r)
 		}
 	}
--- a/core/rollout/exchange.go
+++ b/core/rollout/exchange.go
@@ -16,9 +16,10 @@
 	Age, PhaseAge time.Duration
 	// Phase is the stored phase.
 	Phase Phase
-	// Bad is set if the version was found to be bad, for the Reason.
-	Bad    bool
-	Reason string
+	// Bad is set if the version was found to be bad, for the Reason. Doubtful is set while the
+	// evidence forbids a larger part.
+	Bad, Doubtful bool
+	Reason        string
 	// DataCentre is set if Cells are a sum over the instances of a data centre.
 	DataCentre fleet.DataCentreID
 	Cells      Cells
@@ -36,40 +37,63 @@
 	reportsInLimit = 10
 )
 
-// Reports returns what to report about the orders in force: this instance's counters, and for
-// the digests of a relay the sums over the data centres. own is the instance's data centre.
-func (t *Tracker) Reports(now time.Time, own fleet.DataCentreID, relaying bool) (reports, sums []Report) {
-	interval := min(maxReportInterval, t.cfg.RollbackLimit/reportsInLimit)
+// Control traffic for roll-outs is limited by reporting less often. An entry has some reportBytes
+// and cellBytes for each counter (212 bytes with three routes and eight servers); an instance
+// sends reportRate bytes/s at most, and twice that in the move.
+const (
+	reportBytes = 70
+	cellBytes   = 10
+	reportRate  = 10_000
+)
+
+// interval returns the shortest time between two reports to so many peers.
+func (p *pool) interval(cfg Config, recipients int) time.Duration {
+	least, rate := min(maxReportInterval, cfg.RollbackLimit/reportsInLimit), reportRate
+	if p.phase == Moving {
+		least, rate = min(least, moveReportInterval), 2*reportRate
+	}
+	bytes := recipients * (reportBytes + cellBytes*len(p.ev.own))
+	return max(least, time.Duration(bytes)*time.Second/time.Duration(rate))
+}
+
+// Outgoing is what an instance tells about the orders in force.
+type Outgoing struct {
+	// Own has this instance's counters. Verdicts is the same without counters, which a relay
+	// sends to its members: they take its verdict. Sums has those of the data centres, which a
+	// relay sends to relays of other data centres.
+	Own, Verdicts, Sums []Report
+}
+
+// Reports returns what to report in a round to so many recipients. own is the instance's data
+// centre.
+func (t *Tracker) Reports(now time.Time, own fleet.DataCentreID, relaying bool, recipients int) Outgoing {
+	var out Outgoing
 	t.each(func(id fleet.PoolID, p *pool) {
 		e := &p.ev
 		since := now.Sub(e.sentAt)
-		interval := interval
-		if p.phase == Moving {
-			interval = min(interval, moveReportInterval)
-		}
-		if !p.ordered || !p.known || p.removed || since < repeatInterval && (!e.unsent || since < interval) {
+		if !p.ordered || !p.known || p.removed || since < repeatInterval && (!e.unsent || since < p.interval(t.cfg, recipients)) {
 			return
 		}
 		e.sentAt, e.unsent = now, false
-		r := Report{Pool: id, Row: p.order.Row, Age: now.Sub(p.started), PhaseAge: now.Sub(p.phaseAt), Phase: p.phase, Bad: p.bad, Reason: p.reason}
+		r := Report{
+			Pool: id, Row: p.order.Row, Age: now.Sub(p.started), PhaseAge: now.Sub(p.phaseAt), Phase: p.phase,
+			Bad: p.bad, Doubtful: p.doubtful, Reason: p.reason,
+		}
+		out.Verdicts = append(out.Verdicts, r)
 		if !p.phase.final() {
 			r.Cells = maps.Clone(e.own)
 		}
-		reports = append(reports, r)
-		if !relaying {
-			return
-		}
-		if p.phase.final() {
-			sums = append(sums, r)
+		out.Own = append(out.Own, r)
+		if !relaying || p.phase.final() {
 			return
 		}
 		for dc, cells := range e.dataCentres(own) {
 			s := r
 			s.DataCentre, s.Cells = dc, cells
-			sums = append(sums, s)
+			out.Sums = append(out.Sums, s)
 		}
 	})
-	return reports, sums
+	return out
 }
 
 // Merge applies the reports of a peer. Counters of an order that is not in force here are
@@ -89,6 +113,9 @@
 	return soon
 }
 
+// doubtTime is how long the doubt of a peer holds. A peer repeats it in the move with its counters.
+const doubtTime = time.Second
+
 func (p *pool) merge(now time.Time, from Source, dc fleet.DataCentreID, r *Report) bool {
 	if !p.ordered || p.order.Row != r.Row {
 		return false
@@ -100,6 +127,12 @@
 	if r.Bad && !p.bad && p.phase != Completed {
 		p.bad, p.reason, news = true, r.Reason, true
 	}
+	if r.Doubtful {
+		p.doubtUntil = now.Add(doubtTime)
+	}
+	if len(r.Cells) == 0 {
+		return news
+	}
 	cells := p.ev.sums[r.DataCentre]
 	switch {
 	case r.DataCentre == "":
--- a/core/rollout/phase.go
+++ b/core/rollout/phase.go
@@ -19,6 +19,9 @@
 	// checkInterval is the time between two reads of the stored state by the first writer. It
 	// finds a store that returned as an older copy, and shows that the store can be reached.
 	checkInterval = time.Second
+	// maxOrderLag is how long before an instance others can have seen an order. An earlier start
+	// comes from a wrong clock.
+	maxOrderLag = 5 * time.Second
 	// learnDelay is the time by which the instances that do not know the stored state of an order
 	// read it one after the other. The others learn it from reports.
 	learnDelay = 50 * time.Millisecond
@@ -200,7 +203,7 @@
 
 // advance sets a phase that was stored, unless a later one is known.
 func (p *pool) advance(phase Phase, reason string, started, changed, now time.Time) {
-	if started.Before(p.started) && !started.IsZero() {
+	if started.Before(p.started) && !started.IsZero() && (!p.fresh || p.started.Sub(started) <= maxOrderLag) {
 		p.started = started
 	}
 	if phase <= p.phase || p.phase.final() {
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -111,6 +111,8 @@
 	// started is the earliest known time of the order, phaseAt that of the phase.
 	started, phaseAt time.Time
 	phase            Phase
+	// fresh is set if the instance saw the order arrive.
+	fresh bool
 	// heardAt is when the store or a peer last told of the order.
 	heardAt time.Time
 	// bad is set once the version was found to be bad; reason states by what.
@@ -119,6 +121,8 @@
 	// doubtful is set while the evidence against the version is too weak for a verdict and too
 	// strong for a larger part of the requests.
 	doubtful bool
+	// doubtUntil is the time until which a peer's doubt holds.
+	doubtUntil time.Time
 	// excluded are versions that were rolled back.
 	excluded map[string]bool
 
@@ -244,7 +248,8 @@
 	}
 	delete(p.excluded, o.To)
 	p.order, p.ordered, p.removed, p.known = o, true, false, fresh
-	p.started, p.phase, p.phaseAt = now, None, now
+	p.started, p.phase, p.phaseAt, p.fresh = now, None, now, fresh
+	p.doubtUntil = time.Time{}
 	p.bad, p.doubtful, p.reason, p.credit = false, false, "", credit
 	p.ev.reset()
 	p.write = writeState{}
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -169,12 +169,11 @@
 		for _, tr := range []*Tracker{member, relay} {
 			tr.Answer(now, Attempt{Pool: simPool, Route: "r", Server: "a", Outcome: Failed})
 		}
-		own, _ := member.Reports(now, "z1", false)
-		relay.Merge(now, Source{"m", 1}, "z1", own)
-		direct, sums := relay.Reports(now, "z1", true)
+		relay.Merge(now, Source{"m", 1}, "z1", member.Reports(now, "z1", false, 2).Own)
+		out := relay.Reports(now, "z1", true, 30)
 		for range 2 { // datagrams may arrive twice
-			far.Merge(now, Source{"r", 1}, "z1", sums)
-			member.Merge(now, Source{"r", 1}, "z1", append(direct, sums...))
+			far.Merge(now, Source{"r", 1}, "z1", out.Sums)
+			member.Merge(now, Source{"r", 1}, "z1", append(out.Own, out.Sums...))
 		}
 	}
 	for i, tr := range []*Tracker{member, relay, far} {
@@ -187,3 +186,28 @@
 		}
 	}
 }
+
+// Guards against an instance with a wrong clock that makes the others end an order early.
+func TestStartFromWrongClock(t *testing.T) {
+	tr, now := rig(t, nil)
+	tr.Stored(now, simPool, &State{Row: 7, Phase: Observing, Started: now.Add(-time.Hour), Changed: now}, State{})
+	tr.Merge(now, Source{"p", 1}, "z", []Report{{Pool: simPool, Row: 7, Phase: Observing, Age: time.Hour}})
+	for _, task := range tr.Tasks(now.Add(time.Second), func(fleet.PoolID) int { return 0 }, nil) {
+		if task.Next.Phase != None {
+			t.Errorf("phase %v a second after the order", task.Next.Phase)
+		}
+	}
+}
+
+// Guards against members of a large fleet, which have no counters of others, that go on sending
+// to a version that their relay found to be bad.
+func TestMemberTakesVerdict(t *testing.T) {
+	tr, now := rig(t, nil)
+	tr.Merge(now, Source{"r", 1}, "z", []Report{{Pool: simPool, Row: 7, Phase: Observing, Bad: true, Reason: "r"}})
+	if n := sends(tr, now, 200); n != 0 {
+		t.Errorf("%d requests after the verdict", n)
+	}
+	if own := tr.Reports(now, "z", false, 2).Own; len(own) != 1 || !own[0].Bad {
+		t.Errorf("the verdict is not passed on: %+v", own)
+	}
+}
--- a/core/rollout/share.go
+++ b/core/rollout/share.go
@@ -157,7 +157,7 @@
 			part = s.part
 		}
 	}
-	if p.doubtful {
+	if p.doubtful || now.Before(p.doubtUntil) {
 		part = min(part, moveSteps[0].part)
 	}
 	return part
