Learn the stored state of an order that appears after a gap, and read less often after the end

TestOrderAfterGapIsNotNew failed first (8 requests to a version whose state was unknown), as did TestChecksAfterEnd (600 reads in 10 minutes).

--- a/core/rollout/phase.go
+++ b/core/rollout/phase.go
@@ -22,6 +22,9 @@
 	// maxOrderLag is how long before an instance others can have seen an order. An earlier start
 	// comes from a wrong clock.
 	maxOrderLag = 5 * time.Second
+	// endedCheckInterval applies from settledTime after the last phase on.
+	endedCheckInterval = 10 * time.Second
+	settledTime        = 10 * time.Second
 	// learnDelay is the time by which the instances that do not know the stored state of an order
 	// read it one after the other. The others learn it from reports.
 	learnDelay = 50 * time.Millisecond
@@ -71,7 +74,7 @@
 		r := rank(id)
 		next := p.nextPhase(t.cfg, now, running)
 		switch {
-		case !p.known && now.Sub(p.phaseAt) >= time.Duration(r)*learnDelay, next == None && r == 0 && now.Sub(p.write.checked) >= checkInterval:
+		case !p.known && now.Sub(p.phaseAt) >= time.Duration(r)*learnDelay, next == None && r == 0 && now.Sub(p.write.checked) >= p.checkInterval(now):
 			p.write.checked = now
 			out = append(out, Task{Pool: id})
 		case p.known && next != None && now.Sub(p.write.dueSince) >= time.Duration(r)*writerDelay:
@@ -82,6 +85,13 @@
 	return out
 }
 
+func (p *pool) checkInterval(now time.Time) time.Duration {
+	if p.phase.final() && now.Sub(p.phaseAt) > settledTime {
+		return endedCheckInterval
+	}
+	return checkInterval
+}
+
 // nextPhase returns the phase that is to be written, None for none.
 func (p *pool) nextPhase(cfg Config, now time.Time, running func(fleet.ServerID) int) Phase {
 	next := None
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -74,8 +74,8 @@
 
 	mu    sync.RWMutex
 	pools map[fleet.PoolID]*pool
-	// ordersRead is set once the operator's table has been read.
-	ordersRead bool
+	// ordersRead is when the last read of the operator's table started; zero before the first.
+	ordersRead time.Time
 	// sameUntil is the time until which a row with known content repeats a known order.
 	sameUntil time.Time
 }
@@ -187,13 +187,19 @@
 	t.each(func(_ fleet.PoolID, p *pool) { p.write.again = p.ordered && p.phase != None })
 }
 
+// maxReadGap is the time between the starts of two reads of the operator's table within which an
+// order that appears is new. An instance that was cut off for longer learns the stored state first.
+const maxReadGap = 3 * time.Second
+
 // SetOrders states the orders that a read of the operator's table found. changed contains the
 // rows that the read has, nil for a removed one; with full, rows that are missing are removed.
 // readStart is when the read started.
 func (t *Tracker) SetOrders(now, readStart time.Time, changed map[fleet.PoolID]*Order, full bool) {
 	t.mu.Lock()
-	first, same := !t.ordersRead, now.Before(t.sameUntil)
-	t.ordersRead = true
+	fresh, same := !t.ordersRead.IsZero() && readStart.Sub(t.ordersRead) < maxReadGap, now.Before(t.sameUntil)
+	if readStart.After(t.ordersRead) {
+		t.ordersRead = readStart
+	}
 	t.mu.Unlock()
 	for id, o := range changed {
 		p := t.pool(id)
@@ -201,7 +207,7 @@
 		if o == nil {
 			p.remove()
 		} else {
-			p.setOrder(now, *o, !first, same, t.startCredit())
+			p.setOrder(now, *o, fresh, same, t.startCredit())
 		}
 		p.mu.Unlock()
 	}
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -211,3 +211,30 @@
 		t.Errorf("the verdict is not passed on: %+v", own)
 	}
 }
+
+// Guards against an instance that was cut off and takes an order for new that was rolled back
+// meanwhile.
+func TestOrderAfterGapIsNotNew(t *testing.T) {
+	tr, now := New((&world{}).config(), func() float64 { return 0.99 }), simEpoch
+	tr.SetOrders(now, now, nil, true)
+	tr.SetServers(now, simPool, rigServers("v2"))
+	now = now.Add(10 * time.Second)
+	tr.SetOrders(now, now, map[fleet.PoolID]*Order{simPool: {Row: 7, To: "v2", Duration: time.Minute}}, false)
+	if n := sends(tr, now, 200); n != 0 {
+		t.Errorf("%d requests before the stored state was known", n)
+	}
+}
+
+// Guards against a read of the store each second for as long as the row of an order stays.
+func TestChecksAfterEnd(t *testing.T) {
+	tr, now := rig(t, nil)
+	tr.Written(now, simPool, State{Row: 7, Phase: RolledBack, Started: now, Changed: now})
+	reads := 0
+	for range 6000 {
+		now = now.Add(100 * time.Millisecond)
+		reads += len(tr.Tasks(now, func(fleet.PoolID) int { return 0 }, nil))
+	}
+	if reads < 10 || reads > 80 {
+		t.Errorf("%d reads in 10 minutes", reads)
+	}
+}
--- a/core/rollout/sim_test.go
+++ b/core/rollout/sim_test.go
@@ -94,6 +94,7 @@
 	for step := -int64(simWarmup / simStep); w.age() < h.duration+time.Second; step++ {
 		w.now = simEpoch.Add(time.Duration(step) * simStep)
 		for i := 0; step == 0 && i < h.instances; i++ {
+			w.edges[i].SetOrders(w.now.Add(-time.Second), w.now.Add(-time.Second), nil, false)
 			w.setOrder(w.edges[i])
 		}
 		if w.age() == h.restartAt && h.restartAt > 0 {
