--- a/cmd/internal/edge/rollout.go
+++ b/cmd/internal/edge/rollout.go
@@ -187,15 +187,6 @@
 // failedStatus is the lowest status of an answer that is a failure of the server.
 const failedStatus = 500
 
-// answered records an attempt whose answer has begun.
-func (w *rolloutWatch) answered(a rollout.Attempt, status int) {
-	o := rollout.Good
-	if status >= failedStatus {
-		o = rollout.Failed
-	}
-	w.record(a, o)
-}
-
 // rolloutResponse records an answer that breaks.
 type rolloutResponse struct {
 	gateway.Response
@@ -210,7 +201,7 @@
 	if err != nil && err != io.EOF && !r.ended {
 		r.ended = true
 		if o, counted := rolloutOutcome(err); counted && o != rollout.TimedOut {
-			r.watch.record(r.attempt, o)
+			r.watch.end(nil, r.attempt, o)
 		}
 	}
 	return b, err
--- a/cmd/internal/edge/rolloutwatch.go
+++ b/cmd/internal/edge/rolloutwatch.go
@@ -15,9 +15,9 @@
 	rollouts *rollouts
 }
 
-func (w *rolloutWatch) record(a rollout.Attempt, o rollout.Outcome) {
+func (w *rolloutWatch) end(d *rollout.Pending, a rollout.Attempt, o rollout.Outcome) {
 	a.Outcome = o
-	w.rollouts.tracker.Answer(time.Now(), a)
+	w.rollouts.tracker.End(time.Now(), d, a)
 }
 
 // Open implements gateway.Upstream.
@@ -27,14 +27,21 @@
 	if n := len(req.Decisions); n > 0 {
 		a.Expected, a.Running = req.Decisions[n-1].NominalWait, req.Decisions[n-1].Running
 	}
+	pending := w.rollouts.tracker.Begin(began, a)
 	resp, err := w.Upstream.Open(ctx, srv, req, attemptID)
 	a.Took = time.Since(began)
 	if err != nil {
 		if o, counted := rolloutOutcome(err); counted {
-			w.record(a, o)
+			w.end(pending, a, o)
+		} else {
+			w.rollouts.tracker.Drop(pending)
 		}
 		return nil, err
 	}
-	w.answered(a, resp.Status())
+	o := rollout.Good
+	if resp.Status() >= failedStatus {
+		o = rollout.Failed
+	}
+	w.end(pending, a, o)
 	return &rolloutResponse{Response: resp, watch: w, attempt: a}, nil
 }
--- a/core/rollout/evidence.go
+++ b/core/rollout/evidence.go
@@ -107,6 +107,7 @@
 	// orders.
 	typical map[CellID]*typicalTime
 	names   map[CellID]string
+	pending map[*Pending]struct{}
 	// changed is set if counters changed since the verdict was last computed.
 	changed bool
 	// snapshots are earlier sums, oldest first.
@@ -123,7 +124,7 @@
 
 func (e *evidence) reset() {
 	e.own, e.sources, e.sums, e.names = Cells{}, map[Source]*sourceCells{}, map[fleet.DataCentreID]Cells{}, map[CellID]string{}
-	e.snapshots = nil
+	e.snapshots, e.pending = nil, map[*Pending]struct{}{}
 	e.changed, e.unsent, e.sentAt = false, true, time.Time{}
 }
 
@@ -159,40 +160,8 @@
 	Running        int
 }
 
-// Answer records how an attempt at a server ended. Answers of cold servers are no evidence.
-func (t *Tracker) Answer(now time.Time, a Attempt) {
-	p := t.pool(a.Pool)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	s, ok := p.servers[a.Server]
-	if !ok || now.Before(s.ColdUntil) {
-		return
-	}
-	kind, c := oldRoute, p.classes[a.Server]
-	if c != classOld {
-		kind = newRoute
-	}
-	x := Cell{Answers: 1}
-	switch a.Outcome {
-	case Lost:
-		x = Cell{Lost: 1}
-	case Failed:
-		x.Failed = 1
-	case TimedOut:
-		x.Slow = 1
-	case Good:
-		x.Slow = p.ev.slow(kind == oldRoute, &a)
-	}
-	if !p.ordered || p.removed || c == classHeld {
-		return
-	}
-	p.ev.own.add(cellID(kind, a.Route), x)
-	if kind == newRoute {
-		p.ev.own.add(cellID(newServer, string(a.Server)), x)
-	}
-	p.ev.names[cellID(kind, a.Route)] = a.Route
-	p.ev.changed, p.ev.unsent = true, true
-}
+// Answer records how an attempt ended whose start was not recorded.
+func (t *Tracker) Answer(now time.Time, a Attempt) { t.End(now, nil, a) }
 
 // name returns the name of a route's cell, or its hash if no answer of the route was seen here.
 func (e *evidence) name(id CellID) string {
--- a/core/rollout/exchange.go
+++ b/core/rollout/exchange.go
@@ -158,7 +158,11 @@
 func (t *Tracker) Judge(now time.Time, own fleet.DataCentreID) bool {
 	found := false
 	t.each(func(_ fleet.PoolID, p *pool) {
-		if !p.ordered || p.bad || p.phase.final() || !p.ev.changed {
+		if !p.ordered || p.bad || p.phase.final() {
+			return
+		}
+		p.countOverdue(now)
+		if !p.ev.changed {
 			return
 		}
 		p.ev.changed = false
--- a/core/rollout/sim_test.go
+++ b/core/rollout/sim_test.go
@@ -176,10 +176,12 @@
 		o, took = Lost, 1
 	}
 	w.running[id]++
+	a := Attempt{Pool: simPool, Route: route, Server: id, Outcome: o, Took: time.Duration(took * float64(time.Millisecond)), Running: load}
+	d := t.Begin(w.now, a)
 	end := step + 1 + int64(took*float64(time.Millisecond)/float64(simStep))
 	w.pending[end] = append(w.pending[end], func() {
 		w.running[id]--
-		t.Answer(w.now, Attempt{Pool: simPool, Route: route, Server: id, Outcome: o, Took: time.Duration(took * float64(time.Millisecond)), Running: load})
+		t.End(w.now, d, a)
 		if w.completed == 0 && fresh && faulty && (o == Failed || w.slowFactor > 1) {
 			if w.badAnswers++; w.badAnswers == 50 {
 				w.fiftieth = w.now
--- a/core/rollout/typical.go
+++ b/core/rollout/typical.go
@@ -21,18 +21,23 @@
 // instance with little traffic would else see no slow answers during an order. A route that is
 // slower than others then counts as slow for both versions.
 func (e *evidence) slow(old bool, a *Attempt) uint32 {
-	route, all := e.typicalOf(cellID(oldRoute, a.Route)), e.typicalOf(cellID(oldRoute, allRoutes))
-	slow := uint32(0)
-	if route.ratios.total >= minTypical && route.isSlow(a) || route.ratios.total < minTypical && all.ratios.total >= minTypical && all.isSlow(a) {
-		slow = 1
-	}
+	slow := e.isSlow(a)
 	if old {
-		route.add(a)
-		all.add(a)
+		e.typicalOf(cellID(oldRoute, a.Route)).add(a)
+		e.typicalOf(cellID(oldRoute, allRoutes)).add(a)
 	}
 	return slow
 }
 
+// isSlow returns 1 if the time of the answer is slow and 0 otherwise.
+func (e *evidence) isSlow(a *Attempt) uint32 {
+	route, all := e.typicalOf(cellID(oldRoute, a.Route)), e.typicalOf(cellID(oldRoute, allRoutes))
+	if route.ratios.total >= minTypical && route.isSlow(a) || route.ratios.total < minTypical && all.ratios.total >= minTypical && all.isSlow(a) {
+		return 1
+	}
+	return 0
+}
+
 // allRoutes is the name under which the times of all routes of a pool are kept.
 const allRoutes = "\x00"
 
