--- a/adapters/settings/edge.go
+++ b/adapters/settings/edge.go
@@ -13,6 +13,7 @@
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/result"
+	"cyclamenhitch/core/rollout"
 	"cyclamenhitch/core/tomlpos"
 )
 
@@ -40,6 +41,8 @@
 	Eras EdgeEras `toml:"eras"`
 	// Policy weighs and switches the mechanisms that choose a server.
 	Policy EdgePolicy `toml:"policy"`
+	// Rollout limits gradual roll-outs of new versions of servers.
+	Rollout EdgeRollout `toml:"rollout"`
 	// Log configures logging.
 	Log Log `toml:"log"`
 }
@@ -65,6 +68,58 @@
 	Enabled []string `toml:"enabled"`
 }
 
+// EdgeRollout limits gradual roll-outs. Without ExposeShare the versions of servers are ignored.
+type EdgeRollout struct {
+	// ExposeShare is the fraction of a pool's requests, over all instances and from an order to
+	// its deadline, that a version may get which turns out to be bad. Accepted: over 0 to 1.
+	// Default: none.
+	ExposeShare OptionalNumber `toml:"expose_share"`
+	// ExposeSlack is the number of requests that such a version may get beyond ExposeShare.
+	// Default 0.
+	ExposeSlack OptionalNumber `toml:"expose_slack"`
+	// RollbackMillis is the time after its 50th bad answer from which such a version gets no
+	// requests, in ms. Accepted: 2000 and more. Default 5000.
+	RollbackMillis OptionalNumber `toml:"rollback_ms"`
+	// MoveShare is the last fraction of an order's duration in which all requests are moved to
+	// the new version. Accepted: 0.1 to 0.5. Default 0.25.
+	MoveShare float64 `toml:"move_share"`
+	// MaxMoveMillis limits the time of the move, in ms. Accepted: 1000 to 600000. Default 10000.
+	MaxMoveMillis int `toml:"max_move_ms"`
+}
+
+// defaultRollbackMillis is the default of RollbackMillis.
+const defaultRollbackMillis = 5000
+
+// Enabled reports whether roll-outs are limited.
+func (r *EdgeRollout) Enabled() bool { return r.ExposeShare.Set }
+
+// Config returns the limits that the settings describe.
+func (r *EdgeRollout) Config() rollout.Config {
+	return rollout.Config{
+		Share: r.ExposeShare.Value, Slack: r.ExposeSlack.Value, RollbackLimit: Millis(int(r.RollbackMillis.Or(defaultRollbackMillis))),
+		MoveShare: r.MoveShare, MaxMove: Millis(r.MaxMoveMillis),
+	}
+}
+
+// check calls add for each invalid setting.
+func (r *EdgeRollout) check(add func(key, format string, args ...any)) {
+	if s := r.ExposeShare; s.Set && !(s.Value > 0 && s.Value <= 1) {
+		add("rollout.expose_share", "is %v, accepted range: over 0 to 1", s.Value)
+	}
+	if !(r.ExposeSlack.Value >= 0) {
+		add("rollout.expose_slack", "is %v, accepted range: 0 and more", r.ExposeSlack.Value)
+	}
+	if ms := r.RollbackMillis.Or(defaultRollbackMillis); !(ms >= 2000 && ms <= 3600_000) {
+		add("rollout.rollback_ms", "is %v, accepted range: 2000 to 3600000", ms)
+	}
+	if !(r.MoveShare >= 0.1 && r.MoveShare <= 0.5) {
+		add("rollout.move_share", "is %v, accepted range: 0.1 to 0.5", r.MoveShare)
+	}
+	if r.MaxMoveMillis < 1000 || r.MaxMoveMillis > 600_000 {
+		add("rollout.max_move_ms", "is %d, accepted range: 1000 to 600000", r.MaxMoveMillis)
+	}
+}
+
 // PlacementPolicy returns the policy that the settings describe.
 func (s *Edge) PlacementPolicy() (placement.Policy, error) {
 	p := placement.DefaultPolicy()
@@ -173,6 +228,8 @@
 	setDefault(&s.Limits.Descriptors, 4096)
 	setDefault(&s.Limits.RetryRatio, 0.1)
 	setDefault(&s.Limits.RetryBurst, 30)
+	setDefault(&s.Rollout.MoveShare, 0.25)
+	setDefault(&s.Rollout.MaxMoveMillis, 10_000)
 	setDefault(&s.Log.Level, "info")
 	if s.Log.SampleDecisions == nil {
 		n := 200
@@ -239,5 +296,6 @@
 			add(n.key, "is %v, accepted range: 0 and more", n.v)
 		}
 	}
+	s.Rollout.check(add)
 	return ps
 }
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -46,6 +46,8 @@
 	log    *zap.Logger
 	roster *roster.Roster
 	relay  *relay
+	// rollouts is nil if the settings have no roll-outs.
+	rollouts *rollouts
 
 	// onInstanceCount is called with the number of instances that share the fleet's budgets.
 	onInstanceCount func(instances int)
@@ -146,6 +148,8 @@
 	p.logPaces(own.ReadRates)
 	plan := p.roster.Plan(now, own.From)
 	p.logRoleChange(&plan)
+	out := p.rollouts.reports(now, plan.Relaying, plan.Recipients())
+	own.Rollouts, p.relay.rollouts = out.Own, out
 	p.relay.sendRound(now, &plan, own, p.send)
 	return roster.ReportInterval(plan.Recipients())
 }
@@ -259,6 +263,7 @@
 	if p.tracker.Merge(now, r.Evidence) && p.relaying.Load() {
 		p.reportSoon() // to those who hear of other instances only through this one
 	}
+	p.rollouts.applyReport(now, r)
 	p.relay.applyReport(now, r)
 	p.confirmFromPeer(r, boot)
 }
--- a/core/catalog/server.go
+++ b/core/catalog/server.go
@@ -23,4 +23,6 @@
 	StartMillis int64
 	// Sequence increases with each entry that the server writes; 0 means unknown.
 	Sequence uint64
+	// Version is the version of its software; empty if it states none.
+	Version string
 }
--- a/standins/userstore/userstore.go
+++ b/standins/userstore/userstore.go
@@ -128,13 +128,6 @@
 	return s.era
 }
 
-// Value returns the value of a row in the empty partition, nil if there is none.
-func (s *Store) Value(table, name string) []byte {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.rows[key{table, "", name}].Value
-}
-
 // SetVersionLag makes full reads report a version that is n below the current
 // one, as a lagging replica does.
 func (s *Store) SetVersionLag(n uint64) {
@@ -163,6 +156,13 @@
 	return n
 }
 
+// Value returns the value of a row in the empty partition, nil if there is none.
+func (s *Store) Value(table, name string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[key{table, "", name}].Value
+}
+
 // Set writes a row in the empty partition, as an operator or a backend server does.
 func (s *Store) Set(table, name string, value []byte) {
 	s.mu.Lock()
