Give the store at least eight descriptors

With 400 descriptors the store's share was two, which the long polls used up: two of six instances of TestCrowdsStayWithinMemory were not listed in the directory within a minute ("store lost: no descriptor is free"). TestDescriptorShares failed before with 2 descriptors for the store. Shares of limits from 1,100 on are unchanged.

--- a/core/budget/descriptors.go
+++ b/core/budget/descriptors.go
@@ -7,6 +7,9 @@
 	// fixedDescriptors are those that a process opens once: its listeners, the peer socket
 	// and the pollers.
 	fixedDescriptors = 16
+	// minStoreDescriptors are needed for the long polls of all tables beside writes. With two,
+	// an instance with 400 descriptors was not listed in the directory within a minute.
+	minStoreDescriptors = 8
 )
 
 // Share is the part of a budget of descriptors that one purpose may take. A nil Share has
@@ -70,9 +73,14 @@
 	share := func(name string, percent int64) *Share {
 		return &Share{Name: name, amount: amount{limit: max(1, left*percent/100)}}
 	}
+	store := share("store", 1)
+	if store.limit < minStoreDescriptors {
+		store.limit = minStoreDescriptors
+		left -= minStoreDescriptors
+	}
 	d := &Descriptors{
 		Callers: share("callers", 57), Servers: share("servers", 38), Directory: share("directory", 8), Readiness: share("readiness", 1),
-		Peers: share("peers", 9), Metrics: share("metrics", 1), Calls: share("calls", 4), Store: share("store", 1),
+		Peers: share("peers", 9), Metrics: share("metrics", 1), Calls: share("calls", 4), Store: store,
 	}
 	requests := &amount{limit: left * requestsPercent / 100}
 	d.Callers.common, d.Servers.common = requests, requests
--- a/core/budget/descriptors_test.go
+++ b/core/budget/descriptors_test.go
@@ -20,6 +20,9 @@
 				sum += s.Limit()
 			}
 		}
+		if d.Store.Limit() < minStoreDescriptors {
+			t.Fatalf("%d descriptors for the store", d.Store.Limit())
+		}
 		for range rapid.IntRange(0, 1000).Draw(t, "servers") {
 			d.Servers.Take()
 		}
