Read long request bodies under the budget, after the key was checked

Cause: the HTTP library allocates a chunk by its stated size before any byte of it arrives, doubles by copying and keeps the buffers in a pool, while room was taken by what had been read; bodies of keys that get 401 were read whole and each such key counted as an account of its own; a body that stopped short of its end kept its room for the read timeout.

Bodies in chunks or over 16 KB are now read by httpapi itself: header checks first, then room, then memory; refused ones are not read. The chunks are decoded where they were read to. A body must bring 64 KB in each 10 s, or in each 3 s while others wait for room, or ends with 408 body_stalled (not run). An account is the name that the key gives; requests without one count as one. Room is resized in one step, so that nothing is held uncounted in between. As the room now covers what is allocated, bodies get 40% of what memory_mb leaves beside 64 MB (30% before).

--- /dev/null
+++ b/adapters/httpapi/bodyread_test.go
@@ -0,0 +1,159 @@
+package httpapi
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"pgregory.net/rapid"
+
+	"cyclamenhitch/core/budget"
+)
+
+// Guards against a payload or an end of a body that another parser sees elsewhere, however
+// the bytes are split, and against framing that is not valid.
+func TestChunkDecoder(t *testing.T) {
+	decode := func(t *rapid.T, raw []byte) (body []byte, rest int, err error) {
+		var d chunkDecoder
+		for len(raw) > 0 && d.state != chunksDone {
+			n := rapid.IntRange(1, len(raw)).Draw(t, "read")
+			part := bytes.Clone(raw[:n])
+			payload, used, err := d.decode(part, part)
+			if err != nil {
+				return nil, 0, err
+			}
+			body, raw = append(body, part[:payload]...), raw[used:]
+		}
+		if d.state != chunksDone {
+			return nil, 0, io.ErrUnexpectedEOF
+		}
+		return body, len(raw), nil
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		var raw bytes.Buffer
+		w := httputil.NewChunkedWriter(&raw)
+		want := []byte{}
+		for _, part := range rapid.SliceOfN(rapid.SliceOfN(rapid.Byte(), 1, 40), 0, 8).Draw(t, "chunks") {
+			want = append(want, part...)
+			_, _ = w.Write(part)
+		}
+		_ = w.Close()
+		raw.WriteString(rapid.SampledFrom([]string{"\r\n", "A: b\r\n\r\n"}).Draw(t, "trailer"))
+		const next = "GET / HTTP/1.1\r\n"
+		body, rest, err := decode(t, append(raw.Bytes(), next...))
+		if err != nil || !bytes.Equal(body, want) || rest != len(next) {
+			t.Fatalf("body %q, %d bytes left, %v; want %q and %d", body, rest, err, want, len(next))
+		}
+		if n := rapid.IntRange(0, raw.Len()-1).Draw(t, "cut"); n < raw.Len() {
+			if _, _, err := decode(t, raw.Bytes()[:n]); err == nil {
+				t.Fatalf("complete after %d of %d bytes", n, raw.Len())
+			}
+		}
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		bad := rapid.SampledFrom([]string{
+			"\r\n", "x\r\n", "-1\r\n", "0x1\r\n", "5\nhello\r\n0\r\n\r\n", "5\r\nhello0\r\n\r\n", "5\r\nhello\n0\r\n\r\n", "1\r\nab\r\n0\r\n\r\n",
+			"123456789\r\n", "0\r\n\n", "0\r\nA: b\n\r\n", "0\r\n\rx", "5;a\nb\r\nhello\r\n0\r\n\r\n", "1;" + strings.Repeat("a", maxChunkOverhead),
+			"0\r\n" + strings.Repeat("A: b\r\n", maxTrailerBytes/6+1),
+		}).Draw(t, "body")
+		if _, _, err := decode(t, []byte(bad)); err != errChunkFraming {
+			t.Fatalf("%.40q: %v", bad, err)
+		}
+	})
+}
+
+// Guards against a body that is read for a key that is refused anyway, and against a refusal
+// that the caller can't read.
+func TestKeyIsCheckedBeforeBody(t *testing.T) {
+	addr, bodies, _, _, _ := startWithBodies(t, 0)
+	for _, head := range []string{"Content-Length: 4000000\r\n", "Transfer-Encoding: chunked\r\n", "Transfer-Encoding: chunked\r\nExpect: 100-continue\r\n"} {
+		resp, _, _ := exchange(t, addr, "POST /x HTTP/1.1\r\nHost: r\r\nAuthorization: unknown\r\n"+head+"\r\n")
+		if resp.StatusCode != http.StatusUnauthorized || !resp.Close {
+			t.Errorf("%q: status %d, close %v", head, resp.StatusCode, resp.Close)
+		}
+	}
+	if bodies.Highest() != 0 {
+		t.Errorf("%d bytes were taken", bodies.Highest())
+	}
+}
+
+// Guards against a stalled body that keeps its room, also one that is sent byte by byte, and
+// against another answer than that the request was not run.
+func TestStalledBodyEnds(t *testing.T) {
+	l := testLimits()
+	l.MaxBodyBytes, l.Bodies = 4<<20, budget.NewBodies(bodyBudget)
+	l.BodyPace = budget.Pace{Bytes: 64 << 10, Window: 50 * time.Millisecond, Pressed: 50 * time.Millisecond}
+	addr := serve(t, &Server{Opener: &fakeOpener{open: respondOK}, Admission: allowAll{}, Log: zap.NewNop(), Frontend: testFrontend{}}, l)
+	for _, head := range []string{"Content-Length: 200000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\nfffff\r\n"} {
+		for _, drip := range []bool{false, true} {
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			_ = c.SetDeadline(time.Now().Add(testTimeout))
+			_, _ = io.WriteString(c, "POST /x HTTP/1.1\r\nHost: r\r\n"+head+strings.Repeat("x", 100_000))
+			go func() {
+				for err := error(nil); drip && err == nil; time.Sleep(time.Millisecond) {
+					_, err = io.WriteString(c, "x")
+				}
+			}()
+			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil || resp.StatusCode != http.StatusRequestTimeout {
+				t.Errorf("%q, drip %v: %+v, %v", head, drip, resp, err)
+			}
+		}
+	}
+	awaitEmpty(t, l.Bodies)
+}
+
+// Guards against bytes that are lost or passed on twice between a body that is read here and
+// the request that follows it, and against a caller that waits for 100 Continue in vain.
+func TestRequestsAfterBodies(t *testing.T) {
+	addr, _, started, _, _ := startWithBodies(t, 0)
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(testTimeout))
+	const post = "POST /x HTTP/1.1\r\nHost: r\r\n"
+	var all strings.Builder
+	sizes := []int{3, 0, 20_000, 100_000, 1, 5}
+	for i, n := range sizes {
+		body := strings.Repeat("\n", n)
+		switch {
+		case i%2 == 1:
+			fmt.Fprintf(&all, "%sContent-Length: %d\r\n\r\n%s", post, n, body)
+		default:
+			fmt.Fprintf(&all, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", post, n, body)
+		}
+	}
+	go func() { _, _ = io.WriteString(c, all.String()) }()
+	r := bufio.NewReader(c)
+	answer := func(want int) {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil || resp.StatusCode != want {
+			t.Fatalf("%+v, %v", resp, err)
+		}
+		_, _ = io.Copy(io.Discard, resp.Body)
+	}
+	for _, n := range sizes {
+		answer(http.StatusOK)
+		if got := <-started; got != n {
+			t.Fatalf("a body has %d bytes, want %d", got, n)
+		}
+	}
+	_, _ = io.WriteString(c, post+"Content-Length: 20000\r\nExpect: 100-continue\r\n\r\n")
+	answer(http.StatusContinue)
+	_, _ = io.WriteString(c, strings.Repeat("x", 20_000))
+	answer(http.StatusOK)
+}
--- a/adapters/httpapi/bodyroom.go
+++ b/adapters/httpapi/bodyroom.go
@@ -1,9 +1,10 @@
 package httpapi
 
 import (
+	"bytes"
 	"errors"
 	"hash/maphash"
-	"math/bits"
+	"strings"
 	"sync/atomic"
 	"time"
 	"unsafe"
@@ -11,7 +12,6 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
-	"cyclamenhitch/core/budget"
 	"cyclamenhitch/core/result"
 )
 
@@ -41,32 +41,31 @@
 // the goroutine that serves the connection.
 type bodyRoom struct {
 	account uint64
-	// taken is the room in bytes, the sum of parts, which were taken one after the other.
+	// taken is the room in bytes.
 	taken int64
-	parts []int64
-	// chunked is set while a body of unknown length is read, of which read bytes have come.
-	chunked bool
-	read    int64
+	// body is a body that was read here and not by the HTTP server; nil for others.
+	body []byte
+	// refusal is the error of a request whose body was not read to its end.
+	refusal *result.Error
 	refused atomic.Bool
 	// waited is how long the body waited unread, which counts towards the caller's deadline.
 	waited time.Duration
 }
 
-// bufferSize returns the size of the buffer that the HTTP server uses for a body.
-func bufferSize(n int) int64 { return 1 << bits.Len64(uint64(max(n-1, 0))) }
-
 // connOf returns the connection of a request whose header the HTTP server has read. The
 // server passes only the header, which is part of its request context.
-func connOf(h *fasthttp.RequestHeader) *callerConn {
+func connOf(h *fasthttp.RequestHeader) *callerConn { return callerOf(ctxOf(h)) }
+
+func ctxOf(h *fasthttp.RequestHeader) *fasthttp.RequestCtx {
 	var ctx *fasthttp.RequestCtx
 	offset := unsafe.Offsetof(ctx.Request) + unsafe.Offsetof(ctx.Request.Header)
-	ctx = (*fasthttp.RequestCtx)(unsafe.Add(unsafe.Pointer(h), -int(offset)))
-	c, _ := ctx.Conn().(*callerConn)
-	return c
+	return (*fasthttp.RequestCtx)(unsafe.Add(unsafe.Pointer(h), -int(offset)))
 }
 
-// onHeader takes room for the body that follows a header. Without room it limits the body to
-// nothing, so that it is not read.
+// onHeader reads the body that follows a header if it is in chunks or over freeBodyBytes:
+// it checks the key, takes room and only then allocates. The HTTP server would allocate a
+// chunk by its stated size, whoever sends it, and keep the buffers. If the request is
+// refused, the body is limited to nothing, so that handleProtocolError is called.
 func (s *Server) onHeader(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
 	c := connOf(h)
 	if c == nil || c.l.limits.Bodies == nil {
@@ -74,25 +73,59 @@
 	}
 	c.releaseRoom()
 	n := h.ContentLength()
-	if n == -1 {
-		c.room.chunked = true
-	}
 	if n <= freeBodyBytes && n != -1 || n > c.l.limits.MaxBodyBytes {
 		return fasthttp.RequestConfig{}
 	}
-	c.room.account = maphash.Bytes(accountSeed, h.Peek("Authorization"))
-	if n > 0 && !c.takeRoom(bufferSize(n)) {
-		return fasthttp.RequestConfig{MaxRequestBodySize: 1}
+	e := s.receive(c, h, n)
+	if e == nil {
+		h.SetContentLength(0)
+		return fasthttp.RequestConfig{}
+	}
+	if e.Code == result.MemoryExhausted {
+		s.logNoRoom(c)
+	} else {
+		s.logRefused(ctxOf(h), e)
 	}
-	return fasthttp.RequestConfig{}
+	c.room.refusal = e
+	c.room.refused.Store(true)
+	c.giveRoom()
+	h.Del(fasthttp.HeaderExpect)
+	h.SetContentLength(2)
+	return fasthttp.RequestConfig{MaxRequestBodySize: 1}
 }
 
-// takeRoom makes the room n bytes large. It waits for up to BodyWait, in which the body
+// receive checks the header and reads the body; n is its length, or -1 for chunks.
+func (s *Server) receive(c *callerConn, h *fasthttp.RequestHeader, n int) *result.Error {
+	if e := checkFraming(h); e != nil {
+		return e
+	}
+	if !c.atHeaderEnd {
+		return result.New(result.BadRequest, "request header does not end with an empty line")
+	}
+	account := ""
+	if s.Frontend != nil {
+		var e *result.Error
+		if account, e = s.Frontend.Account(h); e != nil {
+			return e
+		}
+	} else if x := s.Config(); x != nil {
+		a := x.AccountByKey(bytes.TrimPrefix(h.Peek(fasthttp.HeaderAuthorization), []byte("Bearer ")))
+		if a == nil {
+			return result.New(result.Unauthenticated, "the bearer key is missing or unknown")
+		}
+		account = string(a.Name)
+	}
+	c.room.account = maphash.String(accountSeed, account)
+	c.interim = strings.EqualFold(string(h.Peek(fasthttp.HeaderExpect)), "100-continue")
+	h.Del(fasthttp.HeaderExpect)
+	return c.readBody(n)
+}
+
+// resizeRoom makes the room n bytes large. It waits for up to BodyWait, in which the body
 // stays unread.
-func (c *callerConn) takeRoom(n int64) bool {
+func (c *callerConn) resizeRoom(n int64) bool {
 	bodies := c.l.limits.Bodies
-	more := n - c.room.taken
-	ok, freed := bodies.Take(c.room.account, more)
+	ok, freed := bodies.Resize(c.room.account, c.room.taken, n)
 	if !ok && c.l.limits.BodyWait > 0 && bodies.Wait() {
 		defer bodies.Waited()
 		begin := time.Now()
@@ -101,60 +134,31 @@
 		for expired := false; !ok && !expired; {
 			select {
 			case <-freed:
-				ok, freed = bodies.Take(c.room.account, more)
+				ok, freed = bodies.Resize(c.room.account, c.room.taken, n)
 			case <-limit.C:
 				expired = true
 			}
 		}
 		c.room.waited += time.Since(begin)
 	}
-	if !ok {
-		c.room.refused.Store(true)
-		return false
+	if ok {
+		c.room.taken = n
 	}
-	c.room.parts = append(c.room.parts, more)
-	c.room.taken = n
-	return true
+	return ok
 }
 
-// giveRoom gives back what the body has taken.
+// giveRoom gives back what the body has taken, after the body itself.
 func (c *callerConn) giveRoom() {
-	for _, n := range c.room.parts {
-		c.l.limits.Bodies.Give(c.room.account, n)
+	c.room.body = nil
+	if c.room.taken > 0 {
+		c.l.limits.Bodies.Give(c.room.account, c.room.taken)
+		c.room.taken = 0
 	}
-	c.room.parts, c.room.taken = c.room.parts[:0], 0
 }
 
 func (c *callerConn) releaseRoom() {
 	c.giveRoom()
-	c.room.chunked, c.room.read, c.room.waited = false, 0, 0
-}
-
-// Read implements net.Conn. It takes room for a body of unknown length as the body comes in.
-func (c *callerConn) Read(b []byte) (int, error) {
-	if c.room.refused.Load() {
-		return 0, errNoRoom
-	}
-	n, err := c.Conn.Read(b)
-	if !c.room.chunked || err != nil {
-		return n, err
-	}
-	c.room.read += int64(n)
-	// The buffer doubles, and both the old and the new one are in use while it is copied.
-	if need := 2 * bufferSize(int(c.room.read)); c.room.read > freeBodyBytes && need > c.room.taken {
-		if need > maxShortChunked {
-			// A long body must not be counted as several short ones.
-			need = max(need, budget.LongBody+1)
-			c.giveRoom()
-		}
-		if !c.takeRoom(need) {
-			return 0, errNoRoom
-		}
-		if d := c.l.limits.ReadTimeout; d > 0 {
-			err = c.SetReadDeadline(time.Now().Add(d))
-		}
-	}
-	return n, err
+	c.room.waited = 0
 }
 
 // logNoRoom logs that bodies are refused, at most once in each roomLogInterval.
--- /dev/null
+++ b/adapters/httpapi/chunks.go
@@ -0,0 +1,142 @@
+package httpapi
+
+import "errors"
+
+const (
+	// maxChunkOverhead limits the bytes of chunk lines beyond 16 and twice the chunk's size
+	// for each chunk, so that a body can't consist of framing only.
+	maxChunkOverhead = 16 << 10
+	// maxTrailerBytes limits the trailer, which is dropped.
+	maxTrailerBytes = 16 << 10
+	// maxChunkDigits limits the digits of a chunk's size.
+	maxChunkDigits = 8
+)
+
+var errChunkFraming = errors.New("the chunks of the body are not valid")
+
+type chunkState int
+
+const (
+	chunkSize chunkState = iota
+	chunkExtension
+	chunkSizeLF
+	chunkData
+	chunkDataCR
+	chunkDataLF
+	trailerStart
+	trailerLine
+	trailerLineLF
+	trailerEndLF
+	chunksDone
+)
+
+// chunkDecoder removes the framing of a body in chunks. It has no buffer of its own.
+type chunkDecoder struct {
+	state  chunkState
+	digits int
+	// size is the size of the chunk and left what is missing of it, in bytes.
+	size, left int
+	// excess counts framing bytes beyond what the chunks allow, trailer those of the trailer.
+	excess, trailer int
+}
+
+// decode copies the payload in src to the begin of dst, which may be the begin of src. It
+// returns the sizes of the payload and of the part of src that belongs to the body.
+func (d *chunkDecoder) decode(dst, src []byte) (payload, used int, err error) {
+	for used < len(src) && d.state != chunksDone {
+		if d.state == chunkData {
+			n := copy(dst[payload:], src[used:min(len(src), used+d.left)])
+			payload, used, d.left = payload+n, used+n, d.left-n
+			if d.left == 0 {
+				d.state = chunkDataCR
+			}
+			continue
+		}
+		if !d.frame(src[used]) {
+			return payload, used, errChunkFraming
+		}
+		used++
+	}
+	return payload, used, nil
+}
+
+// frame takes one byte that is not payload. It reports false if the byte is not valid.
+func (d *chunkDecoder) frame(b byte) bool {
+	switch d.state {
+	case chunkSize, chunkExtension, chunkSizeLF:
+		return d.sizeLine(b)
+	case chunkDataCR:
+		d.state = chunkDataLF
+		return b == '\r'
+	case chunkDataLF:
+		d.state, d.digits, d.size = chunkSize, 0, 0
+		return b == '\n'
+	}
+	if d.trailer++; d.trailer > maxTrailerBytes {
+		return false
+	}
+	switch d.state {
+	case trailerStart, trailerLine:
+		switch {
+		case b == '\n':
+			return false
+		case b == '\r' && d.state == trailerStart:
+			d.state = trailerEndLF
+		case b == '\r':
+			d.state = trailerLineLF
+		default:
+			d.state = trailerLine
+		}
+		return true
+	case trailerLineLF:
+		d.state = trailerStart
+	default:
+		d.state = chunksDone
+	}
+	return b == '\n'
+}
+
+// sizeLine takes one byte of a line with the size of a chunk and extensions.
+func (d *chunkDecoder) sizeLine(b byte) bool {
+	if d.excess++; d.excess > maxChunkOverhead {
+		return false
+	}
+	v, hex := hexValue(b)
+	switch {
+	case d.state == chunkSizeLF:
+		if b != '\n' {
+			return false
+		}
+		if d.left = d.size; d.size == 0 {
+			d.state = trailerStart
+			return true
+		}
+		d.excess = max(0, d.excess-16-2*d.size)
+		d.state = chunkData
+	case b == '\r':
+		d.state = chunkSizeLF
+		return d.digits > 0
+	case b == '\n':
+		return false
+	case d.state == chunkSize && hex:
+		d.size = d.size<<4 | v
+		d.digits++
+		return d.digits <= maxChunkDigits
+	case d.state == chunkSize:
+		d.state = chunkExtension
+		return d.digits > 0 && (b == ';' || b == ' ' || b == '\t')
+	}
+	return true
+}
+
+func hexValue(b byte) (int, bool) {
+	switch {
+	case b >= '0' && b <= '9':
+		return int(b - '0'), true
+	case b >= 'a' && b <= 'f':
+		return int(b-'a') + 10, true
+	case b >= 'A' && b <= 'F':
+		return int(b-'A') + 10, true
+	}
+	return 0, false
+}
--- a/adapters/httpapi/conns.go
+++ b/adapters/httpapi/conns.go
@@ -110,6 +110,7 @@
 	// being served was read. It belongs to the goroutine that serves the connection.
 	evicted bool
 	room    bodyRoom
+	input
 
 	mu           sync.Mutex
 	disconnected bool
--- a/adapters/httpapi/framing_test.go
+++ b/adapters/httpapi/framing_test.go
@@ -26,6 +26,13 @@
 	}, nil
 }
 
+func (testFrontend) Account(h *fasthttp.RequestHeader) (string, *result.Error) {
+	if string(h.Peek("Authorization")) == "unknown" {
+		return "", result.New(result.Unauthenticated, "unknown")
+	}
+	return "", nil
+}
+
 func (testFrontend) RequestID(*fasthttp.RequestCtx) string { return "i" }
 
 func (testFrontend) WriteError(ctx *fasthttp.RequestCtx, e *result.Error) {
--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -48,6 +48,9 @@
 type Frontend interface {
 	// Parse returns the request of a call, including its id, route and deadline.
 	Parse(ctx *fasthttp.RequestCtx) (*gateway.Request, *result.Error)
+	// Account returns the account whose request a header begins, or the error of a request
+	// whose body need not be read. Requests without an account have one name in common.
+	Account(h *fasthttp.RequestHeader) (string, *result.Error)
 	// RequestID returns the request id that the caller sent, for log lines.
 	RequestID(ctx *fasthttp.RequestCtx) string
 	// WriteError writes an error response. Its status must let the caller recognise an
@@ -67,6 +70,8 @@
 	// is no room waits unread for up to BodyWait and is refused then.
 	Bodies   *budget.Bodies
 	BodyWait time.Duration
+	// BodyPace is the progress that a body which takes from Bodies must make.
+	BodyPace budget.Pace
 	// Relieve, unless nil, closes an idle connection to a server if no caller's is idle, and
 	// reports whether it did.
 	Relieve func() bool
@@ -197,9 +202,8 @@
 	e := result.New(result.BadRequest, "request is not valid HTTP")
 	c, _ := ctx.Conn().(*callerConn)
 	switch {
-	case c != nil && c.room.refused.Load():
-		e = noRoom()
-		s.logNoRoom(c)
+	case c != nil && c.room.refusal != nil:
+		e = c.room.refusal
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		e = result.New(result.BodyTooLarge, "request body is over the size limit")
 	case errors.As(err, &small):
@@ -265,6 +269,9 @@
 		ctx.SetConnectionClose()
 	}
 	keepFromPool(&ctx.Request)
+	if c := callerOf(ctx); c != nil && c.room.body != nil {
+		ctx.Request.SetBodyRaw(c.room.body)
+	}
 	if c, ok := ctx.Conn().(*callerConn); ok && c.evicted {
 		s.writeError(ctx, result.New(result.ConnectionLimit, "the connection was closed for being idle").WithRetryAfter(time.Second))
 		ctx.SetConnectionClose()
--- a/adapters/settings/edge.go
+++ b/adapters/settings/edge.go
@@ -106,6 +106,13 @@
 	// instance acts for others, those with more bandwidth are preferred. Default 0,
 	// which means unknown.
 	LinkMbps float64 `toml:"link_mbps"`
+	// BodyWindowMillis is the time in which BodyWindowKilobytes of a request body that is in
+	// chunks or over 16 KB must arrive, or its end. Default 10000.
+	BodyWindowMillis int `toml:"body_window_ms"`
+	// BodyPressedMillis is the same time while other bodies wait for memory. Default 3000.
+	BodyPressedMillis int `toml:"body_pressed_ms"`
+	// BodyWindowKilobytes is the least progress of a request body, in KB. Default 64.
+	BodyWindowKilobytes int `toml:"body_window_kb"`
 	// RetryRatio is the fraction of a pool's requests that the whole fleet may retry.
 	// Default 0.1.
 	RetryRatio float64 `toml:"retry_ratio"`
@@ -157,6 +164,9 @@
 	setDefault(&s.Times.MaxPauseMillis, 600_000)
 	setDefault(&s.Limits.MemoryMegabytes, 256)
 	setDefault(&s.Limits.Descriptors, 4096)
+	setDefault(&s.Limits.BodyWindowMillis, 10_000)
+	setDefault(&s.Limits.BodyPressedMillis, 3000)
+	setDefault(&s.Limits.BodyWindowKilobytes, 64)
 	setDefault(&s.Limits.RetryRatio, 0.1)
 	setDefault(&s.Limits.RetryBurst, 30)
 	setDefault(&s.Log.Level, "info")
@@ -204,6 +214,9 @@
 		{"times.max_pause_ms", s.Times.MaxPauseMillis, 100, 3600_000},
 		{"limits.memory_mb", s.Limits.MemoryMegabytes, 32, 1 << 20},
 		{"limits.descriptors", s.Limits.Descriptors, 256, 1 << 20},
+		{"limits.body_window_ms", s.Limits.BodyWindowMillis, 1000, 600_000},
+		{"limits.body_pressed_ms", s.Limits.BodyPressedMillis, 1000, 600_000},
+		{"limits.body_window_kb", s.Limits.BodyWindowKilobytes, 1, 4096},
 	} {
 		if n.v < n.min || n.v > n.max {
 			add(n.key, "is %d, accepted range: %d to %d", n.v, n.min, n.max)
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -276,10 +276,19 @@
 	}
 }
 
+// bodyPace returns the progress that long request bodies must make. Settings that were not
+// read from a file have no defaults and set no pace.
+func bodyPace(set *settings.Edge) budget.Pace {
+	l := set.Limits
+	return budget.Pace{
+		Bytes: int64(l.BodyWindowKilobytes) << 10, Window: settings.Millis(l.BodyWindowMillis), Pressed: settings.Millis(l.BodyPressedMillis),
+	}
+}
+
 func (e *Edge) callerLimits() httpapi.Limits {
 	return httpapi.Limits{
 		MaxBodyBytes: 4 << 20, MaxHeaderBytes: 16 << 10,
-		Bodies: e.budget.Bodies, BodyWait: bodyWait, Descriptors: e.budget.Callers, Relieve: e.closeIdleServer,
+		Bodies: e.budget.Bodies, BodyWait: bodyWait, BodyPace: bodyPace(e.set), Descriptors: e.budget.Callers, Relieve: e.closeIdleServer,
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: callerIdleTimeout,
 	}
 }
--- a/core/budget/bodies.go
+++ b/core/budget/bodies.go
@@ -44,44 +44,74 @@
 // Take takes n bytes for a body of an account. It reports false, and returns a channel that
 // is closed when bytes have been given back, if there is no room.
 func (b *Bodies) Take(account uint64, n int64) (ok bool, freed <-chan struct{}) {
+	return b.Resize(account, 0, n)
+}
+
+// Resize makes what a body of an account has taken n bytes instead of held. Without room it
+// reports false, changes nothing and returns a channel as Take does.
+func (b *Bodies) Resize(account uint64, held, n int64) (ok bool, freed <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if n <= LongBody {
-		return b.all.take(n), b.freed
-	}
-	share := b.long.limit * accountPercent / 100
-	if b.accounts[account]+n > share && b.long.Used()+n > b.long.limit-share {
-		b.long.refused.Add(1)
+	b.add(account, -held)
+	if n > held && !b.hasRoom(account, n) {
+		b.add(account, held)
 		return false, b.freed
 	}
-	if !b.long.take(n) {
-		return false, b.freed
+	b.add(account, n)
+	b.all.raiseHighest(b.all.Used())
+	b.long.raiseHighest(b.long.Used())
+	if n < held {
+		b.signal()
 	}
-	if !b.all.take(n) {
-		b.long.used.Add(-n)
-		return false, b.freed
-	}
-	b.accounts[account] += n
 	return true, nil
 }
 
+// hasRoom reports whether n bytes are free for a body of an account, and counts a refusal.
+func (b *Bodies) hasRoom(account uint64, n int64) bool {
+	if n > LongBody {
+		share := b.long.limit * accountPercent / 100
+		if b.accounts[account]+n > share && b.long.Used()+n > b.long.limit-share || b.long.Used()+n > b.long.limit {
+			b.long.refused.Add(1)
+			return false
+		}
+	}
+	if b.all.Used()+n > b.all.limit {
+		b.all.refused.Add(1)
+		return false
+	}
+	return true
+}
+
+// add changes what is counted by a body of n bytes, or of -n to take it out again.
+func (b *Bodies) add(account uint64, n int64) {
+	b.all.used.Add(n)
+	if max(n, -n) <= LongBody {
+		return
+	}
+	b.long.used.Add(n)
+	if b.accounts[account] += n; b.accounts[account] <= 0 {
+		delete(b.accounts, account)
+	}
+}
+
+func (b *Bodies) signal() {
+	close(b.freed)
+	b.freed = make(chan struct{})
+}
+
+// Pressed reports whether bodies wait for room.
+func (b *Bodies) Pressed() bool { return b.unread.Used() > 0 }
+
 // Wait reports whether one more body may wait unread. Each success needs a Waited.
 func (b *Bodies) Wait() bool { return b.unread.take(unreadBytes) }
 
 // Waited ends what Wait began.
 func (b *Bodies) Waited() { b.unread.used.Add(-unreadBytes) }
 
-// Give gives back what Take took with the same arguments.
+// Give gives back what Take or Resize has taken.
 func (b *Bodies) Give(account uint64, n int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.all.used.Add(-n)
-	if n > LongBody {
-		b.long.used.Add(-n)
-		if b.accounts[account] -= n; b.accounts[account] <= 0 {
-			delete(b.accounts, account)
-		}
-	}
-	close(b.freed)
-	b.freed = make(chan struct{})
+	b.add(account, -n)
+	b.signal()
 }
--- a/core/budget/process.go
+++ b/core/budget/process.go
@@ -11,7 +11,7 @@
 	// connections. bodyPercent is the part of the rest for the bodies of requests, from the
 	// read to the end of the request; minBodyBytes has room for the largest.
 	baseBytes    = 64 << 20
-	bodyPercent  = 30
+	bodyPercent  = 40
 	minBodyBytes = 16 << 20
 )
 
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -39,6 +39,7 @@
 	IdempotencyKeyExpired Code = 1010
 	HeaderTooLarge        Code = 1011
 	PromptBlocked         Code = 1012
+	BodyStalled           Code = 1013
 
 	PoolAtBound       Code = 2001
 	AccountOverShare  Code = 2002
--- a/core/result/table.go
+++ b/core/result/table.go
@@ -14,6 +14,7 @@
 	IdempotencyKeyExpired: {"idempotency_key_expired", 409, Unknown, "The key is older than the retention of claims, so the request may have run before.", "Find out whether the first request ran; use a new key."},
 	HeaderTooLarge:        {"header_too_large", 431, NotRun, "The request header exceeds the size limit.", "Send a smaller header."},
 	PromptBlocked:         {"prompt_blocked", 503, NotRun, "Engines crashed on requests with a part of this prompt, so that it is kept away from them.", "Retry after the stated time, or without the part."},
+	BodyStalled:           {"body_stalled", 408, NotRun, "The request body did not arrive at the least pace.", "Send the body without pauses."},
 
 	PoolAtBound:       {"pool_at_bound", 503, NotRun, "Every candidate server of the pool is at its load bound.", "Retry after the stated time."},
 	AccountOverShare:  {"account_over_share", 429, NotRun, "The client account exceeds its share while requests of other accounts wait.", "Retry after the stated time."},
--- a/core/verdict/verdict.go
+++ b/core/verdict/verdict.go
@@ -105,6 +105,7 @@
 	result.IdempotencyKeyExpired: nobody,
 	result.HeaderTooLarge:        nobody,
 	result.PromptBlocked:         nobody,
+	result.BodyStalled:           nobody,
 	result.PoolAtBound:           nobody,
 	result.AccountOverShare:      nobody,
 	result.AccountLimit:          nobody,
