Treat statuses that HTTP does not have as invalid answers

Cause: the HTTP library parses 000 to a status of 0, which it returns as 200; nothing checked the upper end. Packages now read the status with adapters/httpstatus, and backend responses must have a final status of 200 to 599. Of 21 status lines, 000 (also after an interim response), 600 and 999 were passed on before; the library itself refuses one, two and four digits, letters, signs and none, and 099 and 101 were refused already. The store took a write answered 000 for done.

TestStatusLines, TestStatus000 and TestStoreStatus000 failed before: status 200, 600 and 999 complete; status 200 of a peer; "a write counts as done", "changes were read". TestBytesAfterStatusWithoutBody passed before; it keeps bytes after 204 and 304 from callers.

--- a/adapters/engine/dialect.go
+++ b/adapters/engine/dialect.go
@@ -8,6 +8,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cyclamenhitch/adapters/httpstatus"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/result"
@@ -79,14 +80,15 @@
 		// Also for a refusal: one of an earlier request says nothing about this one.
 		return result.New(result.AnswerCrossed, "server %s answered without a request id on a connection with earlier requests", srv)
 	}
+	if !httpstatus.IsFinal(r.status) {
+		return errInvalidStatus(srv, r.status)
+	}
 	r.notify()
 	switch {
 	case r.status == fasthttp.StatusMisdirectedRequest:
 		return result.New(result.ServerRefused, "address of server %s belongs to another server", srv).WithOutcome(result.NotRun)
 	case len(r.resp.Header.Peek(d.NotRun)) > 0:
 		return result.New(result.ServerRefused, "server %s refused the request with status %d", srv, r.status).WithOutcome(result.NotRun)
-	case r.status < 200:
-		return result.New(result.AnswerInvalid, "server %s answered status %d", srv, r.status)
 	case promisesNotRun(r.status):
 		return result.New(result.ServerError, "server %s answered status %d without stating that the request was not run", srv, r.status)
 	case r.status >= 500 && r.x.req.Idempotent && len(r.x.req.TriedServers) < r.x.req.MaxRuns:
--- a/adapters/engine/orders.go
+++ b/adapters/engine/orders.go
@@ -7,6 +7,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cyclamenhitch/adapters/httpstatus"
 	"cyclamenhitch/core/manifest"
 	"cyclamenhitch/core/orders"
 	"cyclamenhitch/core/result"
@@ -35,8 +36,8 @@
 	if err := o.do(req, resp, timeout); err != nil {
 		return r, result.Wrap(result.ConnectionLost, err, "report of server %s", srv.Name)
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return r, result.New(result.ServerError, "server %s answered status %d to a report request", srv.Name, resp.StatusCode())
+	if httpstatus.Of(&resp.Header) != fasthttp.StatusOK {
+		return r, result.New(result.ServerError, "server %s answered status %d to a report request", srv.Name, httpstatus.Of(&resp.Header))
 	}
 	if err := json.Unmarshal(resp.Body(), &r); err != nil {
 		return r, result.Wrap(result.AnswerInvalid, err, "report of server %s", srv.Name)
@@ -63,7 +64,7 @@
 	if err := o.do(req, resp, timeout); err != nil {
 		return result.Wrap(result.ConnectionLost, err, "order to server %s", srv.Name)
 	}
-	switch code := resp.StatusCode(); {
+	switch code := httpstatus.Of(&resp.Header); {
 	case code == fasthttp.StatusConflict:
 		return result.New(result.LeaseLost, "server %s knows a higher fencing number than %d", srv.Name, order.Fencing)
 	case code >= 300:
--- a/adapters/engine/response.go
+++ b/adapters/engine/response.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cyclamenhitch/adapters/httpstatus"
 	"cyclamenhitch/core/budget"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
@@ -50,6 +51,10 @@
 // the server is at fault whatever the caller asked for.
 const maxValidLength = 1 << 30
 
+func errInvalidStatus(server fleet.ServerID, status int) *result.Error {
+	return result.New(result.AnswerInvalid, "server %s answered status %03d, which is not valid", server, status)
+}
+
 func errInvalidLength(server fleet.ServerID, declared int) *result.Error {
 	return result.New(result.AnswerInvalid, "server %s declares %d bytes", server, declared)
 }
@@ -67,7 +72,7 @@
 }
 
 func (r *response) initBody() {
-	r.status, r.body = r.resp.StatusCode(), r.resp.BodyStream()
+	r.status, r.body = httpstatus.Of(&r.resp.Header), r.resp.BodyStream()
 	r.declared = r.resp.Header.ContentLength()
 	if r.body == nil {
 		r.declared = 0
@@ -93,12 +98,12 @@
 		return result.New(result.AnswerCrossed, "server %s answered request %q, want %q", srv, id, r.x.attemptID)
 	case !r.idEchoed && r.conn.used:
 		return result.New(result.AnswerCrossed, "server %s answered without a request id on a connection with earlier requests", srv)
+	case !httpstatus.IsFinal(r.status):
+		return errInvalidStatus(srv, r.status)
 	case r.status == fasthttp.StatusTooManyRequests && r.x.req.Route == nil:
 		return result.New(result.ServerRefused, "server %s refused the request with status %d", srv, r.status)
 	case r.status >= 500:
 		return result.New(result.ServerError, "server %s answered status %d", srv, r.status)
-	case r.status < 200:
-		return result.New(result.AnswerInvalid, "server %s answered status %d", srv, r.status)
 	case r.declared == -2:
 		return result.New(result.AnswerInvalid, "server %s sent no body length, so a truncated response could not be detected", srv)
 	case r.declared > maxValidLength:
--- a/adapters/httpcall/httpcall.go
+++ b/adapters/httpcall/httpcall.go
@@ -10,6 +10,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cyclamenhitch/adapters/httpstatus"
 	"cyclamenhitch/adapters/sockets"
 	"cyclamenhitch/core/budget"
 )
@@ -50,5 +51,5 @@
 	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
 		return 0, nil, err
 	}
-	return resp.StatusCode(), bytes.Clone(resp.Body()), nil
+	return httpstatus.Of(&resp.Header), bytes.Clone(resp.Body()), nil
 }
--- /dev/null
+++ b/adapters/httpstatus/httpstatus.go
@@ -0,0 +1,27 @@
+// Package httpstatus reads the status that the status line of a response states. It has no
+// state.
+package httpstatus
+
+import (
+	"reflect"
+
+	"github.com/valyala/fasthttp"
+)
+
+// codeField is the index of the field in which the HTTP library keeps the status.
+var codeField = func() int {
+	f, ok := reflect.TypeFor[fasthttp.ResponseHeader]().FieldByName("statusCode")
+	if !ok || f.Type.Kind() != reflect.Int {
+		panic("the HTTP library keeps the status of a response elsewhere")
+	}
+	return f.Index[0]
+}()
+
+// Of returns the status of a response that was read. The library's StatusCode returns 200 for
+// a status line with 000.
+func Of(h *fasthttp.ResponseHeader) int {
+	return int(reflect.ValueOf(h).Elem().Field(codeField).Int())
+}
+
+// IsFinal reports whether a status can be that of a complete response.
+func IsFinal(status int) bool { return status >= 200 && status <= 599 }
--- a/adapters/peer/client.go
+++ b/adapters/peer/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+
+	"cyclamenhitch/adapters/httpstatus"
 )
 
 var errAnswerSignature = errors.New("peer answer has no valid signature")
@@ -69,7 +71,7 @@
 	if err := c.exchange(req.Context(), req.URL.Host, out, in); err != nil {
 		return nil, err
 	}
-	status := in.StatusCode()
+	status := httpstatus.Of(&in.Header)
 	signed, ok := verifyAnswer(key, auth, status, in.Body())
 	if !ok {
 		return nil, errAnswerSignature
--- a/adapters/platform/members.go
+++ b/adapters/platform/members.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cyclamenhitch/adapters/httpstatus"
 	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/result"
 )
@@ -43,8 +44,8 @@
 	if err := fasthttp.DoTimeout(req, resp, l.Timeout); err != nil {
 		return nil, result.Wrap(result.StoreUnavailable, err, "membership list cannot be read")
 	}
-	if resp.StatusCode() != fasthttp.StatusOK {
-		return nil, result.New(result.StoreUnavailable, "membership list answered status %d", resp.StatusCode())
+	if httpstatus.Of(&resp.Header) != fasthttp.StatusOK {
+		return nil, result.New(result.StoreUnavailable, "membership list answered status %d", httpstatus.Of(&resp.Header))
 	}
 	l.LastBytes = len(resp.Body())
 	return ParseMembers(resp.Body())
--- a/cmd/internal/daemon/admission_loops.go
+++ b/cmd/internal/daemon/admission_loops.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"cyclamenhitch/adapters/httpstatus"
 	"cyclamenhitch/adapters/logging"
 	"cyclamenhitch/adapters/peer/permitpb"
 	"cyclamenhitch/core/admission"
@@ -282,7 +283,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + s.Address + "/load")
-	if err := client.DoTimeout(req, resp, pollTimeout); err != nil || resp.StatusCode() != fasthttp.StatusOK {
+	if err := client.DoTimeout(req, resp, pollTimeout); err != nil || httpstatus.Of(&resp.Header) != fasthttp.StatusOK {
 		return // requests detect a failed engine sooner, by connection errors
 	}
 	var r loadReport
--- a/cmd/internal/operator/client.go
+++ b/cmd/internal/operator/client.go
@@ -13,6 +13,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"cyclamenhitch/adapters/httpstatus"
 	"cyclamenhitch/core/result"
 )
 
@@ -143,11 +144,11 @@
 		return response{}, result.Wrap(result.AnswerInvalid, err, "instance %s", addr)
 	}
 	data := bytes.Clone(respBody)
-	if resp.StatusCode() == fasthttp.StatusOK {
+	if httpstatus.Of(&resp.Header) == fasthttp.StatusOK {
 		v, _ := strconv.ParseUint(string(resp.Header.Peek("X-Config-Version")), 10, 64)
 		return response{data, v, string(resp.Header.Peek("X-Config-Proof"))}, nil
 	}
-	return response{}, decodeError(addr, resp.StatusCode(), data)
+	return response{}, decodeError(addr, httpstatus.Of(&resp.Header), data)
 }
 
 func decodeError(addr string, status int, data []byte) error {
