Take a response that ends before its request was received for truncated

Cause: a body without a length ends with its connection. A reset during the upload was an error already, but a server that ended only its output (FIN) and read on or not at all made the part look complete. The client now checks whether the server had ended its output when the request was sent, for requests over 4 KB (one getsockopt each), and at the end of such a body whether sent bytes are unacknowledged.

A server whose kernel took the whole upload before it ends its output can't be told from one that read it.

--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -213,6 +213,7 @@
 	if err := w.Flush(); err != nil {
 		return err
 	}
+	cn.endedEarly = len(x.req.Body) > w.Size() && cn.raw != nil && peerHasEnded(cn.raw)
 	x.req.BodySent()
 	return nil
 }
--- a/adapters/engine/pool.go
+++ b/adapters/engine/pool.go
@@ -58,6 +58,8 @@
 	monitor liveness.Monitor
 	action  liveness.Action
 	wrote   bool
+	// endedEarly is set if the server ended its output before the request was sent.
+	endedEarly bool
 
 	// readBudget is how many more bytes the server may send before the response must
 	// make progress.
@@ -186,7 +188,7 @@
 
 // release returns the connection to the pool.
 func (c *conn) release() {
-	c.used, c.wrote, c.action = true, false, liveness.Wait
+	c.used, c.wrote, c.endedEarly, c.action = true, false, false, liveness.Wait
 	c.idleSince = time.Now()
 	h := c.host
 	h.mu.Lock()
--- a/adapters/engine/response.go
+++ b/adapters/engine/response.go
@@ -12,7 +12,6 @@
 
 	"cyclamenhitch/adapters/httpstatus"
 	"cyclamenhitch/core/budget"
-	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/liveness"
 	"cyclamenhitch/core/result"
@@ -47,18 +46,6 @@
 	maxFramingBytes = 64 << 10
 )
 
-// maxValidLength is the length in bytes above which no valid server declares a body, so that
-// the server is at fault whatever the caller asked for.
-const maxValidLength = 1 << 30
-
-func errInvalidStatus(server fleet.ServerID, status int) *result.Error {
-	return result.New(result.AnswerInvalid, "server %s answered status %03d, which is not valid", server, status)
-}
-
-func errInvalidLength(server fleet.ServerID, declared int) *result.Error {
-	return result.New(result.AnswerInvalid, "server %s declares %d bytes", server, declared)
-}
-
 // bodyReadBudget returns how many bytes may follow the header. For a stream, each event
 // resets the budget.
 func (r *response) bodyReadBudget() int {
@@ -191,6 +178,11 @@
 	if r.declared >= 0 && r.received != r.declared {
 		return result.New(result.AnswerTruncated, "response has %d of %d declared bytes", r.received, r.declared)
 	}
+	// Only the end of the connection ends such a body. A server that ends it before it has
+	// the request has failed.
+	if r.declared == -2 && !r.closed && (r.conn.endedEarly || r.conn.raw != nil && hasUnacknowledged(r.conn.raw)) {
+		return result.New(result.AnswerTruncated, "the connection ended after %d bytes of the response, before the request was sent", r.received)
+	}
 	// Bytes after the end of the response belong to no request; Close closes the
 	// connection.
 	if !r.closed && r.conn.br.Buffered() > 0 && !r.x.client.dialect().Opaque {
--- /dev/null
+++ b/adapters/engine/upload_other.go
@@ -0,0 +1,9 @@
+//go:build !linux
+
+package engine
+
+import "syscall"
+
+func peerHasEnded(syscall.RawConn) bool { return false }
+
+func hasUnacknowledged(syscall.RawConn) bool { return false }
