--- a/cmd/internal/soak/crowd_linux_test.go
+++ b/cmd/internal/soak/crowd_linux_test.go
@@ -33,6 +33,8 @@
 	// unknown makes each connection use a key of its own that no configuration contains.
 	unknown bool
 	again   bool
+	// directory sends to the listener of the directory instead of that of callers.
+	directory bool
 }
 
 var crowds = map[string]crowd{
@@ -42,12 +44,17 @@
 	"chunks of 64 KB, unknown, come again": {chunk: 64 << 10, unknown: true, again: true},
 	"chunks of 64 bytes":                   {chunk: 64},
 	"length, unknown keys":                 {unknown: true},
+	"length, to the directory":             {directory: true},
 }
 
 // play sends one body but for its last bytes on a connection, and returns once the
 // connection has ended or, with hold set, once all of that was sent.
 func (k crowd) play(t *testing.T, n *instance, id string, hold bool) {
-	c, err := net.Dial("tcp", n.caller)
+	to := n.caller
+	if k.directory {
+		to = n.directory
+	}
+	c, err := net.Dial("tcp", to)
 	if err != nil {
 		return // refused for want of descriptors
 	}
@@ -94,8 +101,8 @@
 	return len(entries)
 }
 
-// startForCrowd starts a fleet of one instance with the crowd's limits.
-func startForCrowd(t *testing.T) (*fleet, *instance) {
+// startForCrowd starts a fleet of one instance with memory_mb and descriptors.
+func startForCrowd(t *testing.T, memory, descriptors int) (*fleet, *instance) {
 	t.Helper()
 	f := startFleet(t, 0)
 	binary, err := buildDaemon()
@@ -107,7 +114,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := os.WriteFile(n.settings, fmt.Appendf(text, "memory_mb = %d\ndescriptors = %d\n", crowdMemory, crowdDescriptors), 0o600); err != nil {
+	if err := os.WriteFile(n.settings, fmt.Appendf(text, "memory_mb = %d\ndescriptors = %d\n", memory, descriptors), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	f.instances = append(f.instances, n)
@@ -121,7 +128,7 @@
 func TestCrowdsStayWithinMemory(t *testing.T) {
 	for name, k := range crowds {
 		t.Run(name, func(t *testing.T) {
-			f, n := startForCrowd(t)
+			f, n := startForCrowd(t, crowdMemory, crowdDescriptors)
 			var clients sync.WaitGroup
 			for i := range crowdClients {
 				clients.Go(func() {
@@ -153,3 +160,39 @@
 		})
 	}
 }
+
+// Guards against requests that are never complete, each within the size that is read without
+// room: together they exceed the memory, and ordinary callers must still be served.
+func TestIncompleteRequestsStayWithinMemory(t *testing.T) {
+	const (
+		clients     = 3000
+		descriptors = 8192
+	)
+	for name, request := range map[string]string{
+		"header":      "X-A: " + strings.Repeat("a", 15_000),
+		"small body":  "Content-Length: 16000\r\n\r\n" + strings.Repeat("x", 15_900),
+		"small chunk": "Transfer-Encoding: chunked\r\n\r\n1f00\r\n" + strings.Repeat("x", 7800),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, n := startForCrowd(t, 96, descriptors)
+			for i := range clients {
+				c, err := net.Dial("tcp", n.caller)
+				if err != nil {
+					continue // refused
+				}
+				defer c.Close()
+				_, _ = fmt.Fprintf(c, "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: c%d\r\nAuthorization: Bearer k1\r\n%s", i, request)
+			}
+			count := descriptorsOf(t, n.process.Pid)
+			f.eventually("an ordinary request is answered", func() bool {
+				status, err := sendBody(n, fmt.Sprint("o", time.Now().UnixNano()), 1000, false)
+				return err == nil && status == http.StatusOK
+			})
+			peak := peakMemory(t, n.process.Pid)
+			t.Logf("%d MB and %d descriptors at most", peak, count)
+			if peak > 96 || count > descriptors {
+				t.Errorf("the process used %d MB and %d descriptors, allowed are 96 and %d", peak, count, descriptors)
+			}
+		})
+	}
+}
