Bound the requests that are being read, and read no bodies on the other listeners

Cause: a header or a body up to 16 KB took nothing from any budget until it was complete, for up to 10 s; the other listeners kept bodies of up to 4 MB in memory; reading what a refused caller still sends held a buffer of 8 KB for each.

Requests that are being read count in budget.Reading (10% of memory_mb less 64 MB, 40 KB each, 64 at least) until they are read or have room in Bodies. When it is used up, the oldest that is 500 ms old ends with an error, otherwise the new one gets 503. Calls to the other listeners may have no body. Refused input is dropped in the kernel (MSG_TRUNC).

--- a/adapters/httpapi/bodyread.go
+++ b/adapters/httpapi/bodyread.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// firstBodyBytes is the first buffer of a body in chunks.
+	// firstBodyBytes is the first buffer of a body in chunks. It takes no room.
 	firstBodyBytes = 8 << 10
 	// minReadBytes is the least free space with which a body in chunks is read, and
 	// maxReadBytes the most: what follows the body is kept without room.
@@ -86,9 +86,15 @@
 func (c *callerConn) Read(b []byte) (int, error) {
 	if len(c.rest) > 0 {
 		end := c.headerEnd(c.rest[:min(len(b), len(c.rest))])
-		return c.take(b[:end]), nil
+		if n := c.take(b[:end]); c.beginReading() {
+			return n, nil
+		}
+		return 0, io.EOF
 	}
 	n, err := c.Conn.Read(b)
+	if n > 0 && !c.beginReading() {
+		return 0, io.EOF
+	}
 	end := c.headerEnd(b[:n])
 	c.keep(b[end:n])
 	return end, err
@@ -146,7 +152,7 @@
 	for {
 		if now := time.Now(); now.Sub(r.checked) >= stallCheckInterval {
 			r.checked = now
-			if r.progress.IsStalled(now, int64(r.received), r.c.l.limits.Bodies.Pressed()) {
+			if r.c.request.IsEnded() || r.progress.IsStalled(now, int64(r.received), r.c.l.limits.Bodies.Pressed()) {
 				return 0, result.New(result.BodyStalled, "request body stalled after %d bytes", r.received)
 			}
 			if err := r.c.SetReadDeadline(now.Add(stallCheckInterval)); err != nil {
@@ -217,9 +223,6 @@
 // chunkedRoom returns the room of a body of unknown length with buffers of n bytes. One that
 // may become long counts as long.
 func chunkedRoom(n int) int64 {
-	if n <= freeBodyBytes {
-		return 0
-	}
 	if n > maxShortChunked {
 		return int64(max(n, budget.LongBody+1))
 	}
--- a/adapters/httpapi/bodyroom.go
+++ b/adapters/httpapi/bodyroom.go
@@ -12,6 +12,7 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"cyclamenhitch/core/budget"
 	"cyclamenhitch/core/result"
 )
 
@@ -143,6 +144,7 @@
 	}
 	if ok {
 		c.room.taken = n
+		c.endReading()
 	}
 	return ok
 }
@@ -171,6 +173,15 @@
 	s.Log.Warn("memory is short: request bodies are refused", zap.Int64("limit", b.Limit()), zap.Int64("used", b.Used()), zap.Int64("refused", b.Refused()))
 }
 
+// logNoReading logs that requests are not read, at most once in each roomLogInterval.
+func (s *Server) logNoReading(r *budget.Reading) {
+	now, last := time.Now().UnixNano(), s.roomLogged.Load()
+	if now-last < int64(roomLogInterval) || !s.roomLogged.CompareAndSwap(last, now) {
+		return
+	}
+	s.Log.Warn("memory is short: requests are not read", zap.Int64("limit", r.Limit()), zap.Int64("used", r.Used()), zap.Int64("refused", r.Refused()))
+}
+
 // noRoom returns the refusal of a request whose body was not read for want of memory.
 func noRoom() *result.Error {
 	return result.New(result.MemoryExhausted, "%v", errNoRoom).WithOutcome(result.NotRun).WithRetryAfter(time.Second)
--- a/adapters/httpapi/calls.go
+++ b/adapters/httpapi/calls.go
@@ -45,6 +45,7 @@
 	if c == nil {
 		return
 	}
+	c.endReading()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.call.phase != noCall {
@@ -136,6 +137,8 @@
 		return
 	}
 	if state == fasthttp.StateIdle {
+		c.endReading()
+		c.begun = false
 		c.endCall()
 	}
 	c.releaseRoom()
--- a/adapters/httpapi/conns.go
+++ b/adapters/httpapi/conns.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"maps"
 	"net"
 	"net/netip"
@@ -93,12 +92,16 @@
 }
 
 func refuseConnection(c net.Conn) {
-	body := encodeError(result.New(result.ConnectionLimit, "too many open connections").WithRetryAfter(time.Second))
 	_ = c.SetDeadline(time.Now().Add(refusalWriteTimeout))
-	_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	writeConnectionLimit(c)
 	_ = c.Close()
 }
 
+func writeConnectionLimit(c net.Conn) {
+	body := encodeError(result.New(result.ConnectionLimit, "too many open connections").WithRetryAfter(time.Second))
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nRetry-After: 1\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
 // callerConn is a connection of a caller. Embedding the net.Conn interface hides
 // ReadFrom, so that each write gets its own deadline.
 type callerConn struct {
@@ -111,6 +114,7 @@
 	evicted bool
 	room    bodyRoom
 	input
+	reading
 
 	mu           sync.Mutex
 	disconnected bool
@@ -147,6 +151,7 @@
 			c.discardInput(lingerTime)
 		}
 		c.endCall()
+		c.endReading()
 		c.l.disconnects.remove(c)
 		c.l.releaseSlot(c)
 	}
@@ -164,7 +169,7 @@
 	if !ok || w.CloseWrite() != nil || c.SetReadDeadline(time.Now().Add(limit)) != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, lingerBytes)) // ends with the input, a reset or the deadline
+	discard(c.Conn, lingerBytes)
 }
 
 // setOnDisconnect sets the function to call when the caller disconnects. It is called
--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -70,6 +70,9 @@
 	// is no room waits unread for up to BodyWait and is refused then.
 	Bodies   *budget.Bodies
 	BodyWait time.Duration
+	// Reading is taken by requests that are being read and take nothing from Bodies; nil
+	// means no limit.
+	Reading *budget.Reading
 	// BodyPace is the progress that a body which takes from Bodies must make.
 	BodyPace budget.Pace
 	// Relieve, unless nil, closes an idle connection to a server if no caller's is idle, and
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -181,6 +181,10 @@
 			"limit_bytes": e.budget.Bodies.Limit(), "used_bytes": e.budget.Bodies.Used(), "highest_bytes": e.budget.Bodies.Highest(), "refused": e.budget.Bodies.Refused(),
 		}
 	})
+	e.meters.gauge("requests_read", func() any {
+		r := e.budget.Reading
+		return map[string]int64{"limit": r.Limit(), "used": r.Used(), "highest": r.Highest(), "refused": r.Refused()}
+	})
 	e.meters.gauge("descriptors", func() any {
 		shares := map[string]map[string]int64{}
 		for _, s := range e.budget.Shares() {
@@ -269,7 +273,9 @@
 func (e *Edge) auxiliaryServer(share *budget.Share, h fasthttp.RequestHandler) func(net.Listener) error {
 	srv := &fasthttp.Server{
 		Handler: h, NoDefaultServerHeader: true, ReadTimeout: auxiliaryReadTimeout, WriteTimeout: writeTimeout,
-		IdleTimeout: auxiliaryIdleTimeout, ReduceMemoryUsage: true, CloseOnShutdown: true, ConnState: sockets.TrackIdle,
+		// Calls have no body; the library would keep one of up to 4 MB in memory.
+		MaxRequestBodySize: 1,
+		IdleTimeout:        auxiliaryIdleTimeout, ReduceMemoryUsage: true, CloseOnShutdown: true, ConnState: sockets.TrackIdle,
 	}
 	return func(ln net.Listener) error {
 		return srv.Serve(&sockets.Listener{Listener: ln, Share: share, Relieve: e.caller.CloseOldestIdle, Log: e.log})
@@ -288,7 +294,7 @@
 func (e *Edge) callerLimits() httpapi.Limits {
 	return httpapi.Limits{
 		MaxBodyBytes: 4 << 20, MaxHeaderBytes: 16 << 10,
-		Bodies: e.budget.Bodies, BodyWait: bodyWait, BodyPace: bodyPace(e.set), Descriptors: e.budget.Callers, Relieve: e.closeIdleServer,
+		Bodies: e.budget.Bodies, Reading: e.budget.Reading, BodyWait: bodyWait, BodyPace: bodyPace(e.set), Descriptors: e.budget.Callers, Relieve: e.closeIdleServer,
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: callerIdleTimeout,
 	}
 }
--- a/core/budget/process.go
+++ b/core/budget/process.go
@@ -21,6 +21,8 @@
 	// Bodies is for the bodies of requests, Responses for those of responses.
 	Bodies    *Bodies
 	Responses *Bytes
+	// Reading is for requests that callers have begun to send, in requests.
+	Reading *Reading
 }
 
 // NewProcess divides the limit of open files and the memory, in bytes, of a process.
@@ -28,6 +30,7 @@
 	return &Process{
 		Descriptors: NewDescriptors(descriptors),
 		Bodies:      NewBodies(max(minBodyBytes, (memory-baseBytes)*bodyPercent/100)),
+		Reading:     NewReading(max(minReading, (memory-baseBytes)*readingPercent/100/readingBytes)),
 		Responses:   NewBytes(memory * responsePercent / 100),
 	}
 }
@@ -41,5 +44,6 @@
 	return append(lines,
 		fmt.Sprintf("descriptors of callers and servers together: %d", p.Callers.common.limit),
 		fmt.Sprintf("bytes of request bodies: %d, of long ones %d", p.Bodies.Limit(), p.Bodies.long.limit),
+		fmt.Sprintf("requests that are being read: %d", p.Reading.Limit()),
 		fmt.Sprintf("bytes of response bodies: %d", p.Responses.Limit()))
 }
