--- a/cmd/internal/soak/crowd_linux_test.go
+++ b/cmd/internal/soak/crowd_linux_test.go
@@ -196,3 +196,14 @@
 		})
 	}
 }
+
+// Guards against limits that refuse a single request of the largest size on a calm instance
+// of the smallest deployed size.
+func TestLargestBodyOnSmallInstance(t *testing.T) {
+	_, n := startForCrowd(t, 184, 4100)
+	for _, chunked := range []bool{false, true} {
+		if status, err := sendBody(n, fmt.Sprint("b", chunked), 4<<20, chunked); err != nil || status != http.StatusOK {
+			t.Errorf("chunked %v: status %d, %v", chunked, status, err)
+		}
+	}
+}
