--- a/adapters/settings/edge_test.go
+++ b/adapters/settings/edge_test.go
@@ -42,3 +42,17 @@
 		t.Errorf("policy %+v, error %v", p, err)
 	}
 }
+
+// Guards against paces of request bodies that no caller meets or that end no stalled one.
+func TestEdgeBodyPace(t *testing.T) {
+	for line, want := range map[string]string{
+		"body_window_ms = 10":       "limits.body_window_ms is 10, accepted range: 1000 to 600000",
+		"body_pressed_ms = 600001":  "limits.body_pressed_ms is 600001, accepted range: 1000 to 600000",
+		"body_window_kb = 5000":     "limits.body_window_kb is 5000, accepted range: 1 to 4096",
+		"body_window_bytes = 10000": "body_window_bytes",
+	} {
+		if _, err := ParseEdge("node.toml", []byte(validEdge+"[limits]\n"+line+"\n")); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: %v", line, err)
+		}
+	}
+}
