--- a/adapters/httpapi/bodyread.go
+++ b/adapters/httpapi/bodyread.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -42,18 +43,30 @@
 // headerEnd returns the number of bytes of b up to the end of the first empty line, or len(b).
 func (in *input) headerEnd(b []byte) int {
 	in.atHeaderEnd = false
-	for i, x := range b {
-		switch {
-		case x == '\n' && in.lineFeed:
-			in.atHeaderEnd, in.lineFeed = true, false
-			return i + 1
-		case x == '\n':
-			in.lineFeed = true
-		case x != '\r':
-			in.lineFeed = false
+	for i := 0; ; {
+		line := bytes.IndexByte(b[i:], '\n')
+		if line < 0 {
+			in.lineFeed = in.lineFeed && isReturns(b[i:])
+			return len(b)
+		}
+		empty := in.lineFeed && isReturns(b[i:i+line])
+		i += line + 1
+		in.lineFeed = !empty
+		if empty {
+			in.atHeaderEnd = true
+			return i
+		}
+	}
+}
+
+// isReturns reports whether b consists of carriage returns only.
+func isReturns(b []byte) bool {
+	for _, x := range b {
+		if x != '\r' {
+			return false
 		}
 	}
-	return len(b)
+	return true
 }
 
 // keep keeps received bytes for the next read.
--- a/adapters/httpapi/bodyread_test.go
+++ b/adapters/httpapi/bodyread_test.go
@@ -157,3 +157,27 @@
 	_, _ = io.WriteString(c, strings.Repeat("x", 20_000))
 	answer(http.StatusOK)
 }
+
+// Guards against an end of a header that is missed or found elsewhere when it comes in parts.
+func TestHeaderEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		raw := []byte(rapid.StringOfN(rapid.SampledFrom([]rune("a\r\n")), 1, 30, -1).Draw(t, "bytes"))
+		var in input
+		lineFeed := false
+		for i := 0; i < len(raw); {
+			part := raw[i : i+rapid.IntRange(1, len(raw)-i).Draw(t, "read")]
+			want, ended := len(part), false
+			for j, x := range part {
+				if x == '\n' && lineFeed {
+					want, ended, lineFeed = j+1, true, false
+					break
+				}
+				lineFeed = x == '\n' || x == '\r' && lineFeed
+			}
+			if got := in.headerEnd(part); got != want || in.atHeaderEnd != ended {
+				t.Fatalf("%q in %q: %d, %v, want %d, %v", part, raw, got, in.atHeaderEnd, want, ended)
+			}
+			i += want
+		}
+	})
+}
