Check for an early end of a response before the last bytes are sent

The connection was checked after the whole request had been written. A server that had answered and closed by then was taken for one that ended its output too early, so that a complete response without a length became answer_truncated with outcome unknown. In a test with 32 callers beside a busy machine this happened to several of up to 1,600 requests of 16 KB.

The check is made before the last 4 KB are written: a server that has ended its output before then cannot have received the request.

--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -207,13 +207,22 @@
 	if err := h.Write(w); err != nil {
 		return err
 	}
-	if _, err := w.Write(x.req.Body); err != nil {
+	body := x.req.Body
+	if last := len(body) - w.Size(); last > 0 {
+		if _, err := w.Write(body[:last]); err != nil {
+			return err
+		}
+		// Before the last bytes are sent: after them, a fast server may have ended its output
+		// because it has answered the whole request.
+		cn.endedEarly = cn.raw != nil && peerHasEnded(cn.raw)
+		body = body[last:]
+	}
+	if _, err := w.Write(body); err != nil {
 		return err
 	}
 	if err := w.Flush(); err != nil {
 		return err
 	}
-	cn.endedEarly = len(x.req.Body) > w.Size() && cn.raw != nil && peerHasEnded(cn.raw)
 	x.req.BodySent()
 	return nil
 }
