Send 100 Continue under its own write deadline, and not to HTTP/1.0

The interim response for a body that is read here was written without a new deadline. On a connection that had been idle for longer than the write timeout, that of the last response had expired: nothing was sent, and a caller that waits for it was answered 408. It is written through the connection's Write, which sets the deadline.

HTTP/1.0 has no interim responses; a caller would take one for the final response. The expectation is ignored for it, as the HTTP library does.

--- a/adapters/httpapi/bodyread.go
+++ b/adapters/httpapi/bodyread.go
@@ -108,7 +108,8 @@
 	}
 	if c.interim {
 		c.interim = false
-		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		// Write sets a new deadline; that of the last response may have expired.
+		if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return 0, err
 		}
 	}
--- a/adapters/httpapi/bodyroom.go
+++ b/adapters/httpapi/bodyroom.go
@@ -117,7 +117,8 @@
 		account = string(a.Name)
 	}
 	c.room.account = maphash.String(accountSeed, account)
-	c.interim = strings.EqualFold(string(h.Peek(fasthttp.HeaderExpect)), "100-continue")
+	// HTTP/1.0 has no interim responses.
+	c.interim = h.IsHTTP11() && strings.EqualFold(string(h.Peek(fasthttp.HeaderExpect)), "100-continue")
 	h.Del(fasthttp.HeaderExpect)
 	return c.readBody(n)
 }
