Answer 503 to an incomplete request that gave way to another one

A request whose header or short body was being read for over 500 ms when the budget of requests being read was used up got 400, which tells its caller that the request is wrong. Under such load this also ends requests of ordinary callers on slow links. They get 503 with Retry-After, not run, as new requests do, so that callers retry.

The test asked for any status below 500 from the request that gave way; it now asks for 503.

--- a/adapters/httpapi/reading_test.go
+++ b/adapters/httpapi/reading_test.go
@@ -46,7 +46,7 @@
 		}
 	}
 	// One gave way for the first request, which left its room to the others.
-	if resp, err := http.ReadResponse(bufio.NewReader(stalled[0]), nil); err != nil || resp.StatusCode >= 500 {
+	if resp, err := http.ReadResponse(bufio.NewReader(stalled[0]), nil); err != nil || resp.StatusCode != http.StatusServiceUnavailable {
 		t.Errorf("the oldest request: %+v, %v", resp, err)
 	}
 	for _, c := range stalled {
--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -198,15 +198,19 @@
 // handleProtocolError responds to a request that cannot be read. The library's error
 // message is not included, because it may quote the header.
 func (s *Server) handleProtocolError(ctx *fasthttp.RequestCtx, err error) {
-	callerOf(ctx).beginCall()
-	defer callerOf(ctx).beginResponse()
+	c := callerOf(ctx)
+	gaveWay := c != nil && c.request.IsEnded()
+	c.beginCall()
+	defer c.beginResponse()
 	var small *fasthttp.ErrSmallBuffer
 	var ne net.Error
 	e := result.New(result.BadRequest, "request is not valid HTTP")
-	c, _ := ctx.Conn().(*callerConn)
 	switch {
 	case c != nil && c.room.refusal != nil:
 		e = c.room.refusal
+	case gaveWay:
+		// Not the caller's fault: it may send the request again.
+		e = result.New(result.ConnectionLimit, "too many requests are being read").WithRetryAfter(time.Second)
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
 		e = result.New(result.BodyTooLarge, "request body is over the size limit")
 	case errors.As(err, &small):
