Let a shutdown and a request that begins share the count of its reading

At a stop the HTTP library closes idle connections from another goroutine, while a request may begin on them: both accessed the connection's entry in the budget of requests being read (found by the race detector), and an entry made after the close was never given back. The entry is swapped atomically, and each close of the connection gives it back.

--- a/adapters/httpapi/bodyread.go
+++ b/adapters/httpapi/bodyread.go
@@ -153,7 +153,7 @@
 	for {
 		if now := time.Now(); now.Sub(r.checked) >= stallCheckInterval {
 			r.checked = now
-			if r.c.request.IsEnded() || r.progress.IsStalled(now, int64(r.received), r.c.l.limits.Bodies.Pressed()) {
+			if r.c.request.Load().IsEnded() || r.progress.IsStalled(now, int64(r.received), r.c.l.limits.Bodies.Pressed()) {
 				return 0, result.New(result.BodyStalled, "request body stalled after %d bytes", r.received)
 			}
 			if err := r.c.SetReadDeadline(now.Add(stallCheckInterval)); err != nil {
--- a/adapters/httpapi/conns.go
+++ b/adapters/httpapi/conns.go
@@ -151,10 +151,11 @@
 			c.discardInput(lingerTime)
 		}
 		c.endCall()
-		c.endReading()
 		c.l.disconnects.remove(c)
 		c.l.releaseSlot(c)
 	}
+	// Also after a shutdown has closed the connection: a request may have begun since.
+	c.endReading()
 	return c.Conn.Close()
 }
 
--- a/adapters/httpapi/reading.go
+++ b/adapters/httpapi/reading.go
@@ -2,15 +2,16 @@
 
 import (
 	"net"
+	"sync/atomic"
 	"time"
 
 	"cyclamenhitch/core/budget"
 )
 
 // reading tells whether the request of a connection is counted as one being read. It belongs
-// to the goroutine that serves the connection.
+// to the goroutine that serves the connection, except that a shutdown may end it.
 type reading struct {
-	request *budget.Incomplete
+	request atomic.Pointer[budget.Incomplete]
 	// begun is set from the first byte of a request to the end of its response.
 	begun bool
 }
@@ -24,8 +25,8 @@
 	c.begun = true
 	nc := c.Conn
 	// A read that has timed out ends the request with an error response.
-	c.request = c.l.limits.Reading.Begin(time.Now(), func() { _ = nc.SetReadDeadline(time.Unix(1, 0)) })
-	if c.request != nil {
+	if i := c.l.limits.Reading.Begin(time.Now(), func() { _ = nc.SetReadDeadline(time.Unix(1, 0)) }); i != nil {
+		c.request.Store(i)
 		return true
 	}
 	c.room.refused.Store(true) // what the caller still sends is discarded
@@ -36,9 +37,8 @@
 
 // endReading is called when the request has been read, or is counted by Bodies.
 func (c *callerConn) endReading() {
-	if c.request != nil {
-		c.l.limits.Reading.End(c.request)
-		c.request = nil
+	if i := c.request.Swap(nil); i != nil {
+		c.l.limits.Reading.End(i)
 	}
 }
 
--- a/adapters/httpapi/reading_test.go
+++ b/adapters/httpapi/reading_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -58,3 +60,50 @@
 		}
 	}
 }
+
+// Guards against a data race between a request that begins and a shutdown that closes its idle
+// connection, and against a count that is never given back.
+func TestRequestsBeginInShutdown(t *testing.T) {
+	for range 20 {
+		l := testLimits()
+		l.MaxBodyBytes, l.Bodies, l.Reading = 4<<20, budget.NewBodies(bodyBudget), budget.NewReading(100)
+		s := &Server{Opener: &fakeOpener{open: respondOK}, Admission: allowAll{}, Log: zap.NewNop(), Frontend: testFrontend{}}
+		addr := serve(t, s, l)
+		var clients, first sync.WaitGroup
+		for range 50 {
+			c, err := net.Dial("tcp", addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = c.SetDeadline(time.Now().Add(testTimeout))
+			first.Add(1)
+			clients.Go(func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					_, _ = io.WriteString(c, "POST /x HTTP/1.1\r\nHost: r\r\nContent-Length: 1\r\n\r\nx")
+					resp, err := http.ReadResponse(r, nil)
+					if n == 0 {
+						first.Done()
+					}
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, resp.Body)
+				}
+			})
+		}
+		first.Wait()
+		ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+		if err := s.Shutdown(ctx); err != nil {
+			t.Error(err)
+		}
+		cancel()
+		clients.Wait()
+		for until := time.Now().Add(testTimeout); l.Reading.Used() != 0; time.Sleep(time.Millisecond) {
+			if time.Now().After(until) {
+				t.Fatalf("%d requests are left", l.Reading.Used())
+			}
+		}
+	}
+}
--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -199,7 +199,7 @@
 // message is not included, because it may quote the header.
 func (s *Server) handleProtocolError(ctx *fasthttp.RequestCtx, err error) {
 	c := callerOf(ctx)
-	gaveWay := c != nil && c.request.IsEnded()
+	gaveWay := c != nil && c.request.Load().IsEnded()
 	c.beginCall()
 	defer c.beginResponse()
 	var small *fasthttp.ErrSmallBuffer
