Recover from a panic before a body is read

The key is now checked in the HTTP library's hook after the header, outside the handler that recovers from panics: a panic there ended the process. It is logged and the request is answered 500, as in the handler.

--- a/adapters/httpapi/bodyread_test.go
+++ b/adapters/httpapi/bodyread_test.go
@@ -12,10 +12,12 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 	"pgregory.net/rapid"
 
 	"cyclamenhitch/core/budget"
+	"cyclamenhitch/core/result"
 )
 
 // Guards against a payload or an end of a body that another parser sees elsewhere, however
@@ -157,3 +159,19 @@
 	_, _ = io.WriteString(c, strings.Repeat("x", 20_000))
 	answer(http.StatusOK)
 }
+
+type panickingFrontend struct{ testFrontend }
+
+func (panickingFrontend) Account(*fasthttp.RequestHeader) (string, *result.Error) { panic("account") }
+
+// Guards against a panic before a body is read that ends the process.
+func TestPanicBeforeBody(t *testing.T) {
+	l := testLimits()
+	l.MaxBodyBytes, l.Bodies = 4<<20, budget.NewBodies(bodyBudget)
+	addr := serve(t, &Server{Opener: &fakeOpener{open: respondOK}, Admission: allowAll{}, Log: zap.NewNop(), Frontend: panickingFrontend{}}, l)
+	for range 2 {
+		if status := post(t, addr, 20_000, false); status != http.StatusInternalServerError {
+			t.Errorf("status %d", status)
+		}
+	}
+}
--- a/adapters/httpapi/bodyroom.go
+++ b/adapters/httpapi/bodyroom.go
@@ -96,7 +96,14 @@
 }
 
 // receive checks the header and reads the body; n is its length, or -1 for chunks.
-func (s *Server) receive(c *callerConn, h *fasthttp.RequestHeader, n int) *result.Error {
+func (s *Server) receive(c *callerConn, h *fasthttp.RequestHeader, n int) (refusal *result.Error) {
+	// The HTTP server does not recover from a panic in its hook.
+	defer func() {
+		if p := recover(); p != nil {
+			s.Log.Error("request header handler panicked", zap.Any("panic", p), zap.Stack("stack"))
+			refusal = result.New(result.Internal, "internal error")
+		}
+	}()
 	if e := checkFraming(h); e != nil {
 		return e
 	}
