--- a/adapters/httpapi/bodyread.go
+++ b/adapters/httpapi/bodyread.go
@@ -121,7 +121,8 @@
 	}
 	if c.interim {
 		c.interim = false
-		if _, err := io.WriteString(c.Conn, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		// Write sets a new deadline; that of the last response may have expired.
+		if _, err := io.WriteString(c, "HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
 			return 0, err
 		}
 	}
@@ -165,7 +166,7 @@
 	for {
 		if now := time.Now(); now.Sub(r.checked) >= stallCheckInterval {
 			r.checked = now
-			if r.c.request.IsEnded() || r.progress.IsStalled(now, int64(r.received), r.c.l.limits.Bodies.Pressed()) {
+			if r.c.request.Load().IsEnded() || r.progress.IsStalled(now, int64(r.received), r.c.l.limits.Bodies.Pressed()) {
 				return 0, result.New(result.BodyStalled, "request body stalled after %d bytes", r.received)
 			}
 			if err := r.c.SetReadDeadline(now.Add(stallCheckInterval)); err != nil {
