Hold a version whose order is replaced before its end

The read that brought another order also released the version of the replaced one: it was no longer the order's version, was not excluded, and its first entry was older than a second.

Such a version is now excluded until an order names it, which the stored row passes on, and excluded versions are not released.

--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -252,6 +252,9 @@
 	if p.ordered && p.phase == Completed {
 		p.inUse[p.order.To] = true
 	}
+	if p.isUnproven() {
+		p.excluded[p.order.To] = true
+	}
 	delete(p.excluded, o.To)
 	p.order, p.ordered, p.removed, p.known = o, true, false, fresh
 	p.started, p.phase, p.phaseAt, p.fresh = now, None, now, fresh
@@ -261,6 +264,15 @@
 	p.write = writeState{}
 }
 
+// isUnproven reports whether the order's version was bad or under observation beside servers of
+// other versions, so that it may not get all requests without an order of its own.
+func (p *pool) isUnproven() bool {
+	if !p.ordered || p.phase.final() || p.inUse[p.order.To] {
+		return false
+	}
+	return p.bad || p.known && p.restricted
+}
+
 // holdMargin is how long after the first entry of a version a read of the operator's table has
 // to start to show that there is no order for it. Operators write both within this time.
 const holdMargin = time.Second
@@ -269,7 +281,7 @@
 // order.
 func (p *pool) release(readStart time.Time) {
 	for v, at := range p.firstSeen {
-		if p.ordered && v == p.order.To {
+		if p.excluded[v] || p.ordered && v == p.order.To {
 			continue
 		}
 		if readStart.Sub(at) > holdMargin {
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -238,3 +238,23 @@
 		t.Errorf("%d reads in 10 minutes", reads)
 	}
 }
+
+// Guards against a version under observation that gets all requests once another order replaces
+// its own: the read that brings the new order is also the one that releases unordered versions.
+func TestReplacedOrderHoldsItsVersion(t *testing.T) {
+	tr, now := rig(t, nil)
+	tr.Written(now, simPool, State{Row: 7, Phase: Observing, Started: now, Changed: now})
+	for range 5 {
+		now = now.Add(time.Second)
+		tr.SetOrders(now, now, nil, false)
+	}
+	tr.SetOrders(now, now, map[fleet.PoolID]*Order{simPool: {Row: 8, To: "v3", Duration: time.Minute}}, false)
+	tr.SetOrders(now.Add(5*time.Second), now.Add(5*time.Second), nil, false)
+	if n := sends(tr, now.Add(5*time.Second), 1000); n != 0 {
+		t.Errorf("%d of 1000 requests to the version whose order was replaced", n)
+	}
+	tasks := tr.Tasks(now, func(fleet.PoolID) int { return 0 }, nil)
+	if len(tasks) != 1 || len(tasks[0].Next.Excluded) != 1 || tasks[0].Next.Excluded[0] != "v2" {
+		t.Errorf("instances that restart do not learn it: tasks %+v", tasks)
+	}
+}
