Use servers that are started after an order has completed

While the row of a completed order stays, servers of a later version without an order were treated as those that the order gave up: they got requests only if no server of the order's version took any. A replacement without an order thus left all requests to fewer and fewer servers.

Servers that started after the completion now take requests once the version is released.

go test -race ./core/rollout passes.

--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -94,7 +94,7 @@
 
 const (
 	classOld  class = iota // not of the order's version
-	classNew               // of the order's version, not used while it is observed
+	classNew               // of the order's version, not used while it is observed, or started after completion
 	classTest              // of the order's version, gets the limited share
 	classHeld              // of a version that gets nothing
 )
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -258,3 +258,26 @@
 		t.Errorf("instances that restart do not learn it: tasks %+v", tasks)
 	}
 }
+
+// Guards against servers of a later version without an order that get nothing because the last
+// order has completed.
+func TestReleaseAfterCompletion(t *testing.T) {
+	tr, now := rig(t, nil)
+	now = now.Add(30 * time.Second)
+	tr.Written(now, simPool, State{Row: 7, Phase: Completed, Started: now, Changed: now})
+	later := []Server{{ID: "a", Version: "v2", StartMillis: 2, Taking: true}, {ID: "n", Version: "v3", StartMillis: now.Add(time.Hour).UnixMilli(), Taking: true}}
+	now = now.Add(time.Hour)
+	tr.SetServers(now, simPool, later)
+	if c := tr.Choose(now, simPool, 1, true); c == nil || !c.Excludes("n") {
+		t.Error("the version gets requests before it was known whether there is an order")
+	}
+	now = now.Add(5 * time.Second)
+	tr.SetOrders(now, now, nil, false)
+	if c := tr.Choose(now, simPool, 1, true); c != nil && c.Excludes("n") {
+		t.Error("the later version gets nothing")
+	}
+	tr.SetServers(now, simPool, append(later, Server{ID: "old", Version: "v1", StartMillis: 1, Taking: true}))
+	if c := tr.Choose(now, simPool, 1, true); c == nil || !c.Excludes("old") || c.Excludes("a") || c.Excludes("n") {
+		t.Error("the servers that were given up get requests, or others do not")
+	}
+}
--- a/core/rollout/share.go
+++ b/core/rollout/share.go
@@ -51,6 +51,11 @@
 		case p.excluded[s.Version], !p.inUse[s.Version]:
 			p.classes[id] = classHeld
 			p.restricted = true
+		case p.phase == Completed && s.StartMillis > p.phaseAt.UnixMilli():
+			// It was started after the other servers were given up.
+			p.classes[id] = classNew
+			fresh = append(fresh, s)
+			p.restricted = true
 		default:
 			if s.Taking {
 				old++
