Keep room for the counters of routes beside those of servers

In the move each new server has a counter. With 128 of them, as in a pool of 140 engines, no route was added and sums over instances dropped counters of routes at random, so that a fault of one route was not counted.

Servers are added up to 64 counters only.

--- a/core/rollout/evidence.go
+++ b/core/rollout/evidence.go
@@ -59,8 +59,17 @@
 // maxCells limits the counters of one pool, 10 bytes each in a report.
 const maxCells = 128
 
+// maxServerCells is the number of counters from which no server is added, so that the many
+// servers of a move leave room for the routes, on which verdicts depend.
+const maxServerCells = maxCells / 2
+
+// hasRoom reports whether a counter may be added.
+func (c Cells) hasRoom(id CellID) bool {
+	return len(c) < maxServerCells || len(c) < maxCells && id&kindMask != newServer
+}
+
 func (c Cells) add(id CellID, x Cell) {
-	if _, ok := c[id]; ok || len(c) < maxCells {
+	if _, ok := c[id]; ok || c.hasRoom(id) {
 		c[id] = c[id].plus(x)
 	}
 }
@@ -76,7 +85,7 @@
 	changed := false
 	for id, x := range o {
 		old, ok := c[id]
-		if !ok && len(c) >= maxCells {
+		if !ok && !c.hasRoom(id) {
 			continue
 		}
 		if n := old.max(x); n != old {
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -281,3 +281,21 @@
 		t.Error("the servers that were given up get requests, or others do not")
 	}
 }
+
+// Guards against counters of many servers in the move that leave no room for those of routes.
+func TestServersLeaveRoomForRoutes(t *testing.T) {
+	tr, now := rig(t, nil)
+	var servers []Server
+	for i := range 300 {
+		servers = append(servers, Server{ID: fleet.ServerID(rune('A' + i)), Version: "v2", StartMillis: 2, Taking: true})
+	}
+	tr.SetServers(now, simPool, append(servers, Server{ID: "old", Version: "v1", StartMillis: 1, Taking: true}))
+	for _, s := range servers {
+		tr.Answer(now, Attempt{Pool: simPool, Route: "a", Server: s.ID})
+	}
+	tr.Answer(now, Attempt{Pool: simPool, Route: "b", Server: servers[0].ID, Outcome: Failed})
+	ev := &tr.pool(simPool).ev
+	if got := ev.own[cellID(newRoute, "b")]; got.Failed != 1 || len(ev.own) > maxCells {
+		t.Errorf("counter of the route %+v among %d", got, len(ev.own))
+	}
+}
