Give no verdict on the only version of a pool

An order for the version that all servers of a pool have was judged although there is nothing to go back to. If over 75 of 100 answers failed, as in an outage behind the servers, the pool was closed: all requests were refused.

go test -race ./core/rollout passes.

--- a/core/rollout/exchange.go
+++ b/core/rollout/exchange.go
@@ -158,7 +158,8 @@
 func (t *Tracker) Judge(now time.Time, own fleet.DataCentreID) bool {
 	found := false
 	t.each(func(_ fleet.PoolID, p *pool) {
-		if !p.ordered || p.bad || p.phase.final() || !p.ev.changed {
+		// Without restriction there is no other version to go back to.
+		if !p.ordered || p.bad || !p.restricted || p.phase.final() || !p.ev.changed {
 			return
 		}
 		p.ev.changed = false
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -299,3 +299,15 @@
 		t.Errorf("counter of the route %+v among %d", got, len(ev.own))
 	}
 }
+
+// Guards against a verdict that closes a pool in which all servers have the order's version.
+func TestNoVerdictWithoutOtherVersion(t *testing.T) {
+	tr, now := rig(t, nil)
+	tr.SetServers(now, simPool, rigServers("v2")[1:])
+	for i := range 300 {
+		tr.Answer(now, Attempt{Pool: simPool, Route: "r", Server: fleet.ServerID(rune('a' + i%3)), Outcome: Failed})
+	}
+	if tr.Judge(now, "z") || tr.Choose(now, simPool, 1, true) != nil {
+		t.Error("a pool without another version is closed")
+	}
+}
