Report verdicts at once, and counters of relays within the time limit

The interval of reports counted the counters for all recipients, also for the members of a relay, who get none: 80 recipients, as in a fleet of 300 instances, gave 1.6 s with thirteen counters and 5.4 s with 128 (worked out). Verdicts and phases waited for that interval too, twice on their way to the members of another data centre, so that the limit of 5 s after the 50th bad answer could not be kept.

Verdicts and phases are reported in the next round, and only recipients of counters are counted with their size, relays of other data centres twice. Answers after the end of an order are not counted, since they kept reports at the short interval for as long as the row of the order stayed. Reports on pools without an order make no state.

go test -race ./core/rollout passes.

--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -146,7 +146,7 @@
 	p.logPaces(own.ReadRates)
 	plan := p.roster.Plan(now, own.From)
 	p.logRoleChange(&plan)
-	out := p.rollouts.reports(now, plan.Relaying, plan.Recipients())
+	out := p.rollouts.reports(now, &plan)
 	own.Rollouts, p.relay.rollouts = out.Own, out
 	p.relay.sendRound(now, &plan, own, p.send)
 	return roster.ReportInterval(plan.Recipients())
--- a/cmd/internal/edge/rollout.go
+++ b/cmd/internal/edge/rollout.go
@@ -15,6 +15,7 @@
 	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/result"
 	"cyclamenhitch/core/rollout"
+	"cyclamenhitch/core/roster"
 	"cyclamenhitch/platform"
 )
 
@@ -128,12 +129,14 @@
 	return ""
 }
 
-// reports returns what to send in a round to so many recipients.
-func (r *rollouts) reports(now time.Time, relaying bool, recipients int) rollout.Outgoing {
+// reports returns what to send in a round of a plan.
+func (r *rollouts) reports(now time.Time, plan *roster.Plan) rollout.Outgoing {
 	if r == nil {
 		return rollout.Outgoing{}
 	}
-	return r.tracker.Reports(now, r.set.DataCentre, relaying, recipients)
+	// Relays of other data centres get the sums besides the counters of this instance.
+	n := rollout.Recipients{Counters: len(plan.All) + len(plan.Relays) + 2*len(plan.Remote), Verdicts: len(plan.Members)}
+	return r.tracker.Reports(now, r.set.DataCentre, plan.Relaying, n)
 }
 
 // applyReport applies what a peer reports and relays.
--- a/core/rollout/evidence.go
+++ b/core/rollout/evidence.go
@@ -120,8 +120,10 @@
 	changed bool
 	// snapshots are earlier sums, oldest first.
 	snapshots []snapshot
-	sentAt    time.Time
-	unsent    bool
+	// sentAt is when the counters were last reported; zero if a verdict or phase is to be reported
+	// without regard to the interval.
+	sentAt time.Time
+	unsent bool
 }
 
 func newEvidence() evidence {
@@ -192,7 +194,7 @@
 	case Good:
 		x.Slow = p.ev.slow(kind == oldRoute, &a)
 	}
-	if !p.ordered || p.removed || c == classHeld {
+	if !p.ordered || p.removed || p.phase.final() || c == classHeld {
 		return
 	}
 	p.ev.own.add(cellID(kind, a.Route), x)
--- a/core/rollout/exchange.go
+++ b/core/rollout/exchange.go
@@ -46,13 +46,17 @@
 	reportRate  = 10_000
 )
 
+// Recipients are the numbers of entries of a pool that an instance sends in a round, with
+// counters and without.
+type Recipients struct{ Counters, Verdicts int }
+
 // interval returns the shortest time between two reports to so many peers.
-func (p *pool) interval(cfg Config, recipients int) time.Duration {
+func (p *pool) interval(cfg Config, recipients Recipients) time.Duration {
 	least, rate := min(maxReportInterval, cfg.RollbackLimit/reportsInLimit), reportRate
 	if p.phase == Moving {
 		least, rate = min(least, moveReportInterval), 2*reportRate
 	}
-	bytes := recipients * (reportBytes + cellBytes*len(p.ev.own))
+	bytes := (recipients.Counters+recipients.Verdicts)*reportBytes + recipients.Counters*cellBytes*len(p.ev.own)
 	return max(least, time.Duration(bytes)*time.Second/time.Duration(rate))
 }
 
@@ -66,7 +70,7 @@
 
 // Reports returns what to report in a round to so many recipients. own is the instance's data
 // centre.
-func (t *Tracker) Reports(now time.Time, own fleet.DataCentreID, relaying bool, recipients int) Outgoing {
+func (t *Tracker) Reports(now time.Time, own fleet.DataCentreID, relaying bool, recipients Recipients) Outgoing {
 	var out Outgoing
 	t.each(func(id fleet.PoolID, p *pool) {
 		e := &p.ev
@@ -102,7 +106,12 @@
 	soon := false
 	for i := range reports {
 		r := &reports[i]
-		p := t.pool(r.Pool)
+		t.mu.RLock()
+		p := t.pools[r.Pool]
+		t.mu.RUnlock()
+		if p == nil {
+			continue
+		}
 		p.mu.Lock()
 		if p.merge(now, from, dc, r) {
 			soon = true
@@ -127,6 +136,9 @@
 	if r.Bad && !p.bad && p.phase != Completed {
 		p.bad, p.reason, news = true, r.Reason, true
 	}
+	if news {
+		p.ev.sentAt = time.Time{}
+	}
 	if r.Doubtful {
 		p.doubtUntil = now.Add(doubtTime)
 	}
@@ -149,7 +161,6 @@
 	if cells.raise(r.Cells) {
 		p.ev.changed, p.ev.unsent = true, true
 	}
-	p.ev.unsent = p.ev.unsent || news
 	return news
 }
 
@@ -174,7 +185,7 @@
 			}
 			p.doubtful = true
 			if reason := p.ev.judge(cells, threshold); reason != "" {
-				p.bad, p.reason, p.ev.unsent, found = true, reason, true, true
+				p.bad, p.reason, p.ev.sentAt, found = true, reason, time.Time{}, true
 				p.classify(t.cfg)
 				return
 			}
--- a/core/rollout/phase.go
+++ b/core/rollout/phase.go
@@ -206,7 +206,7 @@
 	defer p.mu.Unlock()
 	if p.order.Row == s.Row {
 		p.advance(s.Phase, s.Reason, s.Started, s.Changed, now)
-		p.write.again, p.heardAt = false, now
+		p.write.again, p.heardAt, p.ev.sentAt = false, now, time.Time{}
 		p.classify(t.cfg)
 	}
 }
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -169,8 +169,8 @@
 		for _, tr := range []*Tracker{member, relay} {
 			tr.Answer(now, Attempt{Pool: simPool, Route: "r", Server: "a", Outcome: Failed})
 		}
-		relay.Merge(now, Source{"m", 1}, "z1", member.Reports(now, "z1", false, 2).Own)
-		out := relay.Reports(now, "z1", true, 30)
+		relay.Merge(now, Source{"m", 1}, "z1", member.Reports(now, "z1", false, Recipients{Counters: 2}).Own)
+		out := relay.Reports(now, "z1", true, Recipients{Counters: 30})
 		for range 2 { // datagrams may arrive twice
 			far.Merge(now, Source{"r", 1}, "z1", out.Sums)
 			member.Merge(now, Source{"r", 1}, "z1", append(out.Own, out.Sums...))
@@ -207,7 +207,7 @@
 	if n := sends(tr, now, 200); n != 0 {
 		t.Errorf("%d requests after the verdict", n)
 	}
-	if own := tr.Reports(now, "z", false, 2).Own; len(own) != 1 || !own[0].Bad {
+	if own := tr.Reports(now, "z", false, Recipients{Counters: 2}).Own; len(own) != 1 || !own[0].Bad {
 		t.Errorf("the verdict is not passed on: %+v", own)
 	}
 }
@@ -282,6 +282,45 @@
 	}
 }
 
+// Guards against verdicts that reach the members of a large data centre later than the limit
+// allows: a relay of 300 instances has 80 recipients.
+func TestVerdictIsReportedAtOnce(t *testing.T) {
+	tr, now := rig(t, nil)
+	for i := range 40 {
+		tr.Answer(now, Attempt{Pool: simPool, Route: string(rune('a' + i%20)), Server: "a"})
+		tr.Answer(now, Attempt{Pool: simPool, Route: string(rune('a' + i%20)), Server: "old"})
+	}
+	tr.Reports(now, "z", true, Recipients{Counters: 13, Verdicts: 74})
+	now = now.Add(200 * time.Millisecond)
+	tr.Merge(now, Source{"r", 1}, "z", []Report{{Pool: simPool, Row: 7, Phase: Observing, Bad: true, Reason: "r"}})
+	if out := tr.Reports(now, "z", true, Recipients{Counters: 13, Verdicts: 74}); len(out.Verdicts) != 1 || !out.Verdicts[0].Bad {
+		t.Errorf("reports %+v", out)
+	}
+}
+
+// Guards against relays that report their counters too rarely to keep the time limit: three hops,
+// with 74 members that get no counters, have to fit into it.
+func TestRelayReportsInTime(t *testing.T) {
+	tr, now := rig(t, nil)
+	for _, route := range []string{"a", "b", "c", "d", "e"} {
+		for _, s := range []fleet.ServerID{"a", "b", "c", "old"} {
+			tr.Answer(now, Attempt{Pool: simPool, Route: route, Server: s})
+		}
+	}
+	tr.Reports(now, "z", true, Recipients{Counters: 13, Verdicts: 74})
+	for step := 1; ; step++ {
+		at := now.Add(time.Duration(step) * 100 * time.Millisecond)
+		tr.Answer(at, Attempt{Pool: simPool, Route: "a", Server: "a"})
+		if out := tr.Reports(at, "z", true, Recipients{Counters: 13, Verdicts: 74}); len(out.Own) == 0 {
+			continue
+		}
+		if at.Sub(now) > 1250*time.Millisecond {
+			t.Errorf("counters are reported after %v", at.Sub(now))
+		}
+		return
+	}
+}
+
 // Guards against counters of many servers in the move that leave no room for those of routes.
 func TestServersLeaveRoomForRoutes(t *testing.T) {
 	tr, now := rig(t, nil)
@@ -311,3 +350,19 @@
 		t.Error("a pool without another version is closed")
 	}
 }
+
+// Guards against control traffic that goes on at the rate of a roll-out after its end, and
+// against state for pools that only peers name.
+func TestNoReportsOfAnswersAfterEnd(t *testing.T) {
+	tr, now := rig(t, nil)
+	tr.Written(now, simPool, State{Row: 7, Phase: Completed, Started: now, Changed: now})
+	tr.Reports(now, "z", false, Recipients{Counters: 2})
+	tr.Answer(now, Attempt{Pool: simPool, Route: "r", Server: "a"})
+	if out := tr.Reports(now.Add(time.Second), "z", false, Recipients{Counters: 2}); len(out.Own) != 0 {
+		t.Errorf("reports %+v", out.Own)
+	}
+	tr.Merge(now, Source{"p", 1}, "z", []Report{{Pool: "unknown", Row: 7}})
+	if len(tr.pools) != 1 {
+		t.Errorf("%d pools", len(tr.pools))
+	}
+}
--- a/core/rollout/sim_test.go
+++ b/core/rollout/sim_test.go
@@ -190,7 +190,7 @@
 
 func (w *world) exchange() {
 	for i, t := range w.edges {
-		reports := t.Reports(w.now, "z", false, w.instances).Own
+		reports := t.Reports(w.now, "z", false, Recipients{Counters: w.instances}).Own
 		for j, to := range w.edges {
 			if i != j && !w.isCut(i) && !w.isCut(j) && w.rnd.Float64() > 0.05 {
 				to.Merge(w.now, Source{fleet.InstanceID(fmt.Sprint(i)), w.starts[i]}, "z", reports)
