Do not use a version whose order was removed while others are full

With the order removed, a request that found the other servers full or late fell back to the version, so that a surge sent it requests beyond the share. It now falls back only if no server of another version may receive work.

go test -race ./core/rollout passes.

--- a/cmd/internal/edge/placer.go
+++ b/cmd/internal/edge/placer.go
@@ -102,7 +102,7 @@
 		return ranked, status, nil
 	}
 	ranked, status := p.board.Rank(now, req.Pool.Name, ask, eitherFilter(tried, choice.Excludes))
-	if choice.HasFallback() && (status != placement.Found || ranked[0].MissesDeadline(left)) {
+	if choice.HasFallback(status == placement.NoServers) && (status != placement.Found || ranked[0].MissesDeadline(left)) {
 		ranked, status = p.board.Rank(now, req.Pool.Name, ask, eitherFilter(tried, choice.ExcludesFallback))
 	}
 	return ranked, status, choice
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -110,8 +110,10 @@
 	if n := sends(tr, now, 100); n != 0 {
 		t.Errorf("%d requests after the removal", n)
 	}
-	if c := tr.Choose(now, simPool, 1, true); !c.HasFallback() || c.ExcludesFallback("a") {
+	if c := tr.Choose(now, simPool, 1, true); !c.HasFallback(true) || c.ExcludesFallback("a") {
 		t.Error("the version gets nothing although no other one may be left")
+	} else if c.HasFallback(false) {
+		t.Error("the version gets what the old servers have no room for")
 	}
 	if tasks := tr.Tasks(now, func(fleet.PoolID) int { return 0 }, nil); len(tasks) != 0 {
 		t.Errorf("tasks %+v", tasks)
--- a/core/rollout/share.go
+++ b/core/rollout/share.go
@@ -92,7 +92,10 @@
 	allowed, fallback uint8
 	// taken is set if the choice has taken credit.
 	taken bool
-	row   uint64
+	// onlyWithout restricts the fallback to the case that no allowed server may receive work:
+	// full ones are no reason to use a version whose order was removed.
+	onlyWithout bool
+	row         uint64
 }
 
 func bit(c class) uint8 { return 1 << c }
@@ -103,8 +106,11 @@
 // ExcludesFallback is Excludes for the case that no other server takes requests.
 func (c *Choice) ExcludesFallback(id fleet.ServerID) bool { return c.excludes(id, c.fallback) }
 
-// HasFallback reports whether the fallback allows other servers.
-func (c *Choice) HasFallback() bool { return c != nil && c.fallback != 0 && c.fallback != c.allowed }
+// HasFallback reports whether the fallback allows other servers. without is set if no allowed
+// server may receive work, not set if those that may are full or late.
+func (c *Choice) HasFallback(without bool) bool {
+	return c != nil && c.fallback != 0 && c.fallback != c.allowed && (without || !c.onlyWithout)
+}
 
 func (c *Choice) excludes(id fleet.ServerID, allowed uint8) bool {
 	return allowed&bit(c.classes[id]) == 0
@@ -133,7 +139,7 @@
 	case p.phase == Completed:
 		c.allowed, c.fallback = fresh, old
 	case p.removed:
-		c.allowed, c.fallback = old, fresh
+		c.allowed, c.fallback, c.onlyWithout = old, fresh, true
 	case p.phase == Moving && float64(fleet.Mix(key, p.order.Row)>>11)/(1<<53) < p.movedPart(t.cfg, now):
 		c.allowed, c.fallback = fresh, old
 	case first && p.known && (p.phase == None || p.phase == Observing) && p.credit >= 1:
