Read the stored states when an instance starts beside several versions

In fleets of over 40 instances, those that do not read the store never learned which versions were rolled back unless their order was still in force. Such an instance that started after the order was removed or replaced released the version after a second and sent it requests without a limit.

It now reads the stored states once if its first read of the servers has versions whose use is not known. Reads of instances that start together are spread.

go test -race ./core/rollout passes.

--- a/cmd/internal/edge/rolloutstore.go
+++ b/cmd/internal/edge/rolloutstore.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -21,6 +22,9 @@
 	rolloutInterval = 100 * time.Millisecond
 	// rolloutRetryDelay is the time after a failed call of the store.
 	rolloutRetryDelay = 300 * time.Millisecond
+	// maxLoadDelay spreads the reads of instances that start together. A version is held for a
+	// second at least.
+	maxLoadDelay = 700 * time.Millisecond
 )
 
 // run computes verdicts and writes the states of roll-outs until ctx ends.
@@ -29,13 +33,17 @@
 		return
 	}
 	loaded := false
+	began, spread := time.Now(), rand.N(maxLoadDelay)
 	for ctx.Err() == nil {
 		if r.tracker.Judge(time.Now(), r.set.DataCentre) {
 			r.view.peers.reportSoon()
 		}
 		r.logChanges()
-		// Versions that were rolled back stay excluded after their order is gone.
-		if !loaded && r.view.hasReadServers() && (!r.view.peers.roster.IsLarge() || r.view.peers.wouldRead()) {
+		// Versions that were rolled back stay excluded after their order is gone. In a large fleet
+		// an instance that does not read the store needs them if it starts beside a version that
+		// may have been rolled back.
+		reads := !r.view.peers.roster.IsLarge() || r.view.peers.wouldRead() || time.Since(began) > spread && r.tracker.HoldsFromStart()
+		if !loaded && r.view.hasReadServers() && reads {
 			loaded = r.load(ctx)
 		}
 		totals := r.view.board.Totals
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -139,6 +139,8 @@
 	// first server of another version was seen.
 	inUse     map[string]bool
 	firstSeen map[string]time.Time
+	// severalFirst is set if the first read contained servers of several versions.
+	severalFirst bool
 
 	ev    evidence
 	write writeState
@@ -291,12 +293,21 @@
 	}
 }
 
+// HoldsFromStart reports whether servers of some version that the first read contained get
+// nothing until it is known whether there is an order for it.
+func (t *Tracker) HoldsFromStart() bool {
+	held := false
+	t.each(func(_ fleet.PoolID, p *pool) { held = held || p.severalFirst && len(p.firstSeen) > 0 })
+	return held
+}
+
 // SetServers replaces the servers of a pool. Of the versions in the first read, the one with
 // the oldest server is in use.
 func (t *Tracker) SetServers(now time.Time, id fleet.PoolID, servers []Server) {
 	p := t.pool(id)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	first := len(p.servers) == 0
 	p.servers = make(map[fleet.ServerID]Server, len(servers))
 	oldest, found := Server{}, false
 	for _, s := range servers {
@@ -311,6 +322,7 @@
 	for _, s := range servers {
 		if _, ok := p.firstSeen[s.Version]; !ok && !p.inUse[s.Version] {
 			p.firstSeen[s.Version] = now
+			p.severalFirst = p.severalFirst || first
 		}
 	}
 	p.classify(t.cfg)
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -368,3 +368,20 @@
 		t.Errorf("%d pools", len(tr.pools))
 	}
 }
+
+// Guards against an instance that starts beside a version that was rolled back and does not read
+// the stored states, and against reads by all instances for each new version.
+func TestHoldsFromStart(t *testing.T) {
+	for _, first := range []string{"v1", "v2"} {
+		tr := New((&world{}).config(), nil)
+		tr.SetServers(simEpoch, simPool, rigServers(first))
+		tr.SetServers(simEpoch, simPool, rigServers("v2"))
+		if got, want := tr.HoldsFromStart(), first == "v2"; got != want {
+			t.Errorf("first version %s: %v", first, got)
+		}
+		tr.SetOrders(simEpoch.Add(time.Minute), simEpoch.Add(time.Minute), nil, true)
+		if tr.HoldsFromStart() {
+			t.Error("nothing is held any longer")
+		}
+	}
+}
