Do not complete early on an instance that hears no peers

The loads of peers expire after 3 s without reports. An instance that reaches the store but no peer then ranked first and took the old servers for idle, wrote completed long before the deadline, and the old servers stopped with the requests of the other instances.

An instance that has heard of the order from a peer, and not within 2.5 s, completes only at the margin before the deadline.

go test ./core/rollout -run EarlyCompl fails before and passes now.

--- a/core/rollout/exchange.go
+++ b/core/rollout/exchange.go
@@ -129,7 +129,7 @@
 	if !p.ordered || p.order.Row != r.Row {
 		return false
 	}
-	p.known, p.heardAt = true, now
+	p.known, p.heardAt, p.peerAt = true, now, now
 	before := p.phase
 	p.advance(r.Phase, r.Reason, now.Add(-r.Age), now.Add(-r.PhaseAge), now)
 	news := p.phase != before
--- a/core/rollout/phase.go
+++ b/core/rollout/phase.go
@@ -16,6 +16,9 @@
 	completionMargin = 900 * time.Millisecond
 	// idleTime is how long the old servers must run nothing. Loads of peers are up to 0.5 s old.
 	idleTime = 600 * time.Millisecond
+	// peerTimeout is the time without a report of any peer after which the loads of peers are not
+	// known to be none. It exceeds repeatInterval; loads expire after 3 s.
+	peerTimeout = 2500 * time.Millisecond
 	// checkInterval is the time between two reads of the stored state by the first writer. It
 	// finds a store that returned as an older copy, and shows that the store can be reached.
 	checkInterval = time.Second
@@ -119,7 +122,7 @@
 // isIdle reports whether the old servers have run nothing for some time after all requests were
 // moved.
 func (p *pool) isIdle(cfg Config, now time.Time, running func(fleet.ServerID) int) bool {
-	idle := p.movedPart(cfg, now) >= 1
+	idle := p.movedPart(cfg, now) >= 1 && (p.peerAt.IsZero() || now.Sub(p.peerAt) < peerTimeout)
 	for id, c := range p.classes {
 		if idle && c == classOld && running(id) > 0 {
 			idle = false
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -115,6 +115,8 @@
 	fresh bool
 	// heardAt is when the store or a peer last told of the order.
 	heardAt time.Time
+	// peerAt is when a peer last told of a pool's order.
+	peerAt time.Time
 	// bad is set once the version was found to be bad; reason states by what.
 	bad    bool
 	reason string
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -385,3 +385,36 @@
 		}
 	}
 }
+
+// Guards against an instance that hears no peers and gives up old servers that still run
+// requests of others, whose loads it no longer knows.
+func TestNoEarlyCompletionWithoutPeers(t *testing.T) {
+	tr, now := rig(t, nil)
+	peer := func() {
+		tr.Merge(now, Source{"p", 1}, "z", []Report{{Pool: simPool, Row: 7, Phase: Moving, PhaseAge: now.Sub(simEpoch)}})
+	}
+	completes := func() bool {
+		tr.Stored(now, simPool, &State{Row: 7, To: "v2", Phase: Moving, Started: simEpoch, Changed: simEpoch}, State{})
+		for _, task := range tr.Tasks(now, func(fleet.PoolID) int { return 0 }, func(fleet.ServerID) int { return 0 }) {
+			if task.Next.Phase == Completed {
+				return true
+			}
+		}
+		return false
+	}
+	peer()
+	for range 20 {
+		now = now.Add(time.Second)
+		if completes() {
+			t.Fatalf("completed %v after the order without peers", now.Sub(simEpoch))
+		}
+	}
+	for range 2 {
+		now = now.Add(time.Second)
+		peer()
+		completes()
+	}
+	if !completes() {
+		t.Error("not completed although peers are heard and the old servers run nothing")
+	}
+}
