Share the rate of control traffic between running roll-outs

Each pool had the limit of 10 KB/s for itself, so that four roll-outs at once sent 37 KB/s from an instance with 39 recipients in the test. The running ones now share it.

--- a/core/rollout/exchange.go
+++ b/core/rollout/exchange.go
@@ -50,14 +50,15 @@
 // counters and without.
 type Recipients struct{ Counters, Verdicts int }
 
-// interval returns the shortest time between two reports to so many peers.
-func (p *pool) interval(cfg Config, recipients Recipients) time.Duration {
+// interval returns the shortest time between two reports to so many peers. The rate is shared by
+// the running roll-outs.
+func (p *pool) interval(cfg Config, recipients Recipients, running int) time.Duration {
 	least, rate := min(maxReportInterval, cfg.RollbackLimit/reportsInLimit), reportRate
 	if p.phase == Moving {
 		least, rate = min(least, moveReportInterval), 2*reportRate
 	}
 	bytes := (recipients.Counters+recipients.Verdicts)*reportBytes + recipients.Counters*cellBytes*len(p.ev.own)
-	return max(least, time.Duration(bytes)*time.Second/time.Duration(rate))
+	return max(least, time.Duration(bytes*max(1, running))*time.Second/time.Duration(rate))
 }
 
 // Outgoing is what an instance tells about the orders in force.
@@ -72,10 +73,16 @@
 // centre.
 func (t *Tracker) Reports(now time.Time, own fleet.DataCentreID, relaying bool, recipients Recipients) Outgoing {
 	var out Outgoing
+	running := 0
+	t.each(func(_ fleet.PoolID, p *pool) {
+		if p.ordered && !p.removed && !p.phase.final() {
+			running++
+		}
+	})
 	t.each(func(id fleet.PoolID, p *pool) {
 		e := &p.ev
 		since := now.Sub(e.sentAt)
-		if !p.ordered || !p.known || p.removed || since < repeatInterval && (!e.unsent || since < p.interval(t.cfg, recipients)) {
+		if !p.ordered || !p.known || p.removed || since < repeatInterval && (!e.unsent || since < p.interval(t.cfg, recipients, running)) {
 			return
 		}
 		e.sentAt, e.unsent = now, false
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -418,3 +418,28 @@
 		t.Error("not completed although peers are heard and the old servers run nothing")
 	}
 }
+
+// Guards against control traffic above the limit when several pools roll out at once.
+func TestRateIsSharedByPools(t *testing.T) {
+	tr, now := rig(t, nil)
+	pools := []fleet.PoolID{simPool, "t", "u", "v"}
+	for _, id := range pools[1:] {
+		tr.SetServers(now, id, rigServers("v2"))
+		tr.SetOrders(now, now, map[fleet.PoolID]*Order{id: {Row: 8, To: "v2", Duration: 40 * time.Second}}, false)
+	}
+	bytes, to := 0, Recipients{Counters: 39}
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		for _, id := range pools {
+			for _, s := range []fleet.ServerID{"a", "b", "c", "old"} {
+				tr.Answer(now, Attempt{Pool: id, Route: "r", Server: s})
+			}
+		}
+		for _, r := range tr.Reports(now, "z", false, to).Own {
+			bytes += to.Counters * (reportBytes + cellBytes*len(r.Cells))
+		}
+	}
+	if rate := bytes / 10; rate > 13*reportRate/10 {
+		t.Errorf("%d bytes/s, limit %d", rate, reportRate)
+	}
+}
