Do not exclude a completed version on an instance that missed it

With the rule for replaced orders, an instance that was cut off during the completion took the version in use for one that was replaced, refused all requests, and could pass that on in the stored state.

go test ./core/rollout -run MissedCompletion fails before and passes now.

--- a/core/rollout/phase.go
+++ b/core/rollout/phase.go
@@ -184,6 +184,14 @@
 				p.excluded[v] = true
 			}
 		}
+		if s.Phase == Completed {
+			// The next state may exclude it if this instance missed the completion.
+			p.inUse[s.To] = true
+			if p.excluded[s.To] {
+				delete(p.excluded, s.To)
+				next = State{}
+			}
+		}
 		p.classify(t.cfg)
 	}
 	if !p.ordered || p.removed {
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -256,7 +256,7 @@
 	if p.ordered && p.phase == Completed {
 		p.inUse[p.order.To] = true
 	}
-	if p.isUnproven() {
+	if p.isUnproven(now) {
 		p.excluded[p.order.To] = true
 	}
 	delete(p.excluded, o.To)
@@ -269,12 +269,13 @@
 }
 
 // isUnproven reports whether the order's version was bad or under observation beside servers of
-// other versions, so that it may not get all requests without an order of its own.
-func (p *pool) isUnproven() bool {
+// other versions, so that it may not get all requests without an order of its own. An instance
+// that has not heard of the order lately may have missed its completion.
+func (p *pool) isUnproven(now time.Time) bool {
 	if !p.ordered || p.phase.final() || p.inUse[p.order.To] {
 		return false
 	}
-	return p.bad || p.known && p.restricted
+	return p.bad || p.known && p.restricted && now.Sub(p.heardAt) < peerTimeout
 }
 
 // holdMargin is how long after the first entry of a version a read of the operator's table has
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -249,6 +249,7 @@
 	for range 5 {
 		now = now.Add(time.Second)
 		tr.SetOrders(now, now, nil, false)
+		tr.Merge(now, Source{"p", 1}, "z", []Report{{Pool: simPool, Row: 7, Phase: Observing}})
 	}
 	tr.SetOrders(now, now, map[fleet.PoolID]*Order{simPool: {Row: 8, To: "v3", Duration: time.Minute}}, false)
 	tr.SetOrders(now.Add(5*time.Second), now.Add(5*time.Second), nil, false)
@@ -443,3 +444,34 @@
 		t.Errorf("%d bytes/s, limit %d", rate, reportRate)
 	}
 }
+
+// Guards against an instance that missed the completion of an order, takes the version in use for
+// one that was replaced before its end, and tells the others so by the stored state.
+func TestMissedCompletion(t *testing.T) {
+	tr, now := rig(t, nil)
+	tr.Written(now, simPool, State{Row: 7, Phase: Moving, Started: now, Changed: now})
+	excludes := func() bool {
+		c := tr.Choose(now, simPool, 1, true)
+		return c != nil && c.Excludes("a")
+	}
+	next := State{Row: 8, To: "v3", Phase: Observing, Excluded: []string{"v2"}}
+	now = now.Add(time.Second)
+	tr.SetOrders(now, now, map[fleet.PoolID]*Order{simPool: {Row: 8, To: "v3", Duration: time.Minute}}, false)
+	if !excludes() {
+		t.Error("the replaced version gets requests")
+	}
+	if tr.Stored(now, simPool, &State{Row: 7, To: "v2", Phase: Completed, Started: now, Changed: now}, next) {
+		t.Error("the exclusion of a completed version is written")
+	}
+	if excludes() {
+		t.Error("the completed version gets nothing")
+	}
+
+	tr, now = rig(t, nil)
+	tr.Written(now, simPool, State{Row: 7, Phase: Moving, Started: now, Changed: now})
+	now = now.Add(10 * time.Second)
+	tr.SetOrders(now, now, map[fleet.PoolID]*Order{simPool: {Row: 8, To: "v3", Duration: time.Minute}}, false)
+	if excludes() {
+		t.Error("an instance without contact excludes the version that may be in use")
+	}
+}
