--- a/core/rollout/exchange.go
+++ b/core/rollout/exchange.go
@@ -46,14 +46,19 @@
 	reportRate  = 10_000
 )
 
-// interval returns the shortest time between two reports to so many peers.
-func (p *pool) interval(cfg Config, recipients int) time.Duration {
+// Recipients are the numbers of entries of a pool that an instance sends in a round, with
+// counters and without.
+type Recipients struct{ Counters, Verdicts int }
+
+// interval returns the shortest time between two reports to so many peers. The rate is shared by
+// the running roll-outs.
+func (p *pool) interval(cfg Config, recipients Recipients, running int) time.Duration {
 	least, rate := min(maxReportInterval, cfg.RollbackLimit/reportsInLimit), reportRate
 	if p.phase == Moving {
 		least, rate = min(least, moveReportInterval), 2*reportRate
 	}
-	bytes := recipients * (reportBytes + cellBytes*len(p.ev.own))
-	return max(least, time.Duration(bytes)*time.Second/time.Duration(rate))
+	bytes := (recipients.Counters+recipients.Verdicts)*reportBytes + recipients.Counters*cellBytes*len(p.ev.own)
+	return max(least, time.Duration(bytes*max(1, running))*time.Second/time.Duration(rate))
 }
 
 // Outgoing is what an instance tells about the orders in force.
@@ -66,12 +71,18 @@
 
 // Reports returns what to report in a round to so many recipients. own is the instance's data
 // centre.
-func (t *Tracker) Reports(now time.Time, own fleet.DataCentreID, relaying bool, recipients int) Outgoing {
+func (t *Tracker) Reports(now time.Time, own fleet.DataCentreID, relaying bool, recipients Recipients) Outgoing {
 	var out Outgoing
+	running := 0
+	t.each(func(_ fleet.PoolID, p *pool) {
+		if p.ordered && !p.removed && !p.phase.final() {
+			running++
+		}
+	})
 	t.each(func(id fleet.PoolID, p *pool) {
 		e := &p.ev
 		since := now.Sub(e.sentAt)
-		if !p.ordered || !p.known || p.removed || since < repeatInterval && (!e.unsent || since < p.interval(t.cfg, recipients)) {
+		if !p.ordered || !p.known || p.removed || since < repeatInterval && (!e.unsent || since < p.interval(t.cfg, recipients, running)) {
 			return
 		}
 		e.sentAt, e.unsent = now, false
@@ -102,7 +113,12 @@
 	soon := false
 	for i := range reports {
 		r := &reports[i]
-		p := t.pool(r.Pool)
+		t.mu.RLock()
+		p := t.pools[r.Pool]
+		t.mu.RUnlock()
+		if p == nil {
+			continue
+		}
 		p.mu.Lock()
 		if p.merge(now, from, dc, r) {
 			soon = true
@@ -120,13 +136,16 @@
 	if !p.ordered || p.order.Row != r.Row {
 		return false
 	}
-	p.known, p.heardAt = true, now
+	p.known, p.heardAt, p.peerAt = true, now, now
 	before := p.phase
 	p.advance(r.Phase, r.Reason, now.Add(-r.Age), now.Add(-r.PhaseAge), now)
 	news := p.phase != before
 	if r.Bad && !p.bad && p.phase != Completed {
 		p.bad, p.reason, news = true, r.Reason, true
 	}
+	if news {
+		p.ev.sentAt = time.Time{}
+	}
 	if r.Doubtful {
 		p.doubtUntil = now.Add(doubtTime)
 	}
@@ -149,7 +168,6 @@
 	if cells.raise(r.Cells) {
 		p.ev.changed, p.ev.unsent = true, true
 	}
-	p.ev.unsent = p.ev.unsent || news
 	return news
 }
 
@@ -158,7 +176,8 @@
 func (t *Tracker) Judge(now time.Time, own fleet.DataCentreID) bool {
 	found := false
 	t.each(func(_ fleet.PoolID, p *pool) {
-		if !p.ordered || p.bad || p.phase.final() {
+		// Without restriction there is no other version to go back to.
+		if !p.ordered || p.bad || !p.restricted || p.phase.final() {
 			return
 		}
 		p.countOverdue(now)
@@ -177,7 +196,7 @@
 			}
 			p.doubtful = true
 			if reason := p.ev.judge(cells, threshold); reason != "" {
-				p.bad, p.reason, p.ev.unsent, found = true, reason, true, true
+				p.bad, p.reason, p.ev.sentAt, found = true, reason, time.Time{}, true
 				p.classify(t.cfg)
 				return
 			}
--- a/core/rollout/pending.go
+++ b/core/rollout/pending.go
@@ -74,7 +74,7 @@
 	if c != classOld {
 		kind = newRoute
 	}
-	if !p.ordered || p.removed || c == classHeld {
+	if !p.ordered || p.removed || p.phase.final() || c == classHeld {
 		return
 	}
 	id := cellID(kind, a.Route)
--- a/core/rollout/rollout.go
+++ b/core/rollout/rollout.go
@@ -94,7 +94,7 @@
 
 const (
 	classOld  class = iota // not of the order's version
-	classNew               // of the order's version, not used while it is observed
+	classNew               // of the order's version, not used while it is observed, or started after completion
 	classTest              // of the order's version, gets the limited share
 	classHeld              // of a version that gets nothing
 )
@@ -103,7 +103,8 @@
 type pool struct {
 	mu sync.Mutex
 
-	order Order
+	// previous is the order before, of which an older copy of the store may have the row.
+	order, previous Order
 	// ordered is set if there is an order, removed once its row was removed before its end.
 	ordered, removed bool
 	// known is set once the stored phase of the order is known.
@@ -115,6 +116,8 @@
 	fresh bool
 	// heardAt is when the store or a peer last told of the order.
 	heardAt time.Time
+	// peerAt is when a peer last told of a pool's order.
+	peerAt time.Time
 	// bad is set once the version was found to be bad; reason states by what.
 	bad    bool
 	reason string
@@ -139,6 +142,8 @@
 	// first server of another version was seen.
 	inUse     map[string]bool
 	firstSeen map[string]time.Time
+	// severalFirst is set if the first read contained servers of several versions.
+	severalFirst bool
 
 	ev    evidence
 	write writeState
@@ -243,6 +248,8 @@
 	case p.ordered && p.order.Row == o.Row:
 		p.removed = false
 		return
+	case p.ordered && same && p.previous.To == o.To && p.previous.Duration == o.Duration:
+		return // the older copy has the row of the order before
 	case p.ordered && same && p.order.To == o.To && p.order.Duration == o.Duration:
 		// The operator has written the row again after the store lost it.
 		p.order.Row, p.removed = o.Row, false
@@ -252,10 +259,11 @@
 	if p.ordered && p.phase == Completed {
 		p.inUse[p.order.To] = true
 	}
-	if !same {
-		delete(p.excluded, o.To)
+	if p.isUnproven(now) {
+		p.excluded[p.order.To] = true
 	}
-	// An older copy of the store may show an earlier order, whose end is stored.
+	delete(p.excluded, o.To)
+	p.previous = p.order
 	p.order, p.ordered, p.removed, p.known = o, true, false, fresh && !same
 	p.started, p.phase, p.phaseAt, p.fresh = now, None, now, fresh
 	p.doubtUntil = time.Time{}
@@ -264,6 +272,16 @@
 	p.write = writeState{}
 }
 
+// isUnproven reports whether the order's version was bad or under observation beside servers of
+// other versions, so that it may not get all requests without an order of its own. An instance
+// that has not heard of the order lately may have missed its completion.
+func (p *pool) isUnproven(now time.Time) bool {
+	if !p.ordered || p.phase.final() || p.inUse[p.order.To] {
+		return false
+	}
+	return p.bad || p.known && p.restricted && now.Sub(p.heardAt) < peerTimeout
+}
+
 // holdMargin is how long after the first entry of a version a read of the operator's table has
 // to start to show that there is no order for it. Operators write both within this time.
 const holdMargin = time.Second
@@ -272,7 +290,7 @@
 // order.
 func (p *pool) release(readStart time.Time) {
 	for v, at := range p.firstSeen {
-		if p.ordered && v == p.order.To {
+		if p.excluded[v] || p.ordered && v == p.order.To {
 			continue
 		}
 		if readStart.Sub(at) > holdMargin {
@@ -282,12 +300,21 @@
 	}
 }
 
+// HoldsFromStart reports whether servers of some version that the first read contained get
+// nothing until it is known whether there is an order for it.
+func (t *Tracker) HoldsFromStart() bool {
+	held := false
+	t.each(func(_ fleet.PoolID, p *pool) { held = held || p.severalFirst && len(p.firstSeen) > 0 })
+	return held
+}
+
 // SetServers replaces the servers of a pool. Of the versions in the first read, the one with
 // the oldest server is in use.
 func (t *Tracker) SetServers(now time.Time, id fleet.PoolID, servers []Server) {
 	p := t.pool(id)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	first := len(p.servers) == 0
 	p.servers = make(map[fleet.ServerID]Server, len(servers))
 	oldest, found := Server{}, false
 	for _, s := range servers {
@@ -302,6 +329,7 @@
 	for _, s := range servers {
 		if _, ok := p.firstSeen[s.Version]; !ok && !p.inUse[s.Version] {
 			p.firstSeen[s.Version] = now
+			p.severalFirst = p.severalFirst || first
 		}
 	}
 	p.classify(t.cfg)
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -110,8 +110,10 @@
 	if n := sends(tr, now, 100); n != 0 {
 		t.Errorf("%d requests after the removal", n)
 	}
-	if c := tr.Choose(now, simPool, 1, true); !c.HasFallback() || c.ExcludesFallback("a") {
+	if c := tr.Choose(now, simPool, 1, true); !c.HasFallback(true) || c.ExcludesFallback("a") {
 		t.Error("the version gets nothing although no other one may be left")
+	} else if c.HasFallback(false) {
+		t.Error("the version gets what the old servers have no room for")
 	}
 	if tasks := tr.Tasks(now, func(fleet.PoolID) int { return 0 }, nil); len(tasks) != 0 {
 		t.Errorf("tasks %+v", tasks)
@@ -169,8 +171,8 @@
 		for _, tr := range []*Tracker{member, relay} {
 			tr.Answer(now, Attempt{Pool: simPool, Route: "r", Server: "a", Outcome: Failed})
 		}
-		relay.Merge(now, Source{"m", 1}, "z1", member.Reports(now, "z1", false, 2).Own)
-		out := relay.Reports(now, "z1", true, 30)
+		relay.Merge(now, Source{"m", 1}, "z1", member.Reports(now, "z1", false, Recipients{Counters: 2}).Own)
+		out := relay.Reports(now, "z1", true, Recipients{Counters: 30})
 		for range 2 { // datagrams may arrive twice
 			far.Merge(now, Source{"r", 1}, "z1", out.Sums)
 			member.Merge(now, Source{"r", 1}, "z1", append(out.Own, out.Sums...))
@@ -207,7 +209,7 @@
 	if n := sends(tr, now, 200); n != 0 {
 		t.Errorf("%d requests after the verdict", n)
 	}
-	if own := tr.Reports(now, "z", false, 2).Own; len(own) != 1 || !own[0].Bad {
+	if own := tr.Reports(now, "z", false, Recipients{Counters: 2}).Own; len(own) != 1 || !own[0].Bad {
 		t.Errorf("the verdict is not passed on: %+v", own)
 	}
 }
@@ -238,3 +240,238 @@
 		t.Errorf("%d reads in 10 minutes", reads)
 	}
 }
+
+// Guards against a version under observation that gets all requests once another order replaces
+// its own: the read that brings the new order is also the one that releases unordered versions.
+func TestReplacedOrderHoldsItsVersion(t *testing.T) {
+	tr, now := rig(t, nil)
+	tr.Written(now, simPool, State{Row: 7, Phase: Observing, Started: now, Changed: now})
+	for range 5 {
+		now = now.Add(time.Second)
+		tr.SetOrders(now, now, nil, false)
+		tr.Merge(now, Source{"p", 1}, "z", []Report{{Pool: simPool, Row: 7, Phase: Observing}})
+	}
+	tr.SetOrders(now, now, map[fleet.PoolID]*Order{simPool: {Row: 8, To: "v3", Duration: time.Minute}}, false)
+	tr.SetOrders(now.Add(5*time.Second), now.Add(5*time.Second), nil, false)
+	if n := sends(tr, now.Add(5*time.Second), 1000); n != 0 {
+		t.Errorf("%d of 1000 requests to the version whose order was replaced", n)
+	}
+	tasks := tr.Tasks(now, func(fleet.PoolID) int { return 0 }, nil)
+	if len(tasks) != 1 || len(tasks[0].Next.Excluded) != 1 || tasks[0].Next.Excluded[0] != "v2" {
+		t.Errorf("instances that restart do not learn it: tasks %+v", tasks)
+	}
+}
+
+// Guards against servers of a later version without an order that get nothing because the last
+// order has completed.
+func TestReleaseAfterCompletion(t *testing.T) {
+	tr, now := rig(t, nil)
+	now = now.Add(30 * time.Second)
+	tr.Written(now, simPool, State{Row: 7, Phase: Completed, Started: now, Changed: now})
+	later := []Server{{ID: "a", Version: "v2", StartMillis: 2, Taking: true}, {ID: "n", Version: "v3", StartMillis: now.Add(time.Hour).UnixMilli(), Taking: true}}
+	now = now.Add(time.Hour)
+	tr.SetServers(now, simPool, later)
+	if c := tr.Choose(now, simPool, 1, true); c == nil || !c.Excludes("n") {
+		t.Error("the version gets requests before it was known whether there is an order")
+	}
+	now = now.Add(5 * time.Second)
+	tr.SetOrders(now, now, nil, false)
+	if c := tr.Choose(now, simPool, 1, true); c != nil && c.Excludes("n") {
+		t.Error("the later version gets nothing")
+	}
+	tr.SetServers(now, simPool, append(later, Server{ID: "old", Version: "v1", StartMillis: 1, Taking: true}))
+	if c := tr.Choose(now, simPool, 1, true); c == nil || !c.Excludes("old") || c.Excludes("a") || c.Excludes("n") {
+		t.Error("the servers that were given up get requests, or others do not")
+	}
+}
+
+// Guards against verdicts that reach the members of a large data centre later than the limit
+// allows: a relay of 300 instances has 80 recipients.
+func TestVerdictIsReportedAtOnce(t *testing.T) {
+	tr, now := rig(t, nil)
+	for i := range 40 {
+		tr.Answer(now, Attempt{Pool: simPool, Route: string(rune('a' + i%20)), Server: "a"})
+		tr.Answer(now, Attempt{Pool: simPool, Route: string(rune('a' + i%20)), Server: "old"})
+	}
+	tr.Reports(now, "z", true, Recipients{Counters: 13, Verdicts: 74})
+	now = now.Add(200 * time.Millisecond)
+	tr.Merge(now, Source{"r", 1}, "z", []Report{{Pool: simPool, Row: 7, Phase: Observing, Bad: true, Reason: "r"}})
+	if out := tr.Reports(now, "z", true, Recipients{Counters: 13, Verdicts: 74}); len(out.Verdicts) != 1 || !out.Verdicts[0].Bad {
+		t.Errorf("reports %+v", out)
+	}
+}
+
+// Guards against relays that report their counters too rarely to keep the time limit: three hops,
+// with 74 members that get no counters, have to fit into it.
+func TestRelayReportsInTime(t *testing.T) {
+	tr, now := rig(t, nil)
+	for _, route := range []string{"a", "b", "c", "d", "e"} {
+		for _, s := range []fleet.ServerID{"a", "b", "c", "old"} {
+			tr.Answer(now, Attempt{Pool: simPool, Route: route, Server: s})
+		}
+	}
+	tr.Reports(now, "z", true, Recipients{Counters: 13, Verdicts: 74})
+	for step := 1; ; step++ {
+		at := now.Add(time.Duration(step) * 100 * time.Millisecond)
+		tr.Answer(at, Attempt{Pool: simPool, Route: "a", Server: "a"})
+		if out := tr.Reports(at, "z", true, Recipients{Counters: 13, Verdicts: 74}); len(out.Own) == 0 {
+			continue
+		}
+		if at.Sub(now) > 1250*time.Millisecond {
+			t.Errorf("counters are reported after %v", at.Sub(now))
+		}
+		return
+	}
+}
+
+// Guards against counters of many servers in the move that leave no room for those of routes.
+func TestServersLeaveRoomForRoutes(t *testing.T) {
+	tr, now := rig(t, nil)
+	var servers []Server
+	for i := range 300 {
+		servers = append(servers, Server{ID: fleet.ServerID(rune('A' + i)), Version: "v2", StartMillis: 2, Taking: true})
+	}
+	tr.SetServers(now, simPool, append(servers, Server{ID: "old", Version: "v1", StartMillis: 1, Taking: true}))
+	for _, s := range servers {
+		tr.Answer(now, Attempt{Pool: simPool, Route: "a", Server: s.ID})
+	}
+	tr.Answer(now, Attempt{Pool: simPool, Route: "b", Server: servers[0].ID, Outcome: Failed})
+	ev := &tr.pool(simPool).ev
+	if got := ev.own[cellID(newRoute, "b")]; got.Failed != 1 || len(ev.own) > maxCells {
+		t.Errorf("counter of the route %+v among %d", got, len(ev.own))
+	}
+}
+
+// Guards against a verdict that closes a pool in which all servers have the order's version.
+func TestNoVerdictWithoutOtherVersion(t *testing.T) {
+	tr, now := rig(t, nil)
+	tr.SetServers(now, simPool, rigServers("v2")[1:])
+	for i := range 300 {
+		tr.Answer(now, Attempt{Pool: simPool, Route: "r", Server: fleet.ServerID(rune('a' + i%3)), Outcome: Failed})
+	}
+	if tr.Judge(now, "z") || tr.Choose(now, simPool, 1, true) != nil {
+		t.Error("a pool without another version is closed")
+	}
+}
+
+// Guards against control traffic that goes on at the rate of a roll-out after its end, and
+// against state for pools that only peers name.
+func TestNoReportsOfAnswersAfterEnd(t *testing.T) {
+	tr, now := rig(t, nil)
+	tr.Written(now, simPool, State{Row: 7, Phase: Completed, Started: now, Changed: now})
+	tr.Reports(now, "z", false, Recipients{Counters: 2})
+	tr.Answer(now, Attempt{Pool: simPool, Route: "r", Server: "a"})
+	if out := tr.Reports(now.Add(time.Second), "z", false, Recipients{Counters: 2}); len(out.Own) != 0 {
+		t.Errorf("reports %+v", out.Own)
+	}
+	tr.Merge(now, Source{"p", 1}, "z", []Report{{Pool: "unknown", Row: 7}})
+	if len(tr.pools) != 1 {
+		t.Errorf("%d pools", len(tr.pools))
+	}
+}
+
+// Guards against an instance that starts beside a version that was rolled back and does not read
+// the stored states, and against reads by all instances for each new version.
+func TestHoldsFromStart(t *testing.T) {
+	for _, first := range []string{"v1", "v2"} {
+		tr := New((&world{}).config(), nil)
+		tr.SetServers(simEpoch, simPool, rigServers(first))
+		tr.SetServers(simEpoch, simPool, rigServers("v2"))
+		if got, want := tr.HoldsFromStart(), first == "v2"; got != want {
+			t.Errorf("first version %s: %v", first, got)
+		}
+		tr.SetOrders(simEpoch.Add(time.Minute), simEpoch.Add(time.Minute), nil, true)
+		if tr.HoldsFromStart() {
+			t.Error("nothing is held any longer")
+		}
+	}
+}
+
+// Guards against an instance that hears no peers and gives up old servers that still run
+// requests of others, whose loads it no longer knows.
+func TestNoEarlyCompletionWithoutPeers(t *testing.T) {
+	tr, now := rig(t, nil)
+	peer := func() {
+		tr.Merge(now, Source{"p", 1}, "z", []Report{{Pool: simPool, Row: 7, Phase: Moving, PhaseAge: now.Sub(simEpoch)}})
+	}
+	completes := func() bool {
+		tr.Stored(now, simPool, &State{Row: 7, To: "v2", Phase: Moving, Started: simEpoch, Changed: simEpoch}, State{})
+		for _, task := range tr.Tasks(now, func(fleet.PoolID) int { return 0 }, func(fleet.ServerID) int { return 0 }) {
+			if task.Next.Phase == Completed {
+				return true
+			}
+		}
+		return false
+	}
+	peer()
+	for range 20 {
+		now = now.Add(time.Second)
+		if completes() {
+			t.Fatalf("completed %v after the order without peers", now.Sub(simEpoch))
+		}
+	}
+	for range 2 {
+		now = now.Add(time.Second)
+		peer()
+		completes()
+	}
+	if !completes() {
+		t.Error("not completed although peers are heard and the old servers run nothing")
+	}
+}
+
+// Guards against control traffic above the limit when several pools roll out at once.
+func TestRateIsSharedByPools(t *testing.T) {
+	tr, now := rig(t, nil)
+	pools := []fleet.PoolID{simPool, "t", "u", "v"}
+	for _, id := range pools[1:] {
+		tr.SetServers(now, id, rigServers("v2"))
+		tr.SetOrders(now, now, map[fleet.PoolID]*Order{id: {Row: 8, To: "v2", Duration: 40 * time.Second}}, false)
+	}
+	bytes, to := 0, Recipients{Counters: 39}
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		for _, id := range pools {
+			for _, s := range []fleet.ServerID{"a", "b", "c", "old"} {
+				tr.Answer(now, Attempt{Pool: id, Route: "r", Server: s})
+			}
+		}
+		for _, r := range tr.Reports(now, "z", false, to).Own {
+			bytes += to.Counters * (reportBytes + cellBytes*len(r.Cells))
+		}
+	}
+	if rate := bytes / 10; rate > 13*reportRate/10 {
+		t.Errorf("%d bytes/s, limit %d", rate, reportRate)
+	}
+}
+
+// Guards against an instance that missed the completion of an order, takes the version in use for
+// one that was replaced before its end, and tells the others so by the stored state.
+func TestMissedCompletion(t *testing.T) {
+	tr, now := rig(t, nil)
+	tr.Written(now, simPool, State{Row: 7, Phase: Moving, Started: now, Changed: now})
+	excludes := func() bool {
+		c := tr.Choose(now, simPool, 1, true)
+		return c != nil && c.Excludes("a")
+	}
+	next := State{Row: 8, To: "v3", Phase: Observing, Excluded: []string{"v2"}}
+	now = now.Add(time.Second)
+	tr.SetOrders(now, now, map[fleet.PoolID]*Order{simPool: {Row: 8, To: "v3", Duration: time.Minute}}, false)
+	if !excludes() {
+		t.Error("the replaced version gets requests")
+	}
+	if tr.Stored(now, simPool, &State{Row: 7, To: "v2", Phase: Completed, Started: now, Changed: now}, next) {
+		t.Error("the exclusion of a completed version is written")
+	}
+	if excludes() {
+		t.Error("the completed version gets nothing")
+	}
+
+	tr, now = rig(t, nil)
+	tr.Written(now, simPool, State{Row: 7, Phase: Moving, Started: now, Changed: now})
+	now = now.Add(10 * time.Second)
+	tr.SetOrders(now, now, map[fleet.PoolID]*Order{simPool: {Row: 8, To: "v3", Duration: time.Minute}}, false)
+	if excludes() {
+		t.Error("an instance without contact excludes the version that may be in use")
+	}
+}
