Use the pace that servers state when choosing one

Cause: Server-Load was split into three fields, so that a value with four was dropped, one invalid field dropped the others, loads of refusals were not read, and nothing received the loads.

Change: three or four figures are decoded field by field, from every response of the named server. Learned rates and mean times are kept at the usual pace.

--- a/adapters/engine/dialect.go
+++ b/adapters/engine/dialect.go
@@ -2,13 +2,13 @@
 
 import (
 	"bytes"
+	"math"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/valyala/fasthttp"
 
-	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/result"
 )
@@ -39,8 +39,8 @@
 	// Pause carries, in a response with status 503, the time in seconds for which the server
 	// wants no requests.
 	Pause string
-	// Load carries the server's running requests, waiting requests and slots,
-	// separated by commas.
+	// Load carries the server's running requests, waiting requests, slots and pace,
+	// separated by commas. Older servers state no pace.
 	Load string
 	// Opaque forwards responses unchanged: their framing and request id are validated,
 	// their content is not, and requests keep the caller's id.
@@ -56,9 +56,19 @@
 	IdempotencyKey: "Idempotency-Key", LastEvent: "Last-Event-ID",
 }
 
-// ServerLoad is the load that a server reported: running requests, waiting requests
-// and slots.
-type ServerLoad struct{ Running, Waiting, Slots int }
+// ServerLoad is the load that a server reported. Fields that it did not state or that are
+// invalid are UnknownLoad.
+type ServerLoad struct {
+	// Running and Waiting are numbers of requests, Slots that of requests which the server
+	// runs at once.
+	Running, Waiting, Slots int
+	// PacePercent is how long work takes on the server's machine at this moment, in percent
+	// of the usual time.
+	PacePercent float64
+}
+
+// UnknownLoad is the value of a field of ServerLoad that is not known.
+const UnknownLoad = -1
 
 func (c *Client) dialect() *Dialect {
 	if c.Dialect != nil {
@@ -80,6 +90,7 @@
 		return result.New(result.AnswerCrossed, "server %s answered without a request id on a connection with earlier requests", srv)
 	}
 	r.notify()
+	r.reportLoad()
 	switch {
 	case r.status == fasthttp.StatusMisdirectedRequest:
 		return result.New(result.ServerRefused, "address of server %s belongs to another server", srv).WithOutcome(result.NotRun)
@@ -96,7 +107,6 @@
 	case r.declared > r.limit:
 		return result.New(result.AnswerTooLarge, "server %s declares %d bytes, limit %d", srv, r.declared, r.limit)
 	}
-	r.reportLoad(r.resp.Header.Peek(d.Load))
 	return nil
 }
 
@@ -110,23 +120,36 @@
 	return false
 }
 
-func (r *response) reportLoad(v []byte) {
-	if len(v) == 0 || r.x.client.OnLoad == nil {
-		return
+// reportLoad passes on the load that the server stated in its response.
+func (r *response) reportLoad() {
+	d := r.x.client.dialect()
+	if r.x.client.OnLoad == nil || d.Load == "" || r.status == fasthttp.StatusMisdirectedRequest {
+		return // the load of a misdirected response is that of another server
 	}
-	var l ServerLoad
-	parts := strings.SplitN(string(v), ",", 3)
-	if len(parts) != 3 {
-		return
+	if v := r.resp.Header.Peek(d.Load); len(v) > 0 {
+		r.x.client.OnLoad(r.x.srv.Pool, r.x.srv.Name, parseLoad(string(v)))
 	}
+}
+
+// parseLoad decodes a load. Missing and invalid fields are unknown, further ones ignored, so
+// that a server may add some.
+func parseLoad(v string) ServerLoad {
+	l := ServerLoad{Running: UnknownLoad, Waiting: UnknownLoad, Slots: UnknownLoad, PacePercent: UnknownLoad}
+	parts := strings.SplitN(v, ",", 5)
 	for i, to := range []*int{&l.Running, &l.Waiting, &l.Slots} {
-		n, err := strconv.Atoi(strings.TrimSpace(parts[i]))
-		if err != nil {
-			return
+		if i >= len(parts) {
+			return l
+		}
+		if n, err := strconv.ParseUint(strings.TrimSpace(parts[i]), 10, 31); err == nil {
+			*to = int(n)
+		}
+	}
+	if len(parts) > 3 {
+		if f, err := strconv.ParseFloat(strings.TrimSpace(parts[3]), 64); err == nil && f > 0 && !math.IsInf(f, 1) {
+			l.PacePercent = f
 		}
-		*to = n
 	}
-	r.x.client.OnLoad(fleet.PoolID(r.x.req.Pool.Name), r.x.srv.Name, l)
+	return l
 }
 
 // hopByHopFields apply to a single connection and are not forwarded.
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -111,6 +111,7 @@
 	memory := e.budget.Responses
 	client.Memory = memory
 	client.OnNotice = (&noticeBoard{board: e.board, log: log}).apply
+	client.OnLoad = serverLoads(e.board)
 	client.MaxPause = settings.Millis(set.Times.MaxPauseMillis)
 	e.crashes = &crashWatch{
 		Upstream: client, tracker: tracker, off: !policy.On(placement.PromptQuarantine),
--- a/core/placement/balancer.go
+++ b/core/placement/balancer.go
@@ -103,6 +103,7 @@
 	peerLoad   Load
 	cache      *prefixCache
 	speed      speed
+	pace       pace
 	failures   failures
 	notices    notices
 	errors     errorRate
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -73,6 +73,8 @@
 	// readTokens is the number of tokens that the engine processes before the first
 	// output token.
 	readTokens int
+	// pace is the expected time of work at the server relative to the usual one.
+	pace float64
 }
 
 // MissesDeadline reports whether the request would have to queue for a slot and is
@@ -291,6 +293,8 @@
 	if r.policy.On(Slowdown) {
 		slowdown = s.speed.slowdown(now)
 	}
+	c.pace = s.pace.factor(now)
+	slowdown *= c.pace
 	if !s.Engine {
 		// Expected time, in units of the time of one request.
 		slots := float64(max(1, s.Slots))
@@ -311,7 +315,7 @@
 		work += queuedCostTokens * float64(1+l.Running-s.Slots)
 	}
 	c.Wait = baseFirstTokenTime + fetchTime + time.Duration(slowdown*work/r.readRate*float64(time.Millisecond))
-	cost := waitCost(c.Wait, req.Objective) + time.Duration(r.policy.FetchWeight*float64(fetchTime)) + readTime(unread, r.readRate) + rankCost*time.Duration(rank)
+	cost := waitCost(c.Wait, req.Objective) + time.Duration(r.policy.FetchWeight*float64(fetchTime)) + scaled(readTime(unread, r.readRate), c.pace) + rankCost*time.Duration(rank)
 	c.Cost = float64(cost) / float64(time.Millisecond)
 	return c
 }
--- a/core/placement/reservation.go
+++ b/core/placement/reservation.go
@@ -22,6 +22,8 @@
 	// sample of the read rate.
 	readTokens       int
 	measuresReadRate bool
+	// pace is the server's pace that the expected time contains.
+	pace             float64
 	answered         bool
 	released         bool
 }
@@ -44,7 +46,10 @@
 		}
 		server.coldNextAt = now.Add(gap)
 	}
-	t := &Reservation{balancer: b, pool: p, server: server, startedAt: now, account: req.Account}
+	t := &Reservation{balancer: b, pool: p, server: server, startedAt: now, account: req.Account, pace: 1}
+	if c.pace > 0 {
+		t.pace = c.pace
+	}
 	p.callers.observe(now, req.Account)
 	if server.Engine {
 		t.unreadTokens = max(0, req.PromptTokens-server.cache.cachedTokens(req.Parts)-c.Fetched)
@@ -92,6 +97,14 @@
 	c.sourceServer.linkFree, s.linkFree = end, end
 }
 
+// scaled returns d times a factor; a factor of 1 leaves it as it is.
+func scaled(d time.Duration, factor float64) time.Duration {
+	if factor == 1 {
+		return d
+	}
+	return time.Duration(float64(d) * factor)
+}
+
 // OnFirstOutput records the arrival of the first part of the answer.
 func (t *Reservation) OnFirstOutput(now time.Time) {
 	t.pool.mu.Lock()
@@ -104,13 +117,14 @@
 	t.server.failures.succeeded(now)
 	t.server.cache.add(t.parts, now)
 	took := now.Sub(t.startedAt)
+	usual := scaled(took, 1/t.pace)
 	if !t.server.Engine {
-		t.expected = t.pool.meanLatency
-		t.pool.meanLatency += (took - t.pool.meanLatency) / meanLatencyWindow
+		t.expected = scaled(t.pool.meanLatency, t.pace)
+		t.pool.meanLatency += (usual - t.pool.meanLatency) / meanLatencyWindow
 	}
 	t.server.speed.observe(now, took, t.expected)
 	if t.measuresReadRate {
-		t.pool.readRate.observe(t.readTokens, took)
+		t.pool.readRate.observe(t.readTokens, usual)
 	}
 	t.pool.notifyWaiters()
 }
