Limit the share of its requests that an instance sends to one engine

Cause: the load bound is checked against loads that peers reported some hundred ms before. Where requests take no longer than that and many instances send, all of them send to the engine that the last reports showed idle or that caches the prompt of a surge.

Change: with more instances than the bound allows requests, each engine earns credit with each request of the instance, such that the sum over all instances stays two deviations or more under the bound. Without credit the engine is left to the others; no request is refused for lack of it.

The decisions without other instances, as in the earlier tests, are the same.

--- a/core/placement/balancer.go
+++ b/core/placement/balancer.go
@@ -89,6 +89,7 @@
 	readRate    readRate
 	policy      *Policy
 	callers     callers
+	sendShares  sendShares
 	// leaving holds the servers that announced their leaving.
 	leaving map[fleet.ServerID]leavingNote
 }
@@ -103,6 +104,7 @@
 	peerLoad   Load
 	cache      *prefixCache
 	speed      speed
+	sendCredit sendCredit
 	pace       pace
 	failures   failures
 	notices    notices
--- a/core/placement/cold.go
+++ b/core/placement/cold.go
@@ -12,6 +12,7 @@
 // minimum interval between its own requests; this needs no communication.
 type coldLimiter struct {
 	self      fleet.InstanceID
+	selfHash  uint64
 	instances []fleet.InstanceID
 }
 
@@ -31,7 +32,7 @@
 func (b *Balancer) SetInstances(self fleet.InstanceID, all []fleet.InstanceID) {
 	b.fleetMu.Lock()
 	defer b.fleetMu.Unlock()
-	b.cold = coldLimiter{self: self, instances: append([]fleet.InstanceID(nil), all...)}
+	b.cold = coldLimiter{self: self, selfHash: fleet.HashID(string(self)), instances: append([]fleet.InstanceID(nil), all...)}
 }
 
 func (b *Balancer) coldLimiter() coldLimiter {
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -153,10 +153,8 @@
 	if p.policy.On(Shortlist) {
 		indexes = shortlist(eligible, r.order, req)
 	}
-	out := r.best(eligible, indexes)
-	if len(out) == 0 || !out[0].leavesSlack(req) {
-		out = r.best(eligible, nil)
-	}
+	r.shares, r.self = p.sendLimit(eligible, running, takers, takers+outOfService, &share), share.selfHash
+	out := r.search(eligible, indexes)
 	if len(out) == 0 {
 		return nil, AtLoadBound
 	}
@@ -174,12 +172,35 @@
 	meanErrors float64
 	// readRate is the prompt processing rate of the engines, in tokens per ms.
 	readRate float64
+	// shares limits the requests of this instance to each engine; nil means no limit.
+	shares *sendShares
+	// self is the hash of this instance.
+	self uint64
 }
 
-// best returns the best candidates among the servers at the indexes; nil selects all
-// servers.
-func (r *ranking) best(servers []*serverState, indexes []int) []Candidate {
+// search returns the best candidates of the shortlist, or of all servers if that leaves too
+// little slack.
+func (r *ranking) search(servers []*serverState, shortlist []int) []Candidate {
 	out := make([]Candidate, 0, min(len(servers), maxCandidates))
+	out = r.best(out, servers, shortlist)
+	if len(out) == 0 && r.shares != nil && shortlist != nil {
+		r.shares.least = partCredit
+		out = r.best(out, servers, shortlist)
+		r.shares.least = 1
+	}
+	if len(out) == 0 || !out[0].leavesSlack(r.req) {
+		out = r.best(out[:0], servers, nil)
+	}
+	for i := 0; r.shares != nil && len(out) == 0 && i < len(fallbackCredits); i++ {
+		r.shares.least = fallbackCredits[i]
+		out = r.best(out, servers, nil)
+	}
+	return out
+}
+
+// best appends the best candidates among the servers at the indexes to out, which is empty;
+// nil selects all servers.
+func (r *ranking) best(out []Candidate, servers []*serverState, indexes []int) []Candidate {
 	try := func(i int) {
 		s := servers[i]
 		l := s.load()
@@ -187,6 +208,9 @@
 		if (s.Engine || share < 1) && r.policy.On(LoadBound) && l.Running > 0 && float64(l.Running+1) > share*r.bound {
 			return
 		}
+		if !r.mayGet(s) {
+			return
+		}
 		c := s.candidate(r, l, r.order[i])
 		if r.policy.On(ErrorCost) {
 			c.addErrorCost(s, max(0, s.errors.now(r.now)-r.meanErrors), r.req)
--- a/core/placement/reservation.go
+++ b/core/placement/reservation.go
@@ -23,9 +23,9 @@
 	readTokens       int
 	measuresReadRate bool
 	// pace is the server's pace that the expected time contains.
-	pace             float64
-	answered         bool
-	released         bool
+	pace     float64
+	answered bool
+	released bool
 }
 
 // Reserve reserves a place at a server. It returns nil if the server is gone, takes no
@@ -62,6 +62,7 @@
 		t.parts = req.Parts
 		server.cache.add(req.Parts, now.Add(c.Wait))
 	}
+	p.recordSend(server)
 	server.ownLoad.Running++
 	server.ownLoad.Unread += t.unreadTokens
 	return t
--- a/measure/placement/placement_test.go
+++ b/measure/placement/placement_test.go
@@ -30,6 +30,16 @@
 		loads[servers[i].ID] = core.Load{Running: i % 7, Unread: 300 * (i % 5)}
 	}
 	b.SetServers("p", servers)
+	// The cost of a decision depends on what the engines cache, which is the same whatever
+	// the decisions are.
+	for i := range servers {
+		b.AddPeerCached(time.Unix(1, 0), servers[i].ID, []core.Part{{ID: uint64(i % 4), Tokens: 2500}, {ID: uint64(100 + i%46), Tokens: 6100}})
+	}
+	all := make([]fleet.InstanceID, 75)
+	for i := range all {
+		all[i] = fleet.InstanceID(fmt.Sprint("r", i))
+	}
+	b.SetInstances("r0", all)
 	for i := range peerCount {
 		b.SetPeerLoads(fleet.InstanceID(fmt.Sprint("peer", i)), time.Unix(1, 0), loads)
 	}
