Add the mechanism prompt_isolation

Cause: engines process prompts in chunks by urgency and arrival. Nothing limits the prefill of long prompts, and their urgency is that of short ones, so that short prompts wait behind long ones; in a shortage nearly all prompts are late.

Change: with prompt_isolation in policy.enabled, a prompt with 4,096 tokens to process or more is sent with an urgency lower by one unless its time is short, one with 512 or less with an urgency higher by one. A long prompt goes to an engine on which it meets its target if there is one. While over 40% of its long prompts are late, an instance limits the tokens of long prompts that it sends. Off unless enabled.

--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -191,7 +191,7 @@
 	set(d.FetchFrom, x.req.FetchFrom)
 	set(d.Server, string(x.srv.Name))
 	if x.req.Pool.Kind == manifest.KindModel {
-		set(d.Urgency, strconv.Itoa(min(x.req.Urgency, lowestUrgency)))
+		set(d.Urgency, strconv.Itoa(max(0, min(x.req.Urgency+x.req.UrgencyShift, lowestUrgency))))
 	}
 	if x.req.Account != nil {
 		set(d.Account, string(x.req.Account.Name))
--- a/cmd/internal/edge/placer.go
+++ b/cmd/internal/edge/placer.go
@@ -69,6 +69,10 @@
 				continue
 			}
 			req.FetchFrom = c.Source
+			req.UrgencyShift = 0
+			if p.board.Policy().On(placement.RequestUrgency) {
+				req.UrgencyShift = p.board.UrgencyShift(&c, left)
+			}
 			req.FirstPartTimeout = firstPartTimeout(c.Wait)
 			p.recordDecision(req, c, len(ranked), now.Sub(began))
 			acceptance.sent(req)
--- a/core/gateway/ports.go
+++ b/core/gateway/ports.go
@@ -68,6 +68,8 @@
 	Arrived time.Time
 	// Urgency orders waiting requests, 0 first.
 	Urgency int
+	// UrgencyShift is added to Urgency at the server chosen last; a placer sets it.
+	UrgencyShift int
 	// Resumable allows a broken stream to be continued by another server.
 	Resumable bool
 	// LastEventID is the ID of the event after which a stream resumes; empty means
--- a/core/placement/balancer.go
+++ b/core/placement/balancer.go
@@ -89,6 +89,7 @@
 	readRate    readRate
 	policy      *Policy
 	callers     callers
+	longLimit   longLimit
 	sendShares  sendShares
 	// leaving holds the servers that announced their leaving.
 	leaving map[fleet.ServerID]leavingNote
--- /dev/null
+++ b/core/placement/isolation_test.go
@@ -0,0 +1,103 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cyclamenhitch/core/fleet"
+)
+
+func isolating() Policy {
+	p := DefaultPolicy()
+	p.Enabled = Mechanisms(PromptIsolation)
+	return p
+}
+
+func sized(i, tokens int) *Request {
+	return &Request{Parts: []Part{{1<<50>>1 | uint64(i), tokens}}, PromptTokens: tokens, Objective: 400 * time.Millisecond, Key: uint64(i)}
+}
+
+// Guards against a limit of long prompts that stays after a shortage, that holds without one,
+// or that holds short prompts back.
+func TestLongPromptsAreLimitedInShortage(t *testing.T) {
+	b := NewBalancer(isolating())
+	b.SetServers("p", engines(9))
+	now := epoch
+	// play sends 20 long prompts each second and returns how many of them were placed.
+	play := func(seconds int, took time.Duration) (placed int) {
+		for i := range 20 * seconds {
+			now = now.Add(50 * time.Millisecond)
+			if ranked, v := b.Rank(now, "p", sized(i, 18_000), nil); v == Found {
+				placed++
+				r := b.Reserve(now, "p", ranked[0], sized(i, 18_000))
+				r.OnFirstOutput(now.Add(took))
+				r.Release(now.Add(took), Ended)
+			}
+			if _, v := b.Rank(now, "p", sized(i, 200), nil); v != Found {
+				t.Fatalf("status %d for a short prompt", v)
+			}
+		}
+		return placed
+	}
+	if n := play(10, 300*time.Millisecond); n != 200 {
+		t.Errorf("%d of 200 long prompts were placed without a shortage", n)
+	}
+	if n := play(10, 900*time.Millisecond); n > 150 {
+		t.Errorf("%d of 200 long prompts were placed while all are late", n)
+	}
+	play(30, 100*time.Millisecond)
+	if n := play(10, 100*time.Millisecond); n != 200 {
+		t.Errorf("%d of 200 long prompts were placed after the shortage", n)
+	}
+}
+
+// Guards against a long prompt that goes before short ones, and one with little time left
+// that goes behind them.
+func TestUrgencyShift(t *testing.T) {
+	on, off := NewBalancer(isolating()), NewBalancer(DefaultPolicy())
+	for _, c := range []struct {
+		unread, shift int
+		left          time.Duration
+	}{
+		{200, -1, time.Minute}, {2000, 0, time.Minute}, {18_000, 1, time.Minute}, {18_000, 0, time.Second}, {0, 0, time.Minute},
+	} {
+		x := &Candidate{unread: c.unread, Wait: 600 * time.Millisecond}
+		if got := on.UrgencyShift(x, c.left); got != c.shift {
+			t.Errorf("%d tokens, %v left: %d, want %d", c.unread, c.left, got, c.shift)
+		}
+		if got := off.UrgencyShift(x, c.left); got != 0 {
+			t.Errorf("%d tokens: %d without the mechanism", c.unread, got)
+		}
+	}
+}
+
+// Guards against a mechanism that changes decisions among prompts that are neither long nor
+// late, and against one that leaves a long prompt without an engine while none is late.
+func TestIsolationOnlyOfLongPrompts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		on, off := NewBalancer(isolating()), NewBalancer(DefaultPolicy())
+		on.SetServers("p", engines(12))
+		off.SetServers("p", engines(12))
+		now := epoch
+		for i := range rapid.IntRange(1, 80).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * time.Millisecond)
+			loads := map[fleet.ServerID]Load{fleet.ServerID(fmt.Sprint("e", i%12)): {Running: rapid.IntRange(1, 9).Draw(t, "running"), Unread: rapid.IntRange(0, 50_000).Draw(t, "unread")}}
+			on.SetPeerLoads("x", now, loads)
+			off.SetPeerLoads("x", now, loads)
+			if _, v := on.Rank(now, "p", sized(i, 18_000), nil); v != Found {
+				t.Fatalf("status %d for a long prompt", v)
+			}
+			req := sized(i, rapid.IntRange(1, longTokens-1).Draw(t, "tokens"))
+			x, _ := on.Rank(now, "p", req, nil)
+			y, _ := off.Rank(now, "p", req, nil)
+			if len(x) != len(y) || x[0].ID != y[0].ID || x[0].Cost != y[0].Cost {
+				t.Fatalf("request %d: %+v and %+v", i, x[0], y[0])
+			}
+			on.Reserve(now, "p", x[0], req)
+			off.Reserve(now, "p", y[0], req)
+		}
+	})
+}
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -75,6 +75,8 @@
 	readTokens int
 	// pace is the expected time of work at the server relative to the usual one.
 	pace float64
+	// unread is the number of tokens of the prompt that the engine processes.
+	unread int
 }
 
 // MissesDeadline reports whether the request would have to queue for a slot and is
@@ -153,6 +155,7 @@
 	if p.policy.On(Shortlist) {
 		indexes = shortlist(eligible, r.order, req)
 	}
+	r.longSpent = p.policy.On(PromptIsolation) && p.longLimit.spent(now)
 	r.shares, r.self = p.sendLimit(eligible, running, takers, takers+outOfService, &share), share.selfHash
 	out := r.search(eligible, indexes)
 	if len(out) == 0 {
@@ -174,6 +177,11 @@
 	readRate float64
 	// shares limits the requests of this instance to each engine; nil means no limit.
 	shares *sendShares
+	// longSpent is set if no long prompt may be sent now.
+	longSpent bool
+	// isolated is set once a server was passed over for a long prompt, anyWait if a long
+	// prompt may go to any server.
+	isolated, anyWait bool
 	// self is the hash of this instance.
 	self uint64
 }
@@ -191,6 +199,10 @@
 	if len(out) == 0 || !out[0].leavesSlack(r.req) {
 		out = r.best(out[:0], servers, nil)
 	}
+	if len(out) == 0 && r.isolated && !r.longSpent {
+		r.anyWait = true
+		out = r.best(out, servers, nil)
+	}
 	for i := 0; r.shares != nil && len(out) == 0 && i < len(fallbackCredits); i++ {
 		r.shares.least = fallbackCredits[i]
 		out = r.best(out, servers, nil)
@@ -212,6 +224,10 @@
 			return
 		}
 		c := s.candidate(r, l, r.order[i])
+		if r.isolates(s, &c) {
+			r.isolated = true
+			return
+		}
 		if r.policy.On(ErrorCost) {
 			c.addErrorCost(s, max(0, s.errors.now(r.now)-r.meanErrors), r.req)
 		}
@@ -339,6 +355,7 @@
 		work += queuedCostTokens * float64(1+l.Running-s.Slots)
 	}
 	c.Wait = baseFirstTokenTime + fetchTime + time.Duration(slowdown*work/r.readRate*float64(time.Millisecond))
+	c.unread = unread
 	cost := waitCost(c.Wait, req.Objective) + time.Duration(r.policy.FetchWeight*float64(fetchTime)) + scaled(readTime(unread, r.readRate), c.pace) + rankCost*time.Duration(rank)
 	c.Cost = float64(cost) / float64(time.Millisecond)
 	return c
--- a/core/placement/reservation.go
+++ b/core/placement/reservation.go
@@ -23,9 +23,11 @@
 	readTokens       int
 	measuresReadRate bool
 	// pace is the server's pace that the expected time contains.
-	pace     float64
-	answered bool
-	released bool
+	pace float64
+	// longTarget is the target time of a long prompt, 0 for others.
+	longTarget time.Duration
+	answered   bool
+	released   bool
 }
 
 // Reserve reserves a place at a server. It returns nil if the server is gone, takes no
@@ -54,6 +56,10 @@
 	if server.Engine {
 		t.unreadTokens = max(0, req.PromptTokens-server.cache.cachedTokens(req.Parts)-c.Fetched)
 		t.expected = c.Wait
+		if c.unread >= longTokens && p.policy.On(PromptIsolation) {
+			t.longTarget = req.target()
+			p.longLimit.send(now, c.unread)
+		}
 		t.readTokens, t.measuresReadRate = c.readTokens, c.Fetched == 0 && !c.Full && !server.cold(now)
 		server.recordTransfer(now, c)
 		if n := len(req.Parts); n > 1 && server.shouldReport(req, req.Parts[:n-1]) {
@@ -124,6 +130,9 @@
 		t.pool.meanLatency += (usual - t.pool.meanLatency) / meanLatencyWindow
 	}
 	t.server.speed.observe(now, took, t.expected)
+	if t.longTarget > 0 {
+		t.pool.longLimit.ended(now, took <= t.longTarget, t.longTarget)
+	}
 	if t.measuresReadRate {
 		t.pool.readRate.observe(t.readTokens, usual)
 	}
@@ -159,6 +168,9 @@
 	t.server.ownLoad.Running--
 	if !t.answered {
 		t.server.ownLoad.Unread -= t.unreadTokens
+		if t.longTarget > 0 && o != Refused && now.Sub(t.startedAt) > t.longTarget {
+			t.pool.longLimit.ended(now, false, t.longTarget)
+		}
 	}
 	if o == Refused {
 		t.server.cache.removeUnprocessed(t.parts, now)
--- a/measure/hardload/engine_result.go
+++ b/measure/hardload/engine_result.go
@@ -5,8 +5,6 @@
 	"slices"
 	"strings"
 	"time"
-
-	"cyclamenhitch/core/placement"
 )
 
 // warmUpWindows is the number of windows of 5 s in which the caches of the engines fill.
@@ -86,6 +84,3 @@
 	fmt.Fprintf(&s, "worst account %.3f, sends over the bound %.4f %.3f\n", e.WorstAccount, e.WorstWindow, e.Windows)
 	return s.String()
 }
-
-// urgency returns the urgency with which a request is sent.
-func (r *engineRun) urgency(j *job, _ time.Duration, _ *placement.Candidate) int { return j.urgency }
--- a/measure/hardload/engine_sim.go
+++ b/measure/hardload/engine_sim.go
@@ -56,7 +56,7 @@
 const (
 	hotFactor        = 8
 	reportInterval   = 200 * time.Millisecond
-	chunkTokens      = 512
+	chunkTokens      = 2048
 	fetchTokensPerMs = 100
 	stepTime         = 5 * time.Millisecond
 	decodeTime       = 60 * time.Microsecond // of a step for each request that generates
@@ -200,11 +200,14 @@
 			r.totals[id] = placement.Load{Running: t.Running + l.Running, Unread: t.Unread + l.Unread}
 		}
 		in.loads = own
+		rates := in.b.ReadRates()
 		for _, other := range r.instances {
+			if other == in {
+				continue
+			}
+			other.b.ApplyPeerReadRates(in.id, rates)
 			for _, p := range placed {
-				if other != in {
-					other.b.AddPeerPlacement(r.time(), p.Server, p.Parts)
-				}
+				other.b.AddPeerPlacement(r.time(), p.Server, p.Parts)
 			}
 		}
 	})
@@ -288,7 +291,7 @@
 		j.refused = true
 		return
 	}
-	j.urgency = r.urgency(j, left, &ranked[0])
+	j.urgency = max(0, min(9, kind.Urgency+j.in.b.UrgencyShift(&ranked[0], left)))
 	j.ticket = j.in.b.Reserve(r.time(), "p", ranked[0], &j.ask)
 	j.sent = r.now
 	e := r.index[ranked[0].ID]
