Start the limit of long prompts without a debt

Cause: long prompts sent while there was no limit were subtracted from the credit, which nothing raised or reset.

Change: the credit is 0 while there is no limit.

Result: TestLongLimitBeginsWithoutDebt placed 20 of 200 long prompts in the 10 s after a shortage before, over 100 now.

--- a/core/placement/isolation.go
+++ b/core/placement/isolation.go
@@ -63,6 +63,10 @@
 	if l.limit > 0 && now.Sub(l.cutAt) > longRecovery {
 		l.limit += (longTokens/span + longGrowth*l.limit) * part
 	}
+	if l.limit == 0 {
+		l.credit = 0 // what is sent without a limit does not count against a later one
+		return
+	}
 	l.credit = min(l.limit*span, l.credit+l.limit*span*part)
 }
 
--- a/core/placement/isolation_test.go
+++ b/core/placement/isolation_test.go
@@ -54,6 +54,40 @@
 	}
 }
 
+// Guards against long prompts sent before a shortage that count against the limit when it
+// begins, which then holds all of them back until the limit has made up for them.
+func TestLongLimitBeginsWithoutDebt(t *testing.T) {
+	b := NewBalancer(isolating())
+	b.SetServers("p", engines(9))
+	now := epoch
+	var waiting []*Reservation // those without a first token, oldest first
+	// play sends 20 long prompts each second and returns how many of them were placed. Each
+	// gets its first token after a number of intervals of 50 ms.
+	play := func(n, intervals int) (placed int) {
+		for i := range n {
+			now = now.Add(50 * time.Millisecond)
+			for len(waiting) > 0 && now.Sub(waiting[0].startedAt) >= time.Duration(intervals)*50*time.Millisecond {
+				waiting[0].OnFirstOutput(now)
+				waiting[0].Release(now, Ended)
+				waiting = waiting[1:]
+			}
+			if ranked, v := b.Rank(now, "p", sized(i, 18_000), nil); v == Found {
+				placed++
+				waiting = append(waiting, b.Reserve(now, "p", ranked[0], sized(i, 18_000)))
+			}
+		}
+		return placed
+	}
+	play(1200, 2) // a minute in time
+	play(40, 18)  // two seconds of late ones
+	if b.Summary(now)["p"].LongTokensPerMilli == 0 {
+		t.Fatal("no limit after two seconds in which all long prompts were late")
+	}
+	if n := play(200, 2); n < 100 {
+		t.Errorf("%d of 200 long prompts were placed in the 10 s after a shortage of two seconds", n)
+	}
+}
+
 // Guards against a long prompt that goes before short ones, and one with little time left
 // that goes behind them.
 func TestUrgencyShift(t *testing.T) {
