Keep suspect and full engines last where others lack credit

Cause: an engine without a whole credit was left out of the comparison, and part of a credit sufficed only if no engine was left. While a data centre's engines were suspect or full, they still had credit and got requests that engines in good order were left out of: lost sends, and requests refused for a wait at a full engine.

Change: if the best candidate is suspect or full and a sound engine was passed over for lack of credit, the engines are compared again with less credit.

--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -184,6 +184,14 @@
 	isolated, anyWait bool
 	// self is the hash of this instance.
 	self uint64
+	// passedSound is set once an engine that is neither suspect nor full was passed over
+	// because it lacks credit.
+	passedSound bool
+}
+
+// avoidable reports whether a server with load l is suspect or full.
+func (s *serverState) avoidable(r *ranking, l Load) bool {
+	return s.Slots > 0 && l.Running >= s.Slots || r.policy.On(AvoidSuspects) && s.suspect(r.now)
 }
 
 // search returns the best candidates of the shortlist, or of all servers if that leaves too
@@ -203,9 +211,10 @@
 		r.anyWait = true
 		out = r.best(out, servers, nil)
 	}
-	for i := 0; r.shares != nil && len(out) == 0 && i < len(fallbackCredits); i++ {
-		r.shares.least = fallbackCredits[i]
-		out = r.best(out, servers, nil)
+	// A suspect or full engine is no replacement for a sound one that lacks credit.
+	for i := 0; r.shares != nil && i < len(fallbackCredits) && (len(out) == 0 || r.passedSound && (out[0].Suspect || out[0].Full)); i++ {
+		r.shares.least, r.passedSound = fallbackCredits[i], false
+		out = r.best(out[:0], servers, nil)
 	}
 	return out
 }
@@ -221,6 +230,7 @@
 			return
 		}
 		if !r.mayGet(s) {
+			r.passedSound = r.passedSound || !s.avoidable(r, l)
 			return
 		}
 		c := s.candidate(r, l, r.order[i])
