Keep long prompts off suspect engines

Cause: with prompt_isolation, engines on which a long prompt misses its target are passed over, and counted again only if none was left. A suspect engine has little load, so it was left and got the prompt.

Change: they are also counted again if the best candidate is suspect.

Result: TestLongPromptsKeepOffSuspectEngines fails before, passes now.

--- a/core/placement/isolation_test.go
+++ b/core/placement/isolation_test.go
@@ -135,3 +135,28 @@
 		}
 	})
 }
+
+// Guards against a long prompt that goes to a suspect engine because it would miss its target
+// at the others.
+func TestLongPromptsKeepOffSuspectEngines(t *testing.T) {
+	b := NewBalancer(isolating())
+	b.SetServers("p", engines(8))
+	loads := map[fleet.ServerID]Load{}
+	for i := range 4 {
+		loads[fleet.ServerID(fmt.Sprint("e", i))] = Load{Running: 2, Unread: 40_000}
+	}
+	b.SetPeerLoads("x", epoch, loads)
+	var list []Suspicion
+	for i := 4; i < 8; i++ {
+		list = append(list, Suspicion{fleet.ServerID(fmt.Sprint("e", i)), maxSuspicion})
+	}
+	b.ApplyPeerSuspicions(epoch, list)
+	for i := range 50 {
+		req := sized(i, 18_000)
+		req.Objective = 1200 * time.Millisecond
+		ranked, v := b.Rank(epoch, "p", req, nil)
+		if v != Found || ranked[0].Suspect {
+			t.Fatalf("prompt %d: status %d, %+v", i, v, ranked)
+		}
+	}
+}
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -207,9 +207,9 @@
 	if len(out) == 0 || !out[0].leavesSlack(r.req) {
 		out = r.best(out[:0], servers, nil)
 	}
-	if len(out) == 0 && r.isolated && !r.longSpent {
+	if r.isolated && !r.longSpent && (len(out) == 0 || out[0].Suspect) {
 		r.anyWait = true
-		out = r.best(out, servers, nil)
+		out = r.best(out[:0], servers, nil)
 	}
 	// A suspect or full engine is no replacement for a sound one that lacks credit.
 	for i := 0; r.shares != nil && i < len(fallbackCredits) && (len(out) == 0 || r.passedSound && (out[0].Suspect || out[0].Full)); i++ {
