Count time once for the limit of long prompts

Cause: requests read the clock before they wait for the lock of the pool. A time before the last one moved the limit's clock back, so that the credit rose and the average of sent tokens fell for the same time again.

Change: an earlier time counts as the last one.

Result: TestLongLimitTimesOutOfOrder had 25,500 tokens of credit for 100 ms at 10 tokens per ms, now 1,000.

--- a/core/placement/isolation.go
+++ b/core/placement/isolation.go
@@ -52,7 +52,10 @@
 
 // advance brings the state to a time.
 func (l *longLimit) advance(now time.Time) {
-	d := max(0, now.Sub(l.at))
+	if now.Before(l.at) {
+		now = l.at // a request that read the clock before it waited for the lock
+	}
+	d := now.Sub(l.at)
 	if l.at.IsZero() || d > longRateTime {
 		d = longRateTime
 	}
--- a/core/placement/isolation_test.go
+++ b/core/placement/isolation_test.go
@@ -160,3 +160,16 @@
 		}
 	}
 }
+
+// Guards against times that are counted twice because requests take them before they wait for
+// the lock and arrive in another order.
+func TestLongLimitTimesOutOfOrder(t *testing.T) {
+	l := longLimit{limit: 10, credit: -100_000, at: epoch, cutAt: epoch}
+	for range 50 {
+		l.advance(epoch.Add(100 * time.Millisecond))
+		l.advance(epoch.Add(50 * time.Millisecond))
+	}
+	if l.credit > -98_000 {
+		t.Errorf("credit rose to %v in 100 ms at 10 tokens per ms", l.credit)
+	}
+}
