Replace full engines only where the request would be late

Cause: the second comparison for any full engine sent requests of a shortage to the engines that old reports showed idle.

Change: a full engine is replaced only if the expected wait exceeds the target.

--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -211,8 +211,9 @@
 		r.anyWait = true
 		out = r.best(out[:0], servers, nil)
 	}
-	// A suspect or full engine is no replacement for a sound one that lacks credit.
-	for i := 0; r.shares != nil && i < len(fallbackCredits) && (len(out) == 0 || r.passedSound && (out[0].Suspect || out[0].Full)); i++ {
+	// A suspect engine, or a full one at which the request is late, is no replacement for a
+	// sound one that lacks credit.
+	for i := 0; r.shares != nil && i < len(fallbackCredits) && (len(out) == 0 || r.passedSound && (out[0].Suspect || out[0].Full && out[0].Wait > r.req.target())); i++ {
 		r.shares.least, r.passedSound = fallbackCredits[i], false
 		out = r.best(out[:0], servers, nil)
 	}
