Merge the pace of servers, shares of sends and isolation of long prompts

The name capacity_weights is gone, as the directory by capacity is not built. The tests of shares enable the mechanism.

--- a/core/placement/policy.go
+++ b/core/placement/policy.go
@@ -65,10 +65,10 @@
 	// Optional mechanisms: a deployment asks for them in its settings.
 	ServicePacing
 	PromptIsolation
-	CapacityWeights
+	SendShares
 )
 
-const optional = Mechanisms(ServicePacing | PromptIsolation | CapacityWeights)
+const optional = Mechanisms(ServicePacing | PromptIsolation | SendShares)
 
 // MechanismInfo describes a mechanism to operators.
 type MechanismInfo struct {
@@ -97,7 +97,7 @@
 	{PromptQuarantine, "prompt_quarantine", "refuses requests with prompt parts that crash engines"},
 	{ServicePacing, "service_pacing", "optional: paces requests to short pools of plain services by fair shares"},
 	{PromptIsolation, "prompt_isolation", "optional: keeps short prompts from waiting behind long ones"},
-	{CapacityWeights, "capacity_weights", "optional: names instances to callers by capacity and load"},
+	{SendShares, "send_shares", "optional: limits the share of an instance's requests that goes to one engine"},
 }
 
 // ListMechanisms returns all mechanisms.
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -77,6 +77,10 @@
 	// readTokens is the number of tokens that the engine processes before the first
 	// output token.
 	readTokens int
+	// pace is the expected time of work at the server relative to the usual one.
+	pace float64
+	// unread is the number of tokens of the prompt that the engine processes.
+	unread int
 }
 
 // MissesDeadline reports whether the request would have to queue for a slot and is
@@ -155,10 +159,9 @@
 	if p.policy.On(Shortlist) {
 		indexes = shortlist(eligible, r.order, req)
 	}
-	out := r.best(eligible, indexes)
-	if len(out) == 0 || !out[0].leavesSlack(req) {
-		out = r.best(eligible, nil)
-	}
+	r.longSpent = p.policy.On(PromptIsolation) && p.longLimit.spent(now)
+	r.shares, r.self = p.sendLimit(eligible, running, takers, takers+outOfService, &share), share.selfHash
+	out := r.search(eligible, indexes)
 	if len(out) == 0 {
 		return nil, AtLoadBound
 	}
@@ -176,12 +179,54 @@
 	meanErrors float64
 	// readRate is the prompt processing rate of the engines, in tokens per ms.
 	readRate float64
+	// shares limits the requests of this instance to each engine; nil means no limit.
+	shares *sendShares
+	// longSpent is set if no long prompt may be sent now.
+	longSpent bool
+	// isolated is set once a server was passed over for a long prompt, anyWait if a long
+	// prompt may go to any server.
+	isolated, anyWait bool
+	// self is the hash of this instance.
+	self uint64
+	// passedSound is set once an engine that is neither suspect nor full was passed over
+	// because it lacks credit.
+	passedSound bool
+}
+
+// avoidable reports whether a server with load l is suspect or full.
+func (s *serverState) avoidable(r *ranking, l Load) bool {
+	return s.Slots > 0 && l.Running >= s.Slots || r.policy.On(AvoidSuspects) && s.suspect(r.now)
 }
 
-// best returns the best candidates among the servers at the indexes; nil selects all
-// servers.
-func (r *ranking) best(servers []*serverState, indexes []int) []Candidate {
+// search returns the best candidates of the shortlist, or of all servers if that leaves too
+// little slack.
+func (r *ranking) search(servers []*serverState, shortlist []int) []Candidate {
 	out := make([]Candidate, 0, min(len(servers), maxCandidates))
+	out = r.best(out, servers, shortlist)
+	if len(out) == 0 && r.shares != nil && shortlist != nil {
+		r.shares.least = partCredit
+		out = r.best(out, servers, shortlist)
+		r.shares.least = 1
+	}
+	if len(out) == 0 || !out[0].leavesSlack(r.req) {
+		out = r.best(out[:0], servers, nil)
+	}
+	if r.isolated && !r.longSpent && (len(out) == 0 || out[0].Suspect) {
+		r.anyWait = true
+		out = r.best(out[:0], servers, nil)
+	}
+	// A suspect engine, or a full one at which the request is late, is no replacement for a
+	// sound one that lacks credit.
+	for i := 0; r.shares != nil && i < len(fallbackCredits) && (len(out) == 0 || r.passedSound && (out[0].Suspect || out[0].Full && out[0].Wait > r.req.target())); i++ {
+		r.shares.least, r.passedSound = fallbackCredits[i], false
+		out = r.best(out[:0], servers, nil)
+	}
+	return out
+}
+
+// best appends the best candidates among the servers at the indexes to out, which is empty;
+// nil selects all servers.
+func (r *ranking) best(out []Candidate, servers []*serverState, indexes []int) []Candidate {
 	try := func(i int) {
 		s := servers[i]
 		l := s.load()
@@ -189,7 +234,15 @@
 		if (s.Engine || share < 1) && r.policy.On(LoadBound) && l.Running > 0 && float64(l.Running+1) > share*r.bound {
 			return
 		}
+		if !r.mayGet(s) {
+			r.passedSound = r.passedSound || !s.avoidable(r, l)
+			return
+		}
 		c := s.candidate(r, l, r.order[i])
+		if r.isolates(s, &c) {
+			r.isolated = true
+			return
+		}
 		if r.policy.On(ErrorCost) {
 			c.addErrorCost(s, max(0, s.errors.now(r.now)-r.meanErrors), r.req)
 		}
@@ -295,6 +348,8 @@
 	if r.policy.On(Slowdown) {
 		slowdown = s.speed.slowdown(now)
 	}
+	c.pace = s.pace.factor(now)
+	slowdown *= c.pace
 	c.Running, c.Slowdown = l.Running, slowdown
 	if !s.Engine {
 		// Expected time, in units of the time of one request.
@@ -316,7 +371,8 @@
 		work += queuedCostTokens * float64(1+l.Running-s.Slots)
 	}
 	c.Wait = baseFirstTokenTime + fetchTime + time.Duration(slowdown*work/r.readRate*float64(time.Millisecond))
-	cost := waitCost(c.Wait, req.Objective) + time.Duration(r.policy.FetchWeight*float64(fetchTime)) + readTime(unread, r.readRate) + rankCost*time.Duration(rank)
+	c.unread = unread
+	cost := waitCost(c.Wait, req.Objective) + time.Duration(r.policy.FetchWeight*float64(fetchTime)) + scaled(readTime(unread, r.readRate), c.pace) + rankCost*time.Duration(rank)
 	c.Cost = float64(cost) / float64(time.Millisecond)
 	return c
 }
--- a/core/placement/reservation.go
+++ b/core/placement/reservation.go
@@ -22,8 +22,12 @@
 	// sample of the read rate.
 	readTokens       int
 	measuresReadRate bool
-	answered         bool
-	released         bool
+	// pace is the server's pace that the expected time contains.
+	pace float64
+	// longTarget is the target time of a long prompt, 0 for others.
+	longTarget time.Duration
+	answered   bool
+	released   bool
 }
 
 // Reserve reserves a place at a server. It returns nil if the server is gone, takes no
@@ -44,11 +48,18 @@
 		}
 		server.coldNextAt = now.Add(gap)
 	}
-	t := &Reservation{balancer: b, pool: p, server: server, startedAt: now, account: req.Account}
+	t := &Reservation{balancer: b, pool: p, server: server, startedAt: now, account: req.Account, pace: 1}
+	if c.pace > 0 {
+		t.pace = c.pace
+	}
 	p.callers.observe(now, req.Account)
 	if server.Engine {
 		t.unreadTokens = max(0, req.PromptTokens-server.cache.cachedTokens(req.Parts)-c.Fetched)
 		t.expected = c.Wait
+		if c.unread >= longTokens && p.policy.On(PromptIsolation) {
+			t.longTarget = req.target()
+			p.longLimit.send(now, c.unread)
+		}
 		t.readTokens, t.measuresReadRate = c.readTokens, c.Fetched == 0 && !c.Full && !server.cold(now)
 		server.recordTransfer(now, c)
 		if n := len(req.Parts); n > 1 && server.shouldReport(req, req.Parts[:n-1]) {
@@ -57,6 +68,7 @@
 		t.parts = req.Parts
 		server.cache.add(req.Parts, now.Add(c.Wait))
 	}
+	p.recordSend(server)
 	server.ownLoad.Running++
 	server.ownLoad.Unread += t.unreadTokens
 	return t
@@ -92,6 +104,14 @@
 	c.sourceServer.linkFree, s.linkFree = end, end
 }
 
+// scaled returns d times a factor; a factor of 1 leaves it as it is.
+func scaled(d time.Duration, factor float64) time.Duration {
+	if factor == 1 {
+		return d
+	}
+	return time.Duration(float64(d) * factor)
+}
+
 // OnFirstOutput records the arrival of the first part of the answer.
 func (t *Reservation) OnFirstOutput(now time.Time) {
 	t.pool.mu.Lock()
@@ -104,13 +124,17 @@
 	t.server.failures.succeeded(now)
 	t.server.cache.add(t.parts, now)
 	took := now.Sub(t.startedAt)
+	usual := scaled(took, 1/t.pace)
 	if !t.server.Engine {
-		t.expected = t.pool.meanLatency
-		t.pool.meanLatency += (took - t.pool.meanLatency) / meanLatencyWindow
+		t.expected = scaled(t.pool.meanLatency, t.pace)
+		t.pool.meanLatency += (usual - t.pool.meanLatency) / meanLatencyWindow
 	}
 	t.server.speed.observe(now, took, t.expected)
+	if t.longTarget > 0 {
+		t.pool.longLimit.ended(now, took <= t.longTarget, t.longTarget)
+	}
 	if t.measuresReadRate {
-		t.pool.readRate.observe(t.readTokens, took)
+		t.pool.readRate.observe(t.readTokens, usual)
 	}
 	t.pool.notifyWaiters()
 }
@@ -144,6 +168,9 @@
 	t.server.ownLoad.Running--
 	if !t.answered {
 		t.server.ownLoad.Unread -= t.unreadTokens
+		if t.longTarget > 0 && o != Refused && now.Sub(t.startedAt) > t.longTarget {
+			t.pool.longLimit.ended(now, false, t.longTarget)
+		}
 	}
 	if o == Refused {
 		t.server.cache.removeUnprocessed(t.parts, now)
