Add the pacing of pools of plain servers

Change: each instance measures its demand by class and account, its completions and its running requests, adds what peers report, and derives the part of each flow that may be sent. That part of the requests is admitted at random, which needs no fractions of a request per instance; the rest is refused at once. What is admitted waits in order of class and deadline while the instance has its part of the load at the servers. TestQueue checks order, permissions and times of return on random histories; TestSharesOverTheFleet, TestLimitWithoutPeers and TestReportIsBounded the shares. Not yet wired.

--- /dev/null
+++ b/core/pacing/pacing_test.go
@@ -0,0 +1,156 @@
+package pacing
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cyclamenhitch/core/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+// Guards against permissions that are lost or given twice, a queue that is served out of the
+// order of class and deadline, and times of return that callers don't honour.
+func TestQueue(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, now := NewPool(), start
+		p.SetRoom(rapid.IntRange(1, 30).Draw(t, "slots"), rapid.IntRange(1, 100).Draw(t, "instances"))
+		var waiting, sent []*Ticket
+		collect := func() {
+			for i := 0; i < len(waiting); {
+				select {
+				case <-waiting[i].Ready():
+					for _, o := range waiting {
+						if o != waiting[i] && !o.granted && now.Before(o.latest) && order(o, waiting[i]) < 0 {
+							t.Fatalf("%+v is sent before %+v", waiting[i].item, o.item)
+						}
+					}
+					sent, waiting = append(sent, waiting[i]), append(waiting[:i:i], waiting[i+1:]...)
+				default:
+					i++
+				}
+			}
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "us")) * time.Microsecond)
+			switch kind := rapid.IntRange(0, 4).Draw(t, "kind"); {
+			case kind <= 2:
+				left := time.Duration(rapid.IntRange(1, 3000).Draw(t, "left")) * time.Millisecond
+				item := Item{
+					Priority: rapid.IntRange(0, 9).Draw(t, "priority"), Account: uint32(rapid.IntRange(1, 5).Draw(t, "account")),
+					Deadline: now.Add(left), Objective: 150 * time.Millisecond, Refused: rapid.Bool().Draw(t, "refused"),
+				}
+				ticket, refusal := p.Enter(now, item, rapid.Float64Range(0, 0.999).Draw(t, "random"))
+				if refusal != nil && (refusal.After <= 0 || refusal.After > max(time.Millisecond, left/3)) {
+					t.Fatalf("return after %v with %v left", refusal.After, left)
+				}
+				if ticket != nil {
+					waiting = append(waiting, ticket)
+				}
+			case kind == 3 && len(sent) > 0:
+				p.Done(now, sent[0], Outcome(rapid.IntRange(0, 2).Draw(t, "outcome")))
+				sent = sent[1:]
+			case len(waiting) > 0:
+				i := rapid.IntRange(0, len(waiting)-1).Draw(t, "leaving")
+				p.Leave(now, waiting[i])
+				waiting = append(waiting[:i:i], waiting[i+1:]...)
+			}
+			collect()
+			if c := p.Counts(now); c.Running != len(sent) || c.Queued > len(waiting) {
+				t.Fatalf("%+v, %d are sent and %d wait", c, len(sent), len(waiting))
+			}
+		}
+	})
+}
+
+// surge has p see rate requests per second of an account for a time, each answered after took.
+func surge(p *Pool, now time.Time, d time.Duration, account uint32, rate int, took time.Duration) (last time.Time, refused int) {
+	for end := now.Add(d); now.Before(end); now = now.Add(time.Second / time.Duration(rate)) {
+		item := Item{Account: account, Deadline: now.Add(time.Second), Objective: 200 * time.Millisecond}
+		ticket, refusal := p.Enter(now, item, float64(now.UnixNano()/1000%997)/997)
+		if refusal != nil {
+			refused++
+			continue
+		}
+		if p.Leave(now, ticket) {
+			continue
+		}
+		p.mu.Lock()
+		p.observeResponse(now, took)
+		p.mu.Unlock()
+	}
+	return now, refused
+}
+
+// Guards against refusals by share while the pool is not short, and against an instance
+// without peers that neither limits what it sends after refusals nor recovers.
+func TestLimitWithoutPeers(t *testing.T) {
+	p := NewPool()
+	p.SetRoom(6, 1)
+	now, refused := surge(p, start, 3*time.Second, 1, 200, 15*time.Millisecond)
+	if refused != 0 {
+		t.Fatalf("%d requests are refused in a calm time", refused)
+	}
+	p.mu.Lock()
+	p.running = 24 // the servers hold four rounds
+	p.shortUntil = now.Add(time.Minute)
+	p.mu.Unlock()
+	p.SetPeer("peer", now, Report{Instances: 1, Completed: 100, Busy: 20, Flows: []FlowRate{{Flow: Flow{0, 2}, Rate: 3000}}})
+	p.Report(now)
+	p.mu.Lock()
+	p.sharesAt = time.Time{}
+	p.updateShares(now)
+	share := p.shares[Flow{0, 2}]
+	p.running = 0
+	p.shortUntil = time.Time{}
+	p.mu.Unlock()
+	if share <= 0 || share > 0.5 {
+		t.Fatalf("an account with several times the capacity may send %v of its requests", share)
+	}
+	if _, refused = surge(p, now.Add(time.Minute), time.Second, 1, 200, 15*time.Millisecond); refused != 0 {
+		t.Fatalf("%d requests are refused after the shortage", refused)
+	}
+}
+
+// Guards against an account that surges at the expense of others and a high class that is cut
+// before a low one, with demand that only peers see.
+func TestSharesOverTheFleet(t *testing.T) {
+	p := NewPool()
+	p.SetRoom(18, 2)
+	now := start
+	p.Enter(now, Item{Account: 9, Priority: 4, Deadline: now.Add(time.Second), Objective: 100 * time.Millisecond}, 0)
+	p.SetPeer("peer", now, Report{Instances: 1, Completed: 600, Busy: 54, Flows: []FlowRate{
+		{Flow: Flow{4, 1}, Rate: 100, Usual: 100},
+		{Flow: Flow{8, 1}, Rate: 200, Usual: 200}, {Flow: Flow{8, 2}, Rate: 100, Usual: 100}, {Flow: Flow{8, 3}, Rate: 1600, Usual: 200},
+	}})
+	p.updateShares(now.Add(time.Second))
+	of := func(class int, account uint32) float64 {
+		if s, cut := p.shares[Flow{class, account}]; cut {
+			return s
+		}
+		return 1
+	}
+	if of(4, 1) < 1 || of(8, 1) < 0.9 || of(8, 2) < 0.9 || of(8, 3) > 0.25 {
+		t.Fatalf("shares are %v", p.shares)
+	}
+}
+
+// Guards against reports that grow with the number of accounts.
+func TestReportIsBounded(t *testing.T) {
+	p := NewPool()
+	p.SetRoom(18, 2)
+	for i := range 3000 {
+		p.Enter(start, Item{Priority: i % 10, Account: uint32(i + 1), Deadline: start.Add(time.Second)}, 0)
+	}
+	r, ok := p.Report(start)
+	sum, ok2 := p.Sum(start, func(fleet.InstanceID) bool { return true })
+	total := 0.0
+	for _, f := range r.Flows {
+		total += f.Rate
+	}
+	if !ok || !ok2 || len(r.Flows) > MaxFlows || len(sum.Flows) > MaxFlows || total < 5999 || total > 6001 {
+		t.Fatalf("%v: %d flows with %v requests per second", ok, len(r.Flows), total)
+	}
+}
--- /dev/null
+++ b/core/pacing/rate.go
@@ -0,0 +1,47 @@
+package pacing
+
+import (
+	"math"
+	"time"
+)
+
+// rateWindow is the time constant of measured rates. It covers two rounds of reports.
+const rateWindow = 500 * time.Millisecond
+
+// rate is an exponentially decaying rate of events per second.
+type rate struct {
+	value float64
+	at    time.Time
+}
+
+func (r *rate) add(now time.Time, n float64) {
+	r.value = r.read(now) + n/rateWindow.Seconds()
+	r.at = now
+}
+
+func (r *rate) read(now time.Time) float64 {
+	if r.value == 0 {
+		return 0
+	}
+	return r.value * math.Exp(-max(0, now.Sub(r.at).Seconds())/rateWindow.Seconds())
+}
+
+// demand is what a flow asks this instance for.
+type demand struct {
+	rate
+	// usual is the mean rate while the pool was not short.
+	usual float64
+}
+
+// usualWindow is the time constant of the usual demand. It exceeds a surge that has not yet
+// been noticed by far, and follows the course of a day.
+const usualWindow = 30 * time.Second
+
+// learnUsual updates the usual demands, shareInterval after the last time.
+func (p *Pool) learnUsual(now time.Time) {
+	p.learned++
+	weight := max(float64(shareInterval)/float64(usualWindow), 1/float64(p.learned))
+	for _, d := range p.flows {
+		d.usual += weight * (d.read(now) - d.usual)
+	}
+}
