Choose plain servers by own load while pacing is on

Cause: the loads of peers are 200 ms old, ten times as old as the requests that they count, so that all instances send to the same server until the next report; and a refusal by a full queue counts as a failure, which sends everything to the other servers for 250 ms and more. Change: with service_pacing on, plain servers are ranked by the own load, and one that refused as full is avoided for a quarter of a response time.

--- a/core/placement/balancer.go
+++ b/core/placement/balancer.go
@@ -110,6 +110,8 @@
 	// ownSuspectUntil is the end of the suspicion caused by this instance's own requests.
 	ownSuspectUntil time.Time
 	coldNextAt      time.Time
+	// fullUntil is the end of the time in which a plain server is taken to be full.
+	fullUntil time.Time
 	// linkFree is the expected end of the fetches from and to this server that this
 	// instance started. An engine performs its transfers one at a time.
 	linkFree time.Time
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -68,6 +68,9 @@
 	Suspect bool
 	// Full means that the request would queue for a slot.
 	Full bool
+	// RoomAt is when a plain server that refused a request as full is expected to have room;
+	// zero if it has not refused one lately.
+	RoomAt time.Time
 	// tieBreak orders servers of equal cost differently for each request.
 	tieBreak uint64
 	// readTokens is the number of tokens that the engine processes before the first
@@ -228,6 +231,9 @@
 	if c.Suspect != o.Suspect {
 		return o.Suspect
 	}
+	if !c.RoomAt.Equal(o.RoomAt) {
+		return c.RoomAt.Before(o.RoomAt)
+	}
 	if c.Cost != o.Cost {
 		return c.Cost < o.Cost
 	}
@@ -294,6 +300,13 @@
 	if !s.Engine {
 		// Expected time, in units of the time of one request.
 		slots := float64(max(1, s.Slots))
+		if r.policy.On(ServicePacing) {
+			// The loads of peers are older than the requests that they count.
+			l.Running = s.ownLoad.Running
+			if now.Before(s.fullUntil) {
+				c.RoomAt = s.fullUntil
+			}
+		}
 		c.Cost = slowdown * (1 + float64(l.Running)/slots + 4*math.Max(0, float64(l.Running+1)-slots)/slots)
 		c.Cost += 0.01 * float64(rank)
 		return c
--- a/core/placement/reservation.go
+++ b/core/placement/reservation.go
@@ -133,6 +133,14 @@
 	Oversized
 )
 
+const (
+	// fullTimeShare is the part of the mean response time for which a plain server that
+	// refused a request as full gets no other, with the mechanism service_pacing; minFullTime
+	// is the least time.
+	fullTimeShare = 0.25
+	minFullTime   = 5 * time.Millisecond
+)
+
 // Release releases the place. Only the first call has an effect.
 func (t *Reservation) Release(now time.Time, o Outcome) {
 	t.pool.mu.Lock()
@@ -153,6 +161,13 @@
 		t.pool.notifyWaiters()
 		return
 	}
+	if o == Refused && !t.server.Engine && t.pool.policy.On(ServicePacing) {
+		// The server is not at fault. A full queue has room again after a part of the time
+		// that a request takes to pass it.
+		t.server.fullUntil = now.Add(max(minFullTime, time.Duration(fullTimeShare*float64(t.pool.meanLatency))))
+		t.pool.notifyWaiters()
+		return
+	}
 	switch o {
 	case Failed, Refused:
 		t.server.failures.failed(now, failureBackoffBase)
