--- a/adapters/gossip/codec.go
+++ b/adapters/gossip/codec.go
@@ -26,6 +26,7 @@
 	for pool, rate := range r.ReadRates {
 		m.Paces = append(m.Paces, &gossippb.Pace{Pool: string(pool), TokensPerMilli: float32(rate)})
 	}
+	m.Demand = encodeDemand(r.Demand)
 	if r.Digest != nil {
 		m.Digest = encodeDigest(r.Digest)
 	}
@@ -37,6 +38,7 @@
 		Base: d.Members.Base, Version: d.Members.Version, Partial: d.Members.LoadsUnknown, WithoutLoads: d.WithoutLoads,
 		Loads: encodeLoads(d.Loads), Suspicions: encodeSuspicions(d.Suspicions), Placed: encodePlacements(d.Placements),
 	}
+	m.Demand = encodeDemand(d.Demand)
 	for _, p := range d.Members.Members {
 		m.Members = append(m.Members, &gossippb.Member{
 			Instance: string(p.ID), Incarnation: p.Incarnation, DataCentre: string(p.DataCentre), CallerAddress: p.Caller,
@@ -101,6 +103,7 @@
 	for _, x := range m.Paces {
 		r.ReadRates[fleet.PoolID(x.Pool)] = float64(x.TokensPerMilli)
 	}
+	r.Demand = decodeDemand(m.Demand)
 	if m.Digest != nil {
 		r.Digest = decodeDigest(m.Digest)
 	}
@@ -140,6 +143,7 @@
 		WithoutLoads: m.WithoutLoads,
 		Loads:        decodeLoads(m.Loads), Suspicions: decodeSuspicions(m.Suspicions), Placements: decodePlacements(m.Placed),
 	}
+	d.Demand = decodeDemand(m.Demand)
 	for _, p := range m.Members {
 		d.Members.Members = append(d.Members.Members, roster.Peer{
 			ID: fleet.InstanceID(p.Instance), Incarnation: p.Incarnation, DataCentre: fleet.DataCentreID(p.DataCentre), Caller: p.CallerAddress,
--- a/adapters/gossip/gossip.go
+++ b/adapters/gossip/gossip.go
@@ -14,6 +14,7 @@
 
 	"cyclamenhitch/adapters/gossip/gossippb"
 	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/pacing"
 	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/quarantine"
 	"cyclamenhitch/core/result"
@@ -46,6 +47,8 @@
 	ReadRates map[fleet.PoolID]float64
 	// Evidence is what the sender knows about prompt parts that crash engines.
 	Evidence []quarantine.Evidence
+	// Demand is what the sender measured at pools of plain servers that are short of capacity.
+	Demand map[fleet.PoolID]pacing.Report
 	// WantsDigest reports whether the sender uses the receiver as a relay. HeldList is the
 	// version of the receiver's member list that the sender holds.
 	WantsDigest bool
@@ -71,6 +74,8 @@
 	// the last digest.
 	Placements []placement.Placement
 	Suspicions []placement.Suspicion
+	// Demand is what the covered instances measured, without the receiver.
+	Demand map[fleet.PoolID]pacing.Report
 }
 
 // Socket sends and receives reports.
