Pace requests to plain services on the platform

With service_pacing enabled, Place first asks for a permission; a request that a full server refused waits for room while its time allows, and refusals of servers carry a time of return. Relays sum the demand. Metric pacing, two log lines.

--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -116,7 +116,10 @@
 		Upstream: client, tracker: tracker, off: !policy.On(placement.PromptQuarantine),
 		calls: e.budget.Calls, incarnation: e.view.incarnation, onEvidence: e.peers.reportSoon, meters: e.meters, log: log,
 	}
+	pacers := newPacers(e.board, log)
+	e.peers.relay.pacers = pacers
 	e.peers.onInstanceCount = func(instances int) {
+		pacers.setInstances(instances)
 		budgets.SetAll(instanceRetryBudget(set, instances))
 		client.MaxIdle.Store(int64(e.view.maxIdleConnections(instances)))
 	}
@@ -127,13 +130,17 @@
 	}
 	e.caller = &httpapi.Server{
 		Opener: &gateway.Gateway{
-			Placer:   &placer{board: e.board, view: e.view, meters: e.meters, crashes: e.crashes, times: times, acceptInStop: e.stop.accept},
+			Placer:   &placer{board: e.board, view: e.view, meters: e.meters, crashes: e.crashes, times: times, pacers: pacers, acceptInStop: e.stop.accept},
 			Upstream: e.crashes, Budget: retryBudget(policy, budgets), Memory: memory, Now: time.Now,
 			AfterFunc: func(d time.Duration, f func()) func() bool { return time.AfterFunc(d, f).Stop },
 		},
 		Memory: memory, Admission: e.view, Log: log, Observe: e.meters.observeRequest, LogOneIn: uint64(*set.Log.SampleDecisions),
 		Frontend: &platform.Frontend{View: e.view.Current},
 	}
+	if pacers != nil {
+		e.caller.Opener = pacedOpener{e.caller.Opener, pacers}
+		e.meters.gauge("pacing", func() any { return pacers.counts(time.Now()) })
+	}
 	e.stop.caller = e.caller
 	e.publishGauges()
 	e.meters.gauge("response_memory", func() any {
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -138,6 +138,7 @@
 		own.Placements = nil
 	}
 	own.Evidence = p.tracker.Report(now)
+	own.Demand = p.relay.pacers.report(now)
 	p.logVerdicts()
 	own.Suspicions, own.ReadRates = p.board.Suspicions(now), p.board.ReadRates()
 	p.updateLiveInstances(now, own.From.Serving)
--- a/cmd/internal/edge/placer.go
+++ b/cmd/internal/edge/placer.go
@@ -22,6 +22,8 @@
 	meters  *meters
 	crashes *crashWatch
 	times   *servicetime.Tracker
+	// pacers paces requests to plain services; nil unless the mechanism is on.
+	pacers *pacers
 	// acceptInStop returns an error for a request that would outlast a planned stop.
 	acceptInStop func(now time.Time, req *gateway.Request) (stopAcceptance, *result.Error)
 }
@@ -39,6 +41,20 @@
 	if !p.board.Policy().On(placement.RequestUrgency) {
 		req.Urgency = neutralUrgency
 	}
+	send, e := p.pacers.enter(ctx, req)
+	if e != nil {
+		return nil, nil, e
+	}
+	srv, permit, err := p.place(ctx, req, ask, began, send)
+	if err != nil {
+		send.leave(time.Now())
+	}
+	return srv, permit, err
+}
+
+// place waits for a server and reserves a place at it. send is the permission of a request
+// to a paced pool, nil for others.
+func (p *placer) place(ctx context.Context, req *gateway.Request, ask *placement.Request, began time.Time, send *pacedSend) (*manifest.Server, gateway.Permit, error) {
 	for {
 		if req.Recheck != nil {
 			if e := req.Recheck(); e != nil {
@@ -63,6 +79,13 @@
 			return nil, nil, result.New(result.PoolAtBound, "the first token is expected in %v, %v are left", ranked[0].Wait.Round(time.Millisecond), left.Round(time.Millisecond)).
 				WithRetryAfter(ranked[0].Wait - left)
 		}
+		if verdict == placement.NoServers && send != nil && len(req.TriedServers) > 0 && !req.MayHaveRun {
+			// Servers that only refused the request may have room now.
+			ranked, verdict = p.board.Rank(now, req.Pool.Name, ask, nil)
+		}
+		if verdict == placement.Found && send.waitForRoom(ctx, now, &ranked[0], changed) {
+			continue
+		}
 		for _, c := range ranked {
 			t := p.board.Reserve(now, req.Pool.Name, c, ask)
 			if t == nil {
@@ -72,7 +95,7 @@
 			req.FirstPartTimeout = firstPartTimeout(c.Wait)
 			p.recordDecision(req, c, len(ranked), now.Sub(began))
 			acceptance.sent(req)
-			return &manifest.Server{Name: c.ID, Pool: req.Pool.Name, Address: c.Address}, p.permit(now, req, t), nil
+			return &manifest.Server{Name: c.ID, Pool: req.Pool.Name, Address: c.Address}, p.permit(now, req, t, send), nil
 		}
 		if verdict == placement.AllPaused {
 			return nil, nil, p.pausedRefusal(now, req.Pool.Name)
@@ -181,10 +204,12 @@
 	run    *servicetime.Run
 	// remainder is set for the rest of a response that began elsewhere.
 	remainder bool
+	// send is the permission of a request to a paced pool, nil for others.
+	send *pacedSend
 }
 
-func (p *placer) permit(now time.Time, req *gateway.Request, t *placement.Reservation) *permit {
-	return &permit{t, p.times.Begin(now, requestKind(req), req.OutputTokens), req.Resuming || req.LastEventID != ""}
+func (p *placer) permit(now time.Time, req *gateway.Request, t *placement.Reservation, send *pacedSend) *permit {
+	return &permit{t, p.times.Begin(now, requestKind(req), req.OutputTokens), req.Resuming || req.LastEventID != "", send}
 }
 
 // Opened implements gateway.Permit.
@@ -201,6 +226,7 @@
 func (p *permit) Release(err error) {
 	now := time.Now()
 	p.ticket.Release(now, placementOutcome(err))
+	p.send.done(now, err)
 	end := servicetime.GivenUp
 	switch {
 	case p.remainder:
--- a/cmd/internal/edge/relay.go
+++ b/cmd/internal/edge/relay.go
@@ -51,6 +51,8 @@
 	board       *placement.Balancer
 	dc          fleet.DataCentreID
 	incarnation uint64
+	// pacers takes the demand that peers report; nil unless the mechanism is on.
+	pacers *pacers
 
 	mu sync.Mutex
 	// relaying is true while this instance is a relay.
@@ -81,6 +83,7 @@
 	local, remote pendingItems
 	// partial is true if this instance does not know the loads of the fleet.
 	partial         bool
+	now             time.Time
 	totals          map[fleet.ServerID]placement.Load
 	dataCentreLoads map[fleet.ServerID]placement.Load
 }
@@ -121,7 +124,7 @@
 	_, other := rl.roster.LoadSource(now, rl.dc)
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	d := roundDigests{relay: rl}
+	d := roundDigests{relay: rl, now: now}
 	if len(rl.local.placed)+len(rl.remote.placed)+len(rl.local.suspicions)+len(rl.remote.suspicions) > 0 {
 		d.local, d.remote = takeRound(&rl.local, &rl.remote, maxDigestPlacements, rl.roomForPlacements(own))
 	}
@@ -238,6 +241,7 @@
 func (d *roundDigests) fleetDigest(to roster.Target) *gossip.Digest {
 	rl := d.relay
 	out := d.memberDigest(to, "")
+	out.Demand = rl.fleetDemand(d.now, to.ID)
 	if !out.WithoutLoads {
 		out.Loads = subtractLoads(d.totals, rl.board.PeerLoads(to.ID))
 	}
@@ -252,6 +256,7 @@
 func (d *roundDigests) dataCentreDigest(to roster.Target) *gossip.Digest {
 	rl := d.relay
 	out := d.memberDigest(to, rl.dc)
+	out.Demand = rl.dataCentreDemand(d.now)
 	if !out.WithoutLoads {
 		if d.dataCentreLoads == nil {
 			d.dataCentreLoads = subtractLoads(d.totals, rl.board.PeerLoadsOf(isDataCentreEntry))
@@ -322,6 +327,7 @@
 		source, ok := rl.roster.LoadSource(now, r.From.DataCentre)
 		fromSource = ok && source == r.From.ID
 	}
+	rl.applyDemand(now, r, relaying, local, fromSource)
 	rl.applyItems(now, r.From.ID, relaying && (local || fromSource), local, r.Placements, r.Suspicions)
 	if r.Digest == nil {
 		return
