Leave returning callers out of the notice of surges

Cause: after an outage of all instances the callers that return at once looked like a lasting surge, and new requests were refused by share.

--- a/core/pacing/pacing.go
+++ b/core/pacing/pacing.go
@@ -86,7 +86,7 @@
 	weights          map[uint32]float64
 	// completed and refused count per second.
 	completed, refused rate
-	// arrived counts first attempts over surgeWindow.
+	// arrived counts the requests that are not late over surgeWindow.
 	arrived rate
 	// response is the mean response time and fastest the lowest one lately.
 	response, fastest time.Duration
@@ -191,15 +191,19 @@
 	due := p.due(now, &item)
 	late := due.Before(now.Add(p.margin()))
 	item.class = 2 * min(max(0, item.Priority), maxPriority)
+	flow := Flow{item.class, item.Account}
+	if late {
+		flow.Class++
+	}
 	if late && p.limiting {
 		item.class++
 	}
 	if !item.Refused {
-		p.observe(now, &item)
+		p.observe(now, &item, flow)
 		p.updateShares(now)
-		share, limited := p.shares[Flow{item.class, item.Account}]
+		share, limited := p.shares[flow]
 		if !limited {
-			share, limited = p.shares[Flow{item.class, 0}]
+			share, limited = p.shares[Flow{flow.Class, 0}]
 		}
 		if limited && random >= share {
 			p.counts.OverShare++
@@ -225,8 +229,7 @@
 // maxQueue limits the requests that wait in one instance for one pool.
 const maxQueue = 1024
 
-func (p *Pool) observe(now time.Time, item *Item) {
-	flow := Flow{item.class, item.Account}
+func (p *Pool) observe(now time.Time, item *Item, flow Flow) {
 	if p.flows[flow] == nil && len(p.flows) >= maxTrackedFlows {
 		flow.Account = 0
 	}
@@ -236,7 +239,9 @@
 		p.flows[flow] = f
 	}
 	f.add(now, 1)
-	p.arrived.add(now, 1)
+	if !flow.late() {
+		p.arrived.add(now, 1)
+	}
 	if item.Weight > 0 && item.Weight != 1 && len(p.weights) < maxTrackedFlows {
 		p.weights[item.Account] = item.Weight
 	}
--- a/core/pacing/report.go
+++ b/core/pacing/report.go
@@ -12,13 +12,15 @@
 
 // Flow identifies the demand of one account in one class at a pool.
 type Flow struct {
-	// Class is twice the priority, and one more for requests that are late while the pool is
-	// short; 0 is served first.
+	// Class is twice the priority, and one more for requests that can only be late; 0 is
+	// served first.
 	Class int
 	// Account is a hash of the account; 0 sums accounts that are not named.
 	Account uint32
 }
 
+func (f Flow) late() bool { return f.Class%2 == 1 }
+
 // FlowRate is the demand of a flow, in requests per second.
 type FlowRate struct {
 	Flow
@@ -124,13 +126,18 @@
 	}
 	total := 0.0
 	for i := range r.Flows {
-		total += r.Flows[i].Rate
+		if !r.Flows[i].late() {
+			total += r.Flows[i].Rate
+		}
 	}
 	if total > 0 {
-		// The rates of single flows need a longer window than their sum.
+		// The rates of single flows need a longer window than their sum. Late requests are
+		// left out: those of all callers that return after an outage are no lasting demand.
 		surge := min(maxSurge, max(1/maxSurge, p.arrived.read(now)/total))
 		for i := range r.Flows {
-			r.Flows[i].Rate *= surge
+			if !r.Flows[i].late() {
+				r.Flows[i].Rate *= surge
+			}
 		}
 	}
 	r.Flows = limitFlows(r.Flows, MaxFlows)
