--- /dev/null
+++ b/core/placement/service_test.go
@@ -0,0 +1,60 @@
+package placement
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a full queue that counts as a failure of its server, which sends everything
+// to the other servers, and against another send before there is room. With the mechanism
+// off, a refusal makes the server suspect as before.
+func TestFullPlainServer(t *testing.T) {
+	for _, on := range []bool{true, false} {
+		policy := DefaultPolicy()
+		if on {
+			policy.Enabled = Mechanisms(ServicePacing)
+		}
+		b, now := NewBalancer(policy), time.Unix(1000, 0)
+		b.SetServers("p", []Server{{ID: "a", Slots: 6}, {ID: "b", Slots: 6}})
+		req := &Request{Key: 7}
+		refuse := func() Candidate {
+			ranked, _ := b.Rank(now, "p", req, nil)
+			b.Reserve(now, "p", ranked[0], req).Release(now, Refused)
+			return ranked[0]
+		}
+		first := refuse()
+		second := refuse()
+		if first.ID == second.ID {
+			t.Errorf("on %v: the full server is ranked first", on)
+		}
+		ranked, _ := b.Rank(now, "p", req, nil)
+		if ranked[0].RoomAt.After(now) != on || ranked[0].Suspect == on {
+			t.Errorf("on %v: the best server has room at %v, suspect %v", on, ranked[0].RoomAt, ranked[0].Suspect)
+		}
+		ranked, _ = b.Rank(now.Add(minFullTime), "p", req, nil)
+		if !ranked[0].RoomAt.IsZero() || ranked[0].Suspect == on {
+			t.Errorf("on %v: %v later: room at %v, suspect %v", on, minFullTime, ranked[0].RoomAt, ranked[0].Suspect)
+		}
+	}
+}
+
+// Guards against pacing by the slots of servers that take nothing, of engines or of servers
+// that state none.
+func TestServiceSlots(t *testing.T) {
+	b, now := NewBalancer(DefaultPolicy()), time.Unix(1000, 0)
+	for _, c := range []struct {
+		servers []Server
+		slots   int
+		ok      bool
+	}{
+		{nil, 0, false},
+		{[]Server{{ID: "a", Slots: 6}, {ID: "b", Slots: 6, Out: true}}, 6, true},
+		{[]Server{{ID: "a", Slots: 6}, {ID: "b"}}, 0, false},
+		{[]Server{{ID: "a", Slots: 6, Engine: true}}, 0, false},
+	} {
+		b.SetServers("p", c.servers)
+		if slots, ok := b.ServiceSlots(now, "p"); slots != c.slots || ok != c.ok {
+			t.Errorf("%v: %d, %v", c.servers, slots, ok)
+		}
+	}
+}
