End reports of demand after a shortage

Each report made its receiver short for 1.5 s, and a short instance reports every 200 ms. After one refusal anywhere, all instances kept one another short without end: reports were sent and shares were derived for pools that had capacity.

A report now states whether its senders saw a sign of a shortage themselves (field calm). Only such signs make the receiver short. Without the field, a report counts as before.

--- a/adapters/gossip/demand.go
+++ b/adapters/gossip/demand.go
@@ -13,7 +13,7 @@
 	for pool, r := range demand {
 		m := &gossippb.Demand{
 			Pool: string(pool), Instances: uint32(max(0, r.Instances)),
-			Completed: float32(r.Completed), Refused: float32(r.Refused), Busy: float32(r.Busy),
+			Completed: float32(r.Completed), Refused: float32(r.Refused), Busy: float32(r.Busy), Calm: r.Calm,
 		}
 		for _, f := range r.Flows {
 			m.Class = append(m.Class, uint32(max(0, f.Class)))
@@ -39,7 +39,7 @@
 		if len(m.Account) != n || len(m.Rate) != n || len(m.Usual) != n || len(m.Accounts) != n || !sound(m.Completed, m.Refused, m.Busy) || !sound(m.Rate...) || !sound(m.Usual...) {
 			continue
 		}
-		r := pacing.Report{Instances: int(m.Instances), Completed: float64(m.Completed), Refused: float64(m.Refused), Busy: float64(m.Busy)}
+		r := pacing.Report{Instances: int(m.Instances), Completed: float64(m.Completed), Refused: float64(m.Refused), Busy: float64(m.Busy), Calm: m.Calm}
 		for i := range m.Class {
 			r.Flows = append(r.Flows, pacing.FlowRate{
 				Flow: pacing.Flow{Class: int(m.Class[i]), Account: m.Account[i]},
--- a/adapters/gossip/demand_test.go
+++ b/adapters/gossip/demand_test.go
@@ -12,7 +12,7 @@
 // Demand must survive the encoding, and rates that are no numbers must be dropped: they would
 // spread to the shares of all accounts.
 func TestDemandRoundTrip(t *testing.T) {
-	good := pacing.Report{Instances: 3, Completed: 250.5, Refused: 2, Busy: 17, Flows: []pacing.FlowRate{
+	good := pacing.Report{Instances: 3, Completed: 250.5, Refused: 2, Busy: 17, Calm: true, Flows: []pacing.FlowRate{
 		{Flow: pacing.Flow{Class: 4, Account: 77}, Rate: 12.5, Usual: 3.25}, {Flow: pacing.Flow{Class: 5}, Rate: 1, Usual: 2, Accounts: 9},
 	}}
 	odd := good
--- a/core/pacing/pacing.go
+++ b/core/pacing/pacing.go
@@ -101,9 +101,10 @@
 	// limiting is set while the allowed rate is below the demand.
 	limiting bool
 	// usual is the time that first attempts have, as the slowly falling highest one.
-	usual      map[origin]time.Duration
-	shortUntil time.Time
-	running    int
+	usual map[origin]time.Duration
+	// shortUntil follows the signs that this instance saw, peersShortUntil those of peers.
+	shortUntil, peersShortUntil time.Time
+	running                     int
 	// caution scales the load that is aimed at; refusals lower it.
 	caution float64
 	queue   []*Ticket
@@ -180,7 +181,9 @@
 	responseWeight = 0.1
 )
 
-func (p *Pool) short(now time.Time) bool { return now.Before(p.shortUntil) }
+func (p *Pool) short(now time.Time) bool {
+	return now.Before(p.shortUntil) || now.Before(p.peersShortUntil)
+}
 
 // Enter asks to send a request. random is in [0, 1) and decides which requests of an account
 // beyond its share are refused, and spreads the time of return. The request may be sent once
--- a/core/pacing/pacing_test.go
+++ b/core/pacing/pacing_test.go
@@ -187,3 +187,41 @@
 		t.Errorf("%d flows are kept", len(p.flows))
 	}
 }
+
+// Guards against instances that keep one another short: each reports because a peer did, long
+// after the last sign of a shortage.
+func TestReportsEndAfterShortage(t *testing.T) {
+	now := start
+	pools := map[fleet.InstanceID]*Pool{"a": NewPool(), "b": NewPool()}
+	for _, p := range pools {
+		p.SetRoom(6, len(pools))
+	}
+	ticket, _ := pools["a"].Enter(now, Item{Account: 1, Deadline: now.Add(time.Second)}, 0)
+	pools["a"].Done(now, ticket, Full)
+	heard := false
+	for ; now.Before(start.Add(10 * time.Second)); now = now.Add(200 * time.Millisecond) {
+		reports := map[fleet.InstanceID]Report{}
+		for id, p := range pools {
+			if r, ok := p.Report(now); ok {
+				reports[id] = r
+			}
+		}
+		_, ok := reports["b"]
+		heard = heard || ok
+		for from, r := range reports {
+			for to, p := range pools {
+				if to != from {
+					p.SetPeer(from, now, r)
+				}
+			}
+		}
+	}
+	if !heard {
+		t.Error("the peer does not report its demand during the shortage")
+	}
+	for id, p := range pools {
+		if _, ok := p.Report(now); ok {
+			t.Errorf("%s still reports %v after the only refusal", id, now.Sub(start))
+		}
+	}
+}
--- a/core/pacing/report.go
+++ b/core/pacing/report.go
@@ -39,6 +39,9 @@
 	Completed, Refused float64
 	// Busy is the number of requests at the servers.
 	Busy float64
+	// Calm is set if none of the instances saw a sign of a shortage itself. Such a report adds
+	// to the sums but does not make its receiver short: instances would keep one another so.
+	Calm bool
 	// Flows are the largest demands, at most MaxFlows.
 	Flows []FlowRate
 }
@@ -54,6 +57,7 @@
 	r.Completed += o.Completed
 	r.Refused += o.Refused
 	r.Busy += o.Busy
+	r.Calm = r.Calm && o.Calm
 	r.Flows = limitFlows(append(slices.Clone(r.Flows), o.Flows...), MaxFlows)
 }
 
@@ -115,7 +119,7 @@
 }
 
 func (p *Pool) own(now time.Time) Report {
-	r := Report{Instances: 1, Completed: p.completed.read(now), Refused: p.refused.read(now), Busy: float64(p.running)}
+	r := Report{Instances: 1, Completed: p.completed.read(now), Refused: p.refused.read(now), Busy: float64(p.running), Calm: !now.Before(p.shortUntil)}
 	for f, d := range p.flows {
 		v := d.read(now)
 		if v < minFlowRate && d.usual < minFlowRate {
@@ -156,7 +160,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.peers[id] = peerReport{now, r}
-	p.shortUntil = later(p.shortUntil, now.Add(peerTTL))
+	if !r.Calm {
+		p.peersShortUntil = later(p.peersShortUntil, now.Add(peerTTL))
+	}
 }
 
 // Sum returns the sum of what this instance and the peers for which include is true measured,
