Avoid a plain server that refuses everything

With service_pacing, a refusal kept a plain server from requests for a quarter of a response time only and was no failure.

The time now doubles with each refusal in a row beyond three, up to 1 s, and starts again after an answer.

--- a/core/placement/balancer.go
+++ b/core/placement/balancer.go
@@ -112,6 +112,8 @@
 	coldNextAt      time.Time
 	// fullUntil is the end of the time in which a plain server is taken to be full.
 	fullUntil time.Time
+	// fullRefusals counts the refusals as full since the last answer.
+	fullRefusals int
 	// linkFree is the expected end of the fetches from and to this server that this
 	// instance started. An engine performs its transfers one at a time.
 	linkFree time.Time
--- a/core/placement/reservation.go
+++ b/core/placement/reservation.go
@@ -102,6 +102,7 @@
 	t.answered = true
 	t.server.ownLoad.Unread -= t.unreadTokens
 	t.server.failures.succeeded(now)
+	t.server.fullRefusals = 0
 	t.server.cache.add(t.parts, now)
 	took := now.Sub(t.startedAt)
 	if !t.server.Engine {
@@ -139,6 +140,10 @@
 	// is the least time.
 	fullTimeShare = 0.25
 	minFullTime   = 5 * time.Millisecond
+	// The time doubles with each refusal in a row beyond chanceRefusals, up to maxFullTime: a
+	// server that refuses everything looks idle by this instance's own load.
+	chanceRefusals = 3
+	maxFullTime    = time.Second
 )
 
 // Release releases the place. Only the first call has an effect.
@@ -164,7 +169,15 @@
 	if o == Refused && !t.server.Engine && t.pool.policy.On(ServicePacing) {
 		// The server is not at fault. A full queue has room again after a part of the time
 		// that a request takes to pass it.
-		t.server.fullUntil = now.Add(max(minFullTime, time.Duration(fullTimeShare*float64(t.pool.meanLatency))))
+		full := max(minFullTime, time.Duration(fullTimeShare*float64(t.pool.meanLatency)))
+		for range max(0, t.server.fullRefusals-chanceRefusals) {
+			if full *= 2; full >= maxFullTime {
+				full = maxFullTime
+				break
+			}
+		}
+		t.server.fullRefusals++
+		t.server.fullUntil = now.Add(full)
 		t.pool.notifyWaiters()
 		return
 	}
--- a/core/placement/service_test.go
+++ b/core/placement/service_test.go
@@ -58,3 +58,38 @@
 		}
 	}
 }
+
+// Guards against a server that refuses all it gets, for example under an address that it took
+// over: idle by this instance's own load, it would rank first again after each refusal.
+func TestPlainServerThatOnlyRefuses(t *testing.T) {
+	policy := DefaultPolicy()
+	policy.Enabled = Mechanisms(ServicePacing)
+	b, now := NewBalancer(policy), time.Unix(1000, 0)
+	b.SetServers("p", []Server{{ID: "a", Slots: 6}, {ID: "b", Slots: 6}})
+	refused, sends := 0, 0
+	for end := now.Add(2 * time.Second); now.Before(end); now = now.Add(5 * time.Millisecond) {
+		req := &Request{Key: uint64(sends)}
+		ranked, _ := b.Rank(now, "p", req, nil)
+		r := b.Reserve(now, "p", ranked[0], req)
+		if sends++; ranked[0].ID == "a" {
+			refused++
+			r.Release(now, Refused)
+			continue
+		}
+		r.OnFirstOutput(now.Add(15 * time.Millisecond))
+		r.Release(now.Add(15*time.Millisecond), Ended)
+	}
+	if refused > sends/20 {
+		t.Errorf("%d of %d requests go to a server that has refused all", refused, sends)
+	}
+	for range 2 {
+		r := b.Reserve(now, "p", Candidate{ID: "a"}, &Request{})
+		r.OnFirstOutput(now)
+		r.Release(now, Refused)
+	}
+	for _, c := range func() []Candidate { ranked, _ := b.Rank(now.Add(minFullTime), "p", &Request{}, nil); return ranked }() {
+		if !c.RoomAt.IsZero() && c.ID == "a" && c.RoomAt.Sub(now) > 2*minFullTime {
+			t.Errorf("a server that answers again is avoided until %v later", c.RoomAt.Sub(now))
+		}
+	}
+}
