Leave pools with unknown slots unpaced in the choice of servers

With service_pacing, the own load and the handling of refusals applied to all plain servers, also in pools that are not paced because an entry states no slots. The pool now holds whether it is paced, by the condition that ServiceSlots uses.

--- a/core/placement/balancer.go
+++ b/core/placement/balancer.go
@@ -91,6 +91,9 @@
 	callers     callers
 	// leaving holds the servers that announced their leaving.
 	leaving map[fleet.ServerID]leavingNote
+	// paced is set for pools whose servers are all plain and state their slots, with the
+	// mechanism service_pacing.
+	paced bool
 }
 
 // serverState is the state of one server, guarded by the lock of its pool.
@@ -157,7 +160,9 @@
 	old := p.servers
 	p.servers = make(map[fleet.ServerID]*serverState, len(servers))
 	p.list = p.list[:0]
+	p.paced = p.policy.On(ServicePacing)
 	for _, s := range servers {
+		p.paced = p.paced && !s.Engine && s.Slots > 0
 		st := old[s.ID]
 		before := st
 		if st == nil || st.Address != s.Address || st.Incarnation != s.Incarnation {
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -140,7 +140,7 @@
 	}
 	bound := loadBound(running, takers, takers+outOfService)
 	r := ranking{
-		now: now, req: req, policy: p.policy, bound: bound, meanErrors: meanErrorRate(now, eligible), readRate: p.tokensPerMs(),
+		now: now, req: req, policy: p.policy, paced: p.paced, bound: bound, meanErrors: meanErrorRate(now, eligible), readRate: p.tokensPerMs(),
 	}
 	if p.policy.On(Fetching) {
 		r.source = p.fetchSource(now, req)
@@ -166,9 +166,11 @@
 
 // ranking holds the inputs for comparing the candidates of one request.
 type ranking struct {
-	now        time.Time
-	req        *Request
-	policy     *Policy
+	now    time.Time
+	req    *Request
+	policy *Policy
+	// paced is that of the pool.
+	paced      bool
 	bound      float64
 	order      []int
 	source     fetchSource
@@ -300,7 +302,7 @@
 	if !s.Engine {
 		// Expected time, in units of the time of one request.
 		slots := float64(max(1, s.Slots))
-		if r.policy.On(ServicePacing) {
+		if r.paced {
 			// The loads of peers are older than the requests that they count.
 			l.Running = s.ownLoad.Running
 			if now.Before(s.fullUntil) {
--- a/core/placement/reservation.go
+++ b/core/placement/reservation.go
@@ -166,7 +166,7 @@
 		t.pool.notifyWaiters()
 		return
 	}
-	if o == Refused && !t.server.Engine && t.pool.policy.On(ServicePacing) {
+	if o == Refused && t.pool.paced {
 		// The server is not at fault. A full queue has room again after a part of the time
 		// that a request takes to pass it.
 		full := max(minFullTime, time.Duration(fullTimeShare*float64(t.pool.meanLatency)))
--- a/core/placement/service_test.go
+++ b/core/placement/service_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"cyclamenhitch/core/fleet"
 )
 
 // Guards against a full queue that counts as a failure of its server, which sends everything
@@ -93,3 +95,26 @@
 		}
 	}
 }
+
+// Guards against changed decisions in pools that are not paced because a server states no
+// slots: a refusal makes the server suspect, and the loads of peers count, as with the
+// mechanism off.
+func TestPoolWithoutSlotsIsNotPaced(t *testing.T) {
+	policy := DefaultPolicy()
+	policy.Enabled = Mechanisms(ServicePacing)
+	b, now := NewBalancer(policy), time.Unix(1000, 0)
+	b.SetServers("p", []Server{{ID: "a"}, {ID: "b", Slots: 6}})
+	req := &Request{Key: 7}
+	b.SetPeerLoads("peer", now, map[fleet.ServerID]Load{"b": {Running: 6}})
+	ranked, _ := b.Rank(now, "p", req, nil)
+	for _, c := range ranked {
+		if c.ID == "b" && c.Cost < 2 {
+			t.Errorf("the cost of a server with six requests of peers is %v", c.Cost)
+		}
+	}
+	b.Reserve(now, "p", Candidate{ID: "b"}, req).Release(now, Refused)
+	ranked, _ = b.Rank(now, "p", req, nil)
+	if last := ranked[len(ranked)-1]; last.ID != "b" || !last.Suspect || !last.RoomAt.IsZero() {
+		t.Errorf("after its refusal: %+v", last)
+	}
+}
