Sum the demand once for the digests of a round

A receiver that uses another relay gets no demand. TestDemandOfRelay calls the new functions with the same expectations.

--- a/cmd/internal/edge/pacing.go
+++ b/cmd/internal/edge/pacing.go
@@ -121,7 +121,7 @@
 	}
 }
 
-// sum returns the demand of this instance and the included peers, for a digest.
+// sum returns the demand of this instance and the included peers.
 func (p *pacers) sum(now time.Time, include func(fleet.InstanceID) bool) map[fleet.PoolID]pacing.Report {
 	if p == nil {
 		return nil
@@ -140,6 +140,22 @@
 	return out
 }
 
+// without returns a sum without the demand of a peer, for a digest.
+func (p *pacers) without(now time.Time, sum map[fleet.PoolID]pacing.Report, to fleet.InstanceID) map[fleet.PoolID]pacing.Report {
+	if len(sum) == 0 {
+		return nil
+	}
+	out := make(map[fleet.PoolID]pacing.Report, len(sum))
+	for id, r := range sum {
+		var peer pacing.Report
+		if pool := p.pool(now, id); pool != nil {
+			peer = pool.Peer(now, to)
+		}
+		out[id] = r.Without(&peer)
+	}
+	return out
+}
+
 // counts returns the metrics of all paced pools.
 func (p *pacers) counts(now time.Time) map[fleet.PoolID]pacing.Counts {
 	out := map[fleet.PoolID]pacing.Counts{}
--- a/cmd/internal/edge/pacing_test.go
+++ b/cmd/internal/edge/pacing_test.go
@@ -109,11 +109,11 @@
 	for id, completed := range map[fleet.InstanceID]float64{"a": 1, "b": 10, dataCentrePrefix + "x": 100} {
 		p.applyPeer(now, id, map[fleet.PoolID]pacing.Report{"p": {Instances: 1, Completed: completed}})
 	}
-	rl := &relay{pacers: p}
-	if got := rl.fleetDemand(now, "a")["p"]; got.Completed != 110 || got.Instances != 3 {
+	d := &roundDigests{relay: &relay{pacers: p}, now: now}
+	if got := d.fleetDemand("a")["p"]; got.Completed != 110 || got.Instances != 3 {
 		t.Errorf("demand of the fleet is %+v", got)
 	}
-	if got := rl.dataCentreDemand(now)["p"]; got.Completed != 11 || got.Instances != 3 {
+	if got := d.dataCentreDemand()["p"]; got.Completed != 11 || got.Instances != 3 {
 		t.Errorf("demand of the data centre is %+v", got)
 	}
 }
--- a/cmd/internal/edge/pacingrelay.go
+++ b/cmd/internal/edge/pacingrelay.go
@@ -27,12 +27,30 @@
 	}
 }
 
+// roundDemand holds the sums of the demand for the digests of one round. A sum takes about a
+// millisecond with 125 members, too long for each of their digests.
+type roundDemand struct {
+	fleet, dataCentre       map[fleet.PoolID]pacing.Report
+	hasFleet, hasDataCentre bool
+}
+
 // fleetDemand returns the demand of all instances except the receiver.
-func (rl *relay) fleetDemand(now time.Time, to fleet.InstanceID) map[fleet.PoolID]pacing.Report {
-	return rl.pacers.sum(now, func(id fleet.InstanceID) bool { return id != to && id != wholeFleet })
+func (d *roundDigests) fleetDemand(to fleet.InstanceID) map[fleet.PoolID]pacing.Report {
+	pacers := d.relay.pacers
+	if !d.demand.hasFleet {
+		d.demand.hasFleet = true
+		d.demand.fleet = pacers.sum(d.now, func(id fleet.InstanceID) bool { return id != wholeFleet })
+	}
+	return pacers.without(d.now, d.demand.fleet, to)
 }
 
 // dataCentreDemand returns the demand of the instances of this data centre.
-func (rl *relay) dataCentreDemand(now time.Time) map[fleet.PoolID]pacing.Report {
-	return rl.pacers.sum(now, func(id fleet.InstanceID) bool { return !strings.HasPrefix(string(id), "/") })
+func (d *roundDigests) dataCentreDemand() map[fleet.PoolID]pacing.Report {
+	pacers := d.relay.pacers
+	if !d.demand.hasDataCentre {
+		d.demand.hasDataCentre = true
+		sum := pacers.sum(d.now, func(id fleet.InstanceID) bool { return !strings.HasPrefix(string(id), "/") })
+		d.demand.dataCentre = pacers.without(d.now, sum, "")
+	}
+	return d.demand.dataCentre
 }
--- a/cmd/internal/edge/relay.go
+++ b/cmd/internal/edge/relay.go
@@ -84,6 +84,7 @@
 	// partial is true if this instance does not know the loads of the fleet.
 	partial         bool
 	now             time.Time
+	demand          roundDemand
 	totals          map[fleet.ServerID]placement.Load
 	dataCentreLoads map[fleet.ServerID]placement.Load
 }
@@ -241,7 +242,9 @@
 func (d *roundDigests) fleetDigest(to roster.Target) *gossip.Digest {
 	rl := d.relay
 	out := d.memberDigest(to, "")
-	out.Demand = rl.fleetDemand(d.now, to.ID)
+	if !to.OmitLoads { // the receiver uses the digest of another relay
+		out.Demand = d.fleetDemand(to.ID)
+	}
 	if !out.WithoutLoads {
 		out.Loads = subtractLoads(d.totals, rl.board.PeerLoads(to.ID))
 	}
@@ -256,7 +259,7 @@
 func (d *roundDigests) dataCentreDigest(to roster.Target) *gossip.Digest {
 	rl := d.relay
 	out := d.memberDigest(to, rl.dc)
-	out.Demand = rl.dataCentreDemand(d.now)
+	out.Demand = d.dataCentreDemand()
 	if !out.WithoutLoads {
 		if d.dataCentreLoads == nil {
 			d.dataCentreLoads = subtractLoads(d.totals, rl.board.PeerLoadsOf(isDataCentreEntry))
--- a/core/pacing/pacing_test.go
+++ b/core/pacing/pacing_test.go
@@ -1,7 +1,9 @@
 package pacing
 
 import (
+	"fmt"
 	"math"
+	"slices"
 	"testing"
 	"time"
 
@@ -225,3 +227,65 @@
 		}
 	}
 }
+
+// Guards against a digest that counts its receiver, with more accounts than a report names, and
+// against the cost of a merge of all peers for each receiver.
+func TestSumWithoutReceiver(t *testing.T) {
+	p, now := NewPool(), start
+	p.SetRoom(18, 126)
+	report := func(i int) Report {
+		r := Report{Instances: 1, Completed: 1, Busy: 2}
+		for a := range MaxFlows {
+			r.Flows = append(r.Flows, FlowRate{Flow: Flow{2 * (a % 2), uint32(i%9*1000 + a + 1)}, Rate: float64(1 + a), Usual: 1})
+		}
+		return r
+	}
+	rate := func(r Report) (sum float64) {
+		for _, f := range r.Flows {
+			sum += f.Rate
+		}
+		return sum
+	}
+	const peers = 125
+	for i := range peers {
+		p.SetPeer(fleet.InstanceID(fmt.Sprint(i)), now, report(i))
+	}
+	sum, ok := p.Sum(now, func(fleet.InstanceID) bool { return true })
+	if !ok || len(sum.Flows) > maxSumFlows {
+		t.Fatalf("%d flows, %v", len(sum.Flows), ok)
+	}
+	peer := p.Peer(now, "3")
+	got, one := sum.Without(&peer), rate(report(0))
+	if got.Instances != peers || got.Completed != peers-1 || got.Busy != 2*(peers-1) || len(got.Flows) > MaxFlows || math.Abs(rate(got)-(peers-1)*one) > 1e-6*one {
+		t.Errorf("%d instances, completed %v, busy %v, %d flows of %v/s, want %v/s", got.Instances, got.Completed, got.Busy, len(got.Flows), rate(got), (peers-1)*one)
+	}
+	if !slices.IsSortedFunc(got.Flows, func(a, b FlowRate) int { return compareFlow(a, b.Flow) }) {
+		t.Error("flows are not sorted")
+	}
+	if unknown := p.Peer(now.Add(peerTTL), "3"); unknown.Instances != 0 {
+		t.Error("an expired report is subtracted")
+	}
+}
+
+func BenchmarkSum(b *testing.B) {
+	p, now := NewPool(), start
+	for i := range 125 {
+		r := Report{Instances: 1, Completed: 1}
+		for a := range 48 {
+			r.Flows = append(r.Flows, FlowRate{Flow: Flow{2 * (a % 2), uint32(a + 1)}, Rate: 1, Usual: 1})
+		}
+		p.SetPeer(fleet.InstanceID(fmt.Sprint(i)), now, r)
+	}
+	sum, _ := p.Sum(now, func(fleet.InstanceID) bool { return true })
+	peer := p.Peer(now, "3")
+	b.Run("sum", func(b *testing.B) {
+		for b.Loop() {
+			p.Sum(now, func(fleet.InstanceID) bool { return true })
+		}
+	})
+	b.Run("without", func(b *testing.B) {
+		for b.Loop() {
+			sum.Without(&peer)
+		}
+	})
+}
--- a/core/pacing/report.go
+++ b/core/pacing/report.go
@@ -50,15 +50,40 @@
 // accounts in two classes and a rest for each class.
 const MaxFlows = 60
 
-// Add adds another report to r and keeps the largest MaxFlows flows; the rest is summed by
-// class under account 0.
-func (r *Report) Add(o *Report) {
+// add adds another report to r. The flows are not merged.
+func (r *Report) add(o *Report) {
 	r.Instances += o.Instances
 	r.Completed += o.Completed
 	r.Refused += o.Refused
 	r.Busy += o.Busy
 	r.Calm = r.Calm && o.Calm
-	r.Flows = limitFlows(append(slices.Clone(r.Flows), o.Flows...), MaxFlows)
+	r.Flows = append(r.Flows, o.Flows...)
+}
+
+// Without returns a sum without one of the reports in it, with at most MaxFlows flows. What o
+// has of flows that the sum does not name is in those of account 0.
+func (r *Report) Without(o *Report) Report {
+	out := *r
+	out.Instances = max(0, r.Instances-o.Instances)
+	out.Completed, out.Refused, out.Busy = max(0, r.Completed-o.Completed), max(0, r.Refused-o.Refused), max(0, r.Busy-o.Busy)
+	out.Flows = slices.Clone(r.Flows)
+	for _, less := range o.Flows {
+		i, ok := slices.BinarySearchFunc(out.Flows, less.Flow, compareFlow)
+		if !ok {
+			if i, ok = slices.BinarySearchFunc(out.Flows, Flow{Class: less.Class}, compareFlow); !ok {
+				continue
+			}
+		}
+		f := &out.Flows[i]
+		f.Rate, f.Usual = max(0, f.Rate-less.Rate), max(0, f.Usual-less.Usual)
+	}
+	out.Flows = slices.DeleteFunc(out.Flows, func(f FlowRate) bool { return f.Rate+f.Usual < minFlowRate })
+	out.Flows = limitFlows(out.Flows, MaxFlows)
+	return out
+}
+
+func compareFlow(f FlowRate, o Flow) int {
+	return cmp.Or(cmp.Compare(f.Class, o.Class), cmp.Compare(f.Account, o.Account))
 }
 
 // limitFlows merges equal flows and keeps the largest ones.
@@ -77,7 +102,7 @@
 
 func mergeFlows(flows []FlowRate) []FlowRate {
 	slices.SortFunc(flows, func(a, b FlowRate) int {
-		return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(a.Account, b.Account))
+		return compareFlow(a, b.Flow)
 	})
 	out := flows[:0]
 	for _, f := range flows {
@@ -165,8 +190,12 @@
 	}
 }
 
+// maxSumFlows limits the flows of a sum from which the digests of a round are derived.
+const maxSumFlows = 4 * MaxFlows
+
 // Sum returns the sum of what this instance and the peers for which include is true measured,
-// for a digest. ok is false while there is nothing to report.
+// with up to maxSumFlows flows; Without derives digests from it. ok is false while there is
+// nothing to report.
 func (p *Pool) Sum(now time.Time, include func(fleet.InstanceID) bool) (r Report, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -176,12 +205,23 @@
 	r = p.own(now)
 	for id, peer := range p.peers {
 		if now.Sub(peer.at) < peerTTL && include(id) {
-			r.Add(&peer.Report)
+			r.add(&peer.Report)
 		}
 	}
+	r.Flows = limitFlows(r.Flows, maxSumFlows)
 	return r, true
 }
 
+// Peer returns the report of a peer if it counts.
+func (p *Pool) Peer(now time.Time, id fleet.InstanceID) Report {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if peer, ok := p.peers[id]; ok && now.Sub(peer.at) < peerTTL {
+		return peer.Report
+	}
+	return Report{}
+}
+
 // sum returns the report of the whole fleet. Without peers, the other instances are assumed
 // to measure what this one does.
 func (p *Pool) sum(now time.Time) Report {
