Leave room for the demand in the largest reports

Placements fill what the rest of a datagram leaves, and the demand of a digest was not counted: with one short pool a report of a relay took 65,851 bytes of 65,507 and was not sent. Nor was the demand limited over all pools.

The room now excludes the demand, and a report or digest names at most 240 flows over all pools; the rest is summed by class.

--- a/cmd/internal/edge/pacing.go
+++ b/cmd/internal/edge/pacing.go
@@ -91,6 +91,7 @@
 		}
 		p.logShortage(now, id, pool)
 	}
+	limitDemand(out, maxDemandFlows)
 	return out
 }
 
@@ -137,6 +138,7 @@
 			out[id] = r
 		}
 	}
+	limitDemand(out, sumFactor*maxDemandFlows)
 	return out
 }
 
@@ -153,9 +155,25 @@
 		}
 		out[id] = r.Without(&peer)
 	}
+	limitDemand(out, maxDemandFlows)
 	return out
 }
 
+const (
+	// maxDemandFlows limits the flows of all pools in one report or digest, to 4 KB of a datagram.
+	maxDemandFlows = 4 * pacing.MaxFlows
+	// sumFactor is how many times as many flows the sums have from which digests are derived.
+	sumFactor = 4
+)
+
+// limitDemand merges flows if many pools are short.
+func limitDemand(demand map[fleet.PoolID]pacing.Report, limit int) {
+	for id, r := range demand {
+		r.Limit(limit / len(demand))
+		demand[id] = r
+	}
+}
+
 // counts returns the metrics of all paced pools.
 func (p *pacers) counts(now time.Time) map[fleet.PoolID]pacing.Counts {
 	out := map[fleet.PoolID]pacing.Counts{}
--- a/cmd/internal/edge/pacingrelay.go
+++ b/cmd/internal/edge/pacingrelay.go
@@ -36,12 +36,16 @@
 
 // fleetDemand returns the demand of all instances except the receiver.
 func (d *roundDigests) fleetDemand(to fleet.InstanceID) map[fleet.PoolID]pacing.Report {
-	pacers := d.relay.pacers
+	return d.relay.pacers.without(d.now, d.fleetDemandSum(), to)
+}
+
+// fleetDemandSum returns the demand of all instances, which takes more space than any digest's.
+func (d *roundDigests) fleetDemandSum() map[fleet.PoolID]pacing.Report {
 	if !d.demand.hasFleet {
 		d.demand.hasFleet = true
-		d.demand.fleet = pacers.sum(d.now, func(id fleet.InstanceID) bool { return id != wholeFleet })
+		d.demand.fleet = d.relay.pacers.sum(d.now, func(id fleet.InstanceID) bool { return id != wholeFleet })
 	}
-	return pacers.without(d.now, d.demand.fleet, to)
+	return d.demand.fleet
 }
 
 // dataCentreDemand returns the demand of the instances of this data centre.
--- a/cmd/internal/edge/relay.go
+++ b/cmd/internal/edge/relay.go
@@ -7,6 +7,7 @@
 
 	"cyclamenhitch/adapters/gossip"
 	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/pacing"
 	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/roster"
 )
@@ -127,7 +128,7 @@
 	defer rl.mu.Unlock()
 	d := roundDigests{relay: rl, now: now}
 	if len(rl.local.placed)+len(rl.remote.placed)+len(rl.local.suspicions)+len(rl.remote.suspicions) > 0 {
-		d.local, d.remote = takeRound(&rl.local, &rl.remote, maxDigestPlacements, rl.roomForPlacements(own))
+		d.local, d.remote = takeRound(&rl.local, &rl.remote, maxDigestPlacements, rl.roomForPlacements(own, d.fleetDemandSum()))
 	}
 	switch {
 	case plan.Relaying && !rl.relaying:
@@ -147,10 +148,11 @@
 }
 
 // roomForPlacements returns the bytes left in a datagram beside this instance's own report
-// and the largest member list, loads and suspicions of a digest. The caller holds mu.
-func (rl *relay) roomForPlacements(own *gossip.Report) int {
+// and the largest member list, loads, demand and suspicions of a digest. demand is that of the
+// fleet. The caller holds mu.
+func (rl *relay) roomForPlacements(own *gossip.Report, demand map[fleet.PoolID]pacing.Report) int {
 	largest := *own
-	digest := gossip.Digest{Members: rl.roster.Digest("", rl.incarnation, ""), Loads: rl.board.Totals()}
+	digest := gossip.Digest{Members: rl.roster.Digest("", rl.incarnation, ""), Loads: rl.board.Totals(), Demand: demand}
 	for _, n := range [...]*pendingItems{&rl.local, &rl.remote} {
 		for _, s := range n.suspicions {
 			digest.Suspicions = append(digest.Suspicions, s.item)
--- a/cmd/internal/edge/relay_test.go
+++ b/cmd/internal/edge/relay_test.go
@@ -5,8 +5,11 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"cyclamenhitch/adapters/gossip"
 	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/pacing"
 	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/roster"
 )
@@ -332,3 +335,45 @@
 		t.Errorf("fresh placements %v and %d older ones in the next digest", found, older)
 	}
 }
+
+// Guards against a datagram that is too large once pools are short: placements fill what the
+// rest of the report leaves.
+func TestLargestDigestWithDemandFits(t *testing.T) {
+	for _, pools := range []int{1, 4, 40} {
+		now := time.Unix(1_000_000, 0)
+		policy := placement.DefaultPolicy()
+		policy.Enabled = placement.Mechanisms(placement.ServicePacing)
+		r, b := roster.New("front-region-a-1"), placement.NewBalancer(policy)
+		r.Plan(now, roster.Peer{ID: "front-region-a-1", DataCentre: "region-a"})
+		p := newPacers(b, zap.NewNop())
+		for i := range pools {
+			id := fleet.PoolID(fmt.Sprintf("service-%d", i))
+			b.SetServers(id, []placement.Server{{ID: fleet.ServerID(id), Slots: 6}})
+			for peer := range 5 {
+				report := pacing.Report{Instances: 1, Completed: 100}
+				for a := range pacing.MaxFlows {
+					report.Flows = append(report.Flows, pacing.FlowRate{Flow: pacing.Flow{Class: a % 6, Account: uint32(1000*peer + a + 1)}, Rate: 1, Usual: 1})
+				}
+				p.applyPeer(now, fleet.InstanceID(fmt.Sprint(peer)), map[fleet.PoolID]pacing.Report{id: report})
+			}
+		}
+		rl := newRelay(r, b, "region-a", 1)
+		rl.relaying, rl.pacers = true, p
+		for i := range 3000 {
+			rl.applyItems(now, "x", true, i%2 == 0, []placement.Placement{{Server: "service-0", Parts: largeParts(64)}}, nil)
+		}
+		own := gossip.Report{From: roster.Peer{ID: "front-region-a-1"}, Demand: p.report(now)}
+		rl.sendRound(now, &roster.Plan{Relaying: true, Members: []roster.Target{{ID: "0"}}}, own, func(_ roster.Target, rep gossip.Report) {
+			if n := gossip.Size(&rep); n > gossip.MaxReportBytes {
+				t.Errorf("the report takes %d bytes with %d short pools, a datagram %d", n, pools, gossip.MaxReportBytes)
+			}
+			if len(rep.Digest.Demand) != pools || len(rep.Digest.Placements) == 0 {
+				t.Errorf("%d pools and %d prompts in the digest, want %d pools", len(rep.Digest.Demand), len(rep.Digest.Placements), pools)
+			}
+			alone := gossip.Report{Demand: rep.Digest.Demand}
+			if n := gossip.Size(&alone); n > 100*pools+5000 {
+				t.Errorf("the demand of %d pools takes %d bytes", pools, n)
+			}
+		})
+	}
+}
--- a/core/pacing/report.go
+++ b/core/pacing/report.go
@@ -82,6 +82,10 @@
 	return out
 }
 
+// Limit merges the smallest flows by class if there are more than limit. A flow for each class
+// remains at least.
+func (r *Report) Limit(limit int) { r.Flows = limitFlows(r.Flows, limit) }
+
 func compareFlow(f FlowRate, o Flow) int {
 	return cmp.Or(cmp.Compare(f.Class, o.Class), cmp.Compare(f.Account, o.Account))
 }
