Count instances that do not report in the demand of a pool

The other instances were assumed to measure what this one does only while none of them reported. If some reported, for example with the mechanism on some instances or reports lost, their demand alone was set against the capacity of the whole pool, and nothing was limited at 2.4 times the capacity with 1 or 5 of 22 peers.

--- a/core/pacing/pacing_test.go
+++ b/core/pacing/pacing_test.go
@@ -289,3 +289,22 @@
 		}
 	})
 }
+
+// Guards against a pool that counts as idle because only some instances report: its whole
+// capacity would be set against a part of the demand.
+func TestPartOfTheFleetReports(t *testing.T) {
+	for _, peers := range []int{1, 5, 22} {
+		p, now := NewPool(), start
+		p.SetRoom(18, 23)
+		p.response, p.fastest = 15*time.Millisecond, 15*time.Millisecond
+		p.shortUntil = now.Add(time.Minute)
+		for i := range peers {
+			// The servers hold 23 * 2 requests and complete 23 * 50 per second of 23 * 120.
+			p.SetPeer(fleet.InstanceID(fmt.Sprint(i)), now, Report{Instances: 1, Completed: 50, Busy: 2, Flows: []FlowRate{{Flow: Flow{8, 2}, Rate: 120, Usual: 30}}})
+		}
+		p.updateShares(now)
+		if share := p.shares[Flow{8, 2}]; share < 0.3 || share > 0.6 {
+			t.Errorf("with %d peers of 22 an instance sends %v, want about 50 of 120", peers, share)
+		}
+	}
+}
--- a/core/pacing/report.go
+++ b/core/pacing/report.go
@@ -226,8 +226,8 @@
 	return Report{}
 }
 
-// sum returns the report of the whole fleet. Without peers, the other instances are assumed
-// to measure what this one does.
+// sum returns the report of the whole fleet. Instances that do not report are assumed to measure
+// the mean of those that do: the capacity is that of the whole pool.
 func (p *Pool) sum(now time.Time) Report {
 	total := p.own(now)
 	for id, r := range p.peers {
@@ -241,8 +241,8 @@
 		total.Busy += r.Busy
 		total.Flows = append(total.Flows, r.Flows...)
 	}
-	if total.Instances == 1 {
-		n := float64(max(1, p.instances))
+	if total.Instances < p.instances {
+		n := float64(p.instances) / float64(max(1, total.Instances))
 		total.Completed, total.Refused, total.Busy = n*total.Completed, n*total.Refused, n*total.Busy
 		for i := range total.Flows {
 			total.Flows[i].Rate *= n
