Follow changes of an account's weight in the pacing

A weight that was changed back to 1 in the configuration was ignored, so that the old one stayed in force until the restart; with 4,096 weights stored, changes of known accounts were ignored too.

--- a/core/pacing/pacing.go
+++ b/core/pacing/pacing.go
@@ -245,7 +245,9 @@
 	if !flow.late() {
 		p.arrived.add(now, 1)
 	}
-	if item.Weight > 0 && item.Weight != 1 && len(p.weights) < maxTrackedFlows {
+	if _, known := p.weights[item.Account]; item.Weight <= 0 || item.Weight == 1 {
+		delete(p.weights, item.Account)
+	} else if known || len(p.weights) < maxTrackedFlows {
 		p.weights[item.Account] = item.Weight
 	}
 }
--- a/core/pacing/pacing_test.go
+++ b/core/pacing/pacing_test.go
@@ -308,3 +308,22 @@
 		}
 	}
 }
+
+// Guards against a configured weight that outlives a change back to 1, or that is not taken
+// over once the table is full.
+func TestWeightChanges(t *testing.T) {
+	p := NewPool()
+	enter := func(account uint32, weight float64) {
+		p.Enter(start, Item{Account: account, Weight: weight, Deadline: start.Add(time.Second)}, 0)
+	}
+	weight := func(account uint32) float64 { return p.weight(&FlowRate{Flow: Flow{0, account}, Usual: 10}) }
+	for i := range uint32(maxTrackedFlows) {
+		enter(i+1, 3)
+	}
+	enter(1, 2)
+	enter(2, 1)
+	enter(3, 0)
+	if weight(1) != 20 || weight(2) != 10 || weight(3) != 10 || weight(4) != 30 {
+		t.Errorf("weights are %v, %v, %v and %v", weight(1), weight(2), weight(3), weight(4))
+	}
+}
