Grant waiting requests when the room of a pool grows

Waiting requests were granted only at the end of another one. If servers were added or shares began to limit while the only request at the servers ran to its deadline, the queue waited for it. Reports, every 200 ms, and new waiting requests now use the present window.

--- a/core/pacing/pacing.go
+++ b/core/pacing/pacing.go
@@ -226,6 +226,7 @@
 	}
 	p.queue = slices.Insert(p.queue, pos, t)
 	p.counts.Waited++
+	p.wake(now) // the window may have grown
 	return t, nil
 }
 
--- a/core/pacing/pacing_test.go
+++ b/core/pacing/pacing_test.go
@@ -327,3 +327,21 @@
 		t.Errorf("weights are %v, %v, %v and %v", weight(1), weight(2), weight(3), weight(4))
 	}
 }
+
+// Guards against requests that wait although the window has grown: the only one at the servers
+// may take until its deadline.
+func TestWaitingRequestsUseRoomThatIsAdded(t *testing.T) {
+	p, now := NewPool(), start
+	p.SetRoom(1, 10)
+	item := Item{Account: 1, Deadline: now.Add(time.Second)}
+	p.Enter(now, item, 0)
+	waiting, refusal := p.Enter(now, item, 0)
+	if refusal != nil || waiting.granted {
+		t.Fatalf("%v", refusal)
+	}
+	p.SetRoom(18, 10)
+	p.Report(now)
+	if !waiting.granted {
+		t.Error("the request still waits")
+	}
+}
--- a/core/pacing/report.go
+++ b/core/pacing/report.go
@@ -141,6 +141,7 @@
 func (p *Pool) Report(now time.Time) (r Report, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.wake(now) // the room or the number of instances may have changed
 	if !p.short(now) {
 		return Report{}, false
 	}
