Take different service times for no sign of a shortage

A mean response time of 1.6 times the lowest one made a pool short at any load.

The sign now needs requests at the servers for 0.7 of the slots, from the completions and the mean response time.

--- a/core/pacing/pacing.go
+++ b/core/pacing/pacing.go
@@ -175,6 +175,9 @@
 	shortTime = 2 * time.Second
 	// slowFactor is the response time relative to the lowest one that is such a sign.
 	slowFactor = 1.6
+	// slowLoad is the least load for that sign, relative to the slots, if all instances have
+	// what this one has. Below it, response times differ by the kind of request.
+	slowLoad = 0.7
 	// fastestGrowth lets the lowest response time rise with each response.
 	fastestGrowth = 0.002
 	// responseWeight is the weight of a new response time.
@@ -311,7 +314,8 @@
 	}
 	p.response += time.Duration(responseWeight * float64(took-p.response))
 	p.fastest = min(took, p.fastest+time.Duration(fastestGrowth*float64(p.fastest)))
-	if float64(p.response) > slowFactor*float64(p.fastest) {
+	atServers := p.completed.read(now) * p.response.Seconds() * float64(p.instances)
+	if float64(p.response) > slowFactor*float64(p.fastest) && atServers >= slowLoad*float64(p.slots) {
 		p.shortUntil = later(p.shortUntil, now.Add(shortTime))
 	}
 }
--- a/core/pacing/pacing_test.go
+++ b/core/pacing/pacing_test.go
@@ -345,3 +345,37 @@
 		t.Error("the request still waits")
 	}
 }
+
+// Guards against a pool that counts as short, and is reported, because the requests of one route
+// take less time than those of another.
+func TestDifferentServiceTimesAreNoShortage(t *testing.T) {
+	p, now := NewPool(), start
+	p.SetRoom(18, 1)
+	type run struct {
+		ticket *Ticket
+		end    time.Time
+	}
+	var running []run
+	for i := range 6000 {
+		now = now.Add(2 * time.Millisecond)
+		running = slices.DeleteFunc(running, func(r run) bool {
+			if now.Before(r.end) {
+				return false
+			}
+			p.Done(now, r.ticket, Completed)
+			return true
+		})
+		ticket, refusal := p.Enter(now, Item{Account: uint32(i%5 + 1), Deadline: now.Add(600 * time.Millisecond), Objective: 120 * time.Millisecond}, 0.5)
+		if refusal != nil {
+			t.Fatalf("%+v at two fifths of the capacity", refusal)
+		}
+		took := 20 * time.Millisecond
+		if i%3 == 0 {
+			took = 2 * time.Millisecond
+		}
+		running = append(running, run{ticket, now.Add(took)})
+		if _, short := p.Report(now); short {
+			t.Fatalf("the pool counts as short after %v", now.Sub(start))
+		}
+	}
+}
