--- a/adapters/gossip/codec.go
+++ b/adapters/gossip/codec.go
@@ -27,6 +27,7 @@
 	for pool, rate := range r.ReadRates {
 		m.Paces = append(m.Paces, &gossippb.Pace{Pool: string(pool), TokensPerMilli: float32(rate)})
 	}
+	m.Demand = encodeDemand(r.Demand)
 	if r.Digest != nil {
 		m.Digest = encodeDigest(r.Digest)
 	}
@@ -39,6 +40,7 @@
 		Loads: encodeLoads(d.Loads), Suspicions: encodeSuspicions(d.Suspicions), Placed: encodePlacements(d.Placements),
 		Rollouts: encodeRollouts(d.Rollouts),
 	}
+	m.Demand = encodeDemand(d.Demand)
 	for _, p := range d.Members.Members {
 		m.Members = append(m.Members, &gossippb.Member{
 			Instance: string(p.ID), Incarnation: p.Incarnation, DataCentre: string(p.DataCentre), CallerAddress: p.Caller,
@@ -104,6 +106,7 @@
 	for _, x := range m.Paces {
 		r.ReadRates[fleet.PoolID(x.Pool)] = float64(x.TokensPerMilli)
 	}
+	r.Demand = decodeDemand(m.Demand)
 	if m.Digest != nil {
 		r.Digest = decodeDigest(m.Digest)
 	}
@@ -144,6 +147,7 @@
 		Loads:        decodeLoads(m.Loads), Suspicions: decodeSuspicions(m.Suspicions), Placements: decodePlacements(m.Placed),
 		Rollouts: decodeRollouts(m.Rollouts),
 	}
+	d.Demand = decodeDemand(m.Demand)
 	for _, p := range m.Members {
 		d.Members.Members = append(d.Members.Members, roster.Peer{
 			ID: fleet.InstanceID(p.Instance), Incarnation: p.Incarnation, DataCentre: fleet.DataCentreID(p.DataCentre), Caller: p.CallerAddress,
--- a/adapters/gossip/gossip.go
+++ b/adapters/gossip/gossip.go
@@ -14,6 +14,7 @@
 
 	"cyclamenhitch/adapters/gossip/gossippb"
 	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/pacing"
 	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/quarantine"
 	"cyclamenhitch/core/result"
@@ -51,6 +52,8 @@
 	Evidence []quarantine.Evidence
 	// Rollouts are the roll-outs of the pools, with the counters of the sender.
 	Rollouts []rollout.Report
+	// Demand is what the sender measured at pools of plain servers that are short of capacity.
+	Demand map[fleet.PoolID]pacing.Report
 	// WantsDigest reports whether the sender uses the receiver as a relay. HeldList is the
 	// version of the receiver's member list that the sender holds.
 	WantsDigest bool
@@ -78,6 +81,8 @@
 	Suspicions []placement.Suspicion
 	// Rollouts are the roll-outs of the pools, with the sums of data centres.
 	Rollouts []rollout.Report
+	// Demand is what the covered instances measured, without the receiver.
+	Demand map[fleet.PoolID]pacing.Report
 }
 
 // Socket sends and receives reports.
--- a/cmd/internal/edge/peers.go
+++ b/cmd/internal/edge/peers.go
@@ -143,6 +143,7 @@
 	// The era is read first: evidence of a report states only what is stored in that era.
 	own.StoreEra = p.view.eras.newest()
 	own.Evidence = p.tracker.Report(now)
+	own.Demand = p.relay.pacers.report(now)
 	p.logVerdicts()
 	own.Suspicions, own.ReadRates = p.board.Suspicions(now), p.board.ReadRates()
 	p.updateLiveInstances(now, own.From.Serving)
--- a/cmd/internal/edge/relay.go
+++ b/cmd/internal/edge/relay.go
@@ -7,6 +7,7 @@
 
 	"cyclamenhitch/adapters/gossip"
 	"cyclamenhitch/core/fleet"
+	"cyclamenhitch/core/pacing"
 	"cyclamenhitch/core/placement"
 	"cyclamenhitch/core/rollout"
 	"cyclamenhitch/core/roster"
@@ -52,6 +53,8 @@
 	board       *placement.Balancer
 	dc          fleet.DataCentreID
 	incarnation uint64
+	// pacers takes the demand that peers report; nil unless the mechanism is on.
+	pacers *pacers
 
 	mu sync.Mutex
 	// relaying is true while this instance is a relay.
@@ -85,6 +88,8 @@
 	local, remote pendingItems
 	// partial is true if this instance does not know the loads of the fleet.
 	partial         bool
+	now             time.Time
+	demand          roundDemand
 	totals          map[fleet.ServerID]placement.Load
 	dataCentreLoads map[fleet.ServerID]placement.Load
 }
@@ -126,9 +131,9 @@
 	_, other := rl.roster.LoadSource(now, rl.dc)
 	rl.mu.Lock()
 	defer rl.mu.Unlock()
-	d := roundDigests{relay: rl}
+	d := roundDigests{relay: rl, now: now}
 	if len(rl.local.placed)+len(rl.remote.placed)+len(rl.local.suspicions)+len(rl.remote.suspicions) > 0 {
-		d.local, d.remote = takeRound(&rl.local, &rl.remote, maxDigestPlacements, rl.roomForPlacements(own))
+		d.local, d.remote = takeRound(&rl.local, &rl.remote, maxDigestPlacements, rl.roomForPlacements(own, d.fleetDemandSum()))
 	}
 	switch {
 	case plan.Relaying && !rl.relaying:
@@ -148,10 +153,11 @@
 }
 
 // roomForPlacements returns the bytes left in a datagram beside this instance's own report
-// and the largest member list, loads and suspicions of a digest. The caller holds mu.
-func (rl *relay) roomForPlacements(own *gossip.Report) int {
+// and the largest member list, loads, demand and suspicions of a digest. demand is that of the
+// fleet. The caller holds mu.
+func (rl *relay) roomForPlacements(own *gossip.Report, demand map[fleet.PoolID]pacing.Report) int {
 	largest := *own
-	digest := gossip.Digest{Members: rl.roster.Digest("", rl.incarnation, ""), Loads: rl.board.Totals(), Rollouts: ofDataCentre(rl.rollouts.Sums, rl.dc)}
+	digest := gossip.Digest{Members: rl.roster.Digest("", rl.incarnation, ""), Loads: rl.board.Totals(), Rollouts: ofDataCentre(rl.rollouts.Sums, rl.dc), Demand: demand}
 	for _, n := range [...]*pendingItems{&rl.local, &rl.remote} {
 		for _, s := range n.suspicions {
 			digest.Suspicions = append(digest.Suspicions, s.item)
@@ -244,6 +250,9 @@
 	rl := d.relay
 	out := d.memberDigest(to, "")
 	out.Rollouts = rl.rollouts.Verdicts
+	if !to.OmitLoads { // the receiver uses the digest of another relay
+		out.Demand = d.fleetDemand(to.ID)
+	}
 	if !out.WithoutLoads {
 		out.Loads = subtractLoads(d.totals, rl.board.PeerLoads(to.ID))
 	}
@@ -259,6 +268,7 @@
 	rl := d.relay
 	out := d.memberDigest(to, rl.dc)
 	out.Rollouts = ofDataCentre(rl.rollouts.Sums, rl.dc)
+	out.Demand = d.dataCentreDemand()
 	if !out.WithoutLoads {
 		if d.dataCentreLoads == nil {
 			d.dataCentreLoads = subtractLoads(d.totals, rl.board.PeerLoadsOf(isDataCentreEntry))
@@ -329,6 +339,7 @@
 		source, ok := rl.roster.LoadSource(now, r.From.DataCentre)
 		fromSource = ok && source == r.From.ID
 	}
+	rl.applyDemand(now, r, relaying, local, fromSource)
 	rl.applyItems(now, r.From.ID, relaying && (local || fromSource), local, r.Placements, r.Suspicions)
 	if r.Digest == nil {
 		return
--- a/core/placement/balancer.go
+++ b/core/placement/balancer.go
@@ -93,6 +93,9 @@
 	sendShares  sendShares
 	// leaving holds the servers that announced their leaving.
 	leaving map[fleet.ServerID]leavingNote
+	// paced is set for pools whose servers are all plain and state their slots, with the
+	// mechanism service_pacing.
+	paced bool
 }
 
 // serverState is the state of one server, guarded by the lock of its pool.
@@ -114,6 +117,10 @@
 	// ownSuspectUntil is the end of the suspicion caused by this instance's own requests.
 	ownSuspectUntil time.Time
 	coldNextAt      time.Time
+	// fullUntil is the end of the time in which a plain server is taken to be full.
+	fullUntil time.Time
+	// fullRefusals counts the refusals as full since the last answer.
+	fullRefusals int
 	// linkFree is the expected end of the fetches from and to this server that this
 	// instance started. An engine performs its transfers one at a time.
 	linkFree time.Time
@@ -157,7 +164,9 @@
 	old := p.servers
 	p.servers = make(map[fleet.ServerID]*serverState, len(servers))
 	p.list = p.list[:0]
+	p.paced = p.policy.On(ServicePacing)
 	for _, s := range servers {
+		p.paced = p.paced && !s.Engine && s.Slots > 0
 		st := old[s.ID]
 		before := st
 		if st == nil || st.Address != s.Address || st.Incarnation != s.Incarnation {
--- a/core/placement/rank.go
+++ b/core/placement/rank.go
@@ -72,6 +72,9 @@
 	Suspect bool
 	// Full means that the request would queue for a slot.
 	Full bool
+	// RoomAt is when a plain server that refused a request as full is expected to have room;
+	// zero if it has not refused one lately.
+	RoomAt time.Time
 	// tieBreak orders servers of equal cost differently for each request.
 	tieBreak uint64
 	// readTokens is the number of tokens that the engine processes before the first
@@ -145,7 +148,7 @@
 	}
 	bound := loadBound(running, takers, takers+outOfService)
 	r := ranking{
-		now: now, req: req, policy: p.policy, bound: bound, meanErrors: meanErrorRate(now, eligible), readRate: p.tokensPerMs(),
+		now: now, req: req, policy: p.policy, paced: p.paced, bound: bound, meanErrors: meanErrorRate(now, eligible), readRate: p.tokensPerMs(),
 	}
 	if p.policy.On(Fetching) {
 		r.source = p.fetchSource(now, req)
@@ -170,9 +173,11 @@
 
 // ranking holds the inputs for comparing the candidates of one request.
 type ranking struct {
-	now        time.Time
-	req        *Request
-	policy     *Policy
+	now    time.Time
+	req    *Request
+	policy *Policy
+	// paced is that of the pool.
+	paced      bool
 	bound      float64
 	order      []int
 	source     fetchSource
@@ -285,6 +290,9 @@
 	if c.Suspect != o.Suspect {
 		return o.Suspect
 	}
+	if !c.RoomAt.Equal(o.RoomAt) {
+		return c.RoomAt.Before(o.RoomAt)
+	}
 	if c.Cost != o.Cost {
 		return c.Cost < o.Cost
 	}
@@ -354,6 +362,13 @@
 	if !s.Engine {
 		// Expected time, in units of the time of one request.
 		slots := float64(max(1, s.Slots))
+		if r.paced {
+			// The loads of peers are older than the requests that they count.
+			l.Running = s.ownLoad.Running
+			if now.Before(s.fullUntil) {
+				c.RoomAt = s.fullUntil
+			}
+		}
 		c.Cost = slowdown * (1 + float64(l.Running)/slots + 4*math.Max(0, float64(l.Running+1)-slots)/slots)
 		c.Cost += 0.01 * float64(rank)
 		return c
--- a/core/placement/reservation.go
+++ b/core/placement/reservation.go
@@ -122,6 +122,7 @@
 	t.answered = true
 	t.server.ownLoad.Unread -= t.unreadTokens
 	t.server.failures.succeeded(now)
+	t.server.fullRefusals = 0
 	t.server.cache.add(t.parts, now)
 	took := now.Sub(t.startedAt)
 	usual := scaled(took, 1/t.pace)
@@ -157,6 +158,18 @@
 	Oversized
 )
 
+const (
+	// fullTimeShare is the part of the mean response time for which a plain server that
+	// refused a request as full gets no other, with the mechanism service_pacing; minFullTime
+	// is the least time.
+	fullTimeShare = 0.25
+	minFullTime   = 5 * time.Millisecond
+	// The time doubles with each refusal in a row beyond chanceRefusals, up to maxFullTime: a
+	// server that refuses everything looks idle by this instance's own load.
+	chanceRefusals = 3
+	maxFullTime    = time.Second
+)
+
 // Release releases the place. Only the first call has an effect.
 func (t *Reservation) Release(now time.Time, o Outcome) {
 	t.pool.mu.Lock()
@@ -180,6 +193,21 @@
 		t.pool.notifyWaiters()
 		return
 	}
+	if o == Refused && t.pool.paced {
+		// The server is not at fault. A full queue has room again after a part of the time
+		// that a request takes to pass it.
+		full := max(minFullTime, time.Duration(fullTimeShare*float64(t.pool.meanLatency)))
+		for range max(0, t.server.fullRefusals-chanceRefusals) {
+			if full *= 2; full >= maxFullTime {
+				full = maxFullTime
+				break
+			}
+		}
+		t.server.fullRefusals++
+		t.server.fullUntil = now.Add(full)
+		t.pool.notifyWaiters()
+		return
+	}
 	switch o {
 	case Failed, Refused:
 		t.server.failures.failed(now, failureBackoffBase)
--- a/core/rollout/share.go
+++ b/core/rollout/share.go
@@ -103,6 +103,14 @@
 // Excludes reports whether the attempt may not go to the server.
 func (c *Choice) Excludes(id fleet.ServerID) bool { return c.excludes(id, c.allowed) }
 
+// Filter returns Excludes, or nil if the attempt may go to all servers.
+func (c *Choice) Filter() func(fleet.ServerID) bool {
+	if c == nil {
+		return nil
+	}
+	return c.Excludes
+}
+
 // ExcludesFallback is Excludes for the case that no other server takes requests.
 func (c *Choice) ExcludesFallback(id fleet.ServerID) bool { return c.excludes(id, c.fallback) }
 
