--- a/core/configcheck/configcheck.go
+++ b/core/configcheck/configcheck.go
@@ -235,24 +235,24 @@
 		path := fmt.Sprintf("tenants[%d]", i)
 		switch {
 		case a.Name == "":
-			c.add(path+".name", RuleInvalid, "tenant has no name")
+			c.add(path+".name", RuleInvalid, "account has no name")
 		case names[a.Name]:
-			c.add(path+".name", RuleDuplicate, "tenant %q is declared twice", a.Name)
+			c.add(path+".name", RuleDuplicate, "account %q is declared twice", a.Name)
 		}
 		names[a.Name] = true
 		if len(a.Keys) == 0 {
-			c.add(path+".name", RuleUnreachable, "no request can belong to tenant %q: it has no key", a.Name)
+			c.add(path+".name", RuleUnreachable, "no request can belong to account %q: it has no key", a.Name)
 		}
 		for j, key := range a.Keys {
 			at := fmt.Sprintf("%s.api_keys[%d]", path, j)
 			n, held := holders[key]
 			switch {
 			case key == "":
-				c.add(at, RuleUnreachable, "tenant %q has an empty key, which no request can state", a.Name)
+				c.add(at, RuleUnreachable, "account %q has an empty key, which no request can state", a.Name)
 			case held && n == i:
-				c.add(at, RuleDuplicate, "tenant %q has this key twice", a.Name)
+				c.add(at, RuleDuplicate, "account %q has this key twice", a.Name)
 			case held:
-				c.add(at, RuleDuplicate, "tenant %q has a key of tenant %q; the last one gets its requests", a.Name, list[n].Name)
+				c.add(at, RuleDuplicate, "account %q has a key of account %q; the last one gets its requests", a.Name, list[n].Name)
 			}
 			holders[key] = i
 		}
--- a/core/configcheck/configcheck_test.go
+++ b/core/configcheck/configcheck_test.go
@@ -79,7 +79,7 @@
 		}
 		if rapid.Bool().Draw(t, "key") {
 			c.Accounts[0].Keys[0] = "secret-key"
-			want["changed tenant t"] = true
+			want["changed account t"] = true
 		}
 		changes, findings := Against(c, old)
 		if (len(findings) > 0) != (c.Version <= old.Version) || len(changes) != len(want) {
--- a/core/configcheck/diff.go
+++ b/core/configcheck/diff.go
@@ -24,7 +24,7 @@
 	}
 	out := diff("route", old.Routes, cfg.Routes, func(r *Route) string { return r.Name }, fields)
 	out = append(out, diff("service", old.Services, cfg.Services, func(s *Service) string { return s.Name }, fields)...)
-	out = append(out, diff("tenant", old.Accounts, cfg.Accounts, func(a *Account) string { return a.Name }, accountChange)...)
+	out = append(out, diff("account", old.Accounts, cfg.Accounts, func(a *Account) string { return a.Name }, accountChange)...)
 	return out, c.findings
 }
 
