--- a/core/storeera/switches.go
+++ b/core/storeera/switches.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// OperatorTime is the default of Switches.Hold. Operators write their rows again when the store returns; a shorter time would send
-	// requests to an evacuated data centre, a longer one only delays a change that nobody
-	// wrote in the new era.
+	// OperatorTime is the default of Switches.Hold. Operators write their rows again when the
+	// store returns; a shorter time would send requests to an evacuated data centre, a longer
+	// one only delays a change that nobody wrote in the new era.
 	OperatorTime = 10 * time.Second
 	// RemovalMemory is how long a removed switch is remembered: two copies in a row that are
 	// 8 s older each, and outages of some seconds before each.
