Let a request wait to be read instead of refusing it at once

It now waits for up to 600 ms, in which the oldest completes or gives way; half as many as may be read may wait. A body that waits for room no longer counts as one being read, since Bodies counts it. TestRequestsWaitToBeRead: 503 before.

--- a/adapters/httpapi/bodyroom.go
+++ b/adapters/httpapi/bodyroom.go
@@ -137,6 +137,7 @@
 	ok, freed := bodies.Resize(c.room.account, c.room.taken, n)
 	if !ok && c.l.limits.BodyWait > 0 && bodies.Wait() {
 		defer bodies.Waited()
+		c.endReading() // what waits is counted by Bodies
 		begin := time.Now()
 		limit := time.NewTimer(c.l.limits.BodyWait)
 		defer limit.Stop()
--- a/adapters/httpapi/reading.go
+++ b/adapters/httpapi/reading.go
@@ -14,18 +14,35 @@
 	request atomic.Pointer[budget.Incomplete]
 	// begun is set from the first byte of a request to the end of its response.
 	begun bool
+	// delayed is how long the request waited to be read, which counts towards the caller's
+	// deadline.
+	delayed time.Duration
 }
 
-// beginReading counts a request whose first bytes were received. Without room it answers
-// that the request was not run and reports false.
+// readingPollInterval is the interval at which a request that waits to be read tries again.
+const readingPollInterval = 20 * time.Millisecond
+
+// beginReading counts a request whose first bytes were received. Without room it waits for up
+// to budget.ReadingWait, then answers that the request was not run and reports false.
 func (c *callerConn) beginReading() bool {
 	if c.begun || c.l.limits.Reading == nil {
 		return true
 	}
-	c.begun = true
-	nc := c.Conn
+	c.begun, c.delayed = true, 0
+	nc, r := c.Conn, c.l.limits.Reading
 	// A read that has timed out ends the request with an error response.
-	if i := c.l.limits.Reading.Begin(time.Now(), func() { _ = nc.SetReadDeadline(time.Unix(1, 0)) }); i != nil {
+	end := func() { _ = nc.SetReadDeadline(time.Unix(1, 0)) }
+	began := time.Now()
+	i := r.Begin(began, end)
+	if i == nil && r.Wait() {
+		for i == nil && time.Since(began) < budget.ReadingWait {
+			time.Sleep(readingPollInterval)
+			i = r.Begin(time.Now(), end)
+		}
+		r.Waited()
+		c.delayed = time.Since(began)
+	}
+	if i != nil {
 		c.request.Store(i)
 		return true
 	}
--- a/adapters/httpapi/reading_test.go
+++ b/adapters/httpapi/reading_test.go
@@ -107,3 +107,26 @@
 		}
 	}
 }
+
+// Guards against sound requests that are refused because others have begun a moment before.
+func TestRequestsWaitToBeRead(t *testing.T) {
+	l := testLimits()
+	l.MaxBodyBytes, l.Bodies, l.Reading = 4<<20, budget.NewBodies(bodyBudget), budget.NewReading(2)
+	addr := serve(t, &Server{Opener: &fakeOpener{open: respondOK}, Admission: allowAll{}, Log: zap.NewNop(), Frontend: testFrontend{}}, l)
+	for range 2 {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, "POST /x HTTP/1.1\r\nHost: r\r\n")
+	}
+	for until := time.Now().Add(testTimeout); l.Reading.Used() != 2; time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatalf("%d requests are being read, want 2", l.Reading.Used())
+		}
+	}
+	if status := post(t, addr, 10, false); status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+}
--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -246,7 +246,7 @@
 		return
 	}
 	if c, ok := ctx.Conn().(*callerConn); ok {
-		req.Deadline = req.Deadline.Add(-c.room.waited)
+		req.Deadline = req.Deadline.Add(-c.room.waited - c.delayed)
 		req.ReleaseBody = func() {
 			ctx.Request.ResetBody()
 			c.releaseRoom()
--- a/core/budget/reading.go
+++ b/core/budget/reading.go
@@ -17,6 +17,11 @@
 	minReading = 64
 	// minReadingAge is the age from which on a request that is still being read gives way.
 	minReadingAge = 500 * time.Millisecond
+	// ReadingWait is how long a request may wait to be read. Within it, the oldest of those
+	// that are being read completes or reaches minReadingAge.
+	ReadingWait = minReadingAge + 100*time.Millisecond
+	// waitingPercent is the number of requests that may wait, as a part of the limit.
+	waitingPercent = 50
 )
 
 // Reading is the budget of the requests that are being read and are not counted by Bodies.
@@ -24,12 +29,21 @@
 // that are never complete don't keep others from being read.
 type Reading struct {
 	amount
-	mu  sync.Mutex
-	all list.List // of *Incomplete, oldest first
+	waiting amount
+	mu      sync.Mutex
+	all     list.List // of *Incomplete, oldest first
 }
 
 // NewReading returns a budget of limit requests.
-func NewReading(limit int64) *Reading { return &Reading{amount: amount{limit: limit}} }
+func NewReading(limit int64) *Reading {
+	return &Reading{amount: amount{limit: limit}, waiting: amount{limit: max(1, limit*waitingPercent/100)}}
+}
+
+// Wait reports whether one more request may wait to be read. Each success needs a Waited.
+func (r *Reading) Wait() bool { return r.waiting.take(1) }
+
+// Waited ends what Wait began.
+func (r *Reading) Waited() { r.waiting.used.Add(-1) }
 
 // Incomplete is a request that is being read.
 type Incomplete struct {
