--- a/adapters/settings/edge_test.go
+++ b/adapters/settings/edge_test.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"encoding/json"
 	"strings"
 	"testing"
 
@@ -114,3 +115,21 @@
 		}
 	}
 }
+
+// Guards against settings that a process started with encoded ones cannot read.
+func TestSettingsSurviveEncoding(t *testing.T) {
+	for _, lines := range []string{"", "[rollout]\nexpose_share = 0.1\n"} {
+		s, err := ParseEdge("node.toml", []byte(validEdge+lines))
+		if err != nil {
+			t.Fatal(err)
+		}
+		encoded, err := json.Marshal(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var again Edge
+		if err := json.Unmarshal(encoded, &again); err != nil || again.Rollout != s.Rollout {
+			t.Errorf("%q: %+v, %v", lines, again.Rollout, err)
+		}
+	}
+}
--- a/adapters/settings/optional.go
+++ b/adapters/settings/optional.go
@@ -24,6 +24,14 @@
 	return nil
 }
 
+// MarshalText implements encoding.TextMarshaler; UnmarshalText reads what it returns.
+func (n OptionalNumber) MarshalText() ([]byte, error) {
+	if !n.Set {
+		return nil, nil
+	}
+	return strconv.AppendFloat(nil, n.Value, 'g', -1, 64), nil
+}
+
 // Or returns the number, or def if it is absent.
 func (n OptionalNumber) Or(def float64) float64 {
 	if !n.Set {
