--- /dev/null
+++ b/review/standin2/store.go
@@ -0,0 +1,201 @@
+package main
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// row is a row of the platform's store.
+type row struct {
+	Table     string  `json:"table"`
+	Part      string  `json:"part"`
+	Key       string  `json:"key"`
+	Value     []byte  `json:"value,omitempty"`
+	Ver       *uint64 `json:"ver,omitempty"`
+	Tombstone bool    `json:"tombstone,omitempty"`
+}
+
+type transaction struct {
+	Precondition []row `json:"precondition"`
+	SetKeys      []row `json:"set_keys"`
+	Remove       []row `json:"remove"`
+}
+
+// store is a stand-in of the platform's store: rows-get, rows-feed and rows-tx. Each instance
+// has a listener of its own, so that the store can be out of reach for some.
+type store struct {
+	mu      sync.Mutex
+	rows    map[[3]string]row
+	ver     uint64
+	start   time.Time
+	changed chan struct{}
+}
+
+func newStore() *store {
+	return &store{rows: map[[3]string]row{}, start: time.Now(), changed: make(chan struct{})}
+}
+
+// set writes a row as the operator or a server does. It returns the time of the acknowledgement.
+func (s *store) set(table, key string, value []byte) time.Time {
+	s.apply(transaction{SetKeys: []row{{Table: table, Key: key, Value: value}}})
+	return time.Now()
+}
+
+func (s *store) remove(table, key string) {
+	s.apply(transaction{Remove: []row{{Table: table, Key: key}}})
+}
+
+func (s *store) apply(tx transaction) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range tx.Precondition {
+		have, ok := s.rows[[3]string{p.Table, p.Part, p.Key}]
+		ver := uint64(0)
+		if ok && !have.Tombstone {
+			ver = *have.Ver
+		}
+		if p.Ver == nil || *p.Ver != ver {
+			return false
+		}
+	}
+	s.ver++
+	ver := s.ver
+	for _, r := range tx.SetKeys {
+		r.Ver = &ver
+		s.rows[[3]string{r.Table, r.Part, r.Key}] = r
+	}
+	for _, r := range tx.Remove {
+		r.Ver, r.Tombstone, r.Value = &ver, true, nil
+		s.rows[[3]string{r.Table, r.Part, r.Key}] = r
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return true
+}
+
+// port is one listener of the store.
+type port struct {
+	s    *store
+	addr string
+	mu   sync.Mutex
+	// mode is "", "silent" or "busy".
+	mode string
+	// wake is closed when the mode changes.
+	wake chan struct{}
+}
+
+func (s *store) listen() (*port, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &port{s: s, addr: ln.Addr().String(), wake: make(chan struct{})}
+	go func() { _ = http.Serve(ln, p) }()
+	return p, nil
+}
+
+func (p *port) setMode(m string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	close(p.wake)
+	p.wake = make(chan struct{})
+}
+
+// refused waits while the store is silent and reports whether the call gets no answer.
+func (p *port) refused(w http.ResponseWriter, r *http.Request) bool {
+	p.mu.Lock()
+	mode := p.mode
+	p.mu.Unlock()
+	switch mode {
+	case "silent":
+		<-r.Context().Done() // never answered on this connection
+		return true
+	case "busy":
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return true
+	}
+	return false
+}
+
+func (p *port) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s := p.s
+	if p.refused(w, r) {
+		return
+	}
+	q := r.URL.Query()
+	var out []row
+	switch r.URL.Path {
+	case "/rows-tx":
+		var tx transaction
+		if json.NewDecoder(r.Body).Decode(&tx) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		if !s.apply(tx) {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	case "/rows-get":
+		s.mu.Lock()
+		for k, v := range s.rows {
+			if k[0] == q.Get("table") && k[1] == q.Get("part") && k[2] >= q.Get("from") && !v.Tombstone {
+				out = append(out, v)
+			}
+		}
+		s.mu.Unlock()
+		sort.Slice(out, func(i, j int) bool { return out[i].Key < out[j].Key })
+	case "/rows-feed":
+		after, _ := strconv.ParseUint(q.Get("after_rev"), 10, 64)
+		ms, _ := strconv.Atoi(q.Get("wait_ms"))
+		end := time.NewTimer(time.Duration(ms) * time.Millisecond)
+		defer end.Stop()
+		for expired := false; !expired && len(out) == 0; {
+			s.mu.Lock()
+			for k, v := range s.rows {
+				if k[0] == q.Get("table") && *v.Ver > after {
+					out = append(out, v)
+				}
+			}
+			changed := s.changed
+			s.mu.Unlock()
+			if len(out) > 0 {
+				break
+			}
+			p.mu.Lock()
+			wake := p.wake
+			p.mu.Unlock()
+			select {
+			case <-changed:
+			case <-end.C:
+				expired = true
+			case <-wake:
+				if p.refused(w, r) {
+					return
+				}
+			case <-r.Context().Done():
+				return
+			}
+		}
+		if p.refused(w, r) {
+			return
+		}
+		sort.Slice(out, func(i, j int) bool { return *out[i].Ver < *out[j].Ver })
+	default:
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	s.mu.Lock()
+	ver := s.ver
+	s.mu.Unlock()
+	if out == nil {
+		out = []row{}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(map[string]any{"rows": out, "has_more": false, "ver": ver, "now_ms": time.Since(s.start).Milliseconds()})
+}
