--- a/review/standin2/page.go
+++ b/review/standin2/page.go
@@ -19,12 +19,9 @@
 	pageClients = 10
 )
 
-// notResponses are bytes that a faulty runner sends in place of its answer. They bear neither
-// the request's id nor a seal.
-var notResponses = []string{
-	"HTTP/2.0 200 OK\r\nContent-Length: 5\r\n\r\nhello",
-	"HTTP/1.1 200 OK\r\nContent-Type: text/html\r\nContent-Length: 22\r\n\r\n<html>It works!</html>",
-}
+// notResponse is what a faulty runner sends in place of its answer: a status line of another
+// protocol version and five bytes, without the request's id and a seal.
+const notResponse = "HTTP/2.0 200 OK\r\nContent-Length: 5\r\n\r\nhello"
 
 // pageCase looks whether such bytes reach clients as successes.
 func pageCase(bin, dir string) int {
@@ -39,7 +36,7 @@
 			return b
 		}
 		if answers++; answers%spoiledEvery == 0 {
-			b.junk = notResponses[len(spoiled)%len(notResponses)]
+			b.junk = notResponse
 			spoiled[q.id] = b.junk
 			note("%s sends bytes that are no response for %s: %q", r.id, q.id, b.junk)
 		}
