--- a/review/standin2/client.go
+++ b/review/standin2/client.go
@@ -12,129 +12,67 @@
 
 // call is one client attempt.
 type call struct {
-	id, method, host, target, body, key, prefix, kind string
-	headers                                           []string
-	gotHash, bodyHash                                 string
-	deadline                                          time.Duration
-	chunked                                           bool
-	giveUp                                            time.Duration
-	slowSend, slowRead                                time.Duration
+	id, method, host, target, body, key, prefix string
+	headers                                     []string
+	deadline                                    time.Duration
 
-	at       string // instance
-	sent     time.Time
-	kept     bool // on a kept connection
+	// at is the instance that was called, got the body of its answer and complete whether the
+	// answer was whole. status is 0 without an answer.
+	at       string
 	status   int
 	h        map[string]string
 	got      string
 	complete bool
 	err      string
-	gaveUp   bool
-	took     time.Duration
 }
 
-type clientConn struct {
-	c  net.Conn
-	br *bufio.Reader
-	to string
-	n  int
+// once sends a call on a new connection and reads its answer.
+func once(n *instance, k *call) *call {
+	k.host, k.at = "h.example", n.name
+	if err := k.do(n.caller); err != nil {
+		k.err = err.Error()
+	}
+	return k
 }
 
-func dialClient(to string) (*clientConn, error) {
+func (k *call) do(to string) error {
 	c, err := net.DialTimeout("tcp", to, time.Second)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	return &clientConn{c: c, br: bufio.NewReaderSize(c, 64<<10), to: to}, nil
-}
-
-// do sends the call and reads its answer. It reports whether the connection may be used again.
-func (cc *clientConn) do(k *call) (reuse bool) {
-	k.kept = cc.n > 0
-	cc.n++
-	k.sent = time.Now()
-	defer func() { k.took = time.Since(k.sent) }()
-	limit := k.deadline + 3*time.Second
-	if k.giveUp > 0 {
-		limit = k.giveUp
+	defer c.Close()
+	if err := c.SetDeadline(time.Now().Add(k.deadline + 3*time.Second)); err != nil {
+		return err
 	}
-	_ = cc.c.SetDeadline(k.sent.Add(limit))
 	var b strings.Builder
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Remaining: %d\r\n", k.method, k.target, k.host, k.id, k.deadline.Milliseconds())
-	if k.key != "" {
-		fmt.Fprintf(&b, "Authorization: Bearer %s\r\n", k.key)
-	}
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Remaining: %d\r\nAuthorization: Bearer %s\r\n", k.method, k.target, k.host, k.id, k.deadline.Milliseconds(), k.key)
 	for _, h := range k.headers {
 		b.WriteString(h + "\r\n")
 	}
-	switch {
-	case k.chunked:
-		b.WriteString("Transfer-Encoding: chunked\r\n\r\n")
-		for _, p := range split(k.body) {
-			fmt.Fprintf(&b, "%x\r\n%s\r\n", len(p), p)
-		}
-		b.WriteString("0\r\n\r\n")
-	case k.body != "" || k.method == "POST":
-		fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n%s", len(k.body), k.body)
-	default:
-		b.WriteString("\r\n")
-	}
-	msg := b.String()
-	if k.slowSend > 0 {
-		h := len(msg) / 2
-		if _, err := io.WriteString(cc.c, msg[:h]); err != nil {
-			k.err = err.Error()
-			return false
-		}
-		time.Sleep(k.slowSend)
-		msg = msg[h:]
-	}
-	if _, err := io.WriteString(cc.c, msg); err != nil {
-		k.err = "write: " + err.Error() // an answer may still be there
+	if k.method == "POST" {
+		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(k.body))
 	}
-	lines, err := readHead(cc.br)
-	for err == nil && strings.HasPrefix(lines[0], "HTTP/1.1 100") {
-		lines, err = readHead(cc.br)
+	b.WriteString("\r\n" + k.body)
+	if _, err := io.WriteString(c, b.String()); err != nil {
+		return err
 	}
+	br := bufio.NewReaderSize(c, 64<<10)
+	lines, err := readHead(br)
 	if err != nil {
-		k.fail(err)
-		return false
+		return err
 	}
 	f := strings.SplitN(lines[0], " ", 3)
 	if len(f) < 2 || f[0] != "HTTP/1.1" {
-		k.err = "not an answer: " + lines[0]
-		return false
+		return fmt.Errorf("no answer: %q", lines[0])
 	}
-	k.status, _ = strconv.Atoi(f[1])
-	k.h = map[string]string{}
-	for _, l := range lines[1:] {
-		n, v, _ := strings.Cut(l, ":")
-		k.h[strings.ToLower(n)] = strings.TrimSpace(v)
+	if k.status, err = strconv.Atoi(f[1]); err != nil {
+		return err
 	}
-	if k.slowRead > 0 {
-		time.Sleep(k.slowRead)
-	}
-	if k.method == "HEAD" {
-		k.complete = true
-		return false
-	}
-	k.got, err = readAnswer(cc.br, k.h)
-	if err != nil {
-		k.fail(err)
-		return false
-	}
-	k.complete = true
-	return !strings.Contains(strings.ToLower(k.h["connection"]), "close")
-}
-
-func (k *call) fail(err error) {
-	k.err = err.Error()
-	if ne, ok := err.(net.Error); ok && ne.Timeout() {
-		if k.giveUp > 0 {
-			k.gaveUp = true
-		} else {
-			k.err = "NO ANSWER: " + k.err
-		}
+	if k.h = fieldsOf(lines); k.method != "HEAD" {
+		k.got, err = readAnswer(br, k.h)
 	}
+	k.complete = err == nil
+	return err
 }
 
 func readAnswer(br *bufio.Reader, h map[string]string) (string, error) {
--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -15,15 +15,11 @@
 type instance struct {
 	name, caller, ready, directory, metrics string
 	settings, log                           string
-	store                                   *port
 	bin                                     string
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
 	exited chan struct{}
-	// ends are the ends of processes that the test did not ask for.
-	ends  []string
-	asked bool
 }
 
 var (
@@ -57,13 +53,13 @@
 	return ""
 }
 
-// newInstance writes the settings as the template of the deploy file does. extra is appended.
-func newInstance(s *store, dir, bin, name, zone, extra string) *instance {
-	p, err := s.listen()
+// newInstance writes the settings as the template of the deploy file does.
+func newInstance(s *store, dir, bin, name, zone string) *instance {
+	address, err := s.listen()
 	if err != nil {
 		fatal("store: %v", err)
 	}
-	n := &instance{name: name, store: p, bin: bin, caller: freeAddr(), ready: freeAddr(), directory: freeAddr(), metrics: freeAddr()}
+	n := &instance{name: name, bin: bin, caller: freeAddr(), ready: freeAddr(), directory: freeAddr(), metrics: freeAddr()}
 	n.settings, n.log = filepath.Join(dir, name+".toml"), filepath.Join(dir, name+".log")
 	text := fmt.Sprintf(`instance = %q
 data_centre = %q
@@ -89,8 +85,7 @@
 retry_burst = 58
 
 [rollout]
-
-%s`, name, zone, p.addr, n.caller, n.ready, n.directory, freeAddr(), n.metrics, extra)
+`, name, zone, address, n.caller, n.ready, n.directory, freeAddr(), n.metrics)
 	if err := os.WriteFile(n.settings, []byte(text), 0o600); err != nil {
 		fatal("settings: %v", err)
 	}
@@ -112,15 +107,12 @@
 	}
 	exited := make(chan struct{})
 	n.mu.Lock()
-	n.cmd, n.exited, n.asked = cmd, exited, false
+	n.cmd, n.exited = cmd, exited
 	n.mu.Unlock()
 	go func() {
-		err := cmd.Wait()
-		n.mu.Lock()
-		if !n.asked {
-			n.ends = append(n.ends, fmt.Sprintf("%s ended by itself: %v", n.name, err))
+		if err := cmd.Wait(); err != nil {
+			note("%s ended: %v", n.name, err)
 		}
-		n.mu.Unlock()
 		close(exited)
 	}()
 }
@@ -128,9 +120,6 @@
 func (n *instance) signal(sig syscall.Signal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if sig == syscall.SIGTERM || sig == syscall.SIGKILL {
-		n.asked = true
-	}
 	_ = n.cmd.Process.Signal(sig)
 }
 
--- a/review/standin2/foreign.go
+++ b/review/standin2/foreign.go
@@ -49,11 +49,7 @@
 		if err != nil {
 			return
 		}
-		h := map[string]string{}
-		for _, l := range lines[1:] {
-			k, v, _ := strings.Cut(l, ":")
-			h[strings.ToLower(k)] = strings.TrimSpace(v)
-		}
+		h := fieldsOf(lines)
 		if _, err := readBodyOf(br, h); err != nil {
 			return
 		}
--- a/review/standin2/head.go
+++ b/review/standin2/head.go
@@ -22,9 +22,9 @@
 func headCase(bin, dir string) int {
 	_, nodes, runners := startFleet(bin, dir, 3, 3, 3, func(r *runner, q *request) behaviour {
 		if r.engine {
-			return behaviour{status: 200, events: 5, gap: 5 * time.Millisecond, framing: "chunked", noBody: q.method == "HEAD"}
+			return behaviour{status: 200, events: 5, gap: 5 * time.Millisecond, noBody: q.method == "HEAD"}
 		}
-		return behaviour{status: 200, size: 100, framing: "length", work: 5 * time.Millisecond}
+		return behaviour{status: 200, size: 100, work: 5 * time.Millisecond}
 	})
 	served, asked := map[string]int{}, map[string]int{}
 	ask := func(phase string, i int) {
--- a/review/standin2/page.go
+++ b/review/standin2/page.go
@@ -31,7 +31,7 @@
 	_, nodes, _ := startFleet(bin, dir, 9, 0, 4, func(r *runner, q *request) behaviour {
 		mu.Lock()
 		defer mu.Unlock()
-		b := behaviour{status: 200, size: 800, framing: "length", work: time.Duration(10+rnd.IntN(40)) * time.Millisecond}
+		b := behaviour{status: 200, size: 800, work: time.Duration(10+rnd.IntN(40)) * time.Millisecond}
 		if !trouble() || r.id >= fmt.Sprintf("app-%d", faulty) || !inEpisode() {
 			return b
 		}
--- a/review/standin2/parts.go
+++ b/review/standin2/parts.go
@@ -44,9 +44,9 @@
 	kvTokens = 689040 // that of ccdca-spoil
 	_, nodes, _ := startFleet(bin, dir, 3, 9, 3, func(r *runner, q *request) behaviour {
 		if r.engine {
-			return behaviour{status: 200, events: 2, work: 10 * time.Millisecond, framing: "chunked"}
+			return behaviour{status: 200, events: 2, work: 10 * time.Millisecond}
 		}
-		return behaviour{status: 200, size: 100, framing: "length"}
+		return behaviour{status: 200, size: 100}
 	})
 	end := time.Now().Add(partsTime)
 	var mu sync.Mutex
--- a/review/standin2/smallfleet.go
+++ b/review/standin2/smallfleet.go
@@ -35,7 +35,7 @@
 	st.set("op", "config", config(1))
 	var nodes []*instance
 	for i := range fronts {
-		n := newInstance(st, dir, bin, fmt.Sprintf("front-%d", i), zones[i%3], "")
+		n := newInstance(st, dir, bin, fmt.Sprintf("front-%d", i), zones[i%3])
 		n.start()
 		nodes = append(nodes, n)
 	}
@@ -52,16 +52,3 @@
 	time.Sleep(time.Second)
 	return st, nodes, runners
 }
-
-// once sends a call on a new connection.
-func once(n *instance, k *call) *call {
-	k.host, k.at = "h.example", n.name
-	cc, err := dialClient(n.caller)
-	if err != nil {
-		k.err = err.Error()
-		return k
-	}
-	defer cc.c.Close()
-	cc.do(k)
-	return k
-}
--- a/review/standin2/store.go
+++ b/review/standin2/store.go
@@ -26,8 +26,7 @@
 	Remove       []row `json:"remove"`
 }
 
-// store is a stand-in of the platform's store: rows-get, rows-feed and rows-tx. Each instance
-// has a listener of its own, so that the store can be out of reach for some.
+// store is a stand-in of the platform's store: rows-get, rows-feed and rows-tx.
 type store struct {
 	mu      sync.Mutex
 	rows    map[[3]string]row
@@ -40,14 +39,9 @@
 	return &store{rows: map[[3]string]row{}, start: time.Now(), changed: make(chan struct{})}
 }
 
-// set writes a row as the operator or a server does. It returns the time of the acknowledgement.
-func (s *store) set(table, key string, value []byte) time.Time {
+// set writes a row as the operator or a server does.
+func (s *store) set(table, key string, value []byte) {
 	s.apply(transaction{SetKeys: []row{{Table: table, Key: key, Value: value}}})
-	return time.Now()
-}
-
-func (s *store) remove(table, key string) {
-	s.apply(transaction{Remove: []row{{Table: table, Key: key}}})
 }
 
 func (s *store) apply(tx transaction) bool {
@@ -78,56 +72,18 @@
 	return true
 }
 
-// port is one listener of the store.
-type port struct {
-	s    *store
-	addr string
-	mu   sync.Mutex
-	// mode is "", "silent" or "busy".
-	mode string
-	// wake is closed when the mode changes.
-	wake chan struct{}
-}
-
-func (s *store) listen() (*port, error) {
+// listen opens a listener of the store.
+func (s *store) listen() (address string, err error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
-	}
-	p := &port{s: s, addr: ln.Addr().String(), wake: make(chan struct{})}
-	go func() { _ = http.Serve(ln, p) }()
-	return p, nil
-}
-
-func (p *port) setMode(m string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.mode = m
-	close(p.wake)
-	p.wake = make(chan struct{})
-}
-
-// refused waits while the store is silent and reports whether the call gets no answer.
-func (p *port) refused(w http.ResponseWriter, r *http.Request) bool {
-	p.mu.Lock()
-	mode := p.mode
-	p.mu.Unlock()
-	switch mode {
-	case "silent":
-		<-r.Context().Done() // never answered on this connection
-		return true
-	case "busy":
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return true
+		return "", err
 	}
-	return false
+	go func() { _ = http.Serve(ln, s) }()
+	return ln.Addr().String(), nil
 }
 
-func (p *port) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s := p.s
-	if p.refused(w, r) {
-		return
-	}
+// ServeHTTP implements http.Handler.
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := r.URL.Query()
 	var out []row
 	switch r.URL.Path {
@@ -167,24 +123,14 @@
 			if len(out) > 0 {
 				break
 			}
-			p.mu.Lock()
-			wake := p.wake
-			p.mu.Unlock()
 			select {
 			case <-changed:
 			case <-end.C:
 				expired = true
-			case <-wake:
-				if p.refused(w, r) {
-					return
-				}
 			case <-r.Context().Done():
 				return
 			}
 		}
-		if p.refused(w, r) {
-			return
-		}
 		sort.Slice(out, func(i, j int) bool { return *out[i].Ver < *out[j].Ver })
 	default:
 		w.WriteHeader(http.StatusNotFound)
