--- a/review/standin2/config.go
+++ b/review/standin2/config.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"os"
-	"strconv"
 )
 
 type obj = map[string]any
@@ -44,7 +43,4 @@
 }
 
 // trouble is false for the run without the disruption.
-func trouble() bool {
-	n, err := strconv.Atoi(os.Getenv("TROUBLE"))
-	return err != nil || n != 0
-}
+func trouble() bool { return len(os.Args) <= 4 || os.Args[4] != "no" }
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -46,7 +46,7 @@
 
 func main() {
 	if len(os.Args) < 3 {
-		fmt.Fprintln(os.Stderr, "usage: lab CASE DAEMON [RECORD]")
+		fmt.Fprintln(os.Stderr, "usage: standin CASE DAEMON [RECORD [no]]")
 		os.Exit(2)
 	}
 	if len(os.Args) > 3 {
