Accept only responses that are known to answer their request

Cause: a response was accepted unless something contradicted it. The HTTP library accepts every version of the form HTTP/n.n, in interim responses too; a missing id counted only on a connection that had carried a request; nothing looked at the signature. Refusals and announcements passed the same check, so that a foreign "503, Not-Executed" was believed and the request was sent again.

The tests vary the three checks one by one.

Now each status line must be HTTP/1.1, the id must be echoed exactly once on every connection and with every status, and a success must carry one signature and not state that it was not run. All else has an unknown outcome: an order ends with 502, other requests are tried elsewhere, the server counts as failed once. This needs no list of bad forms, as it asks for what the server alone can say. The metric responses_rejected counts the three reasons. Servers of the built-in API need not echo an id; there only the version is new (HTTP/1.0 or 1.1).

--- a/adapters/engine/dialect.go
+++ b/adapters/engine/dialect.go
@@ -35,6 +35,9 @@
 	FetchFrom string
 	// NotRun marks a response whose request was not executed.
 	NotRun string
+	// Signature carries the server's signature of its response. A success without one is not
+	// the server's.
+	Signature string
 	// Leaving is "1" in the responses of a server that is about to leave.
 	Leaving string
 	// Pause carries, in a response with status 503, the time in seconds for which the server
@@ -81,24 +84,27 @@
 // verifyOpaqueHead validates the header of a response that is forwarded unchanged.
 func (r *response) verifyOpaqueHead() error {
 	d, srv := r.x.client.dialect(), r.x.srv.Name
-	id := r.resp.Header.Peek(d.RequestID)
-	r.idEchoed = len(id) > 0
-	switch {
-	case r.idEchoed && string(id) != r.x.attemptID:
-		return result.New(result.AnswerCrossed, "server %s answered request %q, want %q", srv, id, r.x.attemptID)
-	case !r.idEchoed && r.conn.used:
-		// Also for a refusal: one of an earlier request says nothing about this one.
-		return result.New(result.AnswerCrossed, "server %s answered without a request id on a connection with earlier requests", srv)
+	// Before anything else is read: also a refusal or a load says something about this request
+	// or this server only if it answers the request.
+	if err := r.verifyRequestID(d.RequestID, true); err != nil {
+		return err
 	}
-	if !httpstatus.IsFinal(r.status) {
+	refused := len(r.resp.Header.Peek(d.NotRun)) > 0
+	switch {
+	case !httpstatus.IsFinal(r.status):
 		return errInvalidStatus(srv, r.status)
+	case refused && r.status < fasthttp.StatusBadRequest:
+		return result.New(result.AnswerInvalid, "server %s answered status %d and states that the request was not run", srv, r.status)
+	}
+	if err := r.verifySignature(d.Signature); err != nil {
+		return err
 	}
 	r.notify()
 	r.reportLoad()
 	switch {
 	case r.status == fasthttp.StatusMisdirectedRequest:
 		return result.New(result.ServerRefused, "address of server %s belongs to another server", srv).WithOutcome(result.NotRun)
-	case len(r.resp.Header.Peek(d.NotRun)) > 0:
+	case refused:
 		return result.New(result.ServerRefused, "server %s refused the request with status %d", srv, r.status).WithOutcome(result.NotRun)
 	case promisesNotRun(r.status):
 		return result.New(result.ServerError, "server %s answered status %d without stating that the request was not run", srv, r.status)
--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -60,6 +60,8 @@
 	// UnbufferedResponses counts the responses that were passed on before they were
 	// complete, because memory was short.
 	Probes, SilentConnections, ResumedStreams, UnbufferedResponses atomic.Int64
+	// Rejections counts the responses that are not known to belong to their requests.
+	Rejections Rejections
 
 	hosts    sync.Map // address to *host
 	budgetMu sync.Mutex
@@ -138,7 +140,7 @@
 	r.resp.Header.SetNoDefaultContentType(true)
 	r.resp.StreamBody = true
 	r.resp.SkipBody = x.req.Method == fasthttp.MethodHead
-	if err := r.resp.ReadLimitBody(cn.br, 0); err != nil {
+	if err := r.readHead(); err != nil {
 		return nil, r.fail(err, "no response")
 	}
 	r.initBody()
--- a/adapters/engine/response.go
+++ b/adapters/engine/response.go
@@ -78,13 +78,10 @@
 		return r.verifyOpaqueHead()
 	}
 	srv := r.x.srv.Name
-	id := r.resp.Header.Peek(openAIDialect.RequestID)
-	r.idEchoed = len(id) > 0
+	if err := r.verifyRequestID(openAIDialect.RequestID, false); err != nil {
+		return err
+	}
 	switch {
-	case r.idEchoed && string(id) != r.x.attemptID:
-		return result.New(result.AnswerCrossed, "server %s answered request %q, want %q", srv, id, r.x.attemptID)
-	case !r.idEchoed && r.conn.used:
-		return result.New(result.AnswerCrossed, "server %s answered without a request id on a connection with earlier requests", srv)
 	case !httpstatus.IsFinal(r.status):
 		return errInvalidStatus(srv, r.status)
 	case r.status == fasthttp.StatusTooManyRequests && r.x.req.Route == nil:
--- a/adapters/httpstatus/httpstatus.go
+++ b/adapters/httpstatus/httpstatus.go
@@ -25,3 +25,15 @@
 
 // IsFinal reports whether a status can be that of a complete response.
 func IsFinal(status int) bool { return status >= 200 && status <= 599 }
+
+// IsInterim reports whether another response follows one with this status. After 101 another
+// protocol follows.
+func IsInterim(status int) bool {
+	return status >= 100 && status <= 199 && status != fasthttp.StatusSwitchingProtocols
+}
+
+// HasNoBody reports whether a final response with this status has no body, whatever its header
+// says.
+func HasNoBody(status int) bool {
+	return status == fasthttp.StatusNoContent || status == fasthttp.StatusNotModified || status == fasthttp.StatusSwitchingProtocols
+}
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -154,6 +154,10 @@
 			"refused": memory.Refused(), "unbuffered_responses": client.UnbufferedResponses.Load(),
 		}
 	})
+	e.meters.gauge("responses_rejected", func() any {
+		r := &client.Rejections
+		return map[string]int64{"version": r.Version.Load(), "request_id": r.RequestID.Load(), "signature": r.Signature.Load()}
+	})
 	return e, nil
 }
 
--- a/cmd/internal/edge/faulty_test.go
+++ b/cmd/internal/edge/faulty_test.go
@@ -12,8 +12,8 @@
 	"cyclamenhitch/standins/runner"
 )
 
-// A server whose answers have no end or a huge length fails fast, so that it always seems to
-// have room. The instance must avoid it: it would draw the requests that the other servers
+// A server whose answers have no end or a huge length, or are not known to be its own, fails
+// fast, so that it always seems to have room. The instance must avoid it: it would draw the requests that the other servers
 // can answer.
 func TestServerWithResponsesWithoutEndIsAvoided(t *testing.T) {
 	const (
@@ -26,6 +26,10 @@
 		"huge length": {"/order/1", head + "Content-Length: 900000000000\r\n\r\n", "x"},
 		"no length":   {"/order/1", head + "Connection: close\r\n\r\n", "x"},
 		"chunks":      {"/order/1", head + "Transfer-Encoding: chunked\r\n\r\n", "1000\r\n" + strings.Repeat("x", 0x1000) + "\r\n"},
+		"no id":       {"/order/1", "HTTP/1.1 200 OK\r\nResponse-Seal: s\r\nContent-Length: 5\r\n\r\n", "hello"},
+		"no seal":     {"/order/1", "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 5\r\n\r\n", "hello"},
+		"HTTP/2.0":    {"/order/1", "HTTP/2.0 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nContent-Length: 5\r\n\r\n", "hello"},
+		"no id, full": {"/order/1", "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nContent-Length: 5\r\n\r\n", "hello"},
 		"first event": {"/stream/once/1", head + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\ndata: ", "x"},
 		"later event": {"/stream/once/1", head + "Content-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\ndata: ", "x"},
 	} {
@@ -114,6 +118,8 @@
 		return fmt.Sprint(resp.StatusCode, " ", text[:min(len(text), 50)])
 	case err != nil:
 		return "broken off"
+	case resp.Header.Get("Response-Seal") == "":
+		return "success without a signature"
 	}
 	return complete
 }
