Do not report an unidentified 429 of the chat API as not run

Callers saw: not_run for a request whose server answered 429 without the id of the request. Such a response may come from another program at the address or be about another request, and this request may have run.

Servers of this API need not echo an id, so that the response stays a refusal; its outcome is unknown, and idempotent requests are still tried elsewhere.

TestTooManyRequestsWithoutID failed before: "error 3011 server_refused not_run" without an id.

--- a/adapters/engine/refusal_test.go
+++ b/adapters/engine/refusal_test.go
@@ -79,6 +79,17 @@
 	}
 }
 
+// Guards against a 429 of the chat API that is reported as not run although nothing shows that
+// it is about this request.
+func TestTooManyRequestsWithoutID(t *testing.T) {
+	for id, want := range map[string]string{"": "unknown", "X-Request-Id: {id}\r\n": "not_run"} {
+		got := openForeign(t, &Client{MaxAnswerBytes: 2000}, "json", false, "HTTP/1.1 429 X\r\n"+id+"Content-Length: 2\r\n\r\n{}")
+		if !strings.HasPrefix(got, "error 3011 server_refused "+want) {
+			t.Errorf("%q: %s", id, got)
+		}
+	}
+}
+
 // Guards against bytes of another server's error in a stream that it was to continue.
 func TestErrorOfNextServerIsNotInStream(t *testing.T) {
 	const text = "X-marks-the-error"
--- a/adapters/engine/response.go
+++ b/adapters/engine/response.go
@@ -85,7 +85,12 @@
 	case !httpstatus.IsFinal(r.status):
 		return errInvalidStatus(srv, r.status)
 	case r.status == fasthttp.StatusTooManyRequests && r.x.req.Route == nil:
-		return result.New(result.ServerRefused, "server %s refused the request with status %d", srv, r.status)
+		e := result.New(result.ServerRefused, "server %s refused the request with status %d", srv, r.status)
+		if !r.idEchoed {
+			// Without the id it may be about another request, and this one may have run.
+			e = e.WithOutcome(result.Unknown)
+		}
+		return e
 	case r.status >= 500:
 		return result.New(result.ServerError, "server %s answered status %d", srv, r.status)
 	case r.declared == -2:
