Blame a server that does not continue a stream for its own answer only

A server that refused the rest of a stream as full, or answered 500, counted as one whose connection ended, and no line said what it had answered.

Cause: the engine client dropped the error of the second attempt, and the gateway released whichever permit it held with the error of the stream.

The client now hands that error to the request's OnFailoverError, and the gateway releases the permit and notes the end of the decision with it. What the caller gets is unchanged.

TestFailoverErrorIsThatOfItsServer failed before, with a callback that did nothing: both places were released with answer_truncated.

--- a/adapters/engine/events.go
+++ b/adapters/engine/events.go
@@ -340,11 +340,14 @@
 		s.x.srv = srv
 	}
 	r, err := s.x.send(strconv.Itoa(s.lastEventID), !s.opaque())
-	if err != nil {
-		return false
-	}
-	if !r.isEventStream() {
+	if err == nil && !r.isEventStream() {
 		r.Close()
+		err = result.New(result.AnswerInvalid, "server %s continued a stream with status %d and no events", s.x.srv.Name, r.status)
+	}
+	if err != nil {
+		if s.x.req.OnFailoverError != nil {
+			s.x.req.OnFailoverError(err)
+		}
 		return false
 	}
 	s.client().ResumedStreams.Add(1)
--- a/adapters/engine/identity_test.go
+++ b/adapters/engine/identity_test.go
@@ -200,7 +200,8 @@
 }
 
 // Guards against a stream that is continued with bytes which are not known to be the next
-// server's response. The caller has the header of the first server.
+// server's response, and against a next server that is blamed for the break of the first one
+// and not for what it sent. The caller has the header of the first server.
 func TestForeignResponseToResumption(t *testing.T) {
 	const text = "X-foreign-bytes"
 	const event = "id: 2\ndata: " + text + "\n\n"
@@ -213,6 +214,9 @@
 		heads[name] = "HTTP/1.1 200 OK\r\n" + fields
 	}
 	heads["sound"] = "HTTP/1.1 200 OK\r\n" + echoed + signed
+	heads["refusal"] = "HTTP/1.1 503 X\r\n" + echoed + notRun
+	heads["failure"] = "HTTP/1.1 500 X\r\n" + echoed + signed
+	wantError := map[string]result.Code{"sound": 0, "refusal": result.ServerRefused, "failure": result.ServerError}
 	for name, head := range heads {
 		first := serveRaw(t, true, func(c net.Conn, _ int, id string) bool {
 			_, _ = io.WriteString(c, strings.ReplaceAll("HTTP/1.1 200 OK\r\n"+echoed+signed+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", "{id}", id)+chunk(event1))
@@ -231,6 +235,8 @@
 			}
 			return second, nil
 		}
+		var blamed result.Code
+		req.OnFailoverError = func(err error) { blamed = result.As(err).Code }
 		client := signedClient()
 		got := describe(client.Open(context.Background(), first, req, "r"))
 		if failedOver == 0 {
@@ -239,6 +245,10 @@
 		if whole := strings.Contains(got, text) && strings.Contains(got, "complete"); whole != (name == "sound") || strings.Contains(got, "not_run") {
 			t.Errorf("%s: the caller got %s", name, got)
 		}
+		want, ok := wantError[name]
+		if ok && blamed != want || !ok && blamed != result.AnswerCrossed && blamed != result.AnswerInvalid {
+			t.Errorf("%s: the next server is blamed for %d", name, blamed)
+		}
 	}
 }
 
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -141,6 +141,7 @@
 		permitted := &permitResponse{permit: permit}
 		if req.Resumable {
 			req.Failover = func(cause error) (*manifest.Server, error) { return t.failOver(permitted, cause) }
+			req.OnFailoverError = func(err error) { t.failoverFailed(permitted, err) }
 		}
 		sent := g.Now()
 		resp, err := t.openAt(srv)
@@ -232,9 +233,7 @@
 
 // shouldRetry reports whether the request may be sent again after e.
 func (t *attemptRun) shouldRetry(e *result.Error) bool {
-	if n := len(t.req.Decisions); n > 0 {
-		t.req.Decisions[n-1].EndReason = e.Error()
-	}
+	t.noteEnd(e)
 	if e.Outcome != result.NotRun {
 		t.unknownOutcome = e
 		t.runs++
@@ -275,6 +274,20 @@
 	return srv, nil
 }
 
+// failoverFailed ends the attempt at a server that did not continue the stream. The response
+// ends with the error of the server before it, which says nothing about this one.
+func (t *attemptRun) failoverFailed(permitted *permitResponse, err error) {
+	t.noteEnd(result.As(err))
+	permitted.permit.Release(err)
+}
+
+// noteEnd records in the latest decision why its attempt did not lead to a response.
+func (t *attemptRun) noteEnd(e *result.Error) {
+	if n := len(t.req.Decisions); n > 0 {
+		t.req.Decisions[n-1].EndReason = e.Error()
+	}
+}
+
 // Limits of the delay before a retry. A retry goes to a different server, so a
 // short delay is enough to spread the retries of many requests.
 const (
--- a/core/gateway/placer_test.go
+++ b/core/gateway/placer_test.go
@@ -191,3 +191,68 @@
 		}
 	}
 }
+
+// failoverFakes is a Placer whose servers break the stream, the second with an error of its own.
+type failoverFakes struct {
+	placerFakes
+	released []error
+}
+
+func (f *failoverFakes) Place(_ context.Context, req *Request) (*manifest.Server, Permit, error) {
+	return &manifest.Server{Name: fleet.ServerID(fmt.Sprint("s", len(req.TriedServers)))}, &recordingPermit{f: f}, nil
+}
+
+func (f *failoverFakes) Open(_ context.Context, _ *manifest.Server, req *Request, _ string) (Response, error) {
+	return &streamNotContinued{req}, nil
+}
+
+type recordingPermit struct {
+	f        *failoverFakes
+	released bool
+}
+
+func (p *recordingPermit) Opened(time.Duration) {}
+func (p *recordingPermit) Part()                {}
+func (p *recordingPermit) Release(err error) {
+	if !p.released {
+		p.released = true
+		p.f.released = append(p.f.released, err)
+	}
+}
+
+var (
+	errBroken  = result.New(result.AnswerTruncated, "broken")
+	errRefused = result.New(result.ServerRefused, "refused")
+)
+
+// streamNotContinued breaks, and the server selected to continue it refuses.
+type streamNotContinued struct{ req *Request }
+
+func (s *streamNotContinued) Status() int     { return 200 }
+func (s *streamNotContinued) Fields() []Field { return nil }
+func (s *streamNotContinued) Close()          {}
+func (s *streamNotContinued) Next() ([]byte, error) {
+	if _, err := s.req.Failover(errBroken); err == nil {
+		s.req.OnFailoverError(errRefused)
+	}
+	return nil, errBroken
+}
+
+// Guards against a server that is blamed for the break of a stream which it was only asked to
+// continue: two sound servers would be avoided for the fault of one.
+func TestFailoverErrorIsThatOfItsServer(t *testing.T) {
+	f := &failoverFakes{placerFakes: placerFakes{budget: 1}}
+	g := &Gateway{Placer: f, Upstream: f, Budget: f, Now: func() time.Time { return time.Unix(0, 0) }}
+	req := &Request{ID: "r", Pool: &manifest.Pool{Name: "p"}, Idempotent: true, Resumable: true, MaxRuns: 2, Deadline: time.Unix(1, 0)}
+	resp, err := g.Open(context.Background(), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := resp.Next(); err != errBroken {
+		t.Errorf("the stream ended with %v", err)
+	}
+	resp.Close()
+	if len(f.released) != 2 || f.released[0] != errBroken || f.released[1] != errRefused {
+		t.Errorf("the servers' places were released with %v", f.released)
+	}
+}
--- a/core/gateway/ports.go
+++ b/core/gateway/ports.go
@@ -100,6 +100,9 @@
 	// Failover selects another server for a broken stream; nil if the stream must not
 	// be resumed. cause is the error that broke the stream at the previous server.
 	Failover func(cause error) (*manifest.Server, error)
+	// OnFailoverError is called with the error of a server selected by Failover that does not
+	// continue the stream. Set if Failover is.
+	OnFailoverError func(err error)
 }
 
 // Decision records the selection of a server and its inputs.
