Reject successes with a content coding where servers apply none

Callers saw: a success with Content-Encoding from a server whose bodies never have one. Callers on the platform ask for bodies without a coding, and such a body is not the one that the server made.

--- a/adapters/engine/dialect.go
+++ b/adapters/engine/dialect.go
@@ -46,6 +46,9 @@
 	// Load carries the server's running requests, waiting requests, slots and pace,
 	// separated by commas. Older servers state no pace.
 	Load string
+	// Unencoded is set if servers never apply a content coding, so that a success with one is
+	// not the body that the server made.
+	Unencoded bool
 	// Opaque forwards responses unchanged: their framing and request id are validated,
 	// their content is not, and requests keep the caller's id.
 	Opaque bool
@@ -95,6 +98,8 @@
 		return errInvalidStatus(srv, r.status)
 	case refused && r.status < fasthttp.StatusBadRequest:
 		return result.New(result.AnswerInvalid, "server %s answered status %d and states that the request was not run", srv, r.status)
+	case d.Unencoded && r.status < fasthttp.StatusMultipleChoices && len(r.resp.Header.ContentEncoding()) > 0:
+		return result.New(result.AnswerInvalid, "server %s answered status %d with a content coding", srv, r.status)
 	}
 	if err := r.verifySignature(d.Signature); err != nil {
 		return err
--- a/adapters/engine/identity_test.go
+++ b/adapters/engine/identity_test.go
@@ -16,7 +16,7 @@
 
 func signedClient() *Client {
 	c := refusingClient()
-	c.Dialect.Signature = "X-Seal"
+	c.Dialect.Signature, c.Dialect.Unencoded = "X-Seal", true
 	return c
 }
 
@@ -70,7 +70,8 @@
 	"id in an interim response": {"HTTP/1.1 103 Early Hints\r\n" + echoed + signed + "\r\nHTTP/1.1", ""},
 }
 
-// unsignedHeads are fields with which a success is not known to be the server's.
+// unsignedHeads are fields with which a success is not known to be the server's, or its body
+// not the one that the server made.
 var unsignedHeads = map[string]string{
 	"no signature":    echoed,
 	"empty signature": echoed + "X-Seal:\r\n",
@@ -78,6 +79,7 @@
 	"two signatures":  echoed + signed + "X-Seal: t\r\n",
 	"signature twice": echoed + signed + signed,
 	"not run":         echoed + signed + notRun,
+	"encoded":         echoed + signed + "Content-Encoding: gzip\r\n",
 }
 
 var foreignKinds = []string{"order", "read", "order-stream", "resumable", "opaque-head"}
@@ -175,6 +177,7 @@
 		"moved":                 {"HTTP/1.1 301 X\r\n" + echoed + chunked, "status 301"},
 		"not found":             {"HTTP/1.1 404 X\r\n" + echoed + chunked, "status 404"},
 		"signed not found":      {"HTTP/1.1 404 X\r\n" + echoed + signed + chunked, "status 404"},
+		"encoded not found":     {"HTTP/1.1 404 X\r\n" + echoed + "Content-Encoding: gzip\r\n" + chunked, "status 404"},
 		"failure":               {"HTTP/1.1 500 X\r\n" + echoed + chunked, "status 500"},
 		"signed failure":        {"HTTP/1.1 500 X\r\n" + echoed + signed + chunked, "status 500"},
 		"deadline":              {"HTTP/1.1 504 X\r\n" + echoed + signed + chunked, "status 504"},
