--- a/adapters/engine/identity.go
+++ b/adapters/engine/identity.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"errors"
 	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
@@ -18,8 +17,6 @@
 	Version, RequestID, Signature atomic.Int64
 }
 
-var errVersion = errors.New("unsupported protocol version in a status line")
-
 // readHead reads the header of the final response and prepares its body. The HTTP library
 // accepts status lines of any version, also in interim responses, which it skips.
 func (r *response) readHead() error {
@@ -30,7 +27,7 @@
 		}
 		if !r.isSupportedVersion() {
 			r.x.client.Rejections.Version.Add(1)
-			return errVersion
+			return httpstatus.ErrVersion
 		}
 		if !httpstatus.IsInterim(httpstatus.Of(h)) {
 			break
@@ -46,13 +43,8 @@
 // dialect use. HTTP/1.0 is a valid response to HTTP/1.1, which servers of the OpenAI chat API
 // may send.
 func (r *response) isSupportedVersion() bool {
-	switch string(r.resp.Header.Protocol()) {
-	case "HTTP/1.1":
-		return true
-	case "HTTP/1.0":
-		return !r.x.client.dialect().Opaque
-	}
-	return false
+	h := &r.resp.Header
+	return httpstatus.CheckVersion(h) == nil || string(h.Protocol()) == "HTTP/1.0" && !r.x.client.dialect().Opaque
 }
 
 // verifyRequestID checks that the response echoes the id of the request, exactly once if
--- a/adapters/httpstatus/httpstatus.go
+++ b/adapters/httpstatus/httpstatus.go
@@ -1,8 +1,8 @@
-// Package httpstatus reads the status that the status line of a response states. It has no
-// state.
+// Package httpstatus reads what the status line of a response states. It has no state.
 package httpstatus
 
 import (
+	"errors"
 	"reflect"
 
 	"github.com/valyala/fasthttp"
@@ -26,6 +26,18 @@
 // IsFinal reports whether a status can be that of a complete response.
 func IsFinal(status int) bool { return status >= 200 && status <= 599 }
 
+// ErrVersion is the error of a status line with an unsupported protocol version.
+var ErrVersion = errors.New("unsupported protocol version in a status line")
+
+// CheckVersion returns ErrVersion unless a response that was read is of HTTP/1.1. The library
+// accepts any version.
+func CheckVersion(h *fasthttp.ResponseHeader) error {
+	if string(h.Protocol()) != "HTTP/1.1" {
+		return ErrVersion
+	}
+	return nil
+}
+
 // IsInterim reports whether another response follows one with this status. After 101 another
 // protocol follows.
 func IsInterim(status int) bool {
