Do not take a foreign page for an answer of a peer

Cause: an empty protobuf message is valid, and nothing in the response showed that an instance sent it. Calls between instances by RPC are signed and were not affected.

Responses of instances to each other now have a content type of their own, also empty ones and errors, and the client accepts no other; responses to httpcall must be HTTP/1.1. An instance reads the store itself while its peers run an earlier build, as it does when a peer fails.

--- a/adapters/feed/feed.go
+++ b/adapters/feed/feed.go
@@ -52,6 +52,7 @@
 
 // Handle serves one snapshot or long-poll request.
 func (s *Server) Handle(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType(httpcall.PeerContentType)
 	args := ctx.QueryArgs()
 	table := string(args.Peek("table"))
 	if s.Extra != nil {
@@ -179,7 +180,7 @@
 
 // NewPool returns a pool. It opens no connections.
 func NewPool() *Pool {
-	return &Pool{httpcall.New(maxResponseBytes, callTimeout)}
+	return &Pool{httpcall.NewForPeers(maxResponseBytes, callTimeout)}
 }
 
 // SetDescriptors makes each new connection take a descriptor of share.
--- a/adapters/httpcall/httpcall.go
+++ b/adapters/httpcall/httpcall.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"net"
 	"sync/atomic"
 	"time"
@@ -22,8 +23,17 @@
 type Client struct {
 	http        *fasthttp.Client
 	descriptors atomic.Pointer[budget.Share]
+	// contentType, unless empty, is that of every response; another one is an error.
+	contentType string
 }
 
+// PeerContentType is the content type of the responses of instances to each other, also of
+// empty ones. Another program that has taken over an instance's address does not send it.
+const PeerContentType = "application/vnd.cyclamenhitch.peer"
+
+// ErrForeign is the error of a response that is not known to be an instance's.
+var ErrForeign = errors.New("response is not known to be an instance's")
+
 // New returns a client. maxResponse limits the body of a response in bytes, connectTimeout
 // a connect. It opens no connections.
 func New(maxResponse int, connectTimeout time.Duration) *Client {
@@ -37,12 +47,19 @@
 	return c
 }
 
+// NewForPeers returns a client like New whose responses must have PeerContentType.
+func NewForPeers(maxResponse int, connectTimeout time.Duration) *Client {
+	c := New(maxResponse, connectTimeout)
+	c.contentType = PeerContentType
+	return c
+}
+
 // SetDescriptors makes each new connection take a descriptor of share.
 func (c *Client) SetDescriptors(share *budget.Share) { c.descriptors.Store(share) }
 
 // Get returns the status and the body of a response that is complete within timeout. When
 // it returns, nothing is read any more: the library's own Get goes on after a timeout until
-// the response ends.
+// the response ends. A response of another protocol version is an error.
 func (c *Client) Get(url string, timeout time.Duration) (status int, body []byte, err error) {
 	req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(req)
@@ -51,5 +68,11 @@
 	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
 		return 0, nil, err
 	}
+	if err := httpstatus.CheckVersion(&resp.Header); err != nil {
+		return 0, nil, err
+	}
+	if c.contentType != "" && string(resp.Header.ContentType()) != c.contentType {
+		return 0, nil, ErrForeign
+	}
 	return httpstatus.Of(&resp.Header), bytes.Clone(resp.Body()), nil
 }
--- a/cmd/internal/edge/peertimes.go
+++ b/cmd/internal/edge/peertimes.go
@@ -24,7 +24,7 @@
 	maxTimesBytes = 4 << 20
 )
 
-var timesCalls = httpcall.New(maxTimesBytes, timesTimeout)
+var timesCalls = httpcall.NewForPeers(maxTimesBytes, timesTimeout)
 
 // learnTimes adds the request times that peers recorded. An instance that has just started, or
 // that gets few requests of a kind, knows little about long ones.
@@ -58,6 +58,6 @@
 		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 		return
 	}
-	ctx.SetContentType("application/json")
+	ctx.SetContentType(httpcall.PeerContentType)
 	ctx.SetBody(b)
 }
--- a/cmd/internal/edge/prompts.go
+++ b/cmd/internal/edge/prompts.go
@@ -214,7 +214,7 @@
 const maxPromptsBytes = 8 << 20
 
 // promptCalls reads the cache contents that peers know.
-var promptCalls = httpcall.New(maxPromptsBytes, peerPromptsTimeout)
+var promptCalls = httpcall.NewForPeers(maxPromptsBytes, peerPromptsTimeout)
 
 // learnPromptsFrom loads the cache contents that a peer knows and reports whether the
 // peer knows all of them.
@@ -241,6 +241,7 @@
 // servePrompts sends the known cache contents to a peer that has just started. The
 // status tells whether this instance itself is still learning them.
 func (p *peers) servePrompts(ctx *fasthttp.RequestCtx) {
+	ctx.SetContentType(httpcall.PeerContentType)
 	if !p.promptsKnown.Load() {
 		ctx.SetStatusCode(fasthttp.StatusPartialContent)
 	}
