Tell callers nothing that a server sent in the text of an error

Cause: the platform's error responses had the whole error with its cause. The cause of a header that cannot be parsed is the HTTP library's error, which quotes up to 4 KB of what was received. Some messages of our own quoted an id, an object, an event or a content type of the server, in both APIs.

Callers now get code and message only, and a message quotes nothing that a server sent: that is the cause and goes to the logs. Any new message can break this, so that the test puts marked bytes into each place of a response instead of listing the messages.

--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -8,6 +8,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"strconv"
 	"sync"
@@ -99,7 +100,7 @@
 		return openStream(r)
 	case req.Stream && r.status < 300:
 		defer r.Close()
-		return nil, result.New(result.AnswerInvalid, "server %s answered a streaming request with content type %q", srv.Name, r.resp.Header.ContentType())
+		return nil, result.Wrap(result.AnswerInvalid, fmt.Errorf("content type %.200q", r.resp.Header.ContentType()), "server %s answered a streaming request with something else than events", srv.Name)
 	}
 	return r.readJSON()
 }
--- a/adapters/engine/events.go
+++ b/adapters/engine/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"strconv"
 
@@ -240,14 +241,14 @@
 	s.count++
 	switch {
 	case s.resumes > 0 && (err != nil || n != s.lastEventID+1):
-		return result.New(result.AnswerInvalid, "event %q follows event %d in a resumed stream", value, s.lastEventID)
+		return result.Wrap(result.AnswerInvalid, fmt.Errorf("event %.200q", value), "event %d is not followed by the next one in a resumed stream", s.lastEventID)
 	case s.count == 1 && err == nil:
 		s.numbered, s.consecutive = true, s.isFirstEventID(n)
 	case !s.numbered || err != nil:
 		s.stopNumbering()
 		return nil
 	case n <= s.lastEventID:
-		return result.New(result.AnswerInvalid, "event %q follows event %d", value, s.lastEventID)
+		return result.Wrap(result.AnswerInvalid, fmt.Errorf("event %.200q", value), "event %d is followed by an earlier one", s.lastEventID)
 	default:
 		s.consecutive = n == s.lastEventID+1 && (s.consecutive || s.count == 2)
 	}
--- a/adapters/engine/identity.go
+++ b/adapters/engine/identity.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"fmt"
 	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
@@ -70,7 +71,7 @@
 	case len(ids) > 1:
 		return result.New(result.AnswerCrossed, "server %s answered with %d request ids", srv, len(ids))
 	}
-	return result.New(result.AnswerCrossed, "server %s answered request %q, want %q", srv, ids[0], r.x.attemptID)
+	return result.Wrap(result.AnswerCrossed, fmt.Errorf("id %.200q, want %q", ids[0], r.x.attemptID), "server %s answered another request", srv)
 }
 
 // verifySignature checks that a success is signed. Failures and refusals need no signature.
--- a/adapters/engine/object.go
+++ b/adapters/engine/object.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"net"
 	"os"
 
@@ -23,13 +24,13 @@
 	id, failed := scanObject(data)
 	switch {
 	case failed:
-		return result.New(result.ServerError, "server %s sent an error object: %.200q", x.srv.Name, data)
+		return result.Wrap(result.ServerError, fmt.Errorf("%.200q", data), "server %s sent an error object", x.srv.Name)
 	case id == nil:
 		return result.New(result.AnswerInvalid, "server %s sent an object without an id", x.srv.Name)
 	case !bytes.Contains(id, []byte(x.attemptID)):
-		return result.New(result.AnswerCrossed, "server %s sent an object with id %q, want one that contains %q", x.srv.Name, id, x.attemptID)
+		return result.Wrap(result.AnswerCrossed, fmt.Errorf("id %.200q, want one that contains %q", id, x.attemptID), "server %s sent an object of another response", x.srv.Name)
 	case first != nil && !bytes.Equal(first, id):
-		return result.New(result.AnswerCrossed, "server %s sent an object with id %q in response %q", x.srv.Name, id, first)
+		return result.Wrap(result.AnswerCrossed, fmt.Errorf("id %.200q in response %.200q", id, first), "server %s sent objects with different ids", x.srv.Name)
 	}
 	return nil
 }
--- a/cmd/internal/edge/foreign_test.go
+++ b/cmd/internal/edge/foreign_test.go
@@ -59,6 +59,8 @@
 		"stream":             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: foreign-bytes\n\n",
 		"200 without a seal": "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n" + page,
 		"200 not executed":   "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nNot-Executed: 1\r\n" + page,
+		"no head":            "foreign-bytes of another account\r\n\r\n",
+		"other id":           "HTTP/1.1 200 OK\r\nRequest-Id: foreign-bytes\r\nResponse-Seal: s\r\nContent-Length: 0\r\n\r\n",
 		"404":                "HTTP/1.1 404 Not Found\r\n" + page,
 		"503 not executed":   "HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRetry-After: 9\r\nServer-Leaving: 1\r\n" + page,
 		"421":                "HTTP/1.1 421 X\r\nInstance-Id: other\r\n" + page,
--- a/core/result/result.go
+++ b/core/result/result.go
@@ -95,11 +95,14 @@
 	Code Code
 	// Outcome is the default of the code, or a more precise value where it is known.
 	Outcome Outcome
+	// Message is shown to callers. It quotes nothing that a server sent, which may belong to
+	// another request: such details are in Cause.
 	Message string
 	// RetryAfter is the recommended delay before a retry; zero means no
 	// recommendation.
 	RetryAfter time.Duration
-	Cause      error
+	// Cause is logged and not shown to callers.
+	Cause error
 }
 
 // New returns an error with the default outcome of code.
@@ -126,9 +129,14 @@
 	return e
 }
 
-// Error implements error.
+// CallerText returns the text of the error for callers, without its cause.
+func (e *Error) CallerText() string {
+	return fmt.Sprintf("%d %s: %s", e.Code, e.Code.Info().Name, e.Message)
+}
+
+// Error implements error. Its text is for logs.
 func (e *Error) Error() string {
-	s := fmt.Sprintf("%d %s: %s", e.Code, e.Code.Info().Name, e.Message)
+	s := e.CallerText()
 	if e.Cause != nil {
 		s += ": " + e.Cause.Error()
 	}
