Serve HEAD on streaming routes, and release the place of a panic

Callers saw: 502 for each HEAD request whose answer has the content type of an event stream. Each also took a place at its server for good.

Cause: status and content type alone made a response a stream, and the reader of events used the body, which a response to HEAD does not have. The handler of the caller's connection caught the panic, above the gateway, which releases a place only with an error or the end of a response.

A response without a body is no stream now; its header is passed on with the length that GET would have. The gateway releases the place of an attempt that panics and lets the panic go on.

--- a/adapters/engine/response.go
+++ b/adapters/engine/response.go
@@ -66,8 +66,10 @@
 	}
 }
 
+// isEventStream reports whether the body is a stream of events. A response to HEAD has none,
+// whatever its content type.
 func (r *response) isEventStream() bool {
-	return r.status == fasthttp.StatusOK && bytes.HasPrefix(r.resp.Header.ContentType(), []byte("text/event-stream"))
+	return r.body != nil && r.status == fasthttp.StatusOK && bytes.HasPrefix(r.resp.Header.ContentType(), []byte("text/event-stream"))
 }
 
 // verifyHead validates the echoed request id, the status and the declared length.
@@ -117,7 +119,7 @@
 // GET would return.
 func (r *response) Fields() []gateway.Field {
 	if r.x.client.dialect().Opaque {
-		return r.endToEndFields()
+		return r.appendHeadLength(r.endToEndFields())
 	}
 	out := make([]gateway.Field, 0, 2)
 	names := returnedFields
@@ -129,10 +131,15 @@
 			out = append(out, gateway.Field{Name: name, Value: string(v)})
 		}
 	}
-	if r.resp.SkipBody && r.resp.Header.ContentLength() >= 0 {
-		out = append(out, gateway.Field{Name: "Content-Length", Value: string(r.resp.Header.Peek("Content-Length"))})
+	return r.appendHeadLength(out)
+}
+
+// appendHeadLength adds the Content-Length of a response to HEAD to its fields.
+func (r *response) appendHeadLength(fields []gateway.Field) []gateway.Field {
+	if n := r.resp.Header.ContentLength(); r.resp.SkipBody && n >= 0 {
+		fields = append(fields, gateway.Field{Name: "Content-Length", Value: strconv.Itoa(n)})
 	}
-	return out
+	return fields
 }
 
 // Next implements gateway.Response.
--- a/cmd/internal/edge/foreign_test.go
+++ b/cmd/internal/edge/foreign_test.go
@@ -16,7 +16,15 @@
 const maxForeignRounds = 500
 
 var foreignRoutes = [][2]string{
-	{"POST", "/order/1"}, {"POST", "/read/1"}, {"GET", "/read/1"}, {"GET", "/open/1"}, {"POST", "/stream/once/1"}, {"POST", "/stream/go-on/1"},
+	{"POST", "/order/1"},
+	{"POST", "/read/1"},
+	{"GET", "/read/1"},
+	{"GET", "/open/1"},
+	{"POST", "/stream/once/1"},
+	{"POST", "/stream/go-on/1"},
+	{"HEAD", "/read/1"},
+	{"HEAD", "/stream/once/1"},
+	{"HEAD", "/stream/go-on/1"},
 }
 
 // foreignCall is a request of TestForeignBytesInPlaceOfAnswers and what its caller got.
--- a/core/gateway/gateway.go
+++ b/core/gateway/gateway.go
@@ -144,7 +144,7 @@
 			req.OnFailoverError = func(err error) { t.failoverFailed(permitted, err) }
 		}
 		sent := g.Now()
-		resp, err := t.openAt(srv)
+		resp, err := t.openWith(permit, srv)
 		if err == nil {
 			permitted.Response = resp
 			permitted.permit.Opened(g.Now().Sub(sent))
@@ -164,6 +164,20 @@
 	}
 }
 
+// openWith is openAt for a permit, which is released if the attempt panics: nothing else would
+// release it, since the caller gets no response to close.
+func (t *attemptRun) openWith(permit Permit, srv *manifest.Server) (Response, error) {
+	ended := false
+	defer func() {
+		if !ended {
+			permit.Release(result.New(result.Internal, "the attempt panicked"))
+		}
+	}()
+	resp, err := t.openAt(srv)
+	ended = true
+	return resp, err
+}
+
 // openAt sends the request to srv and opens the response. If another server may also
 // run the request, the attempt is cancelled after the request's FirstPartTimeout.
 func (t *attemptRun) openAt(srv *manifest.Server) (Response, error) {
--- a/core/gateway/placer_test.go
+++ b/core/gateway/placer_test.go
@@ -256,3 +256,27 @@
 		t.Errorf("the servers' places were released with %v", f.released)
 	}
 }
+
+// panickingUpstream panics in each attempt.
+type panickingUpstream struct{}
+
+func (panickingUpstream) Open(context.Context, *manifest.Server, *Request, string) (Response, error) {
+	panic("scripted")
+}
+
+// Guards against a place at a server that is never released because the attempt panicked.
+func TestPanicReleasesPermit(t *testing.T) {
+	f := &failoverFakes{placerFakes: placerFakes{budget: 1}}
+	g := &Gateway{Placer: f, Upstream: panickingUpstream{}, Budget: f, Now: func() time.Time { return time.Unix(0, 0) }}
+	func() {
+		defer func() {
+			if recover() == nil {
+				t.Error("the panic was swallowed")
+			}
+		}()
+		_, _ = g.Open(context.Background(), &Request{ID: "r", Pool: &manifest.Pool{Name: "p"}, MaxRuns: 1, Deadline: time.Unix(1, 0)})
+	}()
+	if len(f.released) != 1 || result.As(f.released[0]).Code != result.Internal {
+		t.Errorf("the places were released with %v", f.released)
+	}
+}
