Do not take foreign bytes for an engine's report or a sign of life

Reports must state their incarnation, which every engine does, and be HTTP/1.1 or 1.0; a probe must get a status line with a valid status.

TestProbeNeedsAResponse (six of twelve forms) and TestForeignReports (four of six) failed before.

--- a/adapters/engine/identity.go
+++ b/adapters/engine/identity.go
@@ -26,9 +26,9 @@
 		if err := h.Read(r.conn.br); err != nil {
 			return err
 		}
-		if !r.isSupportedVersion() {
+		if err := r.checkVersion(); err != nil {
 			r.x.client.Rejections.Version.Add(1)
-			return httpstatus.ErrVersion
+			return err
 		}
 		if !httpstatus.IsInterim(httpstatus.Of(h)) {
 			break
@@ -40,12 +40,13 @@
 	return r.resp.ReadBody(r.conn.br, 0)
 }
 
-// isSupportedVersion reports whether the status line states a version that the servers of the
-// dialect use. HTTP/1.0 is a valid response to HTTP/1.1, which servers of the OpenAI chat API
-// may send.
-func (r *response) isSupportedVersion() bool {
-	h := &r.resp.Header
-	return httpstatus.CheckVersion(h) == nil || string(h.Protocol()) == "HTTP/1.0" && !r.x.client.dialect().Opaque
+// checkVersion checks that the status line states a version that the servers of the dialect
+// use. HTTP/1.0 is a valid response to HTTP/1.1, which servers of the OpenAI chat API may send.
+func (r *response) checkVersion() error {
+	if r.x.client.dialect().Opaque {
+		return httpstatus.CheckVersion(&r.resp.Header)
+	}
+	return httpstatus.CheckVersion1(&r.resp.Header)
 }
 
 // verifyRequestID checks that the response echoes the id of the request, exactly once if
--- a/adapters/engine/orders.go
+++ b/adapters/engine/orders.go
@@ -20,10 +20,14 @@
 }
 
 func (o *OrderClient) do(req *fasthttp.Request, resp *fasthttp.Response, timeout time.Duration) error {
+	do := fasthttp.DoTimeout
 	if o.Client != nil {
-		return o.Client.DoTimeout(req, resp, timeout)
+		do = o.Client.DoTimeout
 	}
-	return fasthttp.DoTimeout(req, resp, timeout)
+	if err := do(req, resp, timeout); err != nil {
+		return err
+	}
+	return httpstatus.CheckVersion1(&resp.Header)
 }
 
 // Report fetches the state report of an engine.
@@ -42,6 +46,9 @@
 	if err := json.Unmarshal(resp.Body(), &r); err != nil {
 		return r, result.Wrap(result.AnswerInvalid, err, "report of server %s", srv.Name)
 	}
+	if r.Incarnation == 0 {
+		return r, result.New(result.AnswerInvalid, "server %s answered with something else than its report", srv.Name)
+	}
 	r.Engine = srv.Name
 	return r, nil
 }
--- a/adapters/engine/probe.go
+++ b/adapters/engine/probe.go
@@ -1,10 +1,10 @@
 package engine
 
 import (
-	"bytes"
 	"errors"
 	"io"
 	"net"
+	"regexp"
 	"syscall"
 	"time"
 
@@ -56,11 +56,14 @@
 	if _, err := io.WriteString(conn, "GET /healthz HTTP/1.1\r\nHost: "+addr+"\r\nConnection: close\r\n\r\n"); err != nil {
 		return false
 	}
-	var head [7]byte
+	var head [len("HTTP/1.1 200")]byte
 	_, err = io.ReadFull(conn, head[:])
-	return err == nil && bytes.Equal(head[:], []byte("HTTP/1."))
+	return err == nil && statusLine.Match(head[:])
 }
 
+// statusLine matches the beginning of a response that a server may send, with any status.
+var statusLine = regexp.MustCompile(`^HTTP/1\.[01] [1-5][0-9][0-9]$`)
+
 // RefusesConnections reports whether the host at addr answers and no process listens
 // there. It returns false if that cannot be told within the timeout, for example because
 // the host is down or unreachable.
--- a/adapters/httpstatus/httpstatus.go
+++ b/adapters/httpstatus/httpstatus.go
@@ -38,6 +38,14 @@
 	return nil
 }
 
+// CheckVersion1 is like CheckVersion for servers that may also answer with HTTP/1.0.
+func CheckVersion1(h *fasthttp.ResponseHeader) error {
+	if string(h.Protocol()) == "HTTP/1.0" {
+		return nil
+	}
+	return CheckVersion(h)
+}
+
 // IsInterim reports whether another response follows one with this status. After 101 another
 // protocol follows.
 func IsInterim(status int) bool {
--- a/cmd/internal/daemon/admission_loops.go
+++ b/cmd/internal/daemon/admission_loops.go
@@ -283,7 +283,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + s.Address + "/load")
-	if err := client.DoTimeout(req, resp, pollTimeout); err != nil || httpstatus.Of(&resp.Header) != fasthttp.StatusOK {
+	if err := client.DoTimeout(req, resp, pollTimeout); err != nil || httpstatus.CheckVersion1(&resp.Header) != nil || httpstatus.Of(&resp.Header) != fasthttp.StatusOK {
 		return // requests detect a failed engine sooner, by connection errors
 	}
 	var r loadReport
@@ -291,6 +291,11 @@
 		c.d.log.Warn("failed to parse load report", zap.String(logging.FieldServer, string(s.Name)), zap.Error(err))
 		return
 	}
+	if r.Incarnation == 0 {
+		// A page of another program would look like an engine that has started again.
+		c.d.log.Warn("load report states no incarnation", zap.String(logging.FieldServer, string(s.Name)))
+		return
+	}
 	cold := c.ledger.Report(time.Now(), s.Name, admission.Report{
 		Incarnation: r.Incarnation, Load: r.LoadTokens, Running: r.Running + r.Queued, Cold: r.Cold, CacheTokens: r.CacheTokens, At: time.UnixMilli(r.AtMillis),
 	})
