Send bytes that answer no request in the soak

The soak's servers answered each request or crashed. Now each of them sends, in place of one in 50 answers, bytes of eight forms: other versions, no id, no signature, refusals without an id, another request's id, no header. Its checks tell whether a caller gets them as an answer or in an error text, and whether an order runs twice or is refused although it ran.

--- a/cmd/internal/edge/foreign_test.go
+++ b/cmd/internal/edge/foreign_test.go
@@ -81,7 +81,7 @@
 				// perRound is more than two of the three servers have slots for.
 				perRound = 20
 			)
-			bad := &runner.Runner{ID: "bad", Events: 3, ProcessingTime: work, Spoiled: spoiled, SpoilEvery: spoilEvery}
+			bad := &runner.Runner{ID: "bad", Events: 3, ProcessingTime: work, Spoiled: []string{spoiled}, SpoilEvery: spoilEvery}
 			runners := []*runner.Runner{bad, {ID: "a", Events: 3, ProcessingTime: work}, {ID: "b", Events: 3, ProcessingTime: work}}
 			f := startFleet(t, 1, runners...)
 			var calls []*foreignCall
--- a/cmd/internal/soak/callers_test.go
+++ b/cmd/internal/soak/callers_test.go
@@ -122,6 +122,9 @@
 	defer resp.Body.Close()
 	k.status = resp.StatusCode
 	if resp.StatusCode != http.StatusOK {
+		if text, _ := io.ReadAll(resp.Body); strings.Contains(string(text), foreignBytes) || resp.StatusCode == http.StatusNotFound {
+			k.violation = fmt.Sprintf("status %d: %q", resp.StatusCode, text)
+		}
 		return
 	}
 	runner, id, _ := strings.Cut(resp.Header.Get("Response-Seal"), ".")
--- a/cmd/internal/soak/fleet_test.go
+++ b/cmd/internal/soak/fleet_test.go
@@ -153,7 +153,11 @@
 	return path, err
 })
 
-func startFleet(t *testing.T, instances int) *fleet {
+// spoilEvery is how many requests a server runs for each answer that it spoils.
+const spoilEvery = 50
+
+// startFleet starts a fleet. Servers send spoiled in place of some answers, if there is any.
+func startFleet(t *testing.T, instances int, spoiled ...string) *fleet {
 	t.Helper()
 	binary, err := buildDaemon()
 	if err != nil {
@@ -168,6 +172,9 @@
 	f.configure(1, true)
 	for i := range 6 {
 		s := &server{Runner: &runner.Runner{ID: fmt.Sprint("s", i), Events: events, EventInterval: 15 * time.Millisecond, ProcessingTime: 30 * time.Millisecond, CrashParts: []string{deadlyPart}, RestartTime: serverRestartTime}, pool: []string{"chat", "orders"}[i%2], born: 1}
+		if len(spoiled) > 0 {
+			s.Spoiled, s.SpoilEvery = spoiled, spoilEvery
+		}
 		s.OnCrash = func() { s.proxy.refuse(serverRestartTime) }
 		if err := s.Start(); err != nil {
 			t.Fatal(err)
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -49,7 +49,7 @@
 )
 
 // Guards the guarantees to callers and backend servers under overlapping faults: answers
-// are complete and match their requests, orders run at most once, an order refused with
+// are complete and match their requests, also where servers send other bytes in their place, orders run at most once, an order refused with
 // 401, 429 or 503 has not run, removed keys run nothing, draining servers receive nothing,
 // and requests are served again after the last fault, under the newest configuration.
 func TestSoak(t *testing.T) {
@@ -62,8 +62,25 @@
 	}
 }
 
+// foreignBytes is in what servers send in place of answers.
+const foreignBytes = "foreign-bytes"
+
+// spoiledAnswers answer no request: other versions, no id, no seal, refusals without an id, an
+// answer to another request, and no header at all. None of it may reach a caller, nor be
+// believed.
+var spoiledAnswers = []string{
+	"HTTP/2.0 200 OK\r\nContent-Length: 13\r\n\r\n" + foreignBytes,
+	"HTTP/1.1 200 OK\r\nContent-Length: 13\r\n\r\n" + foreignBytes,
+	"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: 1\n\n",
+	"HTTP/1.1 503 X\r\nNot-Executed: 1\r\nRetry-After: 5\r\nServer-Leaving: 1\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 421 X\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/1.1 404 Not Found\r\nContent-Length: 13\r\n\r\n" + foreignBytes,
+	"HTTP/1.1 200 OK\r\nRequest-Id: " + foreignBytes + "\r\nResponse-Seal: s0." + foreignBytes + "\r\nContent-Length: 0\r\n\r\n",
+	foreignBytes + "\r\n\r\n",
+}
+
 func runSeed(t *testing.T, seed uint64) {
-	f := startFleet(t, *instances)
+	f := startFleet(t, *instances, spoiledAnswers...)
 	c := &callers{f: f}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/standins/runner/runner.go
+++ b/standins/runner/runner.go
@@ -48,9 +48,10 @@
 	// with status 500; 0 means none.
 	Version   string
 	FailEvery int
-	// Spoiled, unless empty, is sent instead of each SpoilEvery-th answer, and the connection
-	// is closed. "{id}" in it stands for the id of the request, which has run.
-	Spoiled    string
+	// Spoiled are bytes, one after the other, that are sent instead of each SpoilEvery-th
+	// answer, and the connection is closed. "{id}" in them stands for the id of the request,
+	// which has run.
+	Spoiled    []string
 	SpoilEvery int
 	// AtCapacity rejects all requests as not executed.
 	AtCapacity bool
@@ -293,12 +294,15 @@
 		LastEventID: last, Server: r.ID, PromptParts: string(h.Peek("Prefix-Hash")), Leaving: r.leaving, StartedAt: time.Now(),
 	})
 	fails := r.FailEvery > 0 && len(r.runs)%r.FailEvery == 0
-	spoils := r.SpoilEvery > 0 && len(r.runs)%r.SpoilEvery == 0
+	spoiled := ""
+	if r.SpoilEvery > 0 && len(r.runs)%r.SpoilEvery == 0 {
+		spoiled = r.Spoiled[len(r.runs)/r.SpoilEvery%len(r.Spoiled)]
+	}
 	r.mu.Unlock()
 	time.Sleep(r.ProcessingTime)
-	if spoils {
+	if spoiled != "" {
 		ctx.HijackSetNoResponse(true)
-		ctx.Hijack(func(c net.Conn) { _, _ = io.WriteString(c, strings.ReplaceAll(r.Spoiled, "{id}", id)) })
+		ctx.Hijack(func(c net.Conn) { _, _ = io.WriteString(c, strings.ReplaceAll(spoiled, "{id}", id)) })
 		return
 	}
 	if fails {
