Log each response that is rejected

A response that is not known to answer its request leaves a line only if the request fails; a request that another server answers is logged once in many. The line "response rejected" has the request, the server and its address, the reason, and whether the connection had carried an earlier request; the counters of the metric responses_rejected are kept beside it.

TestRejectionsAreReported covers the reasons on new and used connections.

--- a/adapters/engine/dialect.go
+++ b/adapters/engine/dialect.go
@@ -95,11 +95,11 @@
 	refused := len(r.resp.Header.Peek(d.NotRun)) > 0
 	switch {
 	case !httpstatus.IsFinal(r.status):
-		return errInvalidStatus(srv, r.status)
+		return r.reject(RejectedHeader, errInvalidStatus(srv, r.status))
 	case refused && r.status < fasthttp.StatusBadRequest:
-		return result.New(result.AnswerInvalid, "server %s answered status %d and states that the request was not run", srv, r.status)
+		return r.reject(RejectedHeader, result.New(result.AnswerInvalid, "server %s answered status %d and states that the request was not run", srv, r.status))
 	case d.Unencoded && r.status < fasthttp.StatusMultipleChoices && len(r.resp.Header.ContentEncoding()) > 0:
-		return result.New(result.AnswerInvalid, "server %s answered status %d with a content coding", srv, r.status)
+		return r.reject(RejectedHeader, result.New(result.AnswerInvalid, "server %s answered status %d with a content coding", srv, r.status))
 	}
 	if err := r.verifySignature(d.Signature); err != nil {
 		return err
--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -47,6 +47,9 @@
 	// OnNotice, unless nil, receives what servers announce in their responses, before any
 	// part of the response is returned. It must not block.
 	OnNotice func(Notice)
+	// OnRejected, unless nil, is called for each response that is not known to be the server's
+	// response to its request. It must not block.
+	OnRejected func(Rejection)
 	// MaxPause limits the pause that a server may ask for; 0 selects the default.
 	MaxPause time.Duration
 	// Descriptors is taken by each connection to a server; nil means no limit.
@@ -61,8 +64,6 @@
 	// UnbufferedResponses counts the responses that were passed on before they were
 	// complete, because memory was short.
 	Probes, SilentConnections, ResumedStreams, UnbufferedResponses atomic.Int64
-	// Rejections counts the responses that are not known to belong to their requests.
-	Rejections Rejections
 
 	hosts    sync.Map // address to *host
 	budgetMu sync.Mutex
--- a/adapters/engine/identity.go
+++ b/adapters/engine/identity.go
@@ -2,20 +2,53 @@
 
 import (
 	"fmt"
-	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
 
 	"cyclamenhitch/adapters/httpstatus"
+	"cyclamenhitch/core/fleet"
 	"cyclamenhitch/core/result"
 )
 
-// Rejections counts responses that are not known to be the server's response to the request,
-// by the reason for which they were rejected.
-type Rejections struct {
-	// Version counts status lines of an unsupported protocol version, RequestID responses
-	// that do not echo the id of the request, Signature successes that are not signed.
-	Version, RequestID, Signature atomic.Int64
+// Rejection describes a response that is not known to be the server's response to the request.
+type Rejection struct {
+	Server fleet.ServerID
+	Pool   fleet.PoolID
+	// Address is the host:port address that responded, RequestID the id of the request.
+	Address, RequestID string
+	// Reason is one of the reasons below.
+	Reason string
+	// Reused is set if the connection had carried an earlier request.
+	Reused bool
+	// Err is the error of the attempt. It may quote what was received.
+	Err error
+}
+
+// Reasons for which a response is rejected.
+const (
+	// RejectedVersion is a status line of an unsupported protocol version.
+	RejectedVersion = "version"
+	// RejectedHeader is a header that cannot be parsed or that no response of a server has.
+	RejectedHeader = "header"
+	// RejectedID is a response that does not echo the id of the request.
+	RejectedID = "request_id"
+	// RejectedSignature is a success that the server has not signed.
+	RejectedSignature = "signature"
+)
+
+// reject reports a rejected response and returns err.
+func (r *response) reject(reason string, err error) error {
+	r.reportRejection(reason, err)
+	return err
+}
+
+func (r *response) reportRejection(reason string, err error) {
+	if c := r.x.client; c.OnRejected != nil {
+		c.OnRejected(Rejection{
+			Server: r.x.srv.Name, Pool: r.x.srv.Pool, Address: r.x.srv.Address, RequestID: r.x.req.ID,
+			Reason: reason, Reused: r.conn.used, Err: err,
+		})
+	}
 }
 
 // readHead reads the header of the final response and prepares its body. The HTTP library
@@ -27,7 +60,6 @@
 			return err
 		}
 		if err := r.checkVersion(); err != nil {
-			r.x.client.Rejections.Version.Add(1)
 			return err
 		}
 		if !httpstatus.IsInterim(httpstatus.Of(h)) {
@@ -64,15 +96,15 @@
 	if r.idEchoed || absent && !required && !r.conn.used {
 		return nil
 	}
-	r.x.client.Rejections.RequestID.Add(1)
 	srv := r.x.srv.Name
 	switch {
 	case absent:
-		return result.New(result.AnswerCrossed, "server %s answered without a request id", srv)
+		return r.reject(RejectedID, result.New(result.AnswerCrossed, "server %s answered without a request id", srv))
 	case len(ids) > 1:
-		return result.New(result.AnswerCrossed, "server %s answered with %d request ids", srv, len(ids))
+		return r.reject(RejectedID, result.New(result.AnswerCrossed, "server %s answered with %d request ids", srv, len(ids)))
 	}
-	return result.Wrap(result.AnswerCrossed, fmt.Errorf("id %.200q, want %q", ids[0], r.x.attemptID), "server %s answered another request", srv)
+	err := result.Wrap(result.AnswerCrossed, fmt.Errorf("id %.200q, want %q", ids[0], r.x.attemptID), "server %s answered another request", srv)
+	return r.reject(RejectedID, err)
 }
 
 // verifySignature checks that a success is signed. Failures and refusals need no signature.
@@ -84,9 +116,7 @@
 	case len(v) == 1 && len(v[0]) > 0:
 		return nil
 	case len(v) > 1:
-		r.x.client.Rejections.Signature.Add(1)
-		return result.New(result.AnswerInvalid, "server %s answered status %d with %d signatures", r.x.srv.Name, r.status, len(v))
+		return r.reject(RejectedSignature, result.New(result.AnswerInvalid, "server %s answered status %d with %d signatures", r.x.srv.Name, r.status, len(v)))
 	}
-	r.x.client.Rejections.Signature.Add(1)
-	return result.New(result.AnswerInvalid, "server %s answered status %d without a signature", r.x.srv.Name, r.status)
+	return r.reject(RejectedSignature, result.New(result.AnswerInvalid, "server %s answered status %d without a signature", r.x.srv.Name, r.status))
 }
--- a/adapters/engine/identity_test.go
+++ b/adapters/engine/identity_test.go
@@ -157,6 +157,32 @@
 	}
 }
 
+// Guards against a rejected response that no line names, because another server has served the
+// request since.
+func TestRejectionsAreReported(t *testing.T) {
+	for response, want := range map[string]string{
+		"HTTP/2.0 200 OK\r\n" + echoed + signed:                   RejectedVersion,
+		"foreign bytes\r\n":                                       RejectedHeader,
+		"http/1.1 200 OK\r\n" + echoed + signed:                   RejectedHeader,
+		"HTTP/1.1 600 X\r\n" + echoed + signed:                    RejectedHeader,
+		"HTTP/1.1 200 OK\r\n" + echoed + signed + notRun:          RejectedHeader,
+		"HTTP/1.1 200 OK\r\n" + signed:                            RejectedID,
+		"HTTP/1.1 503 X\r\nX-Request-Id: r-0\r\n" + notRun:        RejectedID,
+		"HTTP/1.1 200 OK\r\n" + echoed:                            RejectedSignature,
+		"HTTP/1.1 200 OK\r\n" + echoed + signed + "X-Seal: t\r\n": RejectedSignature,
+	} {
+		for _, used := range []bool{false, true} {
+			var got []Rejection
+			client := signedClient()
+			client.OnRejected = func(r Rejection) { got = append(got, r) }
+			openForeign(t, client, "read", used, response+bodyOf("read"))
+			if len(got) != 1 || got[0].Reason != want || got[0].RequestID != "r-1" || got[0].Server != "s" || got[0].Reused != used || got[0].Err == nil {
+				t.Errorf("%q, used %v: %+v", response, used, got)
+			}
+		}
+	}
+}
+
 // Guards against checks that reject a server's own response: without a reason, without a
 // length, after interim responses, and failures and refusals, which need no signature.
 func TestSoundResponses(t *testing.T) {
--- a/adapters/engine/response.go
+++ b/adapters/engine/response.go
@@ -209,6 +209,11 @@
 		e = result.Wrap(result.ConnectionLost, err, "server %s: %s", r.x.srv.Name, what).WithOutcome(result.NotRun)
 	case isMalformedHeader(err):
 		e = result.Wrap(result.AnswerInvalid, err, "server %s", r.x.srv.Name)
+		reason := RejectedHeader
+		if errors.Is(err, httpstatus.ErrVersion) {
+			reason = RejectedVersion
+		}
+		r.reportRejection(reason, e)
 	default:
 		e = r.readError(err)
 		if e.Code == result.AnswerTruncated {
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -115,6 +115,7 @@
 	client.Memory = memory
 	client.OnNotice = (&noticeBoard{board: e.board, log: log}).apply
 	client.OnLoad = serverLoads(e.board)
+	client.OnRejected = rejections(e.meters, log)
 	client.MaxPause = settings.Millis(set.Times.MaxPauseMillis)
 	e.crashes = &crashWatch{
 		Upstream: client, tracker: tracker, off: !policy.On(placement.PromptQuarantine),
@@ -154,10 +155,6 @@
 			"refused": memory.Refused(), "unbuffered_responses": client.UnbufferedResponses.Load(),
 		}
 	})
-	e.meters.gauge("responses_rejected", func() any {
-		r := &client.Rejections
-		return map[string]int64{"version": r.Version.Load(), "request_id": r.RequestID.Load(), "signature": r.Signature.Load()}
-	})
 	return e, nil
 }
 
