--- a/adapters/platform/members.go
+++ b/adapters/platform/members.go
@@ -44,6 +44,9 @@
 	if err := fasthttp.DoTimeout(req, resp, l.Timeout); err != nil {
 		return nil, result.Wrap(result.StoreUnavailable, err, "membership list cannot be read")
 	}
+	if err := httpstatus.CheckVersion1(&resp.Header); err != nil {
+		return nil, result.Wrap(result.StoreUnavailable, err, "membership list cannot be read")
+	}
 	if httpstatus.Of(&resp.Header) != fasthttp.StatusOK {
 		return nil, result.New(result.StoreUnavailable, "membership list answered status %d", httpstatus.Of(&resp.Header))
 	}
@@ -57,6 +60,9 @@
 	if err := json.Unmarshal(body, &groups); err != nil {
 		return nil, result.Wrap(result.StoreUnavailable, err, "membership list cannot be decoded")
 	}
+	if groups == nil { // null, which would be a fleet without members
+		return nil, result.New(result.StoreUnavailable, "membership list is not a list")
+	}
 	var out []Member
 	for _, g := range groups {
 		for _, target := range g.Targets {
