--- a/adapters/engine/identity_test.go
+++ b/adapters/engine/identity_test.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"cyclamenhitch/core/fleet"
-	"cyclamenhitch/core/manifest"
 	"cyclamenhitch/core/result"
 )
 
@@ -256,19 +255,12 @@
 			_, _ = io.WriteString(c, strings.ReplaceAll(head+body, "{id}", id))
 			return false
 		})
-		req := testRequest("resumable", 3600)
-		failedOver := 0
-		req.Failover = func(error) (*manifest.Server, error) {
-			if failedOver++; failedOver > 1 {
-				return nil, result.New(result.NoServer, "no other server")
-			}
-			return second, nil
-		}
+		req, failedOver := resumableOnceAt(second)
 		var blamed result.Code
 		req.OnFailoverError = func(err error) { blamed = result.As(err).Code }
 		client := signedClient()
 		got := describe(client.Open(context.Background(), first, req, "r"))
-		if failedOver == 0 {
+		if *failedOver == 0 {
 			t.Fatalf("%s: the stream was not continued: %s", name, got)
 		}
 		if whole := strings.Contains(got, text) && strings.Contains(got, "complete"); whole != (name == "sound") || strings.Contains(got, "not_run") {
--- a/adapters/engine/refusal_test.go
+++ b/adapters/engine/refusal_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"cyclamenhitch/core/gateway"
 	"cyclamenhitch/core/manifest"
 	"cyclamenhitch/core/result"
 )
@@ -90,6 +91,19 @@
 	}
 }
 
+// resumableOnceAt returns a request for a stream that next may continue once, and how often it
+// was asked to.
+func resumableOnceAt(next *manifest.Server) (*gateway.Request, *int) {
+	req, failedOver := testRequest("resumable", 3600), 0
+	req.Failover = func(error) (*manifest.Server, error) {
+		if failedOver++; failedOver > 1 {
+			return nil, result.New(result.NoServer, "no other server")
+		}
+		return next, nil
+	}
+	return req, &failedOver
+}
+
 // Guards against bytes of another server's error in a stream that it was to continue.
 func TestErrorOfNextServerIsNotInStream(t *testing.T) {
 	const text = "X-marks-the-error"
@@ -116,17 +130,10 @@
 			_, _ = io.WriteString(c, strings.ReplaceAll(bytes, "{id}", id))
 			return false
 		})
-		req := testRequest("resumable", 3600)
-		failedOver := 0
-		req.Failover = func(error) (*manifest.Server, error) {
-			if failedOver++; failedOver > 1 {
-				return nil, result.New(result.NoServer, "no other server")
-			}
-			return second, nil
-		}
+		req, failedOver := resumableOnceAt(second)
 		client := refusingClient()
 		got := describe(client.Open(context.Background(), first, req, "r"))
-		if failedOver == 0 {
+		if *failedOver == 0 {
 			t.Fatalf("%s: the stream was not continued: %s", name, got)
 		}
 		if strings.Contains(got, text) || strings.Contains(got, "complete") {
