Guard the state of the operator tests' lossy proxy

The race is in the test alone and was there before.

The fields have a lock now; what the proxy does is unchanged.

--- a/cmd/internal/daemon/operator_test.go
+++ b/cmd/internal/daemon/operator_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"testing"
 
 	"github.com/cockroachdb/datadriven"
@@ -32,8 +33,9 @@
 				f.writeFile(d.CmdArgs[0].Key, text+"\n")
 				return ""
 			case "lose":
-				d.ScanArgs(t, "replies", &proxy.loseReplies)
-				proxy.unreachableAfterLoss = d.HasArg("then-dark")
+				var replies int
+				d.ScanArgs(t, "replies", &replies)
+				proxy.set(replies, d.HasArg("then-dark"))
 				return ""
 			case "platform":
 				f.platform.SetFault(parseFault(d))
@@ -83,13 +85,40 @@
 // lossyProxy forwards calls to an instance and drops the replies to the first
 // loseReplies POST requests.
 type lossyProxy struct {
-	addr        string
+	addr string
+
+	mu          sync.Mutex
 	loseReplies int
 	// unreachableAfterLoss drops every call after the first lost reply; unreachable
 	// is set from then on.
 	unreachableAfterLoss, unreachable bool
 }
 
+// set sets which replies are lost from now on.
+func (l *lossyProxy) set(loseReplies int, unreachableAfterLoss bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.loseReplies, l.unreachableAfterLoss = loseReplies, unreachableAfterLoss
+}
+
+func (l *lossyProxy) isUnreachable() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.unreachable
+}
+
+// losesReply reports whether the reply to a POST request is lost.
+func (l *lossyProxy) losesReply() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.loseReplies <= 0 {
+		return false
+	}
+	l.loseReplies--
+	l.unreachable = l.unreachableAfterLoss
+	return true
+}
+
 func startLossyProxy(t *testing.T, f *fixture) *lossyProxy {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -97,7 +126,7 @@
 	}
 	l := &lossyProxy{addr: ln.Addr().String()}
 	srv := &fasthttp.Server{Handler: func(ctx *fasthttp.RequestCtx) {
-		if l.unreachable {
+		if l.isUnreachable() {
 			closeWithoutReply(ctx)
 			return
 		}
@@ -106,9 +135,7 @@
 		if err := fasthttp.Do(&ctx.Request, &ctx.Response); err != nil {
 			ctx.SetStatusCode(502)
 		}
-		if ctx.IsPost() && l.loseReplies > 0 {
-			l.loseReplies--
-			l.unreachable = l.unreachableAfterLoss
+		if ctx.IsPost() && l.losesReply() {
 			closeWithoutReply(ctx)
 		}
 	}}
