--- a/cmd/internal/soak/bodies_linux_test.go
+++ b/cmd/internal/soak/bodies_linux_test.go
@@ -20,15 +20,15 @@
 	bodyCallers = 200
 )
 
-// sendBody sends an order with a body and returns its status.
-func sendBody(n *instance, id string, size int, chunked bool) (int, error) {
+// sendBody sends an order with a body and returns the status and the text of a failure.
+func sendBody(n *instance, id string, size int, chunked bool) (status int, failure string, err error) {
 	var body io.Reader = strings.NewReader(strings.Repeat("x", size))
 	if chunked {
 		body = io.MultiReader(body) // hides the length
 	}
 	req, err := http.NewRequest("POST", "http://"+n.caller+"/order/1", body)
 	if err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	req.Host = "h.example"
 	req.Header.Set("Request-Id", id)
@@ -36,11 +36,14 @@
 	req.Header.Set("Deadline-Remaining", "30000")
 	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
 	if err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	defer resp.Body.Close()
-	_, err = io.Copy(io.Discard, resp.Body)
-	return resp.StatusCode, err
+	text, err := io.ReadAll(resp.Body)
+	if err == nil && resp.StatusCode != http.StatusOK {
+		failure = string(text)
+	}
+	return resp.StatusCode, failure, err
 }
 
 // Guards against large bodies that exceed the memory, or keep short requests from being served.
@@ -50,7 +53,7 @@
 	var large sync.WaitGroup
 	for i := range bodyCallers {
 		large.Go(func() {
-			status, err := sendBody(n, fmt.Sprint("L", i), largeBody, i%4 == 0)
+			status, _, err := sendBody(n, fmt.Sprint("L", i), largeBody, i%4 == 0)
 			switch {
 			case errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET):
 				cut.Add(1) // the client gave up on a refusal while it was sending
@@ -74,8 +77,8 @@
 			over = true
 		default:
 		}
-		if status, err := sendBody(n, fmt.Sprint("S", short), 18_000, short%2 == 0); err != nil || status != http.StatusOK {
-			t.Errorf("short body: status %d, %v", status, err)
+		if status, failure, err := sendBody(n, fmt.Sprint("S", short), 18_000, short%2 == 0); err != nil || status != http.StatusOK {
+			t.Errorf("short body: status %d %s, %v", status, failure, err)
 		}
 	}
 	peak := peakMemory(t, n.process.Pid)
--- a/cmd/internal/soak/crowd_linux_test.go
+++ b/cmd/internal/soak/crowd_linux_test.go
@@ -149,7 +149,7 @@
 				time.Sleep(pollInterval)
 			}
 			f.eventually("an ordinary request is answered", func() bool {
-				status, err := sendBody(n, fmt.Sprint("o", time.Now().UnixNano()), 1000, false)
+				status, _, err := sendBody(n, fmt.Sprint("o", time.Now().UnixNano()), 1000, false)
 				return err == nil && status == http.StatusOK
 			})
 			peak := peakMemory(t, n.process.Pid)
@@ -185,7 +185,7 @@
 			}
 			count := descriptorsOf(t, n.process.Pid)
 			f.eventually("an ordinary request is answered", func() bool {
-				status, err := sendBody(n, fmt.Sprint("o", time.Now().UnixNano()), 1000, false)
+				status, _, err := sendBody(n, fmt.Sprint("o", time.Now().UnixNano()), 1000, false)
 				return err == nil && status == http.StatusOK
 			})
 			peak := peakMemory(t, n.process.Pid)
@@ -202,7 +202,7 @@
 func TestLargestBodyOnSmallInstance(t *testing.T) {
 	_, n := startForCrowd(t, 184, 4100)
 	for _, chunked := range []bool{false, true} {
-		if status, err := sendBody(n, fmt.Sprint("b", chunked), 4<<20, chunked); err != nil || status != http.StatusOK {
+		if status, _, err := sendBody(n, fmt.Sprint("b", chunked), 4<<20, chunked); err != nil || status != http.StatusOK {
 			t.Errorf("chunked %v: status %d, %v", chunked, status, err)
 		}
 	}
