--- a/adapters/httpapi/chunks.go
+++ b/adapters/chunked/chunked.go
@@ -1,4 +1,7 @@
-package httpapi
+// Package chunked removes the framing of HTTP bodies in chunks. It accepts valid framing only,
+// because another parser of the same bytes might see the end of the body elsewhere. A Decoder
+// belongs to one body.
+package chunked
 
 import "errors"
 
@@ -12,12 +15,13 @@
 	maxChunkDigits = 8
 )
 
-var errChunkFraming = errors.New("the chunks of the body are not valid")
+// ErrFraming is the error of a body whose chunks or trailer are not valid.
+var ErrFraming = errors.New("the chunks of the body are not valid")
 
-type chunkState int
+type state int
 
 const (
-	chunkSize chunkState = iota
+	chunkSize state = iota
 	chunkExtension
 	chunkSizeLF
 	chunkData
@@ -27,12 +31,13 @@
 	trailerLine
 	trailerLineLF
 	trailerEndLF
-	chunksDone
+	done
 )
 
-// chunkDecoder removes the framing of a body in chunks. It has no buffer of its own.
-type chunkDecoder struct {
-	state  chunkState
+// Decoder removes the framing of a body in chunks. It has no buffer of its own. The zero value
+// is ready to use.
+type Decoder struct {
+	state  state
 	digits int
 	// size is the size of the chunk and left what is missing of it, in bytes.
 	size, left int
@@ -40,10 +45,17 @@
 	excess, trailer int
 }
 
-// decode copies the payload in src to the begin of dst, which may be the begin of src. It
-// returns the sizes of the payload and of the part of src that belongs to the body.
-func (d *chunkDecoder) decode(dst, src []byte) (payload, used int, err error) {
-	for used < len(src) && d.state != chunksDone {
+// Done reports whether the body is complete, including its trailer.
+func (d *Decoder) Done() bool { return d.state == done }
+
+// Left returns how many bytes of the current chunk are still to come.
+func (d *Decoder) Left() int { return d.left }
+
+// Decode copies the payload in src to the begin of dst, which may be the begin of src and must
+// not be shorter. It returns the sizes of the payload and of the part of src that belongs to the
+// body. The error is ErrFraming or nil.
+func (d *Decoder) Decode(dst, src []byte) (payload, used int, err error) {
+	for used < len(src) && d.state != done {
 		if d.state == chunkData {
 			n := copy(dst[payload:], src[used:min(len(src), used+d.left)])
 			payload, used, d.left = payload+n, used+n, d.left-n
@@ -53,7 +65,7 @@
 			continue
 		}
 		if !d.frame(src[used]) {
-			return payload, used, errChunkFraming
+			return payload, used, ErrFraming
 		}
 		used++
 	}
@@ -61,7 +73,7 @@
 }
 
 // frame takes one byte that is not payload. It reports false if the byte is not valid.
-func (d *chunkDecoder) frame(b byte) bool {
+func (d *Decoder) frame(b byte) bool {
 	switch d.state {
 	case chunkSize, chunkExtension, chunkSizeLF:
 		return d.sizeLine(b)
@@ -91,13 +103,13 @@
 	case trailerLineLF:
 		d.state = trailerStart
 	default:
-		d.state = chunksDone
+		d.state = done
 	}
 	return b == '\n'
 }
 
 // sizeLine takes one byte of a line with the size of a chunk and extensions.
-func (d *chunkDecoder) sizeLine(b byte) bool {
+func (d *Decoder) sizeLine(b byte) bool {
 	if d.excess++; d.excess > maxChunkOverhead {
 		return false
 	}
--- a/adapters/httpapi/bodyread.go
+++ b/adapters/httpapi/bodyread.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cyclamenhitch/adapters/chunked"
 	"cyclamenhitch/core/budget"
 	"cyclamenhitch/core/result"
 )
@@ -189,9 +190,9 @@
 // readChunks reads a body in chunks. It decodes the bytes where they were read to.
 func (r *bodyReader) readChunks() *result.Error {
 	c, limit := r.c, r.c.l.limits.MaxBodyBytes
-	var d chunkDecoder
+	var d chunked.Decoder
 	buf := make([]byte, firstBodyBytes)
-	for d.state != chunksDone {
+	for !d.Done() {
 		if len(buf)-r.received < minReadBytes {
 			var e *result.Error
 			if buf, e = r.grow(buf); e != nil {
@@ -203,11 +204,11 @@
 		if e != nil {
 			return e
 		}
-		payload, used, err := d.decode(free, free[:n])
+		payload, used, err := d.Decode(free, free[:n])
 		if err != nil {
 			return result.New(result.BadRequest, "%v", err)
 		}
-		if r.received += payload; r.received > limit || d.left > limit-r.received {
+		if r.received += payload; r.received > limit || d.Left() > limit-r.received {
 			return result.New(result.BodyTooLarge, "request body is over the size limit")
 		}
 		c.keep(free[used:n])
