--- a/adapters/chunked/chunked.go
+++ b/adapters/chunked/chunked.go
@@ -3,13 +3,16 @@
 // belongs to one body.
 package chunked
 
-import "errors"
+import (
+	"errors"
+	"strings"
+)
 
 const (
 	// maxChunkOverhead limits the bytes of chunk lines beyond 16 and twice the chunk's size
 	// for each chunk, so that a body can't consist of framing only.
 	maxChunkOverhead = 16 << 10
-	// maxTrailerBytes limits the trailer, which is dropped.
+	// maxTrailerBytes limits the trailer.
 	maxTrailerBytes = 16 << 10
 	// maxChunkDigits limits the digits of a chunk's size.
 	maxChunkDigits = 8
@@ -22,13 +25,16 @@
 
 const (
 	chunkSize state = iota
+	// chunkBlank is after blanks that follow the size: an extension or the end of the line is next.
+	chunkBlank
 	chunkExtension
 	chunkSizeLF
 	chunkData
 	chunkDataCR
 	chunkDataLF
 	trailerStart
-	trailerLine
+	trailerName
+	trailerValue
 	trailerLineLF
 	trailerEndLF
 	done
@@ -37,17 +43,24 @@
 // Decoder removes the framing of a body in chunks. It has no buffer of its own. The zero value
 // is ready to use.
 type Decoder struct {
+	// KeepTrailer makes Trailer return the trailer, which is dropped otherwise.
+	KeepTrailer bool
+
 	state  state
 	digits int
 	// size is the size of the chunk and left what is missing of it, in bytes.
 	size, left int
 	// excess counts framing bytes beyond what the chunks allow, trailer those of the trailer.
 	excess, trailer int
+	kept            []byte
 }
 
 // Done reports whether the body is complete, including its trailer.
 func (d *Decoder) Done() bool { return d.state == done }
 
+// Trailer returns the lines of the trailer, each with CRLF, or nil if there are none.
+func (d *Decoder) Trailer() []byte { return d.kept }
+
 // Left returns how many bytes of the current chunk are still to come.
 func (d *Decoder) Left() int { return d.left }
 
@@ -75,7 +88,7 @@
 // frame takes one byte that is not payload. It reports false if the byte is not valid.
 func (d *Decoder) frame(b byte) bool {
 	switch d.state {
-	case chunkSize, chunkExtension, chunkSizeLF:
+	case chunkSize, chunkBlank, chunkExtension, chunkSizeLF:
 		return d.sizeLine(b)
 	case chunkDataCR:
 		d.state = chunkDataLF
@@ -87,19 +100,28 @@
 	if d.trailer++; d.trailer > maxTrailerBytes {
 		return false
 	}
+	if d.KeepTrailer && (d.state != trailerStart || b != '\r') && d.state != trailerEndLF {
+		d.kept = append(d.kept, b)
+	}
 	switch d.state {
-	case trailerStart, trailerLine:
-		switch {
-		case b == '\n':
-			return false
-		case b == '\r' && d.state == trailerStart:
+	case trailerStart:
+		if d.state = trailerName; b == '\r' {
 			d.state = trailerEndLF
-		case b == '\r':
+			return true
+		}
+		return isNameByte(b)
+	case trailerName:
+		if b == ':' {
+			d.state = trailerValue
+			return true
+		}
+		return isNameByte(b)
+	case trailerValue:
+		if b == '\r' {
 			d.state = trailerLineLF
-		default:
-			d.state = trailerLine
+			return true
 		}
-		return true
+		return b == '\t' || b >= ' ' && b != 0x7f
 	case trailerLineLF:
 		d.state = trailerStart
 	default:
@@ -108,6 +130,15 @@
 	return b == '\n'
 }
 
+// isNameByte reports whether b may be in the name of a field.
+func isNameByte(b byte) bool {
+	switch {
+	case b >= '0' && b <= '9', b >= 'a' && b <= 'z', b >= 'A' && b <= 'Z':
+		return true
+	}
+	return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
+
 // sizeLine takes one byte of a line with the size of a chunk and extensions.
 func (d *Decoder) sizeLine(b byte) bool {
 	if d.excess++; d.excess > maxChunkOverhead {
@@ -134,8 +165,10 @@
 		d.size = d.size<<4 | v
 		d.digits++
 		return d.digits <= maxChunkDigits
-	case d.state == chunkSize:
-		d.state = chunkExtension
+	case d.state == chunkSize, d.state == chunkBlank:
+		if d.state = chunkBlank; b == ';' {
+			d.state = chunkExtension
+		}
 		return d.digits > 0 && (b == ';' || b == ' ' || b == '\t')
 	}
 	return true
--- a/adapters/engine/identity.go
+++ b/adapters/engine/identity.go
@@ -34,6 +34,9 @@
 	RejectedID = "request_id"
 	// RejectedSignature is a success that the server has not signed.
 	RejectedSignature = "signature"
+	// RejectedFraming is a body in chunks that are not valid. What was received before them may
+	// have been passed on.
+	RejectedFraming = "framing"
 )
 
 // reject reports a rejected response and returns err.
@@ -51,7 +54,7 @@
 	}
 }
 
-// readHead reads the header of the final response and prepares its body. The HTTP library
+// readHead reads the header of the final response and prepares a body that is not in chunks. The HTTP library
 // accepts status lines of any version, also in interim responses, which it skips.
 func (r *response) readHead() error {
 	h := &r.resp.Header
@@ -66,7 +69,7 @@
 			break
 		}
 	}
-	if r.resp.SkipBody || httpstatus.HasNoBody(httpstatus.Of(h)) {
+	if !r.hasBody() || h.ContentLength() == -1 {
 		return nil
 	}
 	return r.resp.ReadBody(r.conn.br, 0)
--- a/adapters/engine/response.go
+++ b/adapters/engine/response.go
@@ -27,6 +27,8 @@
 	status   int
 	declared int // body length in bytes; -1: chunked, -2: until the connection closes
 	received int
+	// bodyErr is the error that was returned with the last bytes of the body.
+	bodyErr  error
 	limit    int
 	buf      []byte
 	idEchoed bool
@@ -59,19 +61,31 @@
 }
 
 func (r *response) initBody() {
-	r.status, r.body = httpstatus.Of(&r.resp.Header), r.resp.BodyStream()
-	r.declared = r.resp.Header.ContentLength()
-	if r.body == nil {
+	r.status, r.declared = httpstatus.Of(&r.resp.Header), r.resp.Header.ContentLength()
+	switch body := r.resp.BodyStream(); {
+	case r.hasBody() && r.declared == -1:
+		r.body = newChunkedBody(r.conn.br, r.hasEvents())
+	case body != nil:
+		r.body = body
+	default:
 		r.declared = 0
 	}
 }
 
-// isEventStream reports whether the body is a stream of events. A response to HEAD has none,
-// whatever its content type.
-func (r *response) isEventStream() bool {
-	return r.body != nil && r.status == fasthttp.StatusOK && bytes.HasPrefix(r.resp.Header.ContentType(), []byte("text/event-stream"))
+// hasBody reports whether a body follows the header.
+func (r *response) hasBody() bool {
+	return !r.resp.SkipBody && !httpstatus.HasNoBody(httpstatus.Of(&r.resp.Header))
+}
+
+// hasEvents reports whether a body is a stream of events.
+func (r *response) hasEvents() bool {
+	return r.status == fasthttp.StatusOK && bytes.HasPrefix(r.resp.Header.ContentType(), []byte("text/event-stream"))
 }
 
+// isEventStream reports whether the response has a body that is a stream of events. A response
+// to HEAD has none, whatever its content type.
+func (r *response) isEventStream() bool { return r.body != nil && r.hasEvents() }
+
 // verifyHead validates the echoed request id, the status and the declared length.
 // A response without an id is accepted only on a connection that carried no earlier
 // request, and that connection is not reused.
@@ -167,11 +181,14 @@
 // read reads into p. It returns io.EOF only after a complete body.
 func (r *response) read(p []byte) (int, error) {
 	for {
-		n, err := r.body.Read(p)
+		n, err := 0, r.bodyErr
+		if err == nil {
+			n, err = r.body.Read(p)
+		}
 		r.received += n
 		switch {
 		case n > 0:
-			r.conn.monitor.BodyStarted = true
+			r.conn.monitor.BodyStarted, r.bodyErr = true, err
 			return n, nil
 		case err == nil:
 			continue
@@ -248,7 +265,11 @@
 	case r.conn.action != liveness.Wait:
 		return result.New(result.ConnectionSilent, "connection silent after %d bytes of the response", r.received)
 	}
-	return result.Wrap(result.AnswerTruncated, err, "response ended after %d bytes", r.received)
+	e := result.Wrap(result.AnswerTruncated, err, "response ended after %d bytes", r.received)
+	if isFraming(err) {
+		r.reportRejection(RejectedFraming, e)
+	}
+	return e
 }
 
 // Close implements gateway.Response. The connection is returned to the pool only after a
