--- a/adapters/chunked/chunked.go
+++ b/adapters/chunked/chunked.go
@@ -5,7 +5,8 @@
 
 import (
 	"errors"
-	"strings"
+
+	"cyclamenhitch/adapters/fieldname"
 )
 
 const (
@@ -109,13 +110,13 @@
 			d.state = trailerEndLF
 			return true
 		}
-		return isNameByte(b)
+		return fieldname.IsByte(b)
 	case trailerName:
 		if b == ':' {
 			d.state = trailerValue
 			return true
 		}
-		return isNameByte(b)
+		return fieldname.IsByte(b)
 	case trailerValue:
 		if b == '\r' {
 			d.state = trailerLineLF
@@ -130,15 +131,6 @@
 	return b == '\n'
 }
 
-// isNameByte reports whether b may be in the name of a field.
-func isNameByte(b byte) bool {
-	switch {
-	case b >= '0' && b <= '9', b >= 'a' && b <= 'z', b >= 'A' && b <= 'Z':
-		return true
-	}
-	return strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
-}
-
 // sizeLine takes one byte of a line with the size of a chunk and extensions.
 func (d *Decoder) sizeLine(b byte) bool {
 	if d.excess++; d.excess > maxChunkOverhead {
--- a/adapters/engine/engine.go
+++ b/adapters/engine/engine.go
@@ -130,6 +130,7 @@
 		}
 	}
 	cn.readBudget = maxHeadBytes
+	cn.names.Reset()
 	cn.monitor.Start(time.Now(), time.Duration(x.req.Pool.SilenceSeconds)*time.Second, x.req.Deadline)
 	r := &response{x: x, conn: cn, limit: x.client.MaxAnswerBytes}
 	// When the caller disconnects, closing the connection cancels the request at the
--- a/adapters/engine/identity.go
+++ b/adapters/engine/identity.go
@@ -54,20 +54,24 @@
 	}
 }
 
-// readHead reads the header of the final response and prepares a body that is not in chunks. The HTTP library
-// accepts status lines of any version, also in interim responses, which it skips.
+// readHead reads the header of the final response and prepares a body that is not in chunks. The
+// HTTP library accepts status lines of any version, also in interim responses, which it skips.
 func (r *response) readHead() error {
 	h := &r.resp.Header
 	for {
 		if err := h.Read(r.conn.br); err != nil {
 			return err
 		}
-		if err := r.checkVersion(); err != nil {
+		if err := r.checkHeader(); err != nil {
 			return err
 		}
 		if !httpstatus.IsInterim(httpstatus.Of(h)) {
 			break
 		}
+		// What was received of the next header has been scanned as a part of this one's rest.
+		r.conn.names.Reset()
+		next, _ := r.conn.br.Peek(r.conn.br.Buffered())
+		r.conn.names.Scan(next)
 	}
 	if !r.hasBody() || h.ContentLength() == -1 {
 		return nil
@@ -75,13 +79,17 @@
 	return r.resp.ReadBody(r.conn.br, 0)
 }
 
-// checkVersion checks that the status line states a version that the servers of the dialect
-// use. HTTP/1.0 is a valid response to HTTP/1.1, which servers of the OpenAI chat API may send.
-func (r *response) checkVersion() error {
+// checkHeader checks the names of the fields, and that the status line states a version that the
+// servers of the dialect use. HTTP/1.0 is a valid response to HTTP/1.1, which servers of the
+// OpenAI chat API may send.
+func (r *response) checkHeader() error {
+	if err := r.conn.names.Err(); err != nil {
+		return err
+	}
 	if r.x.client.dialect().Opaque {
-		return httpstatus.CheckVersion(&r.resp.Header)
+		return httpstatus.CheckHeader(&r.resp.Header)
 	}
-	return httpstatus.CheckVersion1(&r.resp.Header)
+	return httpstatus.CheckHeader1(&r.resp.Header)
 }
 
 // verifyRequestID checks that the response echoes the id of the request, exactly once if
--- a/adapters/engine/orders.go
+++ b/adapters/engine/orders.go
@@ -27,7 +27,7 @@
 	if err := do(req, resp, timeout); err != nil {
 		return err
 	}
-	return httpstatus.CheckVersion1(&resp.Header)
+	return httpstatus.CheckHeader1(&resp.Header)
 }
 
 // Report fetches the state report of an engine.
--- a/adapters/engine/pool.go
+++ b/adapters/engine/pool.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"cyclamenhitch/adapters/fieldname"
 	"cyclamenhitch/adapters/sockets"
 	"cyclamenhitch/core/liveness"
 	"cyclamenhitch/core/result"
@@ -61,6 +62,9 @@
 	// endedEarly is set if the server ended its output before the request was sent.
 	endedEarly bool
 
+	// names checks the header of the response while it is read.
+	names fieldname.Scanner
+
 	// readBudget is how many more bytes the server may send before the response must
 	// make progress.
 	readBudget int
@@ -263,6 +267,7 @@
 			if c.readBudget -= n; c.readBudget < 0 {
 				return 0, errReadBudget
 			}
+			c.names.Scan(b[:n])
 			c.monitor.OnBytes(time.Now())
 			return n, err
 		}
--- a/adapters/httpcall/httpcall.go
+++ b/adapters/httpcall/httpcall.go
@@ -68,7 +68,7 @@
 	if err := c.http.DoTimeout(req, resp, timeout); err != nil {
 		return 0, nil, err
 	}
-	if err := httpstatus.CheckVersion(&resp.Header); err != nil {
+	if err := httpstatus.CheckHeader(&resp.Header); err != nil {
 		return 0, nil, err
 	}
 	if c.contentType != "" && string(resp.Header.ContentType()) != c.contentType {
--- a/adapters/httpstatus/httpstatus.go
+++ b/adapters/httpstatus/httpstatus.go
@@ -1,4 +1,5 @@
-// Package httpstatus reads what the status line of a response states. It has no state.
+// Package httpstatus reads and checks the header of a response: what its status line states and
+// the names of its fields. It has no state.
 package httpstatus
 
 import (
@@ -6,6 +7,8 @@
 	"reflect"
 
 	"github.com/valyala/fasthttp"
+
+	"cyclamenhitch/adapters/fieldname"
 )
 
 // codeField is the index of the field in which the HTTP library keeps the status.
@@ -29,21 +32,31 @@
 // ErrVersion is the error of a status line with an unsupported protocol version.
 var ErrVersion = errors.New("unsupported protocol version in a status line")
 
-// CheckVersion returns ErrVersion unless a response that was read is of HTTP/1.1. The library
-// accepts any version.
-func CheckVersion(h *fasthttp.ResponseHeader) error {
+// CheckHeader returns ErrVersion or fieldname.ErrInvalid unless the header of a response that was
+// read is of HTTP/1.1 and the names of its fields are valid. The library accepts any version and
+// names with blanks; it drops those before a colon, which only fieldname.Scanner sees.
+func CheckHeader(h *fasthttp.ResponseHeader) error {
 	if string(h.Protocol()) != "HTTP/1.1" {
 		return ErrVersion
 	}
-	return nil
+	return checkNames(h)
 }
 
-// CheckVersion1 is like CheckVersion for servers that may also answer with HTTP/1.0.
-func CheckVersion1(h *fasthttp.ResponseHeader) error {
+// CheckHeader1 is like CheckHeader for servers that may also answer with HTTP/1.0.
+func CheckHeader1(h *fasthttp.ResponseHeader) error {
 	if string(h.Protocol()) == "HTTP/1.0" {
-		return nil
+		return checkNames(h)
+	}
+	return CheckHeader(h)
+}
+
+func checkNames(h *fasthttp.ResponseHeader) error {
+	for name := range h.All() {
+		if !fieldname.IsValid(name) {
+			return fieldname.ErrInvalid
+		}
 	}
-	return CheckVersion(h)
+	return nil
 }
 
 // IsInterim reports whether another response follows one with this status. After 101 another
--- a/adapters/platform/members.go
+++ b/adapters/platform/members.go
@@ -44,7 +44,7 @@
 	if err := fasthttp.DoTimeout(req, resp, l.Timeout); err != nil {
 		return nil, result.Wrap(result.StoreUnavailable, err, "membership list cannot be read")
 	}
-	if err := httpstatus.CheckVersion1(&resp.Header); err != nil {
+	if err := httpstatus.CheckHeader1(&resp.Header); err != nil {
 		return nil, result.Wrap(result.StoreUnavailable, err, "membership list cannot be read")
 	}
 	if httpstatus.Of(&resp.Header) != fasthttp.StatusOK {
--- a/cmd/internal/daemon/admission_loops.go
+++ b/cmd/internal/daemon/admission_loops.go
@@ -283,7 +283,7 @@
 	defer fasthttp.ReleaseRequest(req)
 	defer fasthttp.ReleaseResponse(resp)
 	req.SetRequestURI("http://" + s.Address + "/load")
-	if err := client.DoTimeout(req, resp, pollTimeout); err != nil || httpstatus.CheckVersion1(&resp.Header) != nil || httpstatus.Of(&resp.Header) != fasthttp.StatusOK {
+	if err := client.DoTimeout(req, resp, pollTimeout); err != nil || httpstatus.CheckHeader1(&resp.Header) != nil || httpstatus.Of(&resp.Header) != fasthttp.StatusOK {
 		return // requests detect a failed engine sooner, by connection errors
 	}
 	var r loadReport
--- a/cmd/internal/edge/foreign_test.go
+++ b/cmd/internal/edge/foreign_test.go
@@ -66,6 +66,8 @@
 		"bare 200":           "HTTP/1.1 200 OK\r\n" + page,
 		"stream":             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: foreign-bytes\n\n",
 		"200 without a seal": "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\n" + page,
+		"name with a blank":  "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nX Y: foreign-bytes\r\n" + page,
+		"blank and colon":    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nContent-Length : 13\r\n\r\nforeign-bytes",
 		"200 not executed":   "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\nNot-Executed: 1\r\n" + page,
 		"no head":            "foreign-bytes of another account\r\n\r\n",
 		"other id":           "HTTP/1.1 200 OK\r\nRequest-Id: foreign-bytes\r\nResponse-Seal: s\r\nContent-Length: 0\r\n\r\n",
--- a/cmd/internal/soak/soak_test.go
+++ b/cmd/internal/soak/soak_test.go
@@ -70,7 +70,7 @@
 	"f\r\nid: 1\ndata: 1\n\n\r\n"
 
 // spoiledAnswers answer no request: other versions, no id, no seal, refusals without an id, an
-// answer to another request, and no header at all. None of it may reach a caller, nor be
+// answer to another request, no header at all, and a field name with a blank. None of it may reach a caller, nor be
 // believed. The last ones are streams whose chunks are not valid; no caller may take them for
 // complete.
 var spoiledAnswers = []string{
@@ -82,6 +82,7 @@
 	"HTTP/1.1 404 Not Found\r\nContent-Length: 13\r\n\r\n" + foreignBytes,
 	"HTTP/1.1 200 OK\r\nRequest-Id: " + foreignBytes + "\r\nResponse-Seal: s0." + foreignBytes + "\r\nContent-Length: 0\r\n\r\n",
 	foreignBytes + "\r\n\r\n",
+	"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s0.{id}\r\nTransfer -Encoding: chunked\r\n\r\n" + "d\r\n" + foreignBytes + "\r\n0\r\n\r\n",
 	brokenStream + "0\r\nid: 2\ndata: 2\n\n\r\n0\r\n\r\n",
 	brokenStream + "f\r\nid: 2\ndata: 2\n\n\n0\r\n\r\n",
 }
