--- a/adapters/httpapi/calls.go
+++ b/adapters/httpapi/calls.go
@@ -53,6 +53,7 @@
 	}
 	c.call = call{phase: unanswered}
 	c.l.srv.unanswered.Add(1)
+	c.unread.begin(c.Conn)
 }
 
 // beginResponse is called when the response of the call is about to be written.
@@ -113,6 +114,7 @@
 	c.mu.Lock()
 	ended := c.call
 	c.call = call{}
+	c.unread.end(c.Conn)
 	c.mu.Unlock()
 	switch ended.phase {
 	case noCall:
--- a/adapters/httpapi/conns.go
+++ b/adapters/httpapi/conns.go
@@ -50,7 +50,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &callerConn{Conn: nc, l: l}
+		c := &callerConn{Conn: nc, l: l, unread: unread{hold: l.limits.Unread.Hold()}}
 		if a, ok := nc.RemoteAddr().(*net.TCPAddr); ok {
 			c.ip = a.AddrPort().Addr()
 		}
@@ -121,6 +121,7 @@
 	closed       bool
 	cancel       context.CancelFunc
 	call         call
+	unread
 }
 
 // Write implements net.Conn. It sets a deadline for each write, because one deadline for
--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -73,6 +73,8 @@
 	// Reading is taken by requests that are being read and take nothing from Bodies; nil
 	// means no limit.
 	Reading *budget.Reading
+	// Unread is taken by what callers may send while their request runs; nil means no limit.
+	Unread *budget.Bytes
 	// BodyPace is the progress that a body which takes from Bodies must make.
 	BodyPace budget.Pace
 	// Relieve, unless nil, closes an idle connection to a server if no caller's is idle, and
@@ -284,6 +286,12 @@
 		ctx.SetConnectionClose()
 		return
 	}
+	if c := callerOf(ctx); c != nil && c.overfull {
+		c.room.refused.Store(true) // what the caller still sends is discarded
+		s.writeError(ctx, result.New(result.ConnectionLimit, "no memory for what follows the request").WithRetryAfter(time.Second))
+		ctx.SetConnectionClose()
+		return
+	}
 	if s.stopping.Load() {
 		e := result.New(result.Stopping, "the instance is stopping")
 		s.logRefused(ctx, e)
--- a/adapters/sockets/listener.go
+++ b/adapters/sockets/listener.go
@@ -45,12 +45,16 @@
 	closed bool
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. Accepted connections have a receive buffer of
+// budget.ReceiveBuffer.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
 		switch {
 		case err == nil:
+			if b, ok := nc.(interface{ SetReadBuffer(bytes int) error }); ok {
+				_ = b.SetReadBuffer(budget.ReceiveBuffer) // a closed connection: its first read tells
+			}
 			if c := l.admit(nc); c != nil {
 				return c, nil
 			}
@@ -230,5 +234,13 @@
 	return errors.ErrUnsupported
 }
 
+// SetReadBuffer sets the size of the kernel's buffer for received data, in bytes.
+func (c *Conn) SetReadBuffer(bytes int) error {
+	if b, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error }); ok {
+		return b.SetReadBuffer(bytes)
+	}
+	return errors.ErrUnsupported
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
--- a/cmd/internal/edge/edge.go
+++ b/cmd/internal/edge/edge.go
@@ -198,6 +198,10 @@
 		r := e.budget.Reading
 		return map[string]int64{"limit": r.Limit(), "used": r.Used(), "highest": r.Highest(), "refused": r.Refused()}
 	})
+	e.meters.gauge("unread_memory", func() any {
+		u := e.budget.Unread
+		return map[string]int64{"limit_bytes": u.Limit(), "used_bytes": u.Used(), "highest_bytes": u.Highest(), "refused": u.Refused()}
+	})
 	e.meters.gauge("descriptors", func() any {
 		shares := map[string]map[string]int64{}
 		for _, s := range e.budget.Shares() {
@@ -309,7 +313,7 @@
 func (e *Edge) callerLimits() httpapi.Limits {
 	return httpapi.Limits{
 		MaxBodyBytes: 4 << 20, MaxHeaderBytes: 16 << 10,
-		Bodies: e.budget.Bodies, Reading: e.budget.Reading, BodyWait: bodyWait, BodyPace: bodyPace(e.set), Descriptors: e.budget.Callers, Relieve: e.closeIdleServer,
+		Bodies: e.budget.Bodies, Reading: e.budget.Reading, Unread: e.budget.Unread, BodyWait: bodyWait, BodyPace: bodyPace(e.set), Descriptors: e.budget.Callers, Relieve: e.closeIdleServer,
 		ReadTimeout: readTimeout, WriteTimeout: writeTimeout, IdleTimeout: callerIdleTimeout,
 	}
 }
--- a/cmd/internal/soak/crowd_linux_test.go
+++ b/cmd/internal/soak/crowd_linux_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"bufio"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"cyclamenhitch/standins/runner"
 )
 
 const (
@@ -21,6 +25,9 @@
 	crowdClients = 120
 	// crowdBody is the size of a client's body in bytes; its last bytes are never sent.
 	crowdBody = 4_000_000
+	// crowdPiece is the size of one write of a body with a length, and missingBytes what is not
+	// sent of it.
+	crowdPiece, missingBytes = 16 << 10, 100
 	// crowdRounds is how often a client connects that comes again when it was answered or
 	// its connection was closed.
 	crowdRounds = 3
@@ -33,6 +40,23 @@
 	// unknown makes each connection use a key of its own that no configuration contains.
 	unknown bool
 	again   bool
+	// pause is between two pieces of crowdPiece of a body with a length; 0 sends it at once.
+	pause time.Duration
+	// announced, unless 0, is the length that the header states.
+	announced int
+	// size is what is sent of the body in bytes; 0 selects crowdBody.
+	size int
+	// after is sent after the header instead of a body, again and again up to size.
+	after string
+	// path is that of the request; empty selects an order.
+	path string
+	// whole sends the last bytes as well.
+	whole bool
+	// kept makes each client send an ordinary large request before on its connection, for which
+	// the kernel then keeps more unread bytes.
+	kept bool
+	// slow sends to a server that does not answer while the test runs.
+	slow bool
 	// directory sends to the listener of the directory instead of that of callers.
 	directory bool
 }
@@ -43,20 +67,37 @@
 	"chunks of 1 MB, unknown keys":         {chunk: 1 << 20, unknown: true},
 	"chunks of 64 KB, unknown, come again": {chunk: 64 << 10, unknown: true, again: true},
 	"chunks of 64 bytes":                   {chunk: 64},
+	"chunks of one byte":                   {chunk: 1, size: 100_000},
+	"length":                               {},
+	"length, come again":                   {again: true},
+	"length, piece by piece":               {pause: 5 * time.Millisecond},
+	"length, whole":                        {whole: true, again: true},
+	"length, whole, may be repeated":       {whole: true, again: true, path: "/read/1"},
 	"length, unknown keys":                 {unknown: true},
+	"over the limit, announced":            {announced: 1 << 40, size: 16 << 20},
+	"over the limit, announced, unknown":   {announced: 8 << 20, size: 16 << 20, unknown: true, again: true},
+	"over the limit, chunks":               {chunk: 256 << 10, size: 16 << 20},
+	"over the limit, one chunk":            {after: "Transfer-Encoding: chunked\r\n\r\n7fffffff\r\n", size: 16 << 20},
+	"bytes after a request":                {after: "Content-Length: 2\r\n\r\n", size: 16 << 20, path: "/stream/1", slow: true},
+	"header without end":                   {after: "X-A: ", size: 16 << 20},
 	"length, to the directory":             {directory: true},
 }
 
-// play sends one body but for its last bytes on a connection, and returns once the
-// connection has ended or, with hold set, once all of that was sent.
-func (k crowd) play(t *testing.T, n *instance, id string, hold bool) {
-	to := n.caller
+func (k crowd) address(n *instance) string {
 	if k.directory {
-		to = n.directory
+		return n.directory
 	}
-	c, err := net.Dial("tcp", to)
-	if err != nil {
-		return // refused for want of descriptors
+	return n.caller
+}
+
+// play sends one body but for its last bytes on c, or on a connection of its own if c is nil, and
+// returns once the connection has ended or, with hold set, once all of that was sent.
+func (k crowd) play(t *testing.T, n *instance, c net.Conn, id string, hold bool) {
+	if c == nil {
+		var err error
+		if c, err = net.Dial("tcp", k.address(n)); err != nil {
+			return // refused for want of descriptors
+		}
 	}
 	t.Cleanup(func() { _ = c.Close() })
 	ended := make(chan struct{})
@@ -68,20 +109,12 @@
 	if k.unknown {
 		key = "unknown-" + id
 	}
-	head := fmt.Sprintf("POST /order/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Remaining: 30000\r\n", id, key)
-	w := bufio.NewWriter(c)
-	if k.chunk == 0 {
-		_, err = fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n%s", head, crowdBody, strings.Repeat("x", crowdBody-100))
-	} else {
-		_, _ = io.WriteString(w, head+"Transfer-Encoding: chunked\r\n\r\n")
-		piece := fmt.Sprintf("%x\r\n%s\r\n", k.chunk, strings.Repeat("x", k.chunk))
-		for sent := 0; sent+k.chunk <= crowdBody && err == nil; sent += k.chunk {
-			_, err = io.WriteString(w, piece)
-		}
-	}
-	if err == nil {
-		err = w.Flush()
+	path := cmp.Or(k.path, "/order/1")
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nDeadline-Remaining: 30000\r\n", path, id, key)
+	if k.whole {
+		head += "Connection: close\r\n"
 	}
+	err := k.send(c, head)
 	if hold && err == nil {
 		return
 	}
@@ -92,6 +125,97 @@
 	_ = c.Close()
 }
 
+// sendKept sends an order with a large body and reads its response.
+func sendKept(c net.Conn, id string) error {
+	_, err := fmt.Fprintf(c, "POST /order/1 HTTP/1.1\r\nHost: h.example\r\nRequest-Id: kept-%s\r\nAuthorization: Bearer k1\r\nDeadline-Remaining: 30000\r\nContent-Length: %d\r\n\r\n%s",
+		id, crowdBody, strings.Repeat("x", crowdBody))
+	if err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d, %w", resp.StatusCode, err)
+	}
+	return nil
+}
+
+// send writes a request, of whose body the last bytes are missing unless whole is set.
+func (k crowd) send(c net.Conn, head string) error {
+	size := cmp.Or(k.size, crowdBody)
+	piece, begin := strings.Repeat("x", crowdPiece), k.after
+	switch {
+	case begin != "":
+	case k.chunk > 0:
+		begin = "Transfer-Encoding: chunked\r\n\r\n"
+		piece = fmt.Sprintf("%x\r\n%s\r\n", k.chunk, strings.Repeat("x", k.chunk))
+	default:
+		announced := cmp.Or(k.announced, size)
+		begin = fmt.Sprintf("Content-Length: %d\r\n\r\n", announced)
+		if announced == size && !k.whole {
+			size -= missingBytes
+		}
+	}
+	w := bufio.NewWriterSize(c, crowdPiece)
+	_, _ = io.WriteString(w, head+begin) // Flush returns the error
+	payload := max(k.chunk, 1)
+	if k.chunk == 0 {
+		payload = crowdPiece
+	}
+	for sent := 0; sent < size; sent += payload {
+		part := piece
+		if k.chunk == 0 {
+			part = piece[:min(payload, size-sent)]
+		}
+		if _, err := io.WriteString(w, part); err != nil {
+			return err
+		}
+		if k.pause > 0 {
+			if err := w.Flush(); err != nil {
+				return err
+			}
+			time.Sleep(k.pause)
+		}
+	}
+	return w.Flush()
+}
+
+// unreadBytes returns what the kernel holds of bytes that the process which listens at addr has
+// not read from its connections there.
+func unreadBytes(t *testing.T, addr string) int {
+	t.Helper()
+	table, err := os.ReadFile("/proc/net/tcp")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, port, err := net.SplitHostPort(addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	number, err := strconv.Atoi(port)
+	if err != nil {
+		t.Fatal(err)
+	}
+	local, sum := fmt.Sprintf(":%04X", number), 0
+	for line := range strings.Lines(string(table)) {
+		fields := strings.Fields(line)
+		if len(fields) < 5 || !strings.HasSuffix(fields[1], local) {
+			continue
+		}
+		_, queue, _ := strings.Cut(fields[4], ":")
+		if n, err := strconv.ParseInt(queue, 16, 64); err == nil && fields[3] != tcpListen {
+			sum += int(n)
+		}
+	}
+	return sum
+}
+
+// tcpListen is the state of a listening socket, whose queue counts connections.
+const tcpListen = "0A"
+
 func descriptorsOf(t *testing.T, pid int) int {
 	t.Helper()
 	entries, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
@@ -101,6 +225,21 @@
 	return len(entries)
 }
 
+// replaceServers makes r the only server of a pool.
+func (f *fleet) replaceServers(pool string, r *runner.Runner) {
+	f.t.Helper()
+	if err := r.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(r.Close)
+	for _, s := range f.servers {
+		if s.pool == pool {
+			f.store.Remove("servers", s.ID)
+		}
+	}
+	f.store.Set("servers", r.ID, r.RegistryEntry(pool, "z", "ready"))
+}
+
 // startForCrowd starts a fleet of one instance with memory_mb and descriptors.
 func startForCrowd(t *testing.T, memory, descriptors int) (*fleet, *instance) {
 	t.Helper()
@@ -124,41 +263,85 @@
 }
 
 // Guards against clients outside the limits that make a process exceed its memory or its
-// descriptors, end, or stop serving: they send bodies but for the last bytes and stay.
+// descriptors, end, or stop serving: they send bodies but for the last bytes, or more than a
+// request may have, and stay.
 func TestCrowdsStayWithinMemory(t *testing.T) {
 	for name, k := range crowds {
 		t.Run(name, func(t *testing.T) {
 			f, n := startForCrowd(t, crowdMemory, crowdDescriptors)
-			var clients sync.WaitGroup
-			for i := range crowdClients {
-				clients.Go(func() {
-					rounds := 1
-					if k.again {
-						rounds = crowdRounds
-					}
-					for round := range rounds {
-						k.play(t, n, fmt.Sprintf("c%d-%d", i, round), round == rounds-1)
-					}
-				})
-			}
-			var over atomic.Bool
-			go func() { clients.Wait(); over.Store(true) }()
-			descriptors := 0
-			for !over.Load() {
-				descriptors = max(descriptors, descriptorsOf(t, n.process.Pid))
-				time.Sleep(pollInterval)
+			k.check(t, f, n, crowdClients, crowdMemory, crowdDescriptors)
+		})
+	}
+}
+
+// Guards against bytes that the process does not read and the kernel keeps for it, which count
+// toward the memory of the machine: clients send on while their request is at its server.
+func TestUnreadBytesStayWithinMemory(t *testing.T) {
+	for name, k := range map[string]crowd{
+		"after a request":    {after: "Content-Length: 2\r\n\r\n", path: "/stream/1", slow: true},
+		"after a large body": {after: "Content-Length: 2\r\n\r\n", path: "/stream/1", slow: true, size: 16 << 20, kept: true},
+		"of a body, kept":    {chunk: 64 << 10, kept: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f, n := startForCrowd(t, crowdMemory, crowdDescriptors)
+			k.check(t, f, n, crowdClients, crowdMemory, crowdDescriptors)
+		})
+	}
+}
+
+// check plays a crowd and checks that the process stays within memory, in MB, and descriptors
+// and serves an ordinary request afterwards.
+func (k crowd) check(t *testing.T, f *fleet, n *instance, count, memory, descriptors int) {
+	t.Helper()
+	if k.slow {
+		f.replaceServers("chat", &runner.Runner{ID: "slow", ProcessingTime: time.Minute})
+	}
+	opened := make([]net.Conn, count)
+	for i := range opened {
+		if !k.kept {
+			break
+		}
+		c, err := net.Dial("tcp", k.address(n))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := sendKept(c, fmt.Sprint(i)); err != nil {
+			t.Fatalf("ordinary request before: %v", err)
+		}
+		opened[i] = c
+	}
+	var clients sync.WaitGroup
+	for i := range count {
+		clients.Go(func() {
+			rounds := 1
+			if k.again {
+				rounds = crowdRounds
 			}
-			f.eventually("an ordinary request is answered", func() bool {
-				status, _, err := sendBody(n, fmt.Sprint("o", time.Now().UnixNano()), 1000, false)
-				return err == nil && status == http.StatusOK
-			})
-			peak := peakMemory(t, n.process.Pid)
-			t.Logf("%d MB and %d descriptors at most", peak, descriptors)
-			if peak > crowdMemory || descriptors > crowdDescriptors {
-				t.Errorf("the process used %d MB and %d descriptors, allowed are %d and %d", peak, descriptors, crowdMemory, crowdDescriptors)
+			for round := range rounds {
+				k.play(t, n, opened[i], fmt.Sprintf("c%d-%d", i, round), round == rounds-1)
 			}
 		})
 	}
+	var over atomic.Bool
+	go func() { clients.Wait(); over.Store(true) }()
+	used, unread, held := 0, 0, 0
+	for !over.Load() {
+		used = max(used, descriptorsOf(t, n.process.Pid))
+		queued := unreadBytes(t, n.caller)
+		size, _ := resident(t, n.process.Pid)
+		unread, held = max(unread, queued>>20), max(held, (size+queued)>>20)
+		time.Sleep(pollInterval)
+	}
+	f.eventually("an ordinary request is answered", func() bool {
+		status, _, err := sendBody(n, fmt.Sprint("o", time.Now().UnixNano()), 1000, false)
+		return err == nil && status == http.StatusOK
+	})
+	peak := peakMemory(t, n.process.Pid)
+	held = max(held, peak)
+	t.Logf("%d MB, %d MB unread, %d MB with them and %d descriptors at most", peak, unread, held, used)
+	if held > memory || used > descriptors {
+		t.Errorf("the process used %d MB and %d descriptors, allowed are %d and %d", held, used, memory, descriptors)
+	}
 }
 
 // Guards against requests that are never complete, each within the size that is read without
--- a/core/budget/bodies.go
+++ b/core/budget/bodies.go
@@ -10,9 +10,6 @@
 	// accountPercent is the part of what long bodies may take up to which an account gets
 	// what is set aside, and that is set aside: an account that holds more can't take it.
 	accountPercent = 25
-	// unreadBytes is what the kernel holds of a body that waits unread: the receive buffer
-	// with which a connection begins.
-	unreadBytes = 128 << 10
 	// unreadPercent is the part of the budget, beside what bodies take, for unread bytes.
 	unreadPercent = 20
 )
@@ -103,10 +100,10 @@
 func (b *Bodies) Pressed() bool { return b.unread.Used() > 0 }
 
 // Wait reports whether one more body may wait unread. Each success needs a Waited.
-func (b *Bodies) Wait() bool { return b.unread.take(unreadBytes) }
+func (b *Bodies) Wait() bool { return b.unread.take(UnreadBytes) }
 
 // Waited ends what Wait began.
-func (b *Bodies) Waited() { b.unread.used.Add(-unreadBytes) }
+func (b *Bodies) Waited() { b.unread.used.Add(-UnreadBytes) }
 
 // Give gives back what Take or Resize has taken.
 func (b *Bodies) Give(account uint64, n int64) {
--- a/core/budget/descriptors_test.go
+++ b/core/budget/descriptors_test.go
@@ -67,13 +67,13 @@
 func TestProcessMemory(t *testing.T) {
 	for _, megabytes := range []int64{128, 256, 284, 4096} {
 		p := NewProcess(4100, megabytes<<20)
-		if sum := baseBytes + p.Bodies.Limit() + p.Responses.Limit() + p.Reading.Limit()*readingBytes; sum > megabytes<<20 {
+		if sum := baseBytes + p.Bodies.Limit() + p.Responses.Limit() + p.Reading.Limit()*readingBytes + p.Unread.Limit(); sum > megabytes<<20 {
 			t.Errorf("%d MB: shares add up to %d", megabytes, sum)
 		}
 		if ok, _ := p.Bodies.Take(1, 8<<20); !ok {
 			t.Errorf("%d MB: no room for a body of 4 MB in chunks", megabytes)
 		}
-		if got := len(p.Lines()); got != len(p.Shares())+4 {
+		if got := len(p.Lines()); got != len(p.Shares())+5 {
 			t.Errorf("%d lines", got)
 		}
 	}
--- a/core/budget/process.go
+++ b/core/budget/process.go
@@ -6,7 +6,7 @@
 	// responsePercent is the part of a process's memory for the bodies of responses under
 	// way. The collector may let the heap grow to twice what is in use, and requests,
 	// connections and the tables of the fleet need the rest.
-	responsePercent = 25
+	responsePercent = 20
 	// baseBytes is what an instance needs beside bodies: code, tables of the fleet and
 	// connections. bodyPercent is the part of the rest for the bodies of requests, from the
 	// read to the end of the request; minBodyBytes has room for the largest.
@@ -23,6 +23,8 @@
 	Responses *Bytes
 	// Reading is for requests that callers have begun to send, in requests.
 	Reading *Reading
+	// Unread is for what callers send while their request runs.
+	Unread *Bytes
 }
 
 // NewProcess divides the limit of open files and the memory, in bytes, of a process.
@@ -32,6 +34,7 @@
 		Bodies:      NewBodies(max(minBodyBytes, (memory-baseBytes)*bodyPercent/100)),
 		Reading:     NewReading(max(minReading, (memory-baseBytes)*readingPercent/100/readingBytes)),
 		Responses:   NewBytes(memory * responsePercent / 100),
+		Unread:      NewBytes(max(minUnreadCalls*UnreadBytes, (memory-baseBytes)*unreadCallPercent/100)),
 	}
 }
 
@@ -45,5 +48,6 @@
 		fmt.Sprintf("descriptors of callers and servers together: %d", p.Callers.common.limit),
 		fmt.Sprintf("bytes of request bodies: %d, of long ones %d", p.Bodies.Limit(), p.Bodies.long.limit),
 		fmt.Sprintf("requests that are being read: %d", p.Reading.Limit()),
-		fmt.Sprintf("bytes of response bodies: %d", p.Responses.Limit()))
+		fmt.Sprintf("bytes of response bodies: %d", p.Responses.Limit()),
+		fmt.Sprintf("unread bytes of callers whose request runs: %d", p.Unread.Limit()))
 }
