--- a/adapters/engine/pool.go
+++ b/adapters/engine/pool.go
@@ -12,6 +12,7 @@
 
 	"cyclamenhitch/adapters/fieldname"
 	"cyclamenhitch/adapters/sockets"
+	"cyclamenhitch/core/budget"
 	"cyclamenhitch/core/liveness"
 	"cyclamenhitch/core/result"
 )
@@ -108,7 +109,13 @@
 	if c.UserTimeout > 0 {
 		d.Control = func(_, _ string, raw syscall.RawConn) error { return setUserTimeout(raw, c.UserTimeout) }
 	}
-	nc, err := sockets.Dial(c.Descriptors, c.freeDescriptor, func() (net.Conn, error) { return d.DialContext(ctx, "tcp", addr) })
+	nc, err := sockets.Dial(c.Descriptors, c.freeDescriptor, func() (net.Conn, error) {
+		nc, err := d.DialContext(ctx, "tcp", addr)
+		if tc, ok := nc.(*net.TCPConn); ok {
+			_ = tc.SetReadBuffer(budget.ReceiveBuffer) // fails for a closed connection, which the write tells
+		}
+		return nc, err
+	})
 	if err != nil {
 		return nil, err
 	}
