--- a/adapters/engine/chunks.go
+++ b/adapters/engine/body.go
@@ -6,9 +6,59 @@
 	"errors"
 	"io"
 
+	"github.com/valyala/fasthttp"
+
 	"cyclamenhitch/adapters/chunked"
+	"cyclamenhitch/adapters/httpstatus"
+)
+
+const (
+	// maxHeadBytes limits the bytes up to the end of the response header, including
+	// informational (1xx) responses.
+	maxHeadBytes = 64 << 10
+	// maxFramingBytes limits the framing overhead (chunk sizes, chunk extensions and
+	// trailers) that is accepted on top of the body limit.
+	maxFramingBytes = 64 << 10
 )
 
+// bodyReadBudget returns how many bytes may follow the header. For a stream, each event
+// resets the budget.
+func (r *response) bodyReadBudget() int {
+	switch {
+	case r.isEventStream():
+		return maxEventBytes + maxFramingBytes
+	case r.declared >= 0:
+		return r.declared + maxFramingBytes
+	}
+	return 2*r.limit + maxFramingBytes
+}
+
+func (r *response) initBody() {
+	r.status, r.declared = httpstatus.Of(&r.resp.Header), r.resp.Header.ContentLength()
+	switch body := r.resp.BodyStream(); {
+	case r.hasBody() && r.declared == -1:
+		r.body = newChunkedBody(r.conn.br, r.hasEvents())
+	case body != nil:
+		r.body = body
+	default:
+		r.declared = 0
+	}
+}
+
+// hasBody reports whether a body follows the header.
+func (r *response) hasBody() bool {
+	return !r.resp.SkipBody && !httpstatus.HasNoBody(httpstatus.Of(&r.resp.Header))
+}
+
+// hasEvents reports whether a body is a stream of events.
+func (r *response) hasEvents() bool {
+	return r.status == fasthttp.StatusOK && bytes.HasPrefix(r.resp.Header.ContentType(), []byte("text/event-stream"))
+}
+
+// isEventStream reports whether the response has a body that is a stream of events. A response
+// to HEAD has none, whatever its content type.
+func (r *response) isEventStream() bool { return r.body != nil && r.hasEvents() }
+
 // chunkedBody reads a response body in chunks. The HTTP library's own reader is not used: it
 // accepts trailers whose lines end with a line feed, so that an event whose chunk size was lost
 // would end the stream.
--- a/adapters/engine/identity.go
+++ b/adapters/engine/identity.go
@@ -68,7 +68,7 @@
 		if !httpstatus.IsInterim(httpstatus.Of(h)) {
 			break
 		}
-		// What was received of the next header has been scanned as a part of this one's rest.
+		// The scanner has ignored what was received of the next header.
 		r.conn.names.Reset()
 		next, _ := r.conn.br.Peek(r.conn.br.Buffered())
 		r.conn.names.Scan(next)
--- a/core/budget/unread.go
+++ b/core/budget/unread.go
@@ -1,12 +1,11 @@
 package budget
 
 const (
-	// UnreadBytes is what the kernel may hold of bytes that a connection's client has sent and
-	// the process has not read: ReceiveBuffer and what it adds for its own structures.
+	// UnreadBytes is what the kernel may hold for a connection of bytes that the process has
+	// not read: ReceiveBuffer and as much for its own structures.
 	UnreadBytes = 2 * ReceiveBuffer
-	// ReceiveBuffer is the size in bytes to request for the receive buffers of connections of
-	// callers and to servers. Without a request the kernel lets them grow to several MB for a client that
-	// sends much.
+	// ReceiveBuffer is the size in bytes to request for the receive buffers of connections.
+	// Otherwise the kernel enlarges those that are read fast to several MB.
 	ReceiveBuffer = 64 << 10
 	// unreadCallPercent is the part of the memory beside baseBytes for the unread bytes of
 	// connections whose request runs. Nothing is read from them meanwhile.
