--- a/adapters/httpapi/calls.go
+++ b/adapters/httpapi/calls.go
@@ -1,6 +1,7 @@
 package httpapi
 
 import (
+	"errors"
 	"net"
 	"time"
 
@@ -164,11 +165,11 @@
 		c.mu.Lock()
 		current := c.call
 		c.mu.Unlock()
-		b, ok := c.Conn.(interface{ SetWriteBuffer(bytes int) error })
+		b, ok := c.Conn.(*sockets.Conn)
 		if !ok || current.phase != responding {
 			continue
 		}
-		if err := b.SetWriteBuffer(maxWriteBuffer); err != nil {
+		if err := errors.Join(b.SetWriteBuffer(maxWriteBuffer), b.SetUnsentLimit(maxWriteBuffer)); err != nil {
 			s.Log.Info("the write buffer of a caller connection cannot grow", zap.String(logging.FieldRequest, current.id), zap.Error(err))
 		}
 	}
--- a/adapters/httpapi/conns.go
+++ b/adapters/httpapi/conns.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cyclamenhitch/adapters/sockets"
+	"cyclamenhitch/core/budget"
 	"cyclamenhitch/core/result"
 )
 
@@ -124,9 +125,23 @@
 	unread
 }
 
-// Write implements net.Conn. It sets a deadline for each write, because one deadline for
-// the whole response would cut off long streams to callers that read fast enough.
+// writePieceBytes is the size of one write. The kernel takes about as much for a caller that does
+// not read, so that a larger write would have to end within the deadline of one.
+const writePieceBytes = budget.UnsentBytes
+
+// Write implements net.Conn. It sets a deadline for each piece, because one deadline for the
+// whole response would cut off large ones to callers that read fast enough.
 func (c *callerConn) Write(b []byte) (int, error) {
+	written := 0
+	for {
+		n, err := c.writePiece(b[written:min(len(b), written+writePieceBytes)])
+		if written += n; err != nil || written == len(b) {
+			return written, err
+		}
+	}
+}
+
+func (c *callerConn) writePiece(b []byte) (int, error) {
 	if d := c.l.limits.WriteTimeout; d > 0 {
 		if err := c.Conn.SetWriteDeadline(time.Now().Add(d)); err != nil {
 			return 0, err
--- a/adapters/sockets/listener.go
+++ b/adapters/sockets/listener.go
@@ -45,16 +45,14 @@
 	closed bool
 }
 
-// Accept implements net.Listener. Accepted connections have a receive buffer of
-// budget.ReceiveBuffer.
+// Accept implements net.Listener. The kernel keeps at most budget.UnreadBytes of what a client
+// sends and little more than budget.UnsentBytes of what it does not read.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
 		switch {
 		case err == nil:
-			if b, ok := nc.(interface{ SetReadBuffer(bytes int) error }); ok {
-				_ = b.SetReadBuffer(budget.ReceiveBuffer) // a closed connection: its first read tells
-			}
+			l.limitBuffers(nc)
 			if c := l.admit(nc); c != nil {
 				return c, nil
 			}
@@ -73,6 +71,20 @@
 	}
 }
 
+// limitBuffers limits the kernel's buffers of an accepted connection.
+func (l *Listener) limitBuffers(nc net.Conn) {
+	var err error
+	if b, ok := nc.(interface{ SetReadBuffer(bytes int) error }); ok {
+		err = b.SetReadBuffer(budget.ReceiveBuffer)
+	}
+	if raw, rerr := rawConn(nc); rerr == nil {
+		err = errors.Join(err, limitUnsent(raw, budget.UnsentBytes))
+	}
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		l.report("the kernel's buffers of a connection cannot be limited", err)
+	}
+}
+
 // isTemporary reports whether accept may succeed when it is called again.
 func isTemporary(err error) bool {
 	if errors.Is(err, net.ErrClosed) {
@@ -242,5 +254,14 @@
 	return errors.ErrUnsupported
 }
 
+// SetUnsentLimit limits the bytes that the kernel takes and cannot send yet.
+func (c *Conn) SetUnsentLimit(bytes int) error {
+	raw, err := rawConn(c.Conn)
+	if err != nil {
+		return err
+	}
+	return limitUnsent(raw, bytes)
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) { return rawConn(c.Conn) }
