--- a/cmd/internal/soak/crowd_linux_test.go
+++ b/cmd/internal/soak/crowd_linux_test.go
@@ -138,7 +138,7 @@
 	}
 	defer resp.Body.Close()
 	if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("status %d, %w", resp.StatusCode, err)
+		return fmt.Errorf("status %d, %v", resp.StatusCode, err)
 	}
 	return nil
 }
