--- a/adapters/sockets/listener.go
+++ b/adapters/sockets/listener.go
@@ -81,7 +81,7 @@
 		err = errors.Join(err, limitUnsent(raw, budget.UnsentBytes))
 	}
 	if err != nil && !errors.Is(err, net.ErrClosed) {
-		l.report("the kernel's buffers of a connection cannot be limited", err)
+		l.warn("the kernel's buffers of a connection cannot be limited", zap.Error(err))
 	}
 }
 
@@ -157,8 +157,17 @@
 	return true
 }
 
-// report writes a log line, at most one in each logInterval.
+// report logs a shortage of descriptors.
 func (l *Listener) report(what string, err error) {
+	fields := []zap.Field{zap.String(logging.FieldReason, what)}
+	if l.Share != nil {
+		fields = append(fields, zap.String("share", l.Share.Name), zap.Int64("limit", l.Share.Limit()), zap.Int64("used", l.Share.Used()))
+	}
+	l.warn("descriptors are short", append(fields, zap.Error(err))...)
+}
+
+// warn writes a log line, at most one in each logInterval.
+func (l *Listener) warn(msg string, fields ...zap.Field) {
 	if l.Log == nil {
 		return
 	}
@@ -168,14 +177,9 @@
 		l.logged = time.Now()
 	}
 	l.mu.Unlock()
-	if !due {
-		return
-	}
-	fields := []zap.Field{zap.String(logging.FieldReason, what)}
-	if l.Share != nil {
-		fields = append(fields, zap.String("share", l.Share.Name), zap.Int64("limit", l.Share.Limit()), zap.Int64("used", l.Share.Used()))
+	if due {
+		l.Log.Warn(msg, fields...)
 	}
-	l.Log.Warn("descriptors are short", append(fields, zap.Error(err))...)
 }
 
 // TrackIdle tells a connection of a Listener its state. It is a ConnState of fasthttp.Server.
