--- a/adapters/httpapi/conns.go
+++ b/adapters/httpapi/conns.go
@@ -122,7 +122,7 @@
 	closed       bool
 	cancel       context.CancelFunc
 	call         call
-	unread
+	unread       unread
 }
 
 // writePieceBytes is the size of one write. The kernel takes about as much for a caller that does
--- a/adapters/httpapi/server.go
+++ b/adapters/httpapi/server.go
@@ -286,7 +286,7 @@
 		ctx.SetConnectionClose()
 		return
 	}
-	if c := callerOf(ctx); c != nil && c.overfull {
+	if c := callerOf(ctx); c != nil && c.unread.overfull {
 		c.room.refused.Store(true) // what the caller still sends is discarded
 		s.writeError(ctx, result.New(result.ConnectionLimit, "no memory for what follows the request").WithRetryAfter(time.Second))
 		ctx.SetConnectionClose()
--- a/adapters/httpapi/unread.go
+++ b/adapters/httpapi/unread.go
@@ -11,7 +11,7 @@
 const minReceiveBuffer = 4 << 10
 
 // unread bounds what the kernel holds of bytes that a caller sends while its request runs,
-// since nothing is read from its connection then. callerConn.mu guards it, except overfull.
+// since nothing is read from its connection then. callerConn.mu guards begin and end.
 type unread struct {
 	hold budget.Hold
 	// small is set while the receive buffer is minReceiveBuffer.
@@ -33,7 +33,7 @@
 	}
 }
 
-// end gives them back.
+// end gives them back. It may be called more than once.
 func (u *unread) end(nc net.Conn) {
 	u.hold.Release()
 	if !u.small {
